--- /dev/null
+++ b/include/zinniadock/connection/linkmessage.h
@@ -0,0 +1,320 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "zinniadock/request/requestid.h"
+#include "zinniadock/request/verdict.h"
+
+namespace zinniadock
+{
+
+/// Version of the protocol between entry and sidecar; peers ignore fields that they do not know.
+constexpr std::uint32_t linkProtocolVersion = 1;
+
+/// What kind of backend server a request needs.
+enum class RequestKind : std::uint8_t {
+    Generation, ///< tokens streamed by a model engine
+    Call, ///< one answer of a plain service
+};
+
+/// First message on a link, sent by both sides.
+struct Hello
+{
+    std::uint32_t protocol = linkProtocolVersion;
+    std::string instance;
+    std::string dataCentre;
+    std::uint64_t incarnation = 0; ///< drawn at each start of a process
+    std::uint64_t revision = 0; ///< configuration revision in force
+
+    template <typename Archive>
+    void fields(Archive &archive)
+    {
+        archive("p", protocol);
+        archive("i", instance);
+        archive("d", dataCentre);
+        archive("n", incarnation);
+        archive("v", revision);
+    }
+};
+
+/// Asks a sidecar to run a request.
+struct Offer
+{
+    RequestId request;
+    GenerationId generation = 1;
+    RequestKind kind = RequestKind::Generation;
+    std::string account;
+    std::string route;
+    std::string method;
+    std::string path;
+    std::string contentType;
+    std::string body;
+    std::string idempotencyKey;
+    std::chrono::milliseconds timeLeft{ 0 }; ///< until the first token, or the whole answer of a call
+    std::uint32_t priority = 0; ///< higher goes first
+    std::uint32_t promptTokens = 0;
+    std::uint32_t maxTokens = 0;
+    double share = 1.0; ///< weight of the client account in fair sharing
+
+    template <typename Archive>
+    void fields(Archive &archive)
+    {
+        archive("r", request);
+        archive("g", generation);
+        archive("k", kind);
+        archive("a", account);
+        archive("o", route);
+        archive("m", method);
+        archive("p", path);
+        archive("c", contentType);
+        archive("b", body);
+        archive("i", idempotencyKey);
+        archive("l", timeLeft);
+        archive("y", priority);
+        archive("q", promptTokens);
+        archive("x", maxTokens);
+        archive("s", share);
+    }
+};
+
+/// Asks for the rest of a request after a broken link; a sidecar that never saw it records it as refused.
+struct Resume
+{
+    RequestId request;
+    GenerationId generation = 1;
+    RequestKind kind = RequestKind::Generation;
+    SequenceNumber next = 0;
+    std::uint64_t offeredTo = 0; ///< incarnation of the sidecar that got the offer
+    std::string account;
+    std::string route;
+    std::uint32_t maxTokens = 0;
+    std::uint32_t promptTokens = 0;
+
+    template <typename Archive>
+    void fields(Archive &archive)
+    {
+        archive("r", request);
+        archive("g", generation);
+        archive("k", kind);
+        archive("n", next);
+        archive("f", offeredTo);
+        archive("a", account);
+        archive("o", route);
+        archive("x", maxTokens);
+        archive("q", promptTokens);
+    }
+};
+
+/// Ends a request that nobody waits for any more.
+struct Cancel
+{
+    RequestId request;
+    GenerationId generation = 1;
+
+    template <typename Archive>
+    void fields(Archive &archive)
+    {
+        archive("r", request);
+        archive("g", generation);
+    }
+};
+
+/// Releases the tokens before \c next from the replay window.
+struct Ack
+{
+    RequestId request;
+    GenerationId generation = 1;
+    SequenceNumber next = 0;
+    bool final = false; ///< the whole answer has arrived
+
+    template <typename Archive>
+    void fields(Archive &archive)
+    {
+        archive("r", request);
+        archive("g", generation);
+        archive("n", next);
+        archive("f", final);
+    }
+};
+
+/// Says that a request left the queue and was sent to its backend server.
+struct Started
+{
+    RequestId request;
+    GenerationId generation = 1;
+    std::chrono::milliseconds queued{ 0 };
+
+    template <typename Archive>
+    void fields(Archive &archive)
+    {
+        archive("r", request);
+        archive("g", generation);
+        archive("q", queued);
+    }
+};
+
+/// One token of one generation.
+struct Token
+{
+    RequestId request;
+    GenerationId generation = 1;
+    SequenceNumber sequence = 0;
+    std::string text;
+
+    template <typename Archive>
+    void fields(Archive &archive)
+    {
+        archive("r", request);
+        archive("g", generation);
+        archive("n", sequence);
+        archive("x", text);
+    }
+};
+
+/// The end of a whole generation.
+struct Finished
+{
+    RequestId request;
+    GenerationId generation = 1;
+    SequenceNumber tokens = 0; ///< number of tokens of the whole generation
+    std::string reason; ///< `stop` or `length`
+
+    template <typename Archive>
+    void fields(Archive &archive)
+    {
+        archive("r", request);
+        archive("g", generation);
+        archive("n", tokens);
+        archive("x", reason);
+    }
+};
+
+/// The whole answer of a plain service.
+struct Reply
+{
+    RequestId request;
+    GenerationId generation = 1;
+    std::uint32_t status = 0;
+    std::string contentType;
+    std::string body;
+
+    template <typename Archive>
+    void fields(Archive &archive)
+    {
+        archive("r", request);
+        archive("g", generation);
+        archive("s", status);
+        archive("c", contentType);
+        archive("b", body);
+    }
+};
+
+/// The end of a request without its whole answer.
+struct Failed
+{
+    RequestId request;
+    GenerationId generation = 1;
+    std::int32_t error = 0; ///< a RequestError
+    Verdict verdict = Verdict::MayHaveRun;
+    std::string message;
+    std::chrono::milliseconds retryAfter{ 0 };
+
+    template <typename Archive>
+    void fields(Archive &archive)
+    {
+        archive("r", request);
+        archive("g", generation);
+        archive("e", error);
+        archive("v", verdict);
+        archive("x", message);
+        archive("a", retryAfter);
+    }
+};
+
+/// Load of a backend server as its sidecar counts it.
+struct LoadReport
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t usedBlocks = 0;
+    std::uint32_t totalBlocks = 0;
+    std::uint32_t entries = 0; ///< entry instances linked to this sidecar
+    std::chrono::milliseconds expectedWait{ 0 };
+    bool draining = false;
+    bool backendAlive = false;
+    std::uint64_t revision = 0;
+    std::uint64_t preemptions = 0;
+
+    template <typename Archive>
+    void fields(Archive &archive)
+    {
+        archive("r", running);
+        archive("w", waiting);
+        archive("u", usedBlocks);
+        archive("t", totalBlocks);
+        archive("e", entries);
+        archive("x", expectedWait);
+        archive("d", draining);
+        archive("b", backendAlive);
+        archive("v", revision);
+        archive("p", preemptions);
+    }
+};
+
+/// A whole configuration, sent to a peer that has an older one.
+struct ConfigurationPush
+{
+    std::uint64_t revision = 0;
+    std::string digest;
+    std::string text;
+
+    template <typename Archive>
+    void fields(Archive &archive)
+    {
+        archive("v", revision);
+        archive("d", digest);
+        archive("x", text);
+    }
+};
+
+/// Asks the peer to answer at once, while something is outstanding on a silent link.
+struct Ping
+{
+    std::uint64_t number = 0;
+
+    template <typename Archive>
+    void fields(Archive &archive)
+    {
+        archive("n", number);
+    }
+};
+
+/// Answers a Ping with its number.
+struct Pong
+{
+    std::uint64_t number = 0;
+
+    template <typename Archive>
+    void fields(Archive &archive)
+    {
+        archive("n", number);
+    }
+};
+
+/// Every message of the protocol; the position in the list is its type number on the wire.
+using LinkMessage = std::variant<Hello, Offer, Resume, Cancel, Ack, Started, Token, Finished, Reply, Failed, LoadReport,
+                                 ConfigurationPush, Ping, Pong>;
+
+/// Encodes a message as one CBOR map.
+std::string encode(LinkMessage message);
+
+/// Decodes one frame; nothing if it is not a well-formed message within the size limits.
+/// Complexity: linear in the frame, constant depth.
+std::optional<LinkMessage> decode(std::string_view frame);
+
+} // namespace zinniadock
--- /dev/null
+++ b/include/zinniadock/detail/base64.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+namespace zinniadock::detail
+{
+
+/// Encodes bytes without line breaks.
+std::string base64(const std::string &bytes);
+
+/// Decodes base64; nothing for malformed text.
+std::optional<std::string> fromBase64(const std::string &text);
+
+} // namespace zinniadock::detail
--- /dev/null
+++ b/include/zinniadock/detail/fieldtable.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <limits>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "zinniadock/version/inidocument.h"
+
+namespace zinniadock
+{
+
+/// An IP address with a port.
+struct Endpoint
+{
+    std::string address;
+    std::uint16_t port = 0;
+
+    bool operator==(const Endpoint &) const = default;
+
+    std::string text() const;
+};
+
+namespace detail
+{
+
+/// Inclusive bounds of a number; of its count for a list or a text.
+struct Range
+{
+    double least = 0;
+    double most = std::numeric_limits<double>::max();
+};
+
+bool parseValue(const std::string &text, const Range &range, std::string &value);
+bool parseValue(const std::string &text, const Range &range, std::uint32_t &value);
+bool parseValue(const std::string &text, const Range &range, double &value);
+bool parseValue(const std::string &text, const Range &range, bool &value);
+bool parseValue(const std::string &text, const Range &range, std::chrono::milliseconds &value);
+bool parseValue(const std::string &text, const Range &range, std::vector<std::string> &value);
+bool parseValue(const std::string &text, const Range &range, Endpoint &value);
+
+std::string formatValue(const std::string &value);
+std::string formatValue(std::uint32_t value);
+std::string formatValue(double value);
+std::string formatValue(bool value);
+std::string formatValue(std::chrono::milliseconds value);
+std::string formatValue(const std::vector<std::string> &value);
+std::string formatValue(const Endpoint &value);
+
+/// How one key of a section is read, checked, written and documented.
+template <typename Object>
+struct FieldRule
+{
+    std::string_view key;
+    bool required;
+    Range range;
+    std::string_view expected; ///< what would be right, for messages and the reference page
+    std::string_view brief;
+    bool (*parse)(Object &object, const std::string &text, const Range &range);
+    std::string (*format)(const Object &object);
+};
+
+template <typename>
+struct MemberOwner;
+
+template <typename Object, typename Value>
+struct MemberOwner<Value Object::*>
+{
+    using Type = Object;
+};
+
+/// Makes the rule of one member of an aggregate.
+template <auto Member>
+constexpr auto fieldRule(std::string_view key, bool required, Range range, std::string_view expected,
+                         std::string_view brief)
+{
+    using Object = typename MemberOwner<decltype(Member)>::Type;
+    return FieldRule<Object>{ key,
+                              required,
+                              range,
+                              expected,
+                              brief,
+                              [](Object &object, const std::string &text, const Range &bounds) {
+                                  return parseValue(text, bounds, object.*Member);
+                              },
+                              [](const Object &object) {
+                                  return formatValue(object.*Member);
+                              } };
+}
+
+/// Fills an aggregate from a section; every mistake goes to \p problems.
+template <typename Object>
+Object parseSection(const IniSection &section, const std::string &file, std::span<const FieldRule<Object>> rules,
+                    Problems &problems)
+{
+    Object object;
+    for (const auto &[key, text] : section.values) {
+        const auto rule = std::find_if(rules.begin(), rules.end(), [&key](const auto &entry) {
+            return entry.key == key;
+        });
+        if (rule == rules.end()) {
+            problems.push_back({ file, section.line, section.heading(), key, "is not a key of this section" });
+        } else if (!rule->parse(object, text, rule->range)) {
+            problems.push_back({ file, section.line, section.heading(), key,
+                                 "expected " + std::string(rule->expected) + ", found \"" + text + "\"" });
+        }
+    }
+    for (const auto &rule : rules) {
+        if (rule.required && !section.values.contains(std::string(rule.key))) {
+            problems.push_back({ file, section.line, section.heading(), std::string(rule.key),
+                                 "is missing; expected " + std::string(rule.expected) });
+        }
+    }
+    return object;
+}
+
+/// Writes an aggregate as a section that parseSection() reads back.
+template <typename Object>
+std::string formatSection(const std::string &heading, const Object &object, std::span<const FieldRule<Object>> rules)
+{
+    std::string out = "[" + heading + "]\n";
+    for (const auto &rule : rules) {
+        const std::string text = rule.format(object);
+        if (!text.empty()) {
+            out += std::string(rule.key) + " = " + text + "\n";
+        }
+    }
+    return out;
+}
+
+} // namespace detail
+
+} // namespace zinniadock
--- /dev/null
+++ b/include/zinniadock/detail/httptime.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <chrono>
+
+#include <Poco/Timespan.h>
+
+namespace zinniadock::detail
+{
+
+/// Converts a duration for the HTTP library.
+inline Poco::Timespan timespan(std::chrono::milliseconds duration)
+{
+    return { std::chrono::duration_cast<std::chrono::microseconds>(duration).count() };
+}
+
+} // namespace zinniadock::detail
--- /dev/null
+++ b/include/zinniadock/process/configurationeditor.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "zinniadock/process/publisher.h"
+#include "zinniadock/version/changeset.h"
+
+namespace zinniadock
+{
+
+/// What came of an operator's change.
+struct EditOutcome
+{
+    PublishOutcome publish;
+    std::vector<ObjectChange> changes; ///< what the accepted revision changed
+    std::vector<ObjectChange> conflicts; ///< objects that another operator changed first
+    Problems problems; ///< mistakes of the resulting set; nothing was published
+};
+
+/// Applies operators' changes to the newest configuration, over races with other operators.
+template <Store StoreType>
+class ConfigurationEditor
+{
+public:
+    ConfigurationEditor(StoreType &store, const std::string &prefix)
+        : m_publisher(store, prefix)
+    {
+    }
+
+    /// Replaces the whole configuration by a canonical text, unless another change comes first.
+    EditOutcome replace(const std::string &text, const std::string &changeId, const std::string &author)
+    {
+        EditOutcome outcome;
+        const HeadRead base = m_publisher.readHead();
+        std::string before;
+        if (!readBase(base, before)) {
+            return outcome;
+        }
+        if (!check(text, outcome)) {
+            return outcome;
+        }
+        outcome.changes = differences(splitObjects(before), splitObjects(text));
+        outcome.publish = m_publisher.publish(text, base, changeId, author);
+        return outcome;
+    }
+
+    /// Applies a change set; where another operator was first it is applied again to the result, unless both touched
+    /// the same object.
+    EditOutcome change(const ChangeSet &change, const std::string &changeId, const std::string &author)
+    {
+        EditOutcome outcome;
+        ObjectTexts seen;
+        for (int attempt = 0; attempt < maxAttempts; ++attempt) {
+            const HeadRead base = m_publisher.readHead();
+            std::string before;
+            if (!readBase(base, before)) {
+                return outcome;
+            }
+            const ObjectTexts objects = splitObjects(before);
+            if (attempt > 0) {
+                outcome.conflicts = conflicts(change, seen, objects);
+                if (!outcome.conflicts.empty()) {
+                    outcome.publish.result = PublishResult::Conflict;
+                    return outcome;
+                }
+            }
+            seen = objects;
+            const std::string text = canonical(applied(objects, change), outcome);
+            if (!outcome.problems.empty()) {
+                return outcome;
+            }
+            outcome.changes = differences(objects, splitObjects(text));
+            outcome.publish = m_publisher.publish(text, base, changeId, author);
+            if (outcome.publish.result != PublishResult::Conflict) {
+                return outcome;
+            }
+        }
+        return outcome;
+    }
+
+    Publisher<StoreType> &publisher()
+    {
+        return m_publisher;
+    }
+
+private:
+    static constexpr int maxAttempts = 200;
+
+    bool readBase(const HeadRead &base, std::string &text)
+    {
+        if (base.status != StoreStatus::Done) {
+            return false;
+        }
+        if (!base.head) {
+            return true;
+        }
+        const auto found = m_publisher.readText(base.head->digest);
+        if (found) {
+            text = *found;
+        }
+        return found.has_value();
+    }
+
+    static bool check(const std::string &text, EditOutcome &outcome)
+    {
+        canonical(text, outcome);
+        return outcome.problems.empty();
+    }
+
+    static std::string canonical(const std::string &text, EditOutcome &outcome)
+    {
+        const Configuration configuration = parseConfiguration(text, "resulting configuration", outcome.problems);
+        if (outcome.problems.empty()) {
+            checkConfiguration(configuration, "resulting configuration", outcome.problems);
+        }
+        return formatConfiguration(configuration);
+    }
+
+    Publisher<StoreType> m_publisher;
+};
+
+} // namespace zinniadock
--- /dev/null
+++ b/include/zinniadock/process/configurationfollower.h
@@ -0,0 +1,185 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+
+#include <condition_variable>
+
+#include "zinniadock/process/log.h"
+#include "zinniadock/process/publisher.h"
+#include "zinniadock/process/store.h"
+#include "zinniadock/version/version.h"
+
+namespace zinniadock
+{
+
+/// Keeps a VersionHolder at the newest accepted configuration, on a thread of its own.
+template <Store StoreType>
+class ConfigurationFollower
+{
+public:
+    /// \param installed  called after each new version came into force
+    /// \param idle  called between watches, at least every \c watchDuration
+    ConfigurationFollower(StoreType &store, std::string prefix, VersionHolder &holder, std::function<void()> installed,
+                          std::function<void()> idle)
+        : m_store(store)
+        , m_prefix(std::move(prefix))
+        , m_holder(holder)
+        , m_installed(std::move(installed))
+        , m_idle(std::move(idle))
+        , m_thread([this] {
+            run();
+        })
+    {
+    }
+
+    ~ConfigurationFollower()
+    {
+        stop();
+    }
+
+    ConfigurationFollower(const ConfigurationFollower &) = delete;
+    ConfigurationFollower &operator=(const ConfigurationFollower &) = delete;
+
+    void stop()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_stopping = true;
+        }
+        m_changed.notify_all();
+        m_store.interruptWatches();
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+    /// Says whether the store answered the last call.
+    bool storeAnswers() const
+    {
+        return m_storeAnswers;
+    }
+
+private:
+    // A watch that went silent for good hides changes until it is opened anew from the last revision seen, so its
+    // duration is well within the bound on the spread of a change.
+    static constexpr std::chrono::milliseconds watchDuration{ 4000 };
+    static constexpr std::chrono::milliseconds firstPause{ 100 };
+    static constexpr std::chrono::milliseconds longestPause{ 5000 };
+
+    void run()
+    {
+        std::chrono::milliseconds pause = firstPause;
+        std::minstd_rand random(static_cast<std::minstd_rand::result_type>(randomNumber()));
+        while (!stopping()) {
+            const bool answered = followOnce();
+            if (answered != m_storeAnswers) {
+                m_storeAnswers = answered;
+                if (answered) {
+                    log.info("the store answers again");
+                } else {
+                    log.warning("the store does not answer; the present configuration stays in force");
+                }
+            }
+            m_idle();
+            if (answered) {
+                pause = firstPause;
+                continue;
+            }
+            // The jitter spreads the calls of a whole fleet after an outage.
+            std::uniform_int_distribution<std::int64_t> jitter(pause.count() / 2, pause.count());
+            waitFor(std::chrono::milliseconds(jitter(random)));
+            pause = std::min(pause * 2, longestPause);
+        }
+    }
+
+    // Reads the head, then watches it until something changes or a quiet duration ends.
+    bool followOnce()
+    {
+        if (m_readNeeded) {
+            const StoreRead found = m_store.read(headKey(m_prefix));
+            if (found.status != StoreStatus::Done) {
+                return false;
+            }
+            if (found.value && !adopt(found.value->value)) {
+                return false;
+            }
+            m_seenRevision = std::max(m_seenRevision, found.storeRevision);
+            m_readNeeded = false;
+        }
+        const StoreStatus status
+            = m_store.watch(headKey(m_prefix), m_seenRevision, watchDuration, [this](const StoreValue &value) {
+                  if (!adopt(value.value)) {
+                      m_readNeeded = true;
+                      return false;
+                  }
+                  m_seenRevision = value.modRevision;
+                  return !stopping();
+              });
+        m_readNeeded = m_readNeeded || status != StoreStatus::Done;
+        return status == StoreStatus::Done;
+    }
+
+    bool adopt(const std::string &headText)
+    {
+        const auto head = decodeHead(headText);
+        if (!head) {
+            log.error("the configuration head in the store is malformed");
+            return true;
+        }
+        if (head->revision <= m_holder.revision()) {
+            return true;
+        }
+        const StoreRead text = m_store.read(textKey(m_prefix, head->digest));
+        if (text.status != StoreStatus::Done || !text.value) {
+            return false;
+        }
+        const auto version = makeVersion(head->revision, head->digest, text.value->value);
+        if (!version) {
+            log.error("configuration revision " + std::to_string(head->revision)
+                      + " does not match its digest or its rules");
+            return true;
+        }
+        if (m_holder.install(version)) {
+            log.info("configuration revision " + std::to_string(head->revision) + " is in force");
+            m_installed();
+        }
+        return true;
+    }
+
+    bool stopping() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_stopping;
+    }
+
+    void waitFor(std::chrono::milliseconds duration)
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait_for(lock, duration, [this] {
+            return m_stopping;
+        });
+    }
+
+    static constexpr Log log{ "config" };
+
+    StoreType &m_store;
+    std::string m_prefix;
+    VersionHolder &m_holder;
+    std::function<void()> m_installed;
+    std::function<void()> m_idle;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_stopping = false;
+    bool m_readNeeded = true;
+    std::atomic<bool> m_storeAnswers{ true };
+    std::int64_t m_seenRevision = 0;
+    std::thread m_thread;
+};
+
+} // namespace zinniadock
--- /dev/null
+++ b/include/zinniadock/process/entryservices.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <atomic>
+
+#include "zinniadock/process/accountlimiter.h"
+#include "zinniadock/process/claims.h"
+#include "zinniadock/process/etcdstore.h"
+#include "zinniadock/process/linkpool.h"
+#include "zinniadock/process/metrics.h"
+#include "zinniadock/process/settings.h"
+#include "zinniadock/version/version.h"
+
+namespace zinniadock
+{
+
+/// The parts of an entry that live as long as its process, shared by all requests.
+struct EntryServices
+{
+    const Settings &settings;
+    VersionHolder &versions;
+    LinkPool &links;
+    AccountLimiter &limiter;
+    RetryBudget &retries;
+    Claims<EtcdStore> &claims;
+    EntryMetrics &metrics;
+    std::atomic<bool> &draining;
+};
+
+} // namespace zinniadock
--- /dev/null
+++ b/include/zinniadock/process/linkpool.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+#include "zinniadock/connection/linkmessage.h"
+#include "zinniadock/connection/linktransport.h"
+#include "zinniadock/process/routing.h"
+#include "zinniadock/request/exchange.h"
+#include "zinniadock/version/version.h"
+
+namespace zinniadock
+{
+
+/// Counts of a link pool, for the status page.
+struct LinkPoolStatus
+{
+    std::size_t open = 0;
+    std::size_t down = 0;
+    std::size_t exchanges = 0;
+    std::uint64_t reconnects = 0;
+    std::uint64_t silentLinks = 0; ///< links dropped because nothing arrived on them
+    std::uint64_t resumes = 0;
+};
+
+/// The links of an entry to the sidecars: keeps them open, and carries requests over breaks.
+class LinkPool
+{
+public:
+    /// \param version  configuration offered to sidecars that have an older one, and taken from those with a newer one
+    /// \param adopted  called after a newer version was taken from a sidecar
+    LinkPool(std::string instance, std::string dataCentre, VersionHolder &version, std::function<void()> adopted);
+    ~LinkPool();
+
+    LinkPool(const LinkPool &) = delete;
+    LinkPool &operator=(const LinkPool &) = delete;
+
+    /// Follows the backend servers of a version: links to new ones, leaves the removed ones once they are quiet.
+    void setServers(const Version &version);
+
+    /// Sends newer configuration to every linked sidecar.
+    void publish();
+
+    /// Returns what is known of the servers of a pool, in their order.
+    std::vector<ServerView> views(const Pool &pool, const Configuration &configuration) const;
+
+    /// Sends a request; false, with nothing sent, if the server is not linked.
+    bool offer(const std::string &server, const Offer &offer, const std::shared_ptr<Exchange> &exchange);
+
+    /// Asks for the tokens of a request again, after a gap.
+    void resume(const std::string &server, const Exchange &exchange);
+
+    /// Releases delivered tokens at the sidecar.
+    void acknowledge(const std::string &server, const Exchange &exchange, SequenceNumber next);
+
+    /// Forgets an exchange that has ended, and releases its answer at the sidecar.
+    void finish(const std::string &server, const Exchange &exchange, SequenceNumber next);
+
+    /// Forgets an exchange and ends its request at the sidecar.
+    void cancel(const std::string &server, const Exchange &exchange);
+
+    /// Returns the number of entries that share the fleet's limits, as the sidecars count them; at least 1.
+    std::uint32_t entryCount() const;
+
+    LinkPoolStatus status() const;
+
+    /// Closes every link.
+    void stop();
+
+private:
+    using Clock = std::chrono::steady_clock;
+
+    enum class State {
+        Idle,
+        Connecting,
+        Greeting, ///< connected, waiting for the sidecar's Hello
+        Open,
+    };
+
+    struct ServerLink
+    {
+        std::string server;
+        Endpoint address;
+        std::string dataCentre;
+        State state = State::Idle;
+        LinkId link = 0;
+        std::uint64_t incarnation = 0;
+        std::uint64_t theirRevision = 0;
+        LoadReport load;
+        std::uint32_t sentSinceReport = 0;
+        std::chrono::milliseconds pause{ 0 };
+        Clock::time_point connectDue;
+        Clock::time_point lastHeard;
+        Clock::time_point openedAt;
+        bool pinged = false;
+        bool removed = false;
+        std::unordered_map<RequestId, std::shared_ptr<Exchange>> exchanges;
+    };
+
+    void opened(LinkId link);
+    void closed(LinkId link);
+    void received(LinkId link, const std::string &frame);
+    void greeted(ServerLink &server, const Hello &hello);
+    void adopt(LinkId link, const ConfigurationPush &push);
+    void maintain();
+    void maintainLink(ServerLink &server, Clock::time_point now, std::vector<LinkId> &silent);
+    ServerLink *findByLink(LinkId link);
+    ServerLink *findByName(const std::string &server);
+    void send(const ServerLink &server, const LinkMessage &message);
+    void pushVersion(ServerLink &server);
+    template <typename Message>
+    void deliver(ServerLink &server, Message &message);
+
+    const std::string m_instance;
+    const std::string m_dataCentre;
+    const std::uint64_t m_incarnation;
+    VersionHolder &m_version;
+    const std::function<void()> m_adopted;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_wake;
+    bool m_stopping = false;
+    std::map<std::string, std::shared_ptr<ServerLink>> m_servers;
+    std::unordered_map<LinkId, std::shared_ptr<ServerLink>> m_byLink;
+    LinkPoolStatus m_counters;
+    std::unique_ptr<LinkTransport> m_transport;
+    std::thread m_maintainer;
+};
+
+} // namespace zinniadock
--- /dev/null
+++ b/include/zinniadock/process/metrics.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+#include <boost/histogram/axis/regular.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/storage_adaptor.hpp>
+
+namespace zinniadock
+{
+
+/// A histogram of durations on a logarithmic axis from 100 microseconds to 1000 seconds. Thread-safe.
+class DurationHistogram
+{
+public:
+    DurationHistogram();
+
+    void record(std::chrono::microseconds duration);
+
+    /// Returns the duration below which a share \p quantile of the records lies; zero without records.
+    std::chrono::microseconds quantile(double quantile) const;
+
+    std::uint64_t count() const;
+
+    /// Appends the histogram in the Prometheus text form.
+    void print(std::string_view name, std::string_view help, std::string &out) const;
+
+private:
+    using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    using Histogram = boost::histogram::histogram<std::tuple<Axis>, boost::histogram::dense_storage<double>>;
+
+    mutable std::mutex m_mutex;
+    Histogram m_histogram;
+    double m_sum = 0;
+    std::uint64_t m_count = 0;
+};
+
+/// The measures of an entry.
+struct EntryMetrics
+{
+    DurationHistogram firstToken;
+    DurationHistogram tokenGap;
+    DurationHistogram longestStall; ///< per request
+    std::atomic<std::uint64_t> requests{ 0 };
+    std::atomic<std::uint64_t> completed{ 0 };
+    std::atomic<std::uint64_t> failed{ 0 };
+    std::atomic<std::uint64_t> refused{ 0 };
+    std::atomic<std::uint64_t> retries{ 0 };
+    std::atomic<std::uint64_t> cancelled{ 0 };
+    std::atomic<std::uint64_t> tokens{ 0 };
+    std::atomic<std::uint64_t> replays{ 0 }; ///< keyed calls answered from a recorded outcome
+
+    /// Returns all measures in the Prometheus text form.
+    std::string print() const;
+};
+
+} // namespace zinniadock
--- /dev/null
+++ b/include/zinniadock/process/publisher.h
@@ -0,0 +1,188 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "zinniadock/process/store.h"
+#include "zinniadock/version/configuration.h"
+
+namespace zinniadock
+{
+
+/// The newest accepted configuration, as the store holds it.
+struct ConfigurationHead
+{
+    std::uint64_t revision = 0;
+    std::string digest; ///< SHA-256 of the text, and its key
+    std::string parent; ///< digest of the revision before
+    std::string changeId; ///< names the change that was accepted
+    std::string author;
+};
+
+std::string encodeHead(const ConfigurationHead &head);
+std::optional<ConfigurationHead> decodeHead(const std::string &text);
+
+std::string headKey(const std::string &prefix);
+std::string textKey(const std::string &prefix, const std::string &digest);
+std::string historyKey(const std::string &prefix, std::uint64_t revision);
+
+enum class PublishResult {
+    Accepted, ///< the head names this configuration
+    Unchanged, ///< the head already names this content
+    Conflict, ///< another change was accepted first
+    Unavailable, ///< the store does not answer and nothing was accepted
+    Unknown, ///< the store does not answer and the change may have been accepted
+};
+
+struct PublishOutcome
+{
+    PublishResult result = PublishResult::Unavailable;
+    ConfigurationHead head; ///< the accepted head, or the one that won
+};
+
+/// The head with the store revision that a swap compares with.
+struct HeadRead
+{
+    StoreStatus status = StoreStatus::Unavailable;
+    std::optional<ConfigurationHead> head;
+    std::int64_t modRevision = absentKey;
+};
+
+/// Publishes checked configurations; accepted means that the swap of the head took effect.
+template <Store StoreType>
+class Publisher
+{
+public:
+    Publisher(StoreType &store, std::string prefix)
+        : m_store(store)
+        , m_prefix(std::move(prefix))
+    {
+    }
+
+    HeadRead readHead()
+    {
+        const StoreRead found = m_store.read(headKey(m_prefix));
+        HeadRead result{ .status = found.status, .head = {}, .modRevision = absentKey };
+        if (found.value) {
+            result.head = decodeHead(found.value->value);
+            result.modRevision = found.value->modRevision;
+        }
+        return result;
+    }
+
+    /// Reads a text and verifies its digest.
+    std::optional<std::string> readText(const std::string &digest)
+    {
+        const StoreRead found = m_store.read(textKey(m_prefix, digest));
+        if (!found.value || sha256(found.value->value) != digest) {
+            return std::nullopt;
+        }
+        return found.value->value;
+    }
+
+    /// Reads the head record of an earlier revision.
+    std::optional<ConfigurationHead> readHistory(std::uint64_t revision)
+    {
+        const StoreRead found = m_store.read(historyKey(m_prefix, revision));
+        return found.value ? decodeHead(found.value->value) : std::nullopt;
+    }
+
+    /// Publishes a canonical text as the successor of the head that was read as \p base.
+    /// \pre the text has passed checkConfiguration()
+    PublishOutcome publish(const std::string &text, const HeadRead &base, const std::string &changeId,
+                           const std::string &author)
+    {
+        const ConfigurationHead before = base.head.value_or(ConfigurationHead());
+        PublishOutcome outcome;
+        outcome.head = ConfigurationHead{ .revision = before.revision + 1,
+                                          .digest = sha256(text),
+                                          .parent = before.digest,
+                                          .changeId = changeId,
+                                          .author = author };
+        if (before.digest == outcome.head.digest) {
+            outcome.result = PublishResult::Unchanged;
+            outcome.head = before;
+            return outcome;
+        }
+        // The text is stored before the head names it, so no reader finds a head without its text.
+        if (!writeOnce(textKey(m_prefix, outcome.head.digest), text)) {
+            return outcome;
+        }
+        if (before.revision > 0 && !writeOnce(historyKey(m_prefix, before.revision), encodeHead(before))) {
+            return outcome;
+        }
+        return swapHead(base.modRevision, outcome);
+    }
+
+private:
+    static constexpr int maxAttempts = 5;
+    static constexpr std::chrono::milliseconds retryPause{ 100 };
+
+    bool writeOnce(const std::string &key, const std::string &value)
+    {
+        for (int attempt = 0; attempt < maxAttempts; ++attempt) {
+            const StoreStatus status = m_store.compareAndSwap(key, absentKey, value, LeaseId());
+            if (status == StoreStatus::Done || status == StoreStatus::Conflict) {
+                return true;
+            }
+            std::this_thread::sleep_for(retryPause);
+        }
+        return false;
+    }
+
+    PublishOutcome swapHead(std::int64_t modRevision, PublishOutcome outcome)
+    {
+        bool maybeWritten = false;
+        for (int attempt = 0; attempt < maxAttempts; ++attempt) {
+            const StoreStatus status
+                = m_store.compareAndSwap(headKey(m_prefix), modRevision, encodeHead(outcome.head), LeaseId());
+            if (status == StoreStatus::Done) {
+                outcome.result = PublishResult::Accepted;
+                return outcome;
+            }
+            maybeWritten = maybeWritten || status == StoreStatus::Unknown;
+            if (status == StoreStatus::Conflict) {
+                return settle(maybeWritten, std::move(outcome));
+            }
+            std::this_thread::sleep_for(retryPause);
+        }
+        outcome.result = maybeWritten ? PublishResult::Unknown : PublishResult::Unavailable;
+        return outcome;
+    }
+
+    // After a lost answer the comparison fails either because of this change or because of another one. The chain of
+    // heads tells: this change is in it under its change id, as the head or as an earlier revision.
+    PublishOutcome settle(bool maybeWritten, PublishOutcome outcome)
+    {
+        for (int attempt = 0; attempt < maxAttempts; ++attempt) {
+            const HeadRead now = readHead();
+            if (now.status != StoreStatus::Done || !now.head) {
+                std::this_thread::sleep_for(retryPause);
+                continue;
+            }
+            const bool isHead = now.head->changeId == outcome.head.changeId;
+            if (isHead || !maybeWritten || now.head->revision == outcome.head.revision) {
+                outcome.result = isHead ? PublishResult::Accepted : PublishResult::Conflict;
+                outcome.head = *now.head;
+                return outcome;
+            }
+            const auto earlier = readHistory(outcome.head.revision);
+            if (earlier) {
+                const bool accepted = earlier->changeId == outcome.head.changeId;
+                outcome.result = accepted ? PublishResult::Accepted : PublishResult::Conflict;
+                outcome.head = accepted ? *earlier : *now.head;
+                return outcome;
+            }
+        }
+        outcome.result = maybeWritten ? PublishResult::Unknown : PublishResult::Conflict;
+        return outcome;
+    }
+
+    StoreType &m_store;
+    std::string m_prefix;
+};
+
+} // namespace zinniadock
--- /dev/null
+++ b/include/zinniadock/request/error.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <system_error>
+
+#include "zinniadock/request/verdict.h"
+
+namespace zinniadock
+{
+
+/// Named reasons why a request ended without its whole answer.
+enum class RequestError {
+    BadRequest = 1,
+    Unauthorized,
+    UnknownRoute,
+    BodyTooLarge,
+    RateLimited,
+    ConcurrencyLimited,
+    QueueFull,
+    DeadlineExceeded,
+    Draining,
+    NoServer,
+    StoreUnavailable,
+    LinkLost,
+    EngineLost,
+    EngineRefused,
+    UnknownRequest,
+    KeyInUse,
+    KeyMismatch,
+    Cancelled,
+    NotConfigured,
+    AnswerTooLarge,
+};
+
+const std::error_category &requestCategory();
+std::error_code make_error_code(
+    RequestError error); // NOLINT(readability-identifier-naming): name required by the standard library
+
+/// Why a request ended, whether it may have run, and when it is worth asking again.
+struct Failure
+{
+    std::error_code code;
+    Verdict verdict = Verdict::MayHaveRun;
+    std::string message;
+    std::chrono::milliseconds retryAfter{ 0 }; ///< zero where the reason gives no time
+};
+
+/// Returns the HTTP status that tells the caller about an error.
+int httpStatus(const std::error_code &code);
+
+} // namespace zinniadock
+
+template <>
+struct std::is_error_code_enum<zinniadock::RequestError> : std::true_type
+{
+};
--- /dev/null
+++ b/include/zinniadock/version/version.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "zinniadock/version/configuration.h"
+
+namespace zinniadock
+{
+
+/// One accepted configuration with its indexes; a request runs wholly under one of these.
+struct Version
+{
+    std::uint64_t revision = 0;
+    std::string digest; ///< SHA-256 of \c text
+    std::string text; ///< canonical form
+    Configuration configuration;
+    std::unordered_map<std::string, std::string> accountOfKeyDigest;
+
+    /// Finds the account of a caller's key.
+    const Account *accountOfKey(const std::string &key, std::string &name) const;
+
+    /// Finds the longest path route that a request path starts with; its name goes to \p name.
+    const Route *routeOfPath(const std::string &path, std::string &name) const;
+
+    /// Returns the policy in force: `[policy default]`, or the defaults.
+    Policy policy() const;
+};
+
+/// Builds a version from a published text; nothing if the digest or the content is wrong.
+std::shared_ptr<const Version> makeVersion(std::uint64_t revision, const std::string &digest, const std::string &text);
+
+/// Holds the version in force; only ever moves to a higher revision.
+class VersionHolder
+{
+public:
+    /// Puts a version in force; false if it is not higher than the present one.
+    bool install(std::shared_ptr<const Version> version);
+
+    /// Returns the version in force; empty before the first.
+    std::shared_ptr<const Version> current() const;
+
+    /// Returns the revision in force; 0 before the first.
+    std::uint64_t revision() const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::shared_ptr<const Version> m_current;
+};
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/cli/fleetcommands.cpp
@@ -0,0 +1,109 @@
+#include "commands.h"
+
+#include <iomanip>
+#include <iostream>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+#include <nlohmann/json.hpp>
+
+namespace zinniadock::cli
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr int adminTimeoutSeconds = 2;
+
+std::string field(const Json &status, const char *key)
+{
+    const auto position = status.find(key);
+    if (position == status.end()) {
+        return "-";
+    }
+    return position->is_string() ? position->get<std::string>() : position->dump();
+}
+
+void printRow(const Json &status)
+{
+    const bool isEntry = field(status, "role") == "entry";
+    std::cout << std::left << std::setw(14) << field(status, "instance") << std::setw(9) << field(status, "role")
+              << std::setw(11) << field(status, "data_centre") << std::setw(9) << field(status, "revision")
+              << std::setw(9) << (status.value("draining", false) ? "draining" : "serving");
+    if (isEntry) {
+        const Json links = status.value("links", Json::object());
+        std::cout << "links " << field(links, "open") << " up " << field(links, "down") << " down, connections "
+                  << field(status, "connections") << ", tokens " << field(status, "tokens") << ", first token p95 "
+                  << field(status, "first_token_p95_ms") << " ms, gap p95 " << field(status, "token_gap_p95_ms")
+                  << " ms, store " << (status.value("store_answers", false) ? "up" : "down");
+    } else {
+        std::cout << (status.value("backend_answers", false) ? "backend up" : "backend down") << ", running "
+                  << field(status, "running") << ", waiting " << field(status, "waiting") << ", blocks "
+                  << field(status, "used_blocks") << "/" << field(status, "usable_blocks") << ", preemptions "
+                  << field(status, "preemptions");
+    }
+    std::cout << "\n";
+}
+
+ExitCode forEachInstance(const Options &options, const std::string &method, const std::string &path)
+{
+    ExitCode result = ExitCode::Done;
+    Json all = Json::array();
+    for (const Endpoint &instance : options.admins) {
+        const auto answer = adminCall(options, instance, method, path);
+        const Json status = answer ? Json::parse(*answer, nullptr, false) : Json();
+        if (!status.is_object()) {
+            std::cerr << instance.text() << " does not answer\n";
+            result = ExitCode::Unavailable;
+            continue;
+        }
+        all.push_back(status);
+        if (!options.json) {
+            printRow(status);
+        }
+    }
+    if (options.json) {
+        std::cout << all.dump(2) << "\n";
+    }
+    return result;
+}
+
+} // namespace
+
+std::optional<std::string> adminCall(const Options &options, const Endpoint &instance, const std::string &method,
+                                     const std::string &path)
+{
+    try {
+        Poco::Net::HTTPClientSession session(instance.address, instance.port);
+        session.setTimeout(Poco::Timespan(adminTimeoutSeconds, 0));
+        Poco::Net::HTTPRequest request(method, path, Poco::Net::HTTPMessage::HTTP_1_1);
+        request.setContentLength(0);
+        if (!options.adminKey.empty()) {
+            request.set("Authorization", "Bearer " + options.adminKey);
+        }
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        std::string body;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
+        return response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK ? std::optional(body) : std::nullopt;
+    } catch (const Poco::Exception &) {
+        return std::nullopt;
+    }
+}
+
+ExitCode showStatus(const Options &options)
+{
+    return forEachInstance(options, "GET", "/status");
+}
+
+ExitCode drainInstances(const Options &options)
+{
+    return forEachInstance(options, "POST", "/drain");
+}
+
+} // namespace zinniadock::cli
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,172 @@
+#include <iostream>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+
+#include "commands.h"
+#include "zinniadock/version/configuration.h"
+
+ABSL_FLAG(std::string, store, "127.0.0.1:2379", "IP:port of the platform's key-value service");
+ABSL_FLAG(std::string, prefix, "zinniadock", "prefix of the deployment's keys in the store");
+ABSL_FLAG(std::vector<std::string>, admin, {}, "IP:port of the operators' interface of each instance, with commas");
+ABSL_FLAG(std::string, admin_key, "", "operators' key of the instances");
+ABSL_FLAG(std::string, author, "operator", "who makes the change, for the history");
+ABSL_FLAG(bool, json, false, "print JSON");
+ABSL_FLAG(bool, partial, false, "the files hold single objects to add or replace, not the whole set");
+ABSL_FLAG(std::vector<std::string>, remove, {}, "objects to remove, each as kind:name");
+ABSL_FLAG(bool, wait, false, "return when every instance of --admin reports the revision");
+ABSL_FLAG(int, wait_ms, 11000, "longest wait of --wait, in milliseconds");
+ABSL_FLAG(std::string, entry, "127.0.0.1:8080", "IP:port of an entry");
+ABSL_FLAG(std::string, key, "", "key of a client account");
+ABSL_FLAG(std::string, route, "", "route of a generation");
+ABSL_FLAG(int, max_tokens, 0, "longest output; 0 leaves it to the model");
+ABSL_FLAG(std::string, idempotency_key, "", "key under which a call runs at most once");
+ABSL_FLAG(std::string, method, "POST", "method of a call to a plain service");
+ABSL_FLAG(std::string, path, "", "path of a call to a plain service; the argument is its body");
+ABSL_FLAG(bool, quiet, false, "do not print the answer, only its figures");
+
+namespace zinniadock::cli
+{
+
+namespace
+{
+
+constexpr const char *usageText = R"(Operates a zinniadock deployment.
+
+  zinniadock check FILE...            check a whole configuration
+  zinniadock diff FILE...             show what apply would change
+  zinniadock apply FILE...            check and publish a whole configuration
+  zinniadock apply --partial FILE...  add or replace single objects; --remove kind:name removes some
+  zinniadock show                     print the configuration in force
+  zinniadock history                  list the accepted revisions
+  zinniadock revert-to REVISION       publish the content of an earlier revision as a new one
+  zinniadock status --admin A,B       show instances
+  zinniadock drain --admin A          stop new work on instances
+  zinniadock ask --entry E --key K --route R PROMPT      stream a generation
+  zinniadock ask --entry E --key K --path /P [BODY]      call a plain service
+  zinniadock digest KEY               print the digest of a key, for key_digest
+  zinniadock reference                print the reference of all objects
+
+Exit codes: 0 done, 1 failed, 2 usage, 3 mistakes in the input, 4 conflict, 5 unavailable, 6 unknown.)";
+
+ExitCode usageError(const std::string &message)
+{
+    std::cerr << "zinniadock: " << message << "; see --help\n";
+    return ExitCode::Usage;
+}
+
+bool readEndpoint(const std::string &text, Endpoint &endpoint)
+{
+    return detail::parseValue(text, detail::Range{}, endpoint);
+}
+
+ExitCode dispatch(const std::vector<std::string> &words)
+{
+    if (words.empty()) {
+        return usageError("expected a command");
+    }
+    const std::string &command = words.front();
+    const std::vector<std::string> arguments(words.begin() + 1, words.end());
+    Options options{ .store = {},
+                     .prefix = absl::GetFlag(FLAGS_prefix),
+                     .admins = {},
+                     .adminKey = absl::GetFlag(FLAGS_admin_key),
+                     .author = absl::GetFlag(FLAGS_author),
+                     .json = absl::GetFlag(FLAGS_json) };
+    AskOptions question{ .entry = {},
+                         .key = absl::GetFlag(FLAGS_key),
+                         .route = absl::GetFlag(FLAGS_route),
+                         .idempotencyKey = absl::GetFlag(FLAGS_idempotency_key),
+                         .method = absl::GetFlag(FLAGS_method),
+                         .path = absl::GetFlag(FLAGS_path),
+                         .maxTokens = static_cast<std::uint32_t>(std::max(0, absl::GetFlag(FLAGS_max_tokens))),
+                         .quiet = absl::GetFlag(FLAGS_quiet) };
+    if (!readEndpoint(absl::GetFlag(FLAGS_store), options.store)) {
+        return usageError("--store: expected IP:port");
+    }
+    if (!readEndpoint(absl::GetFlag(FLAGS_entry), question.entry)) {
+        return usageError("--entry: expected IP:port");
+    }
+    for (const std::string &text : absl::GetFlag(FLAGS_admin)) {
+        Endpoint admin;
+        if (!readEndpoint(text, admin)) {
+            return usageError("--admin: expected IP:port, found \"" + text + "\"");
+        }
+        options.admins.push_back(admin);
+    }
+    const ChangeOptions change{ .partial = absl::GetFlag(FLAGS_partial),
+                                .removed = absl::GetFlag(FLAGS_remove),
+                                .wait = absl::GetFlag(FLAGS_wait),
+                                .waitTimeout = std::chrono::milliseconds(absl::GetFlag(FLAGS_wait_ms)) };
+    const bool needsFiles = command == "check" || command == "diff" || command == "apply";
+    if (needsFiles && arguments.empty() && change.removed.empty()) {
+        return usageError(command + ": expected FILE...");
+    }
+    if ((command == "status" || command == "drain") && options.admins.empty()) {
+        return usageError(command + ": expected --admin IP:port");
+    }
+    if (command == "check") {
+        return checkFiles(options, arguments);
+    }
+    if (command == "diff") {
+        return diffFiles(options, change, arguments);
+    }
+    if (command == "apply") {
+        return applyFiles(options, change, arguments);
+    }
+    if (command == "show") {
+        return showConfiguration(options);
+    }
+    if (command == "history") {
+        return showHistory(options);
+    }
+    if (command == "revert-to") {
+        return arguments.size() == 1 ? revertTo(options, change, arguments.front())
+                                     : usageError("revert-to: expected REVISION");
+    }
+    if (command == "status") {
+        return showStatus(options);
+    }
+    if (command == "drain") {
+        return drainInstances(options);
+    }
+    if (command == "ask") {
+        const bool complete = !question.key.empty() && (question.route.empty() != question.path.empty());
+        return complete ? ask(question, arguments.empty() ? "" : arguments.front())
+                        : usageError("ask: expected --key and one of --route and --path");
+    }
+    if (command == "digest") {
+        if (arguments.size() != 1) {
+            return usageError("digest: expected KEY");
+        }
+        std::cout << sha256(arguments.front()) << "\n";
+        return ExitCode::Done;
+    }
+    if (command == "reference") {
+        std::cout << configurationReference();
+        return ExitCode::Done;
+    }
+    return usageError("there is no command \"" + command + "\"");
+}
+
+} // namespace
+
+} // namespace zinniadock::cli
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage(zinniadock::cli::usageText);
+    absl::FlagsUsageConfig usage;
+    usage.version_string = [] {
+        return std::string("zinniadock " ZINNIADOCK_VERSION "\n");
+    };
+    usage.contains_help_flags = [](absl::string_view file) {
+        return file.find("cli/main.cpp") != absl::string_view::npos;
+    };
+    absl::SetFlagsUsageConfig(usage);
+    const std::vector<char *> positional = absl::ParseCommandLine(argc, argv);
+    const std::vector<std::string> words(positional.begin() + 1, positional.end());
+    return static_cast<int>(zinniadock::cli::dispatch(words));
+}
--- /dev/null
+++ b/src/connection/callerconnection.cpp
@@ -0,0 +1,225 @@
+#include "zinniadock/connection/callerconnection.h"
+
+#include <array>
+#include <charconv>
+#include <istream>
+#include <memory>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPServerResponseImpl.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/String.h>
+#include <Poco/URI.h>
+
+#include "zinniadock/detail/httptime.h"
+#include "zinniadock/process/log.h"
+#include "zinniadock/request/requestrunner.h"
+
+namespace zinniadock
+{
+
+namespace
+{
+
+using Poco::Net::HTTPServerRequestImpl;
+using Poco::Net::HTTPServerResponseImpl;
+using Poco::Net::HTTPServerSession;
+
+constexpr Log log{ "caller" };
+
+constexpr std::chrono::milliseconds idleTimeout{ 60000 };
+constexpr std::chrono::milliseconds sendTimeout{ 30000 };
+constexpr std::size_t maxIdempotencyKeyBytes = 256;
+constexpr const char *bearer = "Bearer ";
+
+Failure badRequest(const std::string &message)
+{
+    return Failure{ .code = RequestError::BadRequest, .verdict = Verdict::NotRun, .message = message };
+}
+
+std::optional<std::chrono::milliseconds> parseDeadline(const std::string &text)
+{
+    constexpr std::int64_t longest = 86400000;
+    std::int64_t count = 0;
+    const char *end = text.data() + text.size();
+    const auto [position, error] = std::from_chars(text.data(), end, count);
+    if (error != std::errc() || position != end || count < 1 || count > longest) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(count);
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(const Poco::Net::StreamSocket &socket, EntryServices &services, ReadWatch &watch)
+    : TCPServerConnection(socket)
+    , m_services(services)
+    , m_watch(watch)
+    , m_parameters(new Poco::Net::HTTPServerParams)
+{
+    m_parameters->setKeepAlive(true);
+    m_parameters->setMaxKeepAliveRequests(0);
+    m_parameters->setKeepAliveTimeout(detail::timespan(idleTimeout));
+    m_parameters->setTimeout(detail::timespan(services.settings.entry.readTimeout));
+}
+
+void CallerConnection::run()
+{
+    try {
+        socket().setNoDelay(true);
+        socket().setSendTimeout(detail::timespan(sendTimeout));
+        HTTPServerSession session(socket(), m_parameters);
+        while (true) {
+            {
+                const ReadWatch::Guard guard(m_watch, socket(), idleTimeout, true);
+                if (!session.hasMoreRequests() || guard.ended()) {
+                    return;
+                }
+            }
+            if (!serveOne(session)) {
+                return;
+            }
+        }
+    } catch (const Poco::Exception &error) {
+        log.debug("a connection ended: " + error.displayText());
+    }
+}
+
+bool CallerConnection::serveOne(HTTPServerSession &session)
+{
+    HTTPServerResponseImpl response(session);
+    response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+    CallerRequest parsed;
+    parsed.id = RequestId::random();
+    std::unique_ptr<HTTPServerRequestImpl> request;
+    std::optional<Failure> failure;
+    {
+        const ReadWatch::Guard guard(m_watch, socket(), m_services.settings.entry.readTimeout, false);
+        try {
+            request = std::make_unique<HTTPServerRequestImpl>(response, session, m_parameters.get());
+            failure = readRequest(*request, parsed);
+        } catch (const Poco::Net::NoMessageException &) {
+            return false;
+        } catch (const Poco::Exception &) {
+            failure = badRequest("the request is not well-formed HTTP");
+        }
+        if (failure && guard.ended()) {
+            failure->message = "the request did not arrive in time";
+        }
+    }
+    if (failure) {
+        refuse(session, parsed.id, *failure);
+        return false;
+    }
+    response.setKeepAlive(request->getKeepAlive() && !m_services.draining);
+    if (parsed.path == "/health") {
+        answerHealth(response);
+    } else {
+        RequestRunner(m_services, parsed, response, [this] {
+            return callerClosed();
+        }).run();
+    }
+    return response.sent() && response.getKeepAlive();
+}
+
+// The answer has a response object of its own, since the library leaves the first one tied to a request that it could
+// not read.
+void CallerConnection::refuse(HTTPServerSession &session, const RequestId &id, const Failure &failure)
+{
+    ++m_services.metrics.requests;
+    ++m_services.metrics.refused;
+    HTTPServerResponseImpl response(session);
+    response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+    response.setKeepAlive(false);
+    sendFailure(response, id, failure);
+}
+
+void CallerConnection::answerHealth(Poco::Net::HTTPServerResponse &response)
+{
+    const bool ready = !m_services.draining && m_services.versions.revision() > 0;
+    response.setStatusAndReason(ready ? Poco::Net::HTTPResponse::HTTP_OK
+                                      : Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+    const std::string body = ready ? "ready\n" : "not ready\n";
+    response.setContentType("text/plain");
+    response.sendBuffer(body.data(), body.size());
+}
+
+std::optional<Failure> CallerConnection::readRequest(HTTPServerRequestImpl &request, CallerRequest &parsed)
+{
+    parsed.method = request.getMethod();
+    parsed.target = request.getURI();
+    try {
+        parsed.path = Poco::URI(parsed.target).getPath();
+    } catch (const Poco::SyntaxException &) {
+        return badRequest("the request target is not a path");
+    }
+    parsed.contentType = request.getContentType();
+    const std::string authorization = request.get("Authorization", "");
+    if (Poco::icompare(authorization, 0, std::char_traits<char>::length(bearer), bearer) == 0) {
+        parsed.key = Poco::trim(authorization.substr(std::char_traits<char>::length(bearer)));
+    }
+    parsed.idempotencyKey = request.get("Idempotency-Key", "");
+    if (parsed.idempotencyKey.size() > maxIdempotencyKeyBytes) {
+        return badRequest("Idempotency-Key: expected at most 256 bytes");
+    }
+    if (request.has("X-Zinniadock-Deadline-Ms")) {
+        parsed.deadline = parseDeadline(request.get("X-Zinniadock-Deadline-Ms"));
+        if (!parsed.deadline) {
+            return badRequest("X-Zinniadock-Deadline-Ms: expected milliseconds from 1 to 86400000");
+        }
+    }
+    return readBody(request, parsed.body);
+}
+
+std::optional<Failure> CallerConnection::readBody(HTTPServerRequestImpl &request, std::string &body)
+{
+    const std::size_t limit = m_services.settings.entry.maxBodyBytes;
+    const Failure tooLarge{ .code = RequestError::BodyTooLarge,
+                            .verdict = Verdict::NotRun,
+                            .message = "the body is larger than " + std::to_string(limit) + " bytes" };
+    const bool hasLength = request.hasContentLength();
+    if (hasLength && request.getContentLength64() > static_cast<std::int64_t>(limit)) {
+        return tooLarge;
+    }
+    if (!hasLength && !request.getChunkedTransferEncoding()) {
+        return std::nullopt;
+    }
+    std::istream &stream = request.stream();
+    std::array<char, 8192> buffer{};
+    while (stream.read(buffer.data(), buffer.size()).gcount() > 0) {
+        body.append(buffer.data(), static_cast<std::size_t>(stream.gcount()));
+        if (body.size() > limit) {
+            return tooLarge;
+        }
+    }
+    if (hasLength && body.size() != static_cast<std::size_t>(request.getContentLength64())) {
+        return badRequest("the body is shorter than its Content-Length");
+    }
+    return std::nullopt;
+}
+
+bool CallerConnection::callerClosed()
+{
+    try {
+        if (!socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+            return false;
+        }
+        char byte = 0;
+        return socket().receiveBytes(&byte, 1, MSG_PEEK) == 0;
+    } catch (const Poco::Exception &) {
+        return true;
+    }
+}
+
+CallerConnectionFactory::CallerConnectionFactory(EntryServices &services, ReadWatch &watch)
+    : m_services(services)
+    , m_watch(watch)
+{
+}
+
+Poco::Net::TCPServerConnection *CallerConnectionFactory::createConnection(const Poco::Net::StreamSocket &socket)
+{
+    return new CallerConnection(socket, m_services, m_watch); // NOLINT: the library owns it
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/connection/enginestream.cpp
@@ -0,0 +1,219 @@
+#include "zinniadock/connection/enginestream.h"
+
+#include <istream>
+#include <ostream>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+#include <nlohmann/json.hpp>
+
+#include "zinniadock/detail/httptime.h"
+
+namespace zinniadock
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+using Poco::Net::HTTPMessage;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+constexpr std::string_view eventPrefix = "data: ";
+constexpr std::string_view endOfStream = "[DONE]";
+constexpr std::size_t maxEventBytes = 1U << 20U;
+
+Failure failure(RequestError error, Verdict verdict, std::string message)
+{
+    return Failure{ .code = error, .verdict = verdict, .message = std::move(message) };
+}
+
+std::string streamPath(const GenerationKey &key)
+{
+    return "/v1/streams/" + key.text();
+}
+
+std::string textOf(const Json &choice)
+{
+    if (choice.contains("text")) {
+        return choice.value("text", std::string());
+    }
+    const Json delta = choice.value("delta", Json::object());
+    return delta.value("content", std::string());
+}
+
+EngineEvent parseEvent(std::string_view data, SequenceNumber next)
+{
+    const Json event = Json::parse(data, nullptr, false);
+    try {
+        if (event.contains("error")) {
+            return failure(RequestError::EngineLost, Verdict::MayHaveRun, "the engine ended the stream with an error");
+        }
+        const Json &choice = event.at("choices").at(0);
+        const auto reason = choice.find("finish_reason");
+        if (reason != choice.end() && reason->is_string()) {
+            return EngineEnd{ .reason = reason->get<std::string>() };
+        }
+        return EngineToken{ .sequence = event.value("token_index", next), .text = textOf(choice) };
+    } catch (const Json::exception &) {
+        return failure(RequestError::EngineLost, Verdict::MayHaveRun, "the engine sent a malformed event");
+    }
+}
+
+} // namespace
+
+EngineStream::EngineStream(const Endpoint &engine, BackendTimeouts timeouts)
+    : m_session(engine.address, engine.port)
+{
+    m_session.setTimeout(detail::timespan(timeouts.connect), detail::timespan(timeouts.connect),
+                         detail::timespan(timeouts.silence));
+}
+
+std::optional<Failure> EngineStream::open(const std::string &path, const std::string &body)
+{
+    return exchange(HTTPRequest::HTTP_POST, path, body);
+}
+
+std::optional<Failure> EngineStream::reopen(const GenerationKey &key, SequenceNumber from)
+{
+    m_next = from;
+    return exchange(HTTPRequest::HTTP_GET, streamPath(key) + "?from=" + std::to_string(from), {});
+}
+
+EngineEvent EngineStream::next()
+{
+    try {
+        for (std::string line; std::getline(*m_stream, line);) {
+            if (!line.empty() && line.back() == '\r') {
+                line.pop_back();
+            }
+            if (!line.starts_with(eventPrefix)) {
+                continue;
+            }
+            const std::string_view data = std::string_view(line).substr(eventPrefix.size());
+            if (data == endOfStream) {
+                return EngineEnd{ .reason = "stop" };
+            }
+            if (data.size() > maxEventBytes) {
+                return failure(RequestError::EngineLost, Verdict::MayHaveRun, "the engine sent an oversized event");
+            }
+            EngineEvent event = parseEvent(data, m_next);
+            if (const auto *token = std::get_if<EngineToken>(&event)) {
+                m_next = token->sequence + 1;
+            }
+            return event;
+        }
+    } catch (const Poco::Exception &) {
+        return failure(RequestError::EngineLost, Verdict::MayHaveRun, "the engine connection broke");
+    }
+    return failure(RequestError::EngineLost, Verdict::MayHaveRun, "the engine closed the stream before its end");
+}
+
+void EngineStream::abort()
+{
+    const std::lock_guard lock(m_mutex);
+    m_aborted = true;
+    try {
+        m_session.socket().shutdown();
+    } catch (const Poco::Exception &) {
+        // Not connected yet, or no longer; exchange() checks the flag.
+        return;
+    }
+}
+
+std::optional<Failure> EngineStream::exchange(const std::string &method, const std::string &path,
+                                              const std::string &body)
+{
+    try {
+        HTTPRequest request(method, path, HTTPMessage::HTTP_1_1);
+        request.setKeepAlive(false);
+        if (!body.empty()) {
+            request.setContentType("application/json");
+            request.setContentLength(static_cast<std::streamsize>(body.size()));
+        }
+        std::ostream &out = m_session.sendRequest(request);
+        m_session.socket().setNoDelay(true);
+        out << body << std::flush;
+    } catch (const Poco::Exception &error) {
+        const Verdict verdict = m_session.connected() ? Verdict::MayHaveRun : Verdict::NotRun;
+        return failure(RequestError::EngineLost, verdict, "the engine can't be reached: " + error.displayText());
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_aborted) {
+            return failure(RequestError::Cancelled, Verdict::MayHaveRun, "cancelled");
+        }
+    }
+    try {
+        HTTPResponse response;
+        m_stream = &m_session.receiveResponse(response);
+        return failureOf(response.getStatus());
+    } catch (const Poco::Exception &) {
+        return failure(RequestError::EngineLost, Verdict::MayHaveRun,
+                       "the engine closed the connection before it answered");
+    }
+}
+
+// An engine that answers with 4xx, or 503, has refused before it ran anything.
+std::optional<Failure> EngineStream::failureOf(int status)
+{
+    if (status == HTTPResponse::HTTP_OK) {
+        return std::nullopt;
+    }
+    if (status == HTTPResponse::HTTP_NOT_FOUND) {
+        return failure(RequestError::UnknownRequest, Verdict::NotRun, "the engine does not know the request");
+    }
+    const bool refused = (status >= 400 && status < 500) || status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+    const std::string message = "the engine answered with status " + std::to_string(status);
+    if (status == HTTPResponse::HTTP_BAD_REQUEST) {
+        return failure(RequestError::BadRequest, Verdict::NotRun, message);
+    }
+    return failure(refused ? RequestError::EngineRefused : RequestError::EngineLost,
+                   refused ? Verdict::NotRun : Verdict::MayHaveRun, message);
+}
+
+bool cancelOnEngine(const Endpoint &engine, const GenerationKey &key, BackendTimeouts timeouts)
+{
+    try {
+        Poco::Net::HTTPClientSession session(engine.address, engine.port);
+        session.setTimeout(detail::timespan(timeouts.connect));
+        HTTPRequest request(HTTPRequest::HTTP_DELETE, streamPath(key), HTTPMessage::HTTP_1_1);
+        request.setContentLength(0);
+        session.sendRequest(request);
+        HTTPResponse response;
+        session.receiveResponse(response);
+        return true;
+    } catch (const Poco::Exception &) {
+        return false;
+    }
+}
+
+std::optional<EngineReport> readEngineReport(const Endpoint &engine, BackendTimeouts timeouts)
+{
+    try {
+        Poco::Net::HTTPClientSession session(engine.address, engine.port);
+        session.setTimeout(detail::timespan(timeouts.connect));
+        HTTPRequest request(HTTPRequest::HTTP_GET, "/load", HTTPMessage::HTTP_1_1);
+        session.sendRequest(request);
+        HTTPResponse response;
+        std::string body;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
+        const Json document = Json::parse(body);
+        return EngineReport{ .incarnation = document.at("incarnation").get<std::uint64_t>(),
+                             .running = document.at("running").get<std::uint32_t>(),
+                             .waiting = document.at("waiting").get<std::uint32_t>(),
+                             .usedBlocks = document.at("used_blocks").get<std::uint32_t>(),
+                             .totalBlocks = document.at("total_blocks").get<std::uint32_t>(),
+                             .blockTokens = document.at("block_tokens").get<std::uint32_t>(),
+                             .preemptions = document.at("preemptions").get<std::uint64_t>() };
+    } catch (const Poco::Exception &) {
+        return std::nullopt;
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/connection/readwatch.cpp
@@ -0,0 +1,94 @@
+#include "zinniadock/connection/readwatch.h"
+
+#include <Poco/Exception.h>
+
+namespace zinniadock
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds checkInterval{ 100 };
+
+} // namespace
+
+ReadWatch::ReadWatch()
+    : m_thread([this] {
+        run();
+    })
+{
+}
+
+ReadWatch::~ReadWatch()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    m_thread.join();
+}
+
+void ReadWatch::closeIdle()
+{
+    const std::lock_guard lock(m_mutex);
+    m_closeIdle = true;
+    for (auto &[number, watched] : m_watched) {
+        if (watched.idle) {
+            endReads(watched);
+        }
+    }
+}
+
+ReadWatch::Guard::Guard(ReadWatch &watch, const Poco::Net::StreamSocket &socket, std::chrono::milliseconds limit,
+                        bool idle)
+    : m_watch(watch)
+{
+    const std::lock_guard lock(m_watch.m_mutex);
+    m_number = ++m_watch.m_last;
+    Watched watched{ .socket = socket, .due = std::chrono::steady_clock::now() + limit, .idle = idle };
+    if (idle && m_watch.m_closeIdle) {
+        endReads(watched);
+    }
+    m_watch.m_watched.emplace(m_number, watched);
+}
+
+ReadWatch::Guard::~Guard()
+{
+    const std::lock_guard lock(m_watch.m_mutex);
+    m_watch.m_watched.erase(m_number);
+}
+
+bool ReadWatch::Guard::ended() const
+{
+    const std::lock_guard lock(m_watch.m_mutex);
+    return m_watch.m_watched.at(m_number).ended;
+}
+
+void ReadWatch::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        const auto now = std::chrono::steady_clock::now();
+        for (auto &[number, watched] : m_watched) {
+            if (!watched.ended && now >= watched.due) {
+                endReads(watched);
+            }
+        }
+        m_wake.wait_for(lock, checkInterval);
+    }
+}
+
+// Only the receiving side is shut down, so that the error answer can still be sent.
+void ReadWatch::endReads(Watched &watched)
+{
+    watched.ended = true;
+    try {
+        watched.socket.shutdownReceive();
+    } catch (const Poco::Exception &) {
+        // The connection is already gone.
+        return;
+    }
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/connection/servicecall.cpp
@@ -0,0 +1,102 @@
+#include "zinniadock/connection/servicecall.h"
+
+#include <array>
+#include <istream>
+#include <ostream>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include "zinniadock/detail/httptime.h"
+
+namespace zinniadock
+{
+
+namespace
+{
+
+constexpr std::size_t maxReplyBytes = 4U << 20U;
+
+// Reads at most one byte more than the limit, so that an endless answer costs bounded memory.
+std::string readBounded(std::istream &stream)
+{
+    std::string body;
+    std::array<char, 16384> buffer{};
+    while (body.size() <= maxReplyBytes && stream.read(buffer.data(), buffer.size()).gcount() > 0) {
+        body.append(buffer.data(), static_cast<std::size_t>(stream.gcount()));
+    }
+    return body;
+}
+
+} // namespace
+
+std::variant<Reply, Failure> callService(const Endpoint &service, const Offer &offer, BackendTimeouts timeouts)
+{
+    Poco::Net::HTTPClientSession session(service.address, service.port);
+    const auto patience = std::min(timeouts.silence, std::max(offer.timeLeft, std::chrono::milliseconds(1)));
+    session.setTimeout(detail::timespan(timeouts.connect), detail::timespan(timeouts.connect),
+                       detail::timespan(patience));
+    try {
+        Poco::Net::HTTPRequest request(offer.method, offer.path, Poco::Net::HTTPMessage::HTTP_1_1);
+        request.setContentLength(static_cast<std::streamsize>(offer.body.size()));
+        request.set("X-Request-Id", offer.request.text());
+        if (!offer.contentType.empty()) {
+            request.setContentType(offer.contentType);
+        }
+        if (!offer.idempotencyKey.empty()) {
+            request.set("Idempotency-Key", offer.idempotencyKey);
+        }
+        session.sendRequest(request) << offer.body << std::flush;
+    } catch (const Poco::Exception &error) {
+        const Verdict verdict = session.connected() ? Verdict::MayHaveRun : Verdict::NotRun;
+        return Failure{ .code = RequestError::EngineLost,
+                        .verdict = verdict,
+                        .message = "the service can't be reached: " + error.displayText() };
+    }
+    try {
+        Poco::Net::HTTPResponse response;
+        std::istream &stream = session.receiveResponse(response);
+        Reply reply{ .request = offer.request,
+                     .generation = offer.generation,
+                     .status = static_cast<std::uint32_t>(response.getStatus()),
+                     .contentType = response.getContentType(),
+                     .body = readBounded(stream) };
+        if (reply.body.size() > maxReplyBytes) {
+            return Failure{ .code = RequestError::AnswerTooLarge,
+                            .verdict = Verdict::Ran,
+                            .message = "the service's answer is larger than 4 MiB" };
+        }
+        const bool complete = !response.hasContentLength()
+            || reply.body.size() == static_cast<std::size_t>(response.getContentLength64())
+            || offer.method == Poco::Net::HTTPRequest::HTTP_HEAD;
+        if (!complete) {
+            return Failure{ .code = RequestError::EngineLost,
+                            .verdict = Verdict::MayHaveRun,
+                            .message = "the service's answer broke off" };
+        }
+        return reply;
+    } catch (const Poco::TimeoutException &) {
+        return Failure{ .code = RequestError::DeadlineExceeded,
+                        .verdict = Verdict::MayHaveRun,
+                        .message = "the service did not answer in time" };
+    } catch (const Poco::Exception &) {
+        return Failure{ .code = RequestError::EngineLost,
+                        .verdict = Verdict::MayHaveRun,
+                        .message = "the service closed the connection before it answered" };
+    }
+}
+
+bool serviceAnswers(const Endpoint &service, BackendTimeouts timeouts)
+{
+    try {
+        Poco::Net::StreamSocket socket;
+        socket.connect(Poco::Net::SocketAddress(service.address, service.port), detail::timespan(timeouts.connect));
+        return true;
+    } catch (const Poco::Exception &) {
+        return false;
+    }
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,242 @@
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <malloc.h>
+#include <nlohmann/json.hpp>
+
+#include "zinniadock/process/adminserver.h"
+#include "zinniadock/process/entry.h"
+#include "zinniadock/process/exitcode.h"
+#include "zinniadock/process/log.h"
+#include "zinniadock/process/settings.h"
+#include "zinniadock/process/sidecar.h"
+
+ABSL_FLAG(std::string, settings, "", "INI file with the settings of this process");
+ABSL_FLAG(bool, check, false, "check the settings and exit");
+ABSL_FLAG(bool, reference, false, "print the reference of all settings and exit");
+
+namespace zinniadock
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr Log log{ "daemon" };
+
+// More arenas would each keep the peak of the threads that happened to use them.
+constexpr int allocationArenas = 4;
+
+/// Waits for termination signals, which every thread of the process blocks.
+class Termination
+{
+public:
+    Termination()
+    {
+        sigemptyset(&m_signals);
+        sigaddset(&m_signals, SIGTERM);
+        sigaddset(&m_signals, SIGINT);
+        pthread_sigmask(SIG_BLOCK, &m_signals, nullptr);
+        static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
+    }
+
+    /// Waits for a signal.
+    void wait() const
+    {
+        int number = 0;
+        sigwait(&m_signals, &number);
+    }
+
+    /// Says whether a signal arrives within a duration.
+    bool arrivesWithin(std::chrono::milliseconds duration) const
+    {
+        const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(duration);
+        const std::chrono::nanoseconds rest = duration - seconds;
+        const timespec limit{ .tv_sec = seconds.count(), .tv_nsec = rest.count() };
+        return sigtimedwait(&m_signals, nullptr, &limit) > 0;
+    }
+
+private:
+    sigset_t m_signals{};
+};
+
+std::string dump(const Json &document)
+{
+    return document.dump(2, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+
+Json statusOf(const Settings &settings, const Entry &entry)
+{
+    const EntryStatus status = entry.status();
+    const EntryMetrics &metrics = entry.metrics();
+    const auto milliseconds = [](std::chrono::microseconds duration) {
+        return static_cast<double>(duration.count()) / 1000;
+    };
+    return Json{ { "role", "entry" },
+                 { "instance", settings.daemon.instance },
+                 { "data_centre", settings.daemon.dataCentre },
+                 { "version", ZINNIADOCK_VERSION },
+                 { "revision", status.revision },
+                 { "digest", status.digest },
+                 { "draining", status.draining },
+                 { "store_answers", status.storeAnswers },
+                 { "store_calls", status.storeCalls },
+                 { "connections", status.connections },
+                 { "entries", status.entries },
+                 { "links",
+                   { { "open", status.links.open },
+                     { "down", status.links.down },
+                     { "requests", status.links.exchanges },
+                     { "reconnects", status.links.reconnects },
+                     { "silent", status.links.silentLinks },
+                     { "resumes", status.links.resumes } } },
+                 { "requests", metrics.requests.load() },
+                 { "completed", metrics.completed.load() },
+                 { "failed", metrics.failed.load() },
+                 { "refused", metrics.refused.load() },
+                 { "retries", metrics.retries.load() },
+                 { "cancelled", metrics.cancelled.load() },
+                 { "tokens", metrics.tokens.load() },
+                 { "first_token_p95_ms", milliseconds(metrics.firstToken.quantile(0.95)) },
+                 { "token_gap_p95_ms", milliseconds(metrics.tokenGap.quantile(0.95)) },
+                 { "longest_stall_p99_ms", milliseconds(metrics.longestStall.quantile(0.99)) } };
+}
+
+Json statusOf(const Settings &settings, const Sidecar &sidecar)
+{
+    const SidecarStatus status = sidecar.status();
+    return Json{ { "role", "sidecar" },
+                 { "instance", settings.daemon.instance },
+                 { "data_centre", settings.daemon.dataCentre },
+                 { "version", ZINNIADOCK_VERSION },
+                 { "server", settings.sidecar.server },
+                 { "incarnation", status.incarnation },
+                 { "revision", status.load.revision },
+                 { "draining", status.load.draining },
+                 { "backend_answers", status.load.backendAlive },
+                 { "running", status.load.running },
+                 { "waiting", status.load.waiting },
+                 { "used_blocks", status.load.usedBlocks },
+                 { "usable_blocks", status.load.totalBlocks },
+                 { "preemptions", status.load.preemptions },
+                 { "entries", status.load.entries },
+                 { "sessions", status.sessions },
+                 { "offers", status.offers },
+                 { "refusals", status.refusals },
+                 { "resumed", status.resumed },
+                 { "adopted", status.adopted },
+                 { "tombstones", status.tombstones },
+                 { "rejected_frames", status.rejectedFrames } };
+}
+
+/// Serves until a signal, then stops gracefully; a second signal stops at once.
+template <typename Role>
+ExitCode serve(const Settings &settings, Role &role, const Termination &termination, std::chrono::milliseconds lameDuck,
+               std::chrono::milliseconds drainTimeout, const std::function<std::string()> &metrics)
+{
+    if (const std::error_code error = role.start()) {
+        log.error("can't listen: " + error.message());
+        return ExitCode::Failed;
+    }
+    const auto status = [&] {
+        return dump(statusOf(settings, role));
+    };
+    const auto drain = [&] {
+        role.drain();
+        return status();
+    };
+    AdminServer admin(settings.daemon.admin, settings.daemon.adminKeyDigest,
+                      { { "/status", { .method = "GET", .contentType = "application/json", .run = status } },
+                        { "/metrics", { .method = "GET", .contentType = "text/plain; version=0.0.4", .run = metrics } },
+                        { "/drain", { .method = "POST", .contentType = "application/json", .run = drain } } });
+    if (const std::error_code error = admin.start()) {
+        log.error("can't listen for operators: " + error.message());
+        return ExitCode::Failed;
+    }
+    std::cout << Json{
+        { "ready", true }, { "instance", settings.daemon.instance }, { "port", role.port() }, { "admin", admin.port() }
+    } << std::endl;
+    termination.wait();
+    log.info("was asked to stop");
+    if (lameDuck.count() > 0) {
+        termination.arrivesWithin(lameDuck);
+    }
+    role.drain();
+    constexpr std::chrono::milliseconds waitStep{ 100 };
+    const auto until = std::chrono::steady_clock::now() + drainTimeout;
+    bool idle = false;
+    while (!idle && std::chrono::steady_clock::now() < until
+           && !termination.arrivesWithin(std::chrono::milliseconds(0))) {
+        idle = role.waitIdle(waitStep);
+    }
+    admin.stop();
+    role.stop();
+    log.info(idle ? "stopped with no request in flight" : "stopped with requests in flight");
+    return idle ? ExitCode::Done : ExitCode::CutRequests;
+}
+
+ExitCode run()
+{
+    if (absl::GetFlag(FLAGS_reference)) {
+        std::cout << settingsReference();
+        return ExitCode::Done;
+    }
+    const std::string file = absl::GetFlag(FLAGS_settings);
+    if (file.empty()) {
+        std::cerr << "zinniadockd: expected --settings FILE; see --help\n";
+        return ExitCode::Usage;
+    }
+    Problems problems;
+    const std::string text = readFile(file, problems);
+    const Settings settings = problems.empty() ? parseSettings(text, file, problems) : Settings();
+    for (const Problem &problem : problems) {
+        std::cerr << problem.text() << "\n";
+    }
+    if (!problems.empty()) {
+        return ExitCode::BadInput;
+    }
+    if (absl::GetFlag(FLAGS_check)) {
+        std::cout << file << ": no mistakes\n";
+        return ExitCode::Done;
+    }
+    mallopt(M_ARENA_MAX, allocationArenas);
+    const Termination termination;
+    startLog(parseLogLevel(settings.daemon.logLevel).value_or(LogLevel::Info), settings.daemon.instance);
+    if (settings.daemon.role == "entry") {
+        Entry entry(settings);
+        return serve(settings, entry, termination, settings.entry.lameDuck, settings.entry.drainTimeout, [&entry] {
+            return entry.metrics().print();
+        });
+    }
+    Sidecar sidecar(settings.daemon, settings.sidecar);
+    return serve(settings, sidecar, termination, std::chrono::milliseconds(0), settings.sidecar.drainTimeout, [] {
+        return std::string();
+    });
+}
+
+} // namespace
+
+} // namespace zinniadock
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage("Serves generations as an entry instance or beside a backend server.\n\n"
+                                 "  zinniadockd --settings FILE          run with these settings\n"
+                                 "  zinniadockd --settings FILE --check  only check them\n"
+                                 "  zinniadockd --reference              print what settings there are\n\n"
+                                 "SIGTERM stops gracefully, a second one at once.\n"
+                                 "Exit codes: 0 done, 1 failed, 2 usage, 3 bad settings, 7 cut requests.");
+    absl::FlagsUsageConfig usage;
+    usage.version_string = [] {
+        return std::string("zinniadockd " ZINNIADOCK_VERSION "\n");
+    };
+    absl::SetFlagsUsageConfig(usage);
+    absl::ParseCommandLine(argc, argv);
+    return static_cast<int>(zinniadock::run());
+}
--- /dev/null
+++ b/src/process/adminserver.cpp
@@ -0,0 +1,129 @@
+#include "zinniadock/process/adminserver.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/URI.h>
+
+#include "zinniadock/version/configuration.h"
+
+namespace zinniadock
+{
+
+namespace
+{
+
+using Poco::Net::HTTPResponse;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+constexpr int mostThreads = 4;
+
+void answer(HTTPServerResponse &response, HTTPResponse::HTTPStatus status, const std::string &type,
+            const std::string &body)
+{
+    response.setStatusAndReason(status);
+    response.setContentType(type);
+    response.sendBuffer(body.data(), body.size());
+}
+
+class Handler final : public Poco::Net::HTTPRequestHandler
+{
+public:
+    Handler(const std::string &keyDigest, const std::map<std::string, AdminAction> &actions)
+        : m_keyDigest(keyDigest)
+        , m_actions(actions)
+    {
+    }
+
+    void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
+    {
+        const std::string authorization = request.get("Authorization", "");
+        const std::string key = authorization.starts_with("Bearer ") ? authorization.substr(7) : "";
+        if (!m_keyDigest.empty() && sha256(key) != m_keyDigest) {
+            answer(response, HTTPResponse::HTTP_UNAUTHORIZED, "text/plain", "expected the operators' key\n");
+            return;
+        }
+        const auto action = m_actions.find(Poco::URI(request.getURI()).getPath());
+        if (action == m_actions.end()) {
+            answer(response, HTTPResponse::HTTP_NOT_FOUND, "text/plain", "no such page\n");
+        } else if (action->second.method != request.getMethod()) {
+            answer(response, HTTPResponse::HTTP_METHOD_NOT_ALLOWED, "text/plain",
+                   "expected " + action->second.method + "\n");
+        } else {
+            answer(response, HTTPResponse::HTTP_OK, action->second.contentType, action->second.run());
+        }
+    }
+
+private:
+    const std::string &m_keyDigest;
+    const std::map<std::string, AdminAction> &m_actions;
+};
+
+class HandlerFactory final : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    HandlerFactory(const std::string &keyDigest, const std::map<std::string, AdminAction> &actions)
+        : m_keyDigest(keyDigest)
+        , m_actions(actions)
+    {
+    }
+
+    Poco::Net::HTTPRequestHandler *createRequestHandler(const HTTPServerRequest & /*request*/) override
+    {
+        return new Handler(m_keyDigest, m_actions); // NOLINT: the library owns it
+    }
+
+private:
+    const std::string &m_keyDigest;
+    const std::map<std::string, AdminAction> &m_actions;
+};
+
+} // namespace
+
+AdminServer::AdminServer(Endpoint listen, std::string keyDigest, std::map<std::string, AdminAction> actions)
+    : m_listen(std::move(listen))
+    , m_keyDigest(std::move(keyDigest))
+    , m_actions(std::move(actions))
+{
+}
+
+AdminServer::~AdminServer()
+{
+    stop();
+}
+
+std::error_code AdminServer::start()
+{
+    try {
+        const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(m_listen.address, m_listen.port));
+        Poco::Net::HTTPServerParams::Ptr parameters(new Poco::Net::HTTPServerParams);
+        parameters->setMaxThreads(mostThreads);
+        parameters->setKeepAlive(false);
+        m_server
+            = std::make_unique<Poco::Net::HTTPServer>(new HandlerFactory(m_keyDigest, m_actions), socket, parameters);
+        m_server->start();
+        return {};
+    } catch (const Poco::Exception &) {
+        return std::make_error_code(std::errc::address_in_use);
+    }
+}
+
+std::uint16_t AdminServer::port() const
+{
+    return m_server->port();
+}
+
+void AdminServer::stop()
+{
+    if (m_server) {
+        m_server->stopAll(true);
+        m_server.reset();
+    }
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/process/admission.cpp
@@ -0,0 +1,338 @@
+#include "zinniadock/process/admission.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace zinniadock
+{
+
+namespace
+{
+
+// Horizons, in tokens from now, at which the memory of the running set is forecast.
+constexpr std::array<double, 13> horizons{ 0, 16, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192, 16384, 32768 };
+
+constexpr std::chrono::seconds reportWindow{ 2 };
+constexpr double headroomStep = 0.02;
+constexpr double mostHeadroom = 0.3;
+constexpr double headroomDecay = 0.999;
+constexpr double endIntervalGain = 0.1;
+constexpr std::chrono::milliseconds shortestRetryAfter{ 1000 };
+constexpr std::chrono::milliseconds longestRetryAfter{ 60000 };
+
+// Upper quantile of the normal distribution by bisection of the complementary error function.
+double normalQuantile(double risk)
+{
+    double low = 0;
+    double high = 8;
+    constexpr int steps = 40;
+    for (int i = 0; i < steps; ++i) {
+        const double middle = (low + high) / 2;
+        (std::erfc(middle / std::sqrt(2.0)) / 2 > risk ? low : high) = middle;
+    }
+    return high;
+}
+
+double blocksOf(double tokens, std::uint32_t blockTokens)
+{
+    return std::ceil(tokens / blockTokens);
+}
+
+} // namespace
+
+Admission::Admission(EngineLimits limits, double expectedTokens)
+    : m_limits(limits)
+    , m_lengths(expectedTokens)
+{
+}
+
+AdmissionDecision Admission::offer(const AdmissionRequest &request, DecisionTime now)
+{
+    AdmissionDecision decision;
+    if (m_closed) {
+        decision.reason = RequestError::Draining;
+        decision.explanation = "the backend server is leaving";
+        return decision;
+    }
+    if (blocksOf(request.promptTokens + 1, m_limits.blockTokens) > usableBlocks()) {
+        decision.reason = RequestError::EngineRefused;
+        decision.explanation = "the prompt is larger than the engine memory";
+        return decision;
+    }
+    if (m_waiting.empty() && fits(request)) {
+        start(request, now);
+        decision.outcome = AdmissionOutcome::Admitted;
+        return decision;
+    }
+    const auto wait = waitOf(m_waiting.size() + 1);
+    const auto patience = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - now);
+    if (m_waiting.size() >= m_limits.maxWaiting || wait > patience) {
+        decision.retryAfter = std::clamp(wait - patience, shortestRetryAfter, longestRetryAfter);
+        decision.explanation = std::to_string(m_waiting.size()) + " requests wait, about "
+            + std::to_string(wait.count()) + " ms; " + std::to_string(patience.count()) + " ms are left";
+        return decision;
+    }
+    join(request.account);
+    m_waiting.push_back({ request, now });
+    decision.outcome = AdmissionOutcome::Queued;
+    return decision;
+}
+
+std::vector<GenerationKey> Admission::admitReady(DecisionTime now)
+{
+    std::vector<GenerationKey> ready;
+    while (!m_waiting.empty()) {
+        const std::size_t index = nextWaiting();
+        const AdmissionRequest request = m_waiting[index].request;
+        if (!fits(request)) {
+            break;
+        }
+        m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(index));
+        leave(request.account);
+        start(request, now);
+        ready.push_back(request.key);
+    }
+    return ready;
+}
+
+std::vector<GenerationKey> Admission::expire(DecisionTime now)
+{
+    std::vector<GenerationKey> expired;
+    std::erase_if(m_waiting, [&](const Waiting &waiting) {
+        if (waiting.request.deadline > now) {
+            return false;
+        }
+        expired.push_back(waiting.request.key);
+        leave(waiting.request.account);
+        return true;
+    });
+    return expired;
+}
+
+void Admission::emitted(const GenerationKey &key)
+{
+    const auto position = m_running.find(key);
+    if (position == m_running.end()) {
+        return;
+    }
+    Running &running = position->second;
+    ++running.emitted;
+    ++m_committedTokens;
+    AccountState &account = m_accounts[running.request.account];
+    account.served += 1 / running.request.share;
+}
+
+void Admission::ended(const GenerationKey &key, bool whole, DecisionTime now)
+{
+    const auto position = m_running.find(key);
+    if (position == m_running.end()) {
+        std::erase_if(m_waiting, [&](const Waiting &waiting) {
+            if (waiting.request.key != key) {
+                return false;
+            }
+            leave(waiting.request.account);
+            return true;
+        });
+        return;
+    }
+    const Running running = std::move(position->second);
+    m_running.erase(position);
+    m_committedTokens -= running.request.promptTokens + running.emitted;
+    leave(running.request.account);
+    if (whole && running.lengthClass) {
+        m_lengths.record(running.lengthClass, running.emitted);
+    }
+    if (m_lastEnd) {
+        const double interval = std::chrono::duration<double>(now - *m_lastEnd).count();
+        m_endInterval = m_endInterval == 0 ? interval : m_endInterval + endIntervalGain * (interval - m_endInterval);
+    }
+    m_lastEnd = now;
+}
+
+void Admission::engineReport(std::uint32_t usedBlocks, std::uint32_t totalBlocks, std::uint64_t preemptions,
+                             DecisionTime now)
+{
+    if (totalBlocks > 0) {
+        m_limits.totalBlocks = totalBlocks;
+    }
+    // The report is of some moment within the window. What others use is at least the report less the largest count
+    // of that time; a smaller figure would blame others for this sidecar's own requests.
+    m_counts.push_back({ now, committedBlocks() });
+    while (m_counts.size() > 1 && now - m_counts.front().time > reportWindow) {
+        m_counts.pop_front();
+    }
+    std::uint32_t largest = 0;
+    for (const CountSample &sample : m_counts) {
+        largest = std::max(largest, sample.blocks);
+    }
+    m_foreignBlocks = usedBlocks > largest ? usedBlocks - largest : 0;
+    if (!m_preemptionsAtStart || preemptions < *m_preemptionsAtStart + m_preemptions) {
+        m_preemptionsAtStart = preemptions - std::min(preemptions, m_preemptions);
+    }
+    const std::uint64_t fresh = preemptions - *m_preemptionsAtStart - m_preemptions;
+    m_preemptions += fresh;
+    m_headroom = std::min(mostHeadroom, m_headroom * headroomDecay + headroomStep * static_cast<double>(fresh));
+}
+
+void Admission::adopt(const AdmissionRequest &request, std::uint32_t emittedTokens, DecisionTime now)
+{
+    start(request, now);
+    m_running[request.key].emitted = emittedTokens;
+    m_committedTokens += emittedTokens;
+}
+
+std::vector<GenerationKey> Admission::close()
+{
+    m_closed = true;
+    std::vector<GenerationKey> refused;
+    for (const Waiting &waiting : m_waiting) {
+        refused.push_back(waiting.request.key);
+        leave(waiting.request.account);
+    }
+    m_waiting.clear();
+    return refused;
+}
+
+void Admission::setLimits(const EngineLimits &limits)
+{
+    const std::uint32_t totalBlocks = m_limits.totalBlocks;
+    m_limits = limits;
+    if (limits.totalBlocks == 0) {
+        m_limits.totalBlocks = totalBlocks;
+    }
+}
+
+std::uint32_t Admission::runningCount() const
+{
+    return static_cast<std::uint32_t>(m_running.size());
+}
+
+std::uint32_t Admission::waitingCount() const
+{
+    return static_cast<std::uint32_t>(m_waiting.size());
+}
+
+std::uint32_t Admission::committedBlocks() const
+{
+    // Half a block per request is the mean loss to a last block that is not full.
+    const double tokens
+        = static_cast<double>(m_committedTokens) + static_cast<double>(m_running.size()) * m_limits.blockTokens / 2;
+    return static_cast<std::uint32_t>(tokens / m_limits.blockTokens);
+}
+
+double Admission::usableBlocks() const
+{
+    return std::max(0.0, m_limits.totalBlocks * (1 - m_headroom) - m_foreignBlocks);
+}
+
+std::chrono::milliseconds Admission::expectedWait() const
+{
+    return m_waiting.empty() ? std::chrono::milliseconds(0) : waitOf(m_waiting.size() + 1);
+}
+
+std::uint64_t Admission::preemptions() const
+{
+    return m_preemptions;
+}
+
+// Bounds the risk that the running set with the candidate outgrows the memory: at each horizon the mean of the
+// forecast plus a quantile of its spread must fit. Lengths of different requests are taken as independent.
+bool Admission::fits(const AdmissionRequest &candidate)
+{
+    if (m_running.size() >= m_limits.maxRunning) {
+        return false;
+    }
+    if (m_running.empty()) {
+        return true;
+    }
+    const double usable = usableBlocks();
+    const double quantile = normalQuantile(m_limits.memoryRisk);
+    std::array<double, horizons.size()> mean{};
+    std::array<double, horizons.size()> variance{};
+    const auto add = [&](const AdmissionRequest &request, double emittedTokens, const LengthForecast &forecast) {
+        for (std::size_t i = 0; i < horizons.size(); ++i) {
+            const double total = emittedTokens + horizons[i];
+            if (request.maxTokens > 0 && total > request.maxTokens) {
+                break;
+            }
+            const double alive = horizons[i] == 0 ? 1 : forecast.survival(emittedTokens, horizons[i]);
+            const double blocks = (request.promptTokens + total) / m_limits.blockTokens + 1;
+            mean[i] += alive * blocks;
+            variance[i] += alive * (1 - alive) * blocks * blocks;
+        }
+    };
+    for (const auto &[key, running] : m_running) {
+        add(running.request, running.emitted, running.lengthClass->forecast);
+    }
+    add(candidate, 0, m_lengths.find({ candidate.account, candidate.route, candidate.version })->forecast);
+    for (std::size_t i = 0; i < horizons.size(); ++i) {
+        if (mean[i] + quantile * std::sqrt(variance[i]) > usable) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void Admission::start(const AdmissionRequest &request, DecisionTime /*now*/)
+{
+    Running running;
+    running.request = request;
+    running.lengthClass = m_lengths.find({ request.account, request.route, request.version });
+    m_running[request.key] = std::move(running);
+    m_committedTokens += request.promptTokens;
+    join(request.account);
+    AccountState &account = m_accounts[request.account];
+    m_virtualTime = std::max(m_virtualTime, account.served);
+    account.served += request.promptTokens / request.share;
+}
+
+// Higher priority first, then the client account that was served least for its share, then the longest wait.
+std::size_t Admission::nextWaiting() const
+{
+    std::size_t best = 0;
+    for (std::size_t i = 1; i < m_waiting.size(); ++i) {
+        const AdmissionRequest &challenger = m_waiting[i].request;
+        const AdmissionRequest &holder = m_waiting[best].request;
+        if (challenger.priority != holder.priority) {
+            best = challenger.priority > holder.priority ? i : best;
+        } else if (m_accounts.at(challenger.account).served < m_accounts.at(holder.account).served) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+// A client account that comes back starts at the present virtual time, so that idleness saves up no credit.
+void Admission::join(const std::string &account)
+{
+    AccountState &state = m_accounts[account];
+    if (state.active == 0) {
+        double least = m_virtualTime;
+        bool anyActive = false;
+        for (const auto &[name, other] : m_accounts) {
+            if (other.active > 0) {
+                least = anyActive ? std::min(least, other.served) : other.served;
+                anyActive = true;
+            }
+        }
+        state.served = std::max(state.served, least);
+    }
+    ++state.active;
+}
+
+void Admission::leave(const std::string &account)
+{
+    const auto position = m_accounts.find(account);
+    if (position != m_accounts.end() && position->second.active > 0) {
+        --position->second.active;
+    }
+}
+
+std::chrono::milliseconds Admission::waitOf(std::size_t requestsAhead) const
+{
+    const double seconds = m_endInterval * static_cast<double>(requestsAhead);
+    return std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000));
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/process/entry.cpp
@@ -0,0 +1,158 @@
+#include "zinniadock/process/entry.h"
+
+#include <thread>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
+
+#include "zinniadock/connection/callerconnection.h"
+#include "zinniadock/process/log.h"
+
+namespace zinniadock
+{
+
+namespace
+{
+
+constexpr Log log{ "entry" };
+constexpr int acceptBacklog = 1024;
+constexpr int queuedConnections = 64;
+constexpr int threadStackBytes = 256 * 1024;
+constexpr std::chrono::milliseconds idlePollInterval{ 20 };
+
+} // namespace
+
+Entry::Entry(Settings settings)
+    : m_settings(std::move(settings))
+    , m_store(m_settings.store.endpoint, m_settings.store.timeout)
+    , m_claimStore(m_settings.store.endpoint, m_settings.store.timeout)
+    , m_claims(m_claimStore, m_settings.store.prefix, m_settings.store.claimRetention)
+    , m_links(m_settings.daemon.instance, m_settings.daemon.dataCentre, m_versions,
+              [this] {
+                  installed();
+              })
+    , m_services{ .settings = m_settings,
+                  .versions = m_versions,
+                  .links = m_links,
+                  .limiter = m_limiter,
+                  .retries = m_retries,
+                  .claims = m_claims,
+                  .metrics = m_metrics,
+                  .draining = m_draining }
+    , m_follower(
+          m_store, m_settings.store.prefix, m_versions,
+          [this] {
+              installed();
+          },
+          [this] {
+              idle();
+          })
+{
+}
+
+Entry::~Entry()
+{
+    stop();
+}
+
+std::error_code Entry::start()
+{
+    const auto most = static_cast<int>(m_settings.entry.maxConnections);
+    try {
+        const Poco::Net::SocketAddress address(m_settings.entry.listen.address, m_settings.entry.listen.port);
+        const Poco::Net::ServerSocket socket(address, acceptBacklog);
+        m_threads = std::make_unique<Poco::ThreadPool>("caller", 2, most, 60, threadStackBytes);
+        Poco::Net::TCPServerParams::Ptr parameters(new Poco::Net::TCPServerParams);
+        parameters->setMaxThreads(most);
+        parameters->setMaxQueued(queuedConnections);
+        m_server = std::make_unique<Poco::Net::TCPServer>(new CallerConnectionFactory(m_services, m_readWatch),
+                                                          *m_threads, socket, parameters);
+        m_server->start();
+    } catch (const Poco::Exception &) {
+        return std::make_error_code(std::errc::address_in_use);
+    }
+    log.info("serves callers on port " + std::to_string(port()));
+    return {};
+}
+
+std::uint16_t Entry::port() const
+{
+    return m_server->port();
+}
+
+void Entry::drain()
+{
+    if (!m_draining.exchange(true)) {
+        log.info("drains; new requests are refused");
+        m_readWatch.closeIdle();
+    }
+}
+
+bool Entry::waitIdle(std::chrono::milliseconds timeout)
+{
+    const auto until = std::chrono::steady_clock::now() + timeout;
+    while (m_server && m_server->currentConnections() > 0) {
+        if (std::chrono::steady_clock::now() > until) {
+            return false;
+        }
+        std::this_thread::sleep_for(idlePollInterval);
+    }
+    return true;
+}
+
+void Entry::stop()
+{
+    if (m_stopped.exchange(true)) {
+        return;
+    }
+    drain();
+    if (m_server) {
+        m_server->stop();
+    }
+    m_follower.stop();
+    m_links.stop();
+    if (m_threads) {
+        m_threads->stopAll();
+    }
+}
+
+EntryStatus Entry::status() const
+{
+    EntryStatus status;
+    const auto version = m_versions.current();
+    status.revision = version ? version->revision : 0;
+    status.digest = version ? version->digest : "";
+    status.draining = m_draining;
+    status.storeAnswers = m_follower.storeAnswers();
+    status.storeCalls = m_store.calls() + m_claimStore.calls();
+    status.connections = m_server ? m_server->currentConnections() : 0;
+    status.entries = m_links.entryCount();
+    status.links = m_links.status();
+    return status;
+}
+
+const EntryMetrics &Entry::metrics() const
+{
+    return m_metrics;
+}
+
+VersionHolder &Entry::versions()
+{
+    return m_versions;
+}
+
+void Entry::installed()
+{
+    if (const auto version = m_versions.current()) {
+        m_links.setServers(*version);
+        m_links.publish();
+    }
+}
+
+void Entry::idle()
+{
+    m_limiter.setEntries(m_links.entryCount());
+    m_claims.releaseAbandoned();
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/process/etcdstore.cpp
@@ -0,0 +1,270 @@
+#include "zinniadock/process/etcdstore.h"
+
+#include <algorithm>
+#include <istream>
+#include <ostream>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/Timespan.h>
+#include <nlohmann/json.hpp>
+
+#include "zinniadock/detail/base64.h"
+
+namespace zinniadock
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+using Poco::Net::HTTPClientSession;
+
+constexpr std::size_t maxIdleSessions = 8;
+
+Poco::Timespan timespan(std::chrono::milliseconds duration)
+{
+    return { std::chrono::duration_cast<std::chrono::microseconds>(duration).count() };
+}
+
+std::int64_t number(const Json &object, const char *key)
+{
+    // The JSON form of the protocol writes 64-bit numbers as strings, and leaves out zeros.
+    const auto position = object.find(key);
+    if (position == object.end()) {
+        return 0;
+    }
+    if (position->is_string()) {
+        return std::strtoll(position->get_ref<const std::string &>().c_str(), nullptr, 10);
+    }
+    return position->is_number_integer() ? position->get<std::int64_t>() : 0;
+}
+
+std::optional<StoreValue> readValue(const Json &object)
+{
+    const auto bytes = detail::fromBase64(object.value("value", std::string()));
+    if (!bytes) {
+        return std::nullopt;
+    }
+    return StoreValue{ .value = *bytes, .modRevision = number(object, "mod_revision") };
+}
+
+void shutDown(HTTPClientSession &session)
+{
+    try {
+        session.socket().shutdown();
+    } catch (const Poco::Exception &) {
+        // The connection is already gone, which is what was asked for.
+        return;
+    }
+}
+
+void writeRequest(HTTPClientSession &session, const std::string &path, const std::string &body)
+{
+    Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_POST, path, Poco::Net::HTTPMessage::HTTP_1_1);
+    request.setContentType("application/json");
+    request.setContentLength(static_cast<std::streamsize>(body.size()));
+    request.setKeepAlive(true);
+    session.sendRequest(request) << body;
+}
+
+} // namespace
+
+EtcdStore::EtcdStore(Endpoint endpoint, std::chrono::milliseconds timeout)
+    : m_endpoint(std::move(endpoint))
+    , m_timeout(timeout)
+{
+}
+
+StoreRead EtcdStore::read(const std::string &key)
+{
+    const Answer answer = call("/v3/kv/range", Json{ { "key", detail::base64(key) } }.dump());
+    StoreRead result;
+    result.status = answer.status == StoreStatus::Done ? StoreStatus::Done : StoreStatus::Unavailable;
+    if (answer.status != StoreStatus::Done) {
+        return result;
+    }
+    const Json document = Json::parse(answer.body, nullptr, false);
+    if (!document.is_object()) {
+        result.status = StoreStatus::Unavailable;
+        return result;
+    }
+    result.storeRevision = number(document.value("header", Json::object()), "revision");
+    const Json values = document.value("kvs", Json::array());
+    if (!values.empty()) {
+        result.value = readValue(values.front());
+    }
+    return result;
+}
+
+StoreStatus EtcdStore::compareAndSwap(const std::string &key, std::int64_t modRevision, const std::string &value,
+                                      LeaseId lease)
+{
+    Json put{ { "key", detail::base64(key) }, { "value", detail::base64(value) } };
+    if (lease != 0) {
+        put["lease"] = std::to_string(lease);
+    }
+    return transact(key, modRevision, Json{ { "requestPut", put } }.dump());
+}
+
+StoreStatus EtcdStore::compareAndErase(const std::string &key, std::int64_t modRevision)
+{
+    return transact(key, modRevision, Json{ { "requestDeleteRange", { { "key", detail::base64(key) } } } }.dump());
+}
+
+std::optional<LeaseId> EtcdStore::grantLease(std::chrono::milliseconds retention)
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(retention).count();
+    const Answer answer = call("/v3/lease/grant", Json{ { "TTL", std::to_string(seconds) } }.dump());
+    if (answer.status != StoreStatus::Done) {
+        return std::nullopt;
+    }
+    const Json document = Json::parse(answer.body, nullptr, false);
+    const LeaseId lease = document.is_object() ? number(document, "ID") : 0;
+    return lease == 0 ? std::nullopt : std::optional(lease);
+}
+
+StoreStatus EtcdStore::watch(const std::string &key, std::int64_t afterRevision, std::chrono::milliseconds duration,
+                             const std::function<bool(const StoreValue &)> &changed)
+{
+    ++m_calls;
+    try {
+        HTTPClientSession session(m_endpoint.address, m_endpoint.port);
+        session.setTimeout(timespan(m_timeout), timespan(m_timeout), timespan(duration));
+        const Json create{ { "create_request",
+                             { { "key", detail::base64(key) },
+                               { "start_revision", std::to_string(afterRevision + 1) } } } };
+        writeRequest(session, "/v3/watch", create.dump());
+        const WatchRegistration registration(*this, session);
+        Poco::Net::HTTPResponse response;
+        std::istream &stream = session.receiveResponse(response);
+        if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK) {
+            return StoreStatus::Unavailable;
+        }
+        for (std::string line; std::getline(stream, line);) {
+            const Json document = Json::parse(line, nullptr, false);
+            if (!document.is_object()) {
+                return StoreStatus::Unavailable;
+            }
+            for (const Json &event : document.value("result", Json::object()).value("events", Json::array())) {
+                const auto value = readValue(event.value("kv", Json::object()));
+                if (value && !changed(*value)) {
+                    return StoreStatus::Done;
+                }
+            }
+        }
+    } catch (const Poco::TimeoutException &) {
+        return StoreStatus::Done;
+    } catch (const Poco::Exception &) {
+        return StoreStatus::Unavailable;
+    }
+    return StoreStatus::Unavailable;
+}
+
+void EtcdStore::interruptWatches()
+{
+    const std::lock_guard lock(m_mutex);
+    m_interrupted = true;
+    for (HTTPClientSession *session : m_watching) {
+        shutDown(*session);
+    }
+}
+
+EtcdStore::WatchRegistration::WatchRegistration(EtcdStore &store, HTTPClientSession &session)
+    : m_store(store)
+    , m_session(session)
+{
+    const std::lock_guard lock(m_store.m_mutex);
+    m_store.m_watching.push_back(&session);
+    if (m_store.m_interrupted) {
+        shutDown(session);
+    }
+}
+
+EtcdStore::WatchRegistration::~WatchRegistration()
+{
+    const std::lock_guard lock(m_store.m_mutex);
+    std::erase(m_store.m_watching, &m_session);
+}
+
+std::uint64_t EtcdStore::calls() const
+{
+    return m_calls;
+}
+
+EtcdStore::Answer EtcdStore::call(const std::string &path, const std::string &body)
+{
+    ++m_calls;
+    std::unique_ptr<HTTPClientSession> session = takeSession();
+    try {
+        session->setTimeout(timespan(m_timeout), timespan(m_timeout), timespan(m_timeout));
+        if (!session->connected()) {
+            session->reset();
+        }
+        writeRequest(*session, path, body);
+    } catch (const Poco::Exception &) {
+        // Without a connection nothing was sent; else the store may have read the whole request.
+        return { session->connected() ? StoreStatus::Unknown : StoreStatus::Unavailable, {} };
+    }
+    try {
+        Poco::Net::HTTPResponse response;
+        std::istream &stream = session->receiveResponse(response);
+        Answer answer;
+        Poco::StreamCopier::copyToString(stream, answer.body);
+        if (response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK) {
+            answer.status = StoreStatus::Done;
+            giveSession(std::move(session));
+        } else if (response.getStatus() == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
+            answer.status = StoreStatus::Unavailable;
+        } else {
+            answer.status = StoreStatus::Unknown;
+        }
+        return answer;
+    } catch (const Poco::Exception &) {
+        return { StoreStatus::Unknown, {} };
+    }
+}
+
+StoreStatus EtcdStore::transact(const std::string &key, std::int64_t modRevision, const std::string &operation)
+{
+    const Json body{ { "compare",
+                       { { { "key", detail::base64(key) },
+                           { "target", "MOD" },
+                           { "result", "EQUAL" },
+                           { "mod_revision", std::to_string(modRevision) } } } },
+                     { "success", { Json::parse(operation) } } };
+    const Answer answer = call("/v3/kv/txn", body.dump());
+    if (answer.status != StoreStatus::Done) {
+        return answer.status;
+    }
+    const Json document = Json::parse(answer.body, nullptr, false);
+    if (!document.is_object()) {
+        return StoreStatus::Unknown;
+    }
+    return document.value("succeeded", false) ? StoreStatus::Done : StoreStatus::Conflict;
+}
+
+// A kept connection may have been closed by the store in the meantime; the library then reconnects by itself, except
+// where the request was already written, which shows as a lost answer.
+std::unique_ptr<HTTPClientSession> EtcdStore::takeSession()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_idle.empty()) {
+        return std::make_unique<HTTPClientSession>(m_endpoint.address, m_endpoint.port);
+    }
+    std::unique_ptr<HTTPClientSession> session = std::move(m_idle.back());
+    m_idle.pop_back();
+    return session;
+}
+
+void EtcdStore::giveSession(std::unique_ptr<HTTPClientSession> session)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_idle.size() < maxIdleSessions) {
+        m_idle.push_back(std::move(session));
+    }
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/process/linkpool.cpp
@@ -0,0 +1,442 @@
+#include "zinniadock/process/linkpool.h"
+
+#include <algorithm>
+
+#include "zinniadock/process/log.h"
+
+namespace zinniadock
+{
+
+namespace
+{
+
+constexpr Log log{ "link" };
+
+constexpr std::chrono::milliseconds maintenanceInterval{ 20 };
+constexpr std::chrono::milliseconds firstPause{ 50 };
+constexpr std::chrono::milliseconds longestPause{ 2000 };
+
+// A link with requests outstanding that brings nothing is asked for a sign of life, and dropped without one.
+constexpr std::chrono::milliseconds silenceBeforePing{ 400 };
+constexpr std::chrono::milliseconds silenceBeforeDrop{ 1000 };
+constexpr std::chrono::milliseconds greetingTimeout{ 1000 };
+
+// A server that came back gets its full share of requests after this time.
+constexpr std::chrono::milliseconds slowStart{ 5000 };
+
+} // namespace
+
+LinkPool::LinkPool(std::string instance, std::string dataCentre, VersionHolder &version, std::function<void()> adopted)
+    : m_instance(std::move(instance))
+    , m_dataCentre(std::move(dataCentre))
+    , m_incarnation(randomNumber())
+    , m_version(version)
+    , m_adopted(std::move(adopted))
+    , m_transport(std::make_unique<LinkTransport>(LinkHandlers{ .opened =
+                                                                    [this](LinkId link) {
+                                                                        opened(link);
+                                                                    },
+                                                                .closed =
+                                                                    [this](LinkId link) {
+                                                                        closed(link);
+                                                                    },
+                                                                .received =
+                                                                    [this](LinkId link, const std::string &frame) {
+                                                                        received(link, frame);
+                                                                    } }))
+    , m_maintainer([this] {
+        maintain();
+    })
+{
+}
+
+LinkPool::~LinkPool()
+{
+    stop();
+}
+
+void LinkPool::setServers(const Version &version)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        for (auto &[name, server] : m_servers) {
+            const auto position = version.configuration.servers.find(name);
+            server->removed
+                = position == version.configuration.servers.end() || position->second.address != server->address;
+        }
+        for (const auto &[name, object] : version.configuration.servers) {
+            auto &server = m_servers[name];
+            if (!server || server->removed) {
+                server = std::make_shared<ServerLink>();
+                server->server = name;
+                server->address = object.address;
+            }
+            server->dataCentre = object.dataCentre;
+        }
+    }
+    m_wake.notify_all();
+}
+
+void LinkPool::publish()
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto &[link, server] : m_byLink) {
+        if (server->state == State::Open) {
+            pushVersion(*server);
+        }
+    }
+}
+
+std::vector<ServerView> LinkPool::views(const Pool &pool, const Configuration &configuration) const
+{
+    const auto now = Clock::now();
+    std::vector<ServerView> views;
+    views.reserve(pool.servers.size());
+    const std::lock_guard lock(m_mutex);
+    for (const std::string &name : pool.servers) {
+        ServerView view{ .name = name, .usable = false };
+        const auto object = configuration.servers.find(name);
+        view.sameDataCentre = object != configuration.servers.end() && object->second.dataCentre == m_dataCentre;
+        const auto position = m_servers.find(name);
+        if (position != m_servers.end()) {
+            const ServerLink &server = *position->second;
+            const double total = server.load.totalBlocks;
+            const auto age = std::chrono::duration<double>(now - server.openedAt) / slowStart;
+            view.usable = server.state == State::Open && server.load.backendAlive && !server.load.draining;
+            view.running = server.load.running;
+            view.waiting = server.load.waiting;
+            view.memoryUse = total > 0 ? server.load.usedBlocks / total : 0;
+            view.expectedWait = server.load.expectedWait;
+            view.sentSinceReport = server.sentSinceReport;
+            view.recovery = std::min(1.0, age);
+        }
+        views.push_back(std::move(view));
+    }
+    return views;
+}
+
+bool LinkPool::offer(const std::string &server, const Offer &offer, const std::shared_ptr<Exchange> &exchange)
+{
+    const std::lock_guard lock(m_mutex);
+    ServerLink *link = findByName(server);
+    if (link == nullptr || link->state != State::Open) {
+        return false;
+    }
+    exchange->setOfferedTo(link->incarnation);
+    link->exchanges[offer.request] = exchange;
+    if (link->exchanges.size() == 1) {
+        // Silence counts from the first request outstanding, not from the end of the last one.
+        link->lastHeard = Clock::now();
+        link->pinged = false;
+    }
+    ++link->sentSinceReport;
+    send(*link, offer);
+    return true;
+}
+
+void LinkPool::resume(const std::string &server, const Exchange &exchange)
+{
+    const std::lock_guard lock(m_mutex);
+    ServerLink *link = findByName(server);
+    if (link != nullptr && link->state == State::Open) {
+        ++m_counters.resumes;
+        send(*link, exchange.resumeMessage());
+    }
+}
+
+void LinkPool::acknowledge(const std::string &server, const Exchange &exchange, SequenceNumber next)
+{
+    const std::lock_guard lock(m_mutex);
+    ServerLink *link = findByName(server);
+    if (link != nullptr && link->state == State::Open) {
+        send(*link, Ack{ .request = exchange.key().request, .generation = exchange.key().generation, .next = next });
+    }
+}
+
+void LinkPool::finish(const std::string &server, const Exchange &exchange, SequenceNumber next)
+{
+    const std::lock_guard lock(m_mutex);
+    ServerLink *link = findByName(server);
+    if (link == nullptr) {
+        return;
+    }
+    link->exchanges.erase(exchange.key().request);
+    if (link->state == State::Open) {
+        send(*link,
+             Ack{ .request = exchange.key().request,
+                  .generation = exchange.key().generation,
+                  .next = next,
+                  .final = true });
+    }
+}
+
+void LinkPool::cancel(const std::string &server, const Exchange &exchange)
+{
+    const std::lock_guard lock(m_mutex);
+    ServerLink *link = findByName(server);
+    if (link == nullptr) {
+        return;
+    }
+    link->exchanges.erase(exchange.key().request);
+    if (link->state == State::Open) {
+        send(*link, Cancel{ .request = exchange.key().request, .generation = exchange.key().generation });
+    }
+}
+
+std::uint32_t LinkPool::entryCount() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::uint32_t most = 1;
+    for (const auto &[name, server] : m_servers) {
+        if (server->state == State::Open) {
+            most = std::max(most, server->load.entries);
+        }
+    }
+    return most;
+}
+
+LinkPoolStatus LinkPool::status() const
+{
+    const std::lock_guard lock(m_mutex);
+    LinkPoolStatus status = m_counters;
+    for (const auto &[name, server] : m_servers) {
+        (server->state == State::Open ? status.open : status.down) += 1;
+        status.exchanges += server->exchanges.size();
+    }
+    return status;
+}
+
+void LinkPool::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_stopping) {
+            return;
+        }
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    m_maintainer.join();
+    m_transport->stop();
+}
+
+void LinkPool::opened(LinkId link)
+{
+    const std::lock_guard lock(m_mutex);
+    ServerLink *server = findByLink(link);
+    if (server == nullptr) {
+        m_transport->drop(link);
+        return;
+    }
+    server->state = State::Greeting;
+    server->lastHeard = Clock::now();
+    send(*server,
+         Hello{ .instance = m_instance,
+                .dataCentre = m_dataCentre,
+                .incarnation = m_incarnation,
+                .revision = m_version.revision() });
+}
+
+void LinkPool::closed(LinkId link)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto position = m_byLink.find(link);
+        if (position == m_byLink.end()) {
+            return;
+        }
+        ServerLink &server = *position->second;
+        if (server.state == State::Open) {
+            log.warning("lost the link to server " + server.server + " with " + std::to_string(server.exchanges.size())
+                        + " requests outstanding");
+            server.pause = std::chrono::milliseconds(0);
+        }
+        server.state = State::Idle;
+        server.connectDue = Clock::now() + server.pause;
+        server.pause = std::clamp(server.pause * 2, firstPause, longestPause);
+        for (const auto &[request, exchange] : server.exchanges) {
+            exchange->push(LinkBroken());
+        }
+        m_byLink.erase(position);
+    }
+    m_wake.notify_all();
+}
+
+void LinkPool::received(LinkId link, const std::string &frame)
+{
+    std::optional<LinkMessage> message = decode(frame);
+    if (!message) {
+        log.warning("dropped a link that sent a malformed frame");
+        m_transport->drop(link);
+        return;
+    }
+    if (const auto *push = std::get_if<ConfigurationPush>(&*message)) {
+        adopt(link, *push);
+        return;
+    }
+    const std::lock_guard lock(m_mutex);
+    ServerLink *server = findByLink(link);
+    if (server == nullptr) {
+        return;
+    }
+    server->lastHeard = Clock::now();
+    server->pinged = false;
+    std::visit(
+        [&](auto &content) {
+            using Content = std::decay_t<decltype(content)>;
+            if constexpr (std::is_same_v<Content, Hello>) {
+                greeted(*server, content);
+            } else if constexpr (std::is_same_v<Content, LoadReport>) {
+                server->load = content;
+                server->sentSinceReport = 0;
+                server->theirRevision = std::max(server->theirRevision, content.revision);
+            } else if constexpr (std::is_constructible_v<ExchangeEvent, Content>) {
+                deliver(*server, content);
+            }
+        },
+        *message);
+}
+
+template <typename Message>
+void LinkPool::deliver(ServerLink &server, Message &message)
+{
+    const auto position = server.exchanges.find(message.request);
+    if (position != server.exchanges.end() && position->second->key().generation == message.generation) {
+        position->second->push(std::move(message));
+    }
+}
+
+void LinkPool::greeted(ServerLink &server, const Hello &hello)
+{
+    if (server.state != State::Greeting) {
+        return;
+    }
+    if (hello.instance != server.server) {
+        log.error("the sidecar at " + server.address.text() + " says it is " + hello.instance + ", expected "
+                  + server.server);
+        m_transport->drop(server.link);
+        return;
+    }
+    server.state = State::Open;
+    server.pause = std::chrono::milliseconds(0);
+    if (server.incarnation != hello.incarnation) {
+        server.openedAt = Clock::now();
+    }
+    server.incarnation = hello.incarnation;
+    server.theirRevision = hello.revision;
+    server.load.backendAlive = true;
+    server.load.draining = false;
+    log.info("linked to server " + server.server);
+    pushVersion(server);
+    for (const auto &[request, exchange] : server.exchanges) {
+        ++m_counters.resumes;
+        send(server, exchange->resumeMessage());
+    }
+}
+
+void LinkPool::adopt(LinkId link, const ConfigurationPush &push)
+{
+    if (push.revision <= m_version.revision()) {
+        return;
+    }
+    const auto version = makeVersion(push.revision, push.digest, push.text);
+    if (!version) {
+        log.error("a sidecar sent configuration revision " + std::to_string(push.revision)
+                  + " that does not match its digest");
+        m_transport->drop(link);
+        return;
+    }
+    if (m_version.install(version)) {
+        log.info("configuration revision " + std::to_string(push.revision) + " is in force, taken from a sidecar");
+        m_adopted();
+    }
+}
+
+void LinkPool::maintain()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        const auto now = Clock::now();
+        std::vector<LinkId> silent;
+        for (auto position = m_servers.begin(); position != m_servers.end();) {
+            ServerLink &server = *position->second;
+            if (server.removed && server.exchanges.empty()) {
+                if (server.state != State::Idle) {
+                    silent.push_back(server.link);
+                }
+                position = m_servers.erase(position);
+                continue;
+            }
+            maintainLink(server, now, silent);
+            ++position;
+        }
+        for (const LinkId link : silent) {
+            m_transport->drop(link);
+        }
+        m_wake.wait_for(lock, maintenanceInterval);
+    }
+}
+
+void LinkPool::maintainLink(ServerLink &server, Clock::time_point now, std::vector<LinkId> &silent)
+{
+    const auto silence = now - server.lastHeard;
+    switch (server.state) {
+    case State::Idle:
+        if (now >= server.connectDue) {
+            server.state = State::Connecting;
+            server.link = m_transport->connect(server.address.address, server.address.port);
+            m_byLink[server.link] = m_servers.at(server.server);
+            ++m_counters.reconnects;
+        }
+        break;
+    case State::Connecting:
+        break;
+    case State::Greeting:
+        if (silence > greetingTimeout) {
+            silent.push_back(server.link);
+        }
+        break;
+    case State::Open:
+        if (server.exchanges.empty() || silence < silenceBeforePing) {
+            break;
+        }
+        if (silence > silenceBeforeDrop) {
+            log.warning("the link to server " + server.server + " is silent; dropped");
+            ++m_counters.silentLinks;
+            silent.push_back(server.link);
+        } else if (!server.pinged) {
+            server.pinged = true;
+            send(server, Ping{ .number = server.link });
+        }
+        break;
+    }
+}
+
+LinkPool::ServerLink *LinkPool::findByLink(LinkId link)
+{
+    const auto position = m_byLink.find(link);
+    return position == m_byLink.end() ? nullptr : position->second.get();
+}
+
+LinkPool::ServerLink *LinkPool::findByName(const std::string &server)
+{
+    const auto position = m_servers.find(server);
+    return position == m_servers.end() ? nullptr : position->second.get();
+}
+
+void LinkPool::send(const ServerLink &server, const LinkMessage &message)
+{
+    m_transport->send(server.link, encode(message));
+}
+
+void LinkPool::pushVersion(ServerLink &server)
+{
+    const auto version = m_version.current();
+    if (version && version->revision > server.theirRevision) {
+        server.theirRevision = version->revision;
+        send(server,
+             ConfigurationPush{ .revision = version->revision, .digest = version->digest, .text = version->text });
+    }
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/process/metrics.cpp
@@ -0,0 +1,98 @@
+#include "zinniadock/process/metrics.h"
+
+#include <cmath>
+
+namespace zinniadock
+{
+
+namespace
+{
+
+constexpr int bucketCount = 140; // 20 buckets a decade, each 12% wider than the one before
+constexpr double leastSeconds = 1e-4;
+constexpr double mostSeconds = 1e3;
+constexpr int bucketsPerLine = 10; // every tenth bucket is exposed
+
+double seconds(std::chrono::microseconds duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+void printCounter(std::string_view name, std::string_view help, std::uint64_t value, std::string &out)
+{
+    out += "# HELP " + std::string(name) + " " + std::string(help) + "\n# TYPE " + std::string(name) + " counter\n"
+        + std::string(name) + " " + std::to_string(value) + "\n";
+}
+
+} // namespace
+
+DurationHistogram::DurationHistogram()
+    : m_histogram(Axis(bucketCount, leastSeconds, mostSeconds))
+{
+}
+
+void DurationHistogram::record(std::chrono::microseconds duration)
+{
+    const std::lock_guard lock(m_mutex);
+    m_histogram(std::max(seconds(duration), leastSeconds));
+    m_sum += seconds(duration);
+    ++m_count;
+}
+
+std::chrono::microseconds DurationHistogram::quantile(double quantile) const
+{
+    const std::lock_guard lock(m_mutex);
+    const double wanted = quantile * static_cast<double>(m_count);
+    double below = 0;
+    for (int bucket = 0; bucket < bucketCount && m_count > 0; ++bucket) {
+        below += m_histogram.at(bucket);
+        if (below >= wanted) {
+            const double upper = m_histogram.axis().bin(bucket).upper();
+            return std::chrono::microseconds(std::llround(upper * 1e6));
+        }
+    }
+    return std::chrono::microseconds(m_count > 0 ? std::llround(mostSeconds * 1e6) : 0);
+}
+
+std::uint64_t DurationHistogram::count() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_count;
+}
+
+void DurationHistogram::print(std::string_view name, std::string_view help, std::string &out) const
+{
+    const std::lock_guard lock(m_mutex);
+    const std::string base(name);
+    out += "# HELP " + base + " " + std::string(help) + "\n# TYPE " + base + " histogram\n";
+    double below = 0;
+    for (int bucket = 0; bucket < bucketCount; ++bucket) {
+        below += m_histogram.at(bucket);
+        if ((bucket + 1) % bucketsPerLine == 0) {
+            out += base + "_bucket{le=\"" + std::to_string(m_histogram.axis().bin(bucket).upper()) + "\"} "
+                + std::to_string(std::llround(below)) + "\n";
+        }
+    }
+    out += base + "_bucket{le=\"+Inf\"} " + std::to_string(m_count) + "\n";
+    out += base + "_sum " + std::to_string(m_sum) + "\n" + base + "_count " + std::to_string(m_count) + "\n";
+}
+
+std::string EntryMetrics::print() const
+{
+    std::string out;
+    firstToken.print("zinniadock_first_token_seconds", "Time from a request to its first token.", out);
+    tokenGap.print("zinniadock_token_gap_seconds", "Time between tokens of one generation.", out);
+    longestStall.print("zinniadock_longest_stall_seconds", "Longest wait of each generation with nothing arriving.",
+                       out);
+    printCounter("zinniadock_requests_total", "Requests that arrived.", requests, out);
+    printCounter("zinniadock_completed_total", "Requests answered whole.", completed, out);
+    printCounter("zinniadock_failed_total", "Requests that ended without a whole answer.", failed, out);
+    printCounter("zinniadock_refused_total", "Requests refused as not run.", refused, out);
+    printCounter("zinniadock_retries_total", "Attempts after the first one.", retries, out);
+    printCounter("zinniadock_cancelled_total", "Generations whose caller left.", cancelled, out);
+    printCounter("zinniadock_tokens_total", "Tokens delivered.", tokens, out);
+    printCounter("zinniadock_replays_total", "Keyed calls answered from a recorded outcome.", replays, out);
+    return out;
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/process/routing.cpp
@@ -0,0 +1,100 @@
+#include "zinniadock/process/routing.h"
+
+#include <vector>
+
+namespace zinniadock
+{
+
+namespace
+{
+
+using std::chrono::microseconds;
+
+// Estimated cost of joining a batch, per request that already runs there.
+constexpr microseconds costPerRunning{ 1000 };
+constexpr microseconds costPerSent{ 4000 };
+
+// Memory use from which an engine is likely to make a new request wait, and the wait at full memory.
+constexpr double highMemoryUse = 0.85;
+constexpr microseconds waitAtFullMemory{ 500000 };
+
+// Wait from which another data centre is preferred, far above the way there and back.
+constexpr microseconds spillWait{ 100000 };
+
+constexpr double leastRecovery = 0.05;
+
+std::uint64_t mix(std::uint64_t value)
+{
+    value ^= value >> 33U;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> 33U;
+    value *= 0xc4ceb9fe1a85ec53ULL;
+    return value ^ (value >> 33U);
+}
+
+std::vector<std::size_t> candidates(std::span<const ServerView> servers)
+{
+    std::vector<std::size_t> near;
+    std::vector<std::size_t> all;
+    bool nearIsFree = false;
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        if (!servers[i].usable) {
+            continue;
+        }
+        all.push_back(i);
+        if (servers[i].sameDataCentre) {
+            near.push_back(i);
+            nearIsFree = nearIsFree || servers[i].expectedWait < spillWait;
+        }
+    }
+    return nearIsFree ? near : all;
+}
+
+} // namespace
+
+std::uint64_t stableHash(std::string_view text)
+{
+    std::uint64_t hash = 0xcbf29ce484222325ULL;
+    for (const char c : text) {
+        hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+    }
+    return mix(hash);
+}
+
+std::chrono::microseconds estimatedFirstToken(const ServerView &server)
+{
+    microseconds estimate = server.expectedWait;
+    estimate += costPerRunning * server.running + costPerSent * (server.sentSinceReport + server.waiting);
+    if (server.memoryUse > highMemoryUse) {
+        const double excess = (server.memoryUse - highMemoryUse) / (1 - highMemoryUse);
+        estimate += microseconds(static_cast<std::int64_t>(static_cast<double>(waitAtFullMemory.count()) * excess));
+    }
+    const double recovery = server.recovery < leastRecovery ? leastRecovery : server.recovery;
+    const auto load = static_cast<double>((estimate + costPerSent).count());
+    return microseconds(static_cast<std::int64_t>(load / recovery));
+}
+
+std::optional<std::size_t> chooseServer(std::span<const ServerView> servers, std::uint64_t prefixHash,
+                                        std::chrono::microseconds prefixSaving, std::uint64_t random)
+{
+    const std::vector<std::size_t> usable = candidates(servers);
+    if (usable.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t other = usable[random % usable.size()];
+    std::size_t owner = usable[mix(random) % usable.size()];
+    if (prefixHash != 0) {
+        std::uint64_t best = 0;
+        for (const std::size_t index : usable) {
+            const std::uint64_t weight = mix(prefixHash ^ stableHash(servers[index].name));
+            if (weight >= best) {
+                best = weight;
+                owner = index;
+            }
+        }
+    }
+    const microseconds saving = prefixHash == 0 ? microseconds(0) : prefixSaving;
+    return estimatedFirstToken(servers[owner]) - saving <= estimatedFirstToken(servers[other]) ? owner : other;
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/process/sidecar.cpp
@@ -0,0 +1,816 @@
+#include "zinniadock/process/sidecar.h"
+
+#include <functional>
+
+#include <Poco/Exception.h>
+#include <Poco/Runnable.h>
+
+#include "zinniadock/connection/servicecall.h"
+#include "zinniadock/process/log.h"
+
+namespace zinniadock
+{
+
+namespace
+{
+
+constexpr Log log{ "sidecar" };
+
+constexpr std::chrono::milliseconds housekeepingInterval{ 20 };
+constexpr std::chrono::milliseconds pollInterval{ 200 };
+constexpr std::chrono::milliseconds idleReportInterval{ 5000 };
+constexpr std::chrono::milliseconds answerLinger{ 30000 };
+constexpr std::chrono::milliseconds tombstoneLife{ std::chrono::minutes(10) };
+constexpr std::chrono::milliseconds reopenPause{ 100 };
+constexpr int reopenAttempts = 5;
+constexpr double expectedTokensAtStart = 400;
+constexpr std::uint32_t blocksUntilReported = 1U << 20U;
+constexpr std::uint32_t spareWorkers = 16;
+constexpr std::chrono::milliseconds retryAfterDown{ 1000 };
+
+// Runs a function once on a pooled thread, and owns itself until then.
+class Task final : public Poco::Runnable
+{
+public:
+    explicit Task(std::function<void()> work)
+        : m_work(std::move(work))
+    {
+    }
+
+    void run() override
+    {
+        const std::unique_ptr<Task> self(this);
+        m_work();
+    }
+
+private:
+    std::function<void()> m_work;
+};
+
+Failed failedMessage(const GenerationKey &key, const Failure &failure)
+{
+    return Failed{ .request = key.request,
+                   .generation = key.generation,
+                   .error = failure.code.value(),
+                   .verdict = failure.verdict,
+                   .message = failure.message,
+                   .retryAfter = failure.retryAfter };
+}
+
+bool isAnswer(const LinkMessage &message)
+{
+    return std::holds_alternative<Started>(message) || std::holds_alternative<Finished>(message)
+        || std::holds_alternative<Reply>(message) || std::holds_alternative<Failed>(message);
+}
+
+template <typename Message>
+GenerationKey keyOf(const Message &message)
+{
+    return GenerationKey{ .request = message.request, .generation = message.generation };
+}
+
+} // namespace
+
+Sidecar::Sidecar(DaemonSection daemon, SidecarSection settings)
+    : m_daemon(std::move(daemon))
+    , m_settings(std::move(settings))
+    , m_timeouts{ .connect = m_settings.connectTimeout, .silence = m_settings.silenceTimeout }
+    , m_incarnation(randomNumber())
+    , m_admission(EngineLimits{ .totalBlocks = blocksUntilReported,
+                                .maxRunning = m_settings.maxRunning,
+                                .maxWaiting = m_settings.maxWaiting },
+                  expectedTokensAtStart)
+    , m_workers(std::make_unique<Poco::ThreadPool>(2, static_cast<int>(m_settings.maxRunning + spareWorkers)))
+{
+}
+
+Sidecar::~Sidecar()
+{
+    stop();
+}
+
+std::error_code Sidecar::start()
+{
+    m_transport = std::make_unique<LinkTransport>(LinkHandlers{ .opened = [](LinkId) {},
+                                                                .closed =
+                                                                    [this](LinkId link) {
+                                                                        closed(link);
+                                                                    },
+                                                                .received =
+                                                                    [this](LinkId link, const std::string &frame) {
+                                                                        received(link, frame);
+                                                                    } });
+    if (const std::error_code error = m_transport->listen(m_settings.listen.address, m_settings.listen.port)) {
+        return error;
+    }
+    m_housekeeper = std::thread([this] {
+        housekeep();
+    });
+    m_poller = std::thread([this] {
+        pollBackend();
+    });
+    log.info("listens for entries on port " + std::to_string(port()));
+    return {};
+}
+
+std::uint16_t Sidecar::port() const
+{
+    return m_transport->port();
+}
+
+void Sidecar::drain()
+{
+    std::vector<SessionPointer> refused;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_draining) {
+            return;
+        }
+        m_draining = true;
+        for (const GenerationKey &key : m_admission.close()) {
+            refused.push_back(m_sessions.at(key));
+        }
+    }
+    log.info("drains; new requests are refused");
+    for (const SessionPointer &session : refused) {
+        session->end(failedMessage(session->key(),
+                                   Failure{ .code = RequestError::Draining,
+                                            .verdict = Verdict::NotRun,
+                                            .message = "the backend server is leaving" }));
+    }
+    reportLoad(true);
+}
+
+bool Sidecar::waitIdle(std::chrono::milliseconds timeout)
+{
+    std::unique_lock lock(m_mutex);
+    return m_wake.wait_for(lock, timeout, [this] {
+        return m_sessions.empty() || m_stopping;
+    }) && m_sessions.empty();
+}
+
+void Sidecar::stop()
+{
+    std::vector<SessionPointer> sessions;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_stopping) {
+            return;
+        }
+        m_stopping = true;
+        for (const auto &[key, session] : m_sessions) {
+            sessions.push_back(session);
+        }
+    }
+    m_wake.notify_all();
+    if (m_transport) {
+        m_transport->stop();
+    }
+    for (const SessionPointer &session : sessions) {
+        session->cancel();
+    }
+    m_workers->joinAll();
+    for (std::thread *thread : { &m_housekeeper, &m_poller }) {
+        if (thread->joinable()) {
+            thread->join();
+        }
+    }
+}
+
+SidecarStatus Sidecar::status() const
+{
+    const std::lock_guard lock(m_mutex);
+    SidecarStatus status = m_counters;
+    status.load = loadReport();
+    status.incarnation = m_incarnation;
+    status.sessions = m_sessions.size();
+    return status;
+}
+
+std::uint64_t Sidecar::revision() const
+{
+    return m_version.revision();
+}
+
+void Sidecar::received(LinkId link, const std::string &frame)
+{
+    std::optional<LinkMessage> message = decode(frame);
+    if (!message) {
+        log.warning("dropped a link that sent a malformed frame of " + std::to_string(frame.size()) + " bytes");
+        {
+            const std::lock_guard lock(m_mutex);
+            ++m_counters.rejectedFrames;
+        }
+        m_transport->drop(link);
+        return;
+    }
+    std::visit(
+        [this, link](auto &content) {
+            handle(link, content);
+        },
+        *message);
+}
+
+void Sidecar::closed(LinkId link)
+{
+    std::vector<SessionPointer> sessions;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_links.erase(link);
+        for (const auto &[key, session] : m_sessions) {
+            sessions.push_back(session);
+        }
+    }
+    for (const SessionPointer &session : sessions) {
+        session->detach(link);
+    }
+}
+
+void Sidecar::handle(LinkId link, Hello &message)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_links[link] = message.instance;
+    }
+    {
+        const std::lock_guard lock(m_owedMutex);
+        m_reportOwed.insert(link);
+    }
+    send(link,
+         Hello{ .instance = m_settings.server,
+                .dataCentre = m_daemon.dataCentre,
+                .incarnation = m_incarnation,
+                .revision = m_version.revision() });
+    pushConfiguration(link, message.revision);
+}
+
+void Sidecar::handle(LinkId link, Offer &message)
+{
+    const GenerationKey key = keyOf(message);
+    Failure failure;
+    SessionPointer session;
+    SessionPointer known;
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_counters.offers;
+        const auto position = m_sessions.find(key);
+        if (position != m_sessions.end()) {
+            known = position->second;
+        } else if (m_tombstones.contains(key)) {
+            failure = { .code = RequestError::UnknownRequest,
+                        .verdict = Verdict::NotRun,
+                        .message = "the request was recorded as refused before it arrived" };
+        } else if (m_draining) {
+            failure = { .code = RequestError::Draining,
+                        .verdict = Verdict::NotRun,
+                        .message = "the backend server is leaving" };
+        } else if (!m_backendAlive) {
+            failure = { .code = RequestError::EngineLost,
+                        .verdict = Verdict::NotRun,
+                        .message = "the backend server is down",
+                        .retryAfter = retryAfterDown };
+        } else if (message.kind == RequestKind::Call && m_runningCalls >= m_settings.maxRunning) {
+            failure = { .code = RequestError::QueueFull,
+                        .verdict = Verdict::NotRun,
+                        .message = "the service runs as many calls as it may",
+                        .retryAfter = retryAfterDown };
+        } else {
+            session = std::make_shared<SidecarSession>(std::move(message), link, 0,
+                                                       [this](LinkId to, const LinkMessage &content) {
+                                                           send(to, content);
+                                                       });
+            m_sessions[key] = session;
+            m_runningCalls += session->offer().kind == RequestKind::Call ? 1 : 0;
+        }
+        m_counters.refusals += failure.code ? 1 : 0;
+    }
+    if (known) {
+        known->attach(link, 0);
+    } else if (failure.code) {
+        refuse(link, key, failure);
+    } else if (session->offer().kind == RequestKind::Call) {
+        startWorker(session, &Sidecar::runCall);
+    } else {
+        offerGeneration(session, link);
+    }
+}
+
+void Sidecar::handle(LinkId link, Resume &message)
+{
+    const GenerationKey key = keyOf(message);
+    if (const SessionPointer session = find(key)) {
+        {
+            const std::lock_guard lock(m_mutex);
+            ++m_counters.resumed;
+        }
+        if (!session->attach(link, message.next)) {
+            refuse(link, key,
+                   Failure{ .code = RequestError::LinkLost,
+                            .verdict = Verdict::Ran,
+                            .message = "the tokens asked for were already released" });
+        }
+        return;
+    }
+    resumeUnknown(link, message);
+}
+
+void Sidecar::handle(LinkId /*link*/, Cancel &message)
+{
+    const SessionPointer session = find(keyOf(message));
+    if (!session) {
+        return;
+    }
+    session->cancel();
+    bool wasQueued = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        wasQueued = m_queuedSince.erase(session->key()) > 0;
+        if (wasQueued) {
+            m_admission.ended(session->key(), false, Clock::now());
+        }
+    }
+    if (wasQueued) {
+        session->end(failedMessage(session->key(),
+                                   Failure{ .code = RequestError::Cancelled,
+                                            .verdict = Verdict::NotRun,
+                                            .message = "cancelled while it waited" }));
+    }
+}
+
+void Sidecar::handle(LinkId /*link*/, Ack &message)
+{
+    if (const SessionPointer session = find(keyOf(message))) {
+        session->acknowledge(message.next, message.final);
+    }
+}
+
+void Sidecar::handle(LinkId link, ConfigurationPush &message)
+{
+    if (message.revision <= m_version.revision()) {
+        return;
+    }
+    const auto version = makeVersion(message.revision, message.digest, message.text);
+    if (!version) {
+        log.error("a peer sent configuration revision " + std::to_string(message.revision)
+                  + " that does not match its digest");
+        m_transport->drop(link);
+        return;
+    }
+    if (!m_version.install(version)) {
+        return;
+    }
+    log.info("configuration revision " + std::to_string(message.revision) + " is in force");
+    {
+        const std::lock_guard lock(m_mutex);
+        EngineLimits limits{ .totalBlocks = 0,
+                             .maxRunning = m_settings.maxRunning,
+                             .maxWaiting = m_settings.maxWaiting };
+        limits.memoryRisk = version->policy().memoryRisk;
+        m_admission.setLimits(limits);
+    }
+    reportLoad(true);
+}
+
+void Sidecar::handle(LinkId link, Ping &message)
+{
+    send(link, Pong{ .number = message.number });
+}
+
+// Messages that only entries receive; a peer that sends one is of a later protocol or confused, and does no harm.
+template <typename Other>
+void Sidecar::handle(LinkId /*link*/, Other & /*message*/)
+{
+}
+
+void Sidecar::offerGeneration(const SessionPointer &session, LinkId link)
+{
+    AdmissionDecision decision;
+    {
+        const std::lock_guard lock(m_mutex);
+        decision = m_admission.offer(admissionRequest(session->offer()), Clock::now());
+        if (decision.outcome == AdmissionOutcome::Queued) {
+            m_queuedSince[session->key()] = Clock::now();
+        } else if (decision.outcome == AdmissionOutcome::Refused) {
+            m_sessions.erase(session->key());
+            ++m_counters.refusals;
+        }
+    }
+    switch (decision.outcome) {
+    case AdmissionOutcome::Admitted:
+        startWorker(session, &Sidecar::runGeneration);
+        break;
+    case AdmissionOutcome::Queued:
+        break;
+    case AdmissionOutcome::Refused:
+        log.info("refused request " + session->key().text() + ": " + decision.explanation);
+        refuse(link, session->key(),
+               Failure{ .code = decision.reason,
+                        .verdict = Verdict::NotRun,
+                        .message = decision.explanation,
+                        .retryAfter = decision.retryAfter });
+        break;
+    }
+}
+
+// A request that this process has never seen is recorded as refused, so that an offer still on its way is refused when
+// it arrives. That proves "not run" only for an offer made to this incarnation; for an earlier one the engine is asked.
+void Sidecar::resumeUnknown(LinkId link, const Resume &message)
+{
+    const GenerationKey key = keyOf(message);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_tombstones[key] = Clock::now();
+        ++m_counters.tombstones;
+    }
+    if (message.offeredTo == m_incarnation) {
+        refuse(link, key,
+               Failure{ .code = RequestError::UnknownRequest,
+                        .verdict = Verdict::NotRun,
+                        .message = "the request never reached the backend server" });
+        return;
+    }
+    if (message.kind == RequestKind::Call) {
+        refuse(link, key,
+               Failure{ .code = RequestError::LinkLost,
+                        .verdict = Verdict::MayHaveRun,
+                        .message = "the sidecar restarted while the call ran" });
+        return;
+    }
+    Offer offer{ .request = message.request,
+                 .generation = message.generation,
+                 .kind = message.kind,
+                 .account = message.account,
+                 .route = message.route,
+                 .promptTokens = message.promptTokens,
+                 .maxTokens = message.maxTokens };
+    auto session = std::make_shared<SidecarSession>(std::move(offer), link, message.next,
+                                                    [this](LinkId to, const LinkMessage &content) {
+                                                        send(to, content);
+                                                    });
+    {
+        const std::lock_guard lock(m_mutex);
+        m_sessions[key] = session;
+    }
+    startWorker(session, &Sidecar::resumeGeneration);
+}
+
+void Sidecar::refuse(LinkId link, const GenerationKey &key, const Failure &failure)
+{
+    send(link, failedMessage(key, failure));
+}
+
+void Sidecar::send(LinkId link, const LinkMessage &message)
+{
+    m_transport->send(link, encode(message));
+    if (isAnswer(message)) {
+        const std::lock_guard lock(m_owedMutex);
+        m_reportOwed.insert(link);
+    }
+}
+
+void Sidecar::pushConfiguration(LinkId link, std::uint64_t theirRevision)
+{
+    const auto version = m_version.current();
+    if (version && version->revision > theirRevision) {
+        send(link,
+             ConfigurationPush{ .revision = version->revision, .digest = version->digest, .text = version->text });
+    }
+}
+
+void Sidecar::startWorker(const SessionPointer &session, void (Sidecar::*work)(const SessionPointer &))
+{
+    auto task = std::make_unique<Task>([this, session, work] {
+        (this->*work)(session);
+    });
+    try {
+        m_workers->start(*task);
+        static_cast<void>(task.release());
+    } catch (const Poco::NoThreadAvailableException &) {
+        endGeneration(
+            session,
+            failedMessage(
+                session->key(),
+                Failure{ .code = RequestError::QueueFull, .verdict = Verdict::NotRun, .message = "no worker is free" }),
+            false);
+    }
+}
+
+void Sidecar::runGeneration(const SessionPointer &session)
+{
+    const auto begin = Clock::now();
+    auto stream = std::make_shared<EngineStream>(m_settings.backend, m_timeouts);
+    session->setAbort([stream] {
+        stream->abort();
+    });
+    std::optional<Failure> failure = session->cancelled() ? Failure{ .code = RequestError::Cancelled,
+                                                                     .verdict = Verdict::NotRun,
+                                                                     .message = "cancelled before it started" }
+                                                          : stream->open(session->offer().path, session->offer().body);
+    if (failure && failure->verdict == Verdict::NotRun) {
+        endGeneration(session, failedMessage(session->key(), *failure), false);
+        return;
+    }
+    if (failure && !reopenStream(session, stream)) {
+        endGeneration(session, failedMessage(session->key(), *failure), false);
+        return;
+    }
+    session->started(std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begin));
+    streamTokens(session, stream);
+}
+
+void Sidecar::resumeGeneration(const SessionPointer &session)
+{
+    std::shared_ptr<EngineStream> stream;
+    if (!reopenStream(session, stream)) {
+        cancelOnEngine(m_settings.backend, session->key(), m_timeouts);
+        endGeneration(session,
+                      failedMessage(session->key(),
+                                    Failure{ .code = RequestError::EngineLost,
+                                             .verdict = session->next() > 0 ? Verdict::Ran : Verdict::MayHaveRun,
+                                             .message = "the engine no longer has the generation" }),
+                      false);
+        return;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_counters.adopted;
+        m_admission.adopt(admissionRequest(session->offer()), static_cast<std::uint32_t>(session->next()),
+                          Clock::now());
+    }
+    log.info("took up generation " + session->key().text() + " at token " + std::to_string(session->next()));
+    session->started(std::chrono::milliseconds(0));
+    streamTokens(session, stream);
+}
+
+void Sidecar::streamTokens(const SessionPointer &session, const std::shared_ptr<EngineStream> &firstStream)
+{
+    std::shared_ptr<EngineStream> stream = firstStream;
+    const GenerationKey key = session->key();
+    while (true) {
+        EngineEvent event = stream->next();
+        if (session->cancelled()) {
+            break;
+        }
+        if (const auto *token = std::get_if<EngineToken>(&event)) {
+            if (token->sequence != session->next()) {
+                continue;
+            }
+            {
+                const std::lock_guard lock(m_mutex);
+                m_admission.emitted(key);
+            }
+            if (!session->append(token->text)) {
+                break;
+            }
+        } else if (const auto *end = std::get_if<EngineEnd>(&event)) {
+            endGeneration(session,
+                          Finished{ .request = key.request,
+                                    .generation = key.generation,
+                                    .tokens = session->next(),
+                                    .reason = end->reason },
+                          true);
+            return;
+        } else if (!reopenStream(session, stream)) {
+            Failure failure = std::get<Failure>(event);
+            failure.verdict = raised(failure.verdict, session->next() > 0 ? Verdict::Ran : Verdict::MayHaveRun);
+            endGeneration(session, failedMessage(key, failure), false);
+            return;
+        }
+    }
+    bool stopping = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        stopping = m_stopping;
+    }
+    if (!stopping) {
+        cancelOnEngine(m_settings.backend, key, m_timeouts);
+    }
+    endGeneration(
+        session,
+        failedMessage(key, Failure{ .code = RequestError::Cancelled, .verdict = Verdict::Ran, .message = "cancelled" }),
+        false);
+}
+
+// The engine keeps a generation for a while after its connection broke, so the stream is asked for again by name.
+bool Sidecar::reopenStream(const SessionPointer &session, std::shared_ptr<EngineStream> &stream)
+{
+    for (int attempt = 0; attempt < reopenAttempts; ++attempt) {
+        auto next = std::make_shared<EngineStream>(m_settings.backend, m_timeouts);
+        session->setAbort([next] {
+            next->abort();
+        });
+        const std::optional<Failure> failure = next->reopen(session->key(), session->next());
+        if (!failure) {
+            stream = next;
+            return true;
+        }
+        if (failure->code == RequestError::UnknownRequest || session->cancelled() || !waitUnlessStopping(reopenPause)) {
+            return false;
+        }
+    }
+    return false;
+}
+
+void Sidecar::runCall(const SessionPointer &session)
+{
+    std::variant<Reply, Failure> result = callService(m_settings.backend, session->offer(), m_timeouts);
+    {
+        const std::lock_guard lock(m_mutex);
+        --m_runningCalls;
+    }
+    if (auto *reply = std::get_if<Reply>(&result)) {
+        session->end(std::move(*reply));
+    } else {
+        session->end(failedMessage(session->key(), std::get<Failure>(result)));
+    }
+}
+
+void Sidecar::endGeneration(const SessionPointer &session, LinkMessage message, bool whole)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_admission.ended(session->key(), whole, Clock::now());
+    }
+    session->end(std::move(message));
+    admitWaiting();
+}
+
+void Sidecar::admitWaiting()
+{
+    std::vector<SessionPointer> ready;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const GenerationKey &key : m_admission.admitReady(Clock::now())) {
+            m_queuedSince.erase(key);
+            ready.push_back(m_sessions.at(key));
+        }
+    }
+    for (const SessionPointer &session : ready) {
+        startWorker(session, &Sidecar::runGeneration);
+    }
+}
+
+void Sidecar::housekeep()
+{
+    auto nextIdleReport = Clock::now();
+    while (waitUnlessStopping(housekeepingInterval)) {
+        std::vector<SessionPointer> expired;
+        {
+            const std::lock_guard lock(m_mutex);
+            for (const GenerationKey &key : m_admission.expire(Clock::now())) {
+                m_queuedSince.erase(key);
+                expired.push_back(m_sessions.at(key));
+            }
+        }
+        for (const SessionPointer &session : expired) {
+            session->end(failedMessage(session->key(),
+                                       Failure{ .code = RequestError::DeadlineExceeded,
+                                                .verdict = Verdict::NotRun,
+                                                .message = "the deadline passed while the request waited",
+                                                .retryAfter = retryAfterDown }));
+        }
+        admitWaiting();
+        reapSessions();
+        const bool toAll = Clock::now() >= nextIdleReport;
+        nextIdleReport = toAll ? Clock::now() + idleReportInterval : nextIdleReport;
+        reportLoad(toAll);
+    }
+}
+
+void Sidecar::reapSessions()
+{
+    const auto now = Clock::now();
+    std::vector<SessionPointer> orphans;
+    {
+        const std::lock_guard lock(m_mutex);
+        std::erase_if(m_sessions, [&](const auto &entry) {
+            return entry.second->finished(now, answerLinger);
+        });
+        std::erase_if(m_tombstones, [&](const auto &entry) {
+            return now - entry.second > tombstoneLife;
+        });
+        for (const auto &[key, session] : m_sessions) {
+            if (session->offer().kind == RequestKind::Generation && session->orphaned(now, m_settings.orphanTimeout)) {
+                orphans.push_back(session);
+            }
+        }
+    }
+    m_wake.notify_all();
+    for (const SessionPointer &session : orphans) {
+        Cancel cancel{ .request = session->key().request, .generation = session->key().generation };
+        handle(LinkId(), cancel);
+    }
+}
+
+// Load travels after answers: a link gets a report only when something was answered on it, and now and then when idle.
+void Sidecar::reportLoad(bool toAll)
+{
+    std::set<LinkId> links;
+    {
+        const std::lock_guard lock(m_owedMutex);
+        links.swap(m_reportOwed);
+    }
+    LoadReport report;
+    {
+        const std::lock_guard lock(m_mutex);
+        report = loadReport();
+        if (toAll) {
+            for (const auto &[link, instance] : m_links) {
+                links.insert(link);
+            }
+        }
+    }
+    for (const LinkId link : links) {
+        send(link, report);
+    }
+}
+
+void Sidecar::pollBackend()
+{
+    const bool isEngine = m_settings.kind == "engine";
+    do {
+        bool alive = false;
+        if (isEngine) {
+            const auto report = readEngineReport(m_settings.backend, m_timeouts);
+            alive = report.has_value();
+            if (report) {
+                const std::lock_guard lock(m_mutex);
+                m_admission.engineReport(report->usedBlocks, report->totalBlocks, report->preemptions, Clock::now());
+            }
+        } else {
+            alive = serviceAnswers(m_settings.backend, m_timeouts);
+        }
+        bool changed = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            changed = alive != m_backendAlive;
+            m_backendAlive = alive;
+        }
+        if (changed) {
+            alive ? log.info("the backend server answers") : log.warning("the backend server does not answer");
+            reportLoad(true);
+        }
+    } while (waitUnlessStopping(pollInterval));
+}
+
+AdmissionRequest Sidecar::admissionRequest(const Offer &offer) const
+{
+    return AdmissionRequest{ .key = keyOf(offer),
+                             .account = offer.account,
+                             .route = offer.route,
+                             .version = versionOfServer(),
+                             .promptTokens = offer.promptTokens,
+                             .maxTokens = offer.maxTokens,
+                             .priority = offer.priority,
+                             .share = offer.share,
+                             .deadline = Clock::now() + offer.timeLeft };
+}
+
+std::string Sidecar::versionOfServer() const
+{
+    const auto version = m_version.current();
+    if (!version) {
+        return {};
+    }
+    for (const auto &[name, pool] : version->configuration.pools) {
+        if (std::find(pool.servers.begin(), pool.servers.end(), m_settings.server) != pool.servers.end()) {
+            return pool.version;
+        }
+    }
+    return {};
+}
+
+LoadReport Sidecar::loadReport() const
+{
+    LoadReport report;
+    report.running = m_admission.runningCount() + m_runningCalls;
+    report.waiting = m_admission.waitingCount();
+    report.usedBlocks = m_admission.committedBlocks();
+    report.totalBlocks = static_cast<std::uint32_t>(m_admission.usableBlocks());
+    report.entries = static_cast<std::uint32_t>(m_links.size());
+    report.expectedWait = m_admission.expectedWait();
+    report.draining = m_draining;
+    report.backendAlive = m_backendAlive;
+    report.revision = m_version.revision();
+    report.preemptions = m_admission.preemptions();
+    return report;
+}
+
+Sidecar::SessionPointer Sidecar::find(const GenerationKey &key) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto position = m_sessions.find(key);
+    return position == m_sessions.end() ? nullptr : position->second;
+}
+
+bool Sidecar::waitUnlessStopping(std::chrono::milliseconds duration)
+{
+    std::unique_lock lock(m_mutex);
+    const auto until = Clock::now() + duration;
+    while (!m_stopping && Clock::now() < until) {
+        m_wake.wait_until(lock, until);
+    }
+    return !m_stopping;
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/request/answerwriter.cpp
@@ -0,0 +1,183 @@
+#include "zinniadock/request/answerwriter.h"
+
+#include <chrono>
+
+#include <Poco/Exception.h>
+#include <nlohmann/json.hpp>
+
+namespace zinniadock
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+using Poco::Net::HTTPServerResponse;
+
+std::int64_t unixSeconds()
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+std::string answerId(const RequestId &request, bool chat)
+{
+    return (chat ? "chatcmpl-" : "cmpl-") + request.text();
+}
+
+std::string dump(const Json &document)
+{
+    return document.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+void sendWhole(HTTPServerResponse &response, const std::string &contentType, const std::string &body)
+{
+    response.setContentType(contentType);
+    response.sendBuffer(body.data(), body.size());
+}
+
+} // namespace
+
+void setAnswerHeaders(HTTPServerResponse &response, const RequestId &request, Verdict verdict)
+{
+    response.set("X-Request-Id", request.text());
+    response.set("X-Zinniadock-Verdict", std::string(toString(verdict)));
+}
+
+void sendFailure(HTTPServerResponse &response, const RequestId &request, const Failure &failure)
+{
+    const int status = httpStatus(failure.code);
+    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    response.setReason(failure.code.message());
+    setAnswerHeaders(response, request, failure.verdict);
+    if (failure.retryAfter.count() > 0) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(failure.retryAfter);
+        response.set("Retry-After", std::to_string(seconds.count()));
+    }
+    sendWhole(response, "application/json", errorBody(failure, request));
+}
+
+StreamWriter::StreamWriter(HTTPServerResponse &response, const CallerRequest &request,
+                           const GenerationRequest &generation)
+    : m_response(response)
+    , m_request(request.id)
+    , m_chat(generation.form == CompletionForm::Chat)
+{
+    // The same for every event, so it is written once; only the token changes.
+    m_prefix = R"({"id":")" + answerId(request.id, m_chat) + R"(","object":")"
+        + (m_chat ? "chat.completion.chunk" : "text_completion") + R"(","created":)" + std::to_string(unixSeconds())
+        + R"(,"model":)" + dump(generation.route) + R"(,"choices":[{"index":0,)";
+}
+
+bool StreamWriter::token(const GenerationKey &key, SequenceNumber sequence, const std::string &text)
+{
+    const bool isFirst = m_tokens == 0;
+    ++m_tokens;
+    std::string event
+        = "id: " + std::to_string(key.generation) + ":" + std::to_string(sequence) + "\ndata: " + m_prefix;
+    if (m_chat) {
+        event += std::string(R"("delta":{)") + (isFirst ? R"("role":"assistant",)" : "") + R"("content":)" + dump(text)
+            + "}";
+    } else {
+        event += R"("text":)" + dump(text);
+    }
+    event += R"(,"finish_reason":null}]})";
+    return write(event + "\n\n");
+}
+
+bool StreamWriter::finish(const GenerationKey & /*key*/, SequenceNumber /*tokens*/, const std::string &reason)
+{
+    const std::string content = m_chat ? R"("delta":{})" : R"("text":"")";
+    return write("data: " + m_prefix + content + R"(,"finish_reason":)" + dump(reason) + "}]}\n\ndata: [DONE]\n\n");
+}
+
+// Comments are ignored by clients; only a write tells a caller that has closed one side from one that is gone.
+bool StreamWriter::probe()
+{
+    return write(": waiting\n\n");
+}
+
+void StreamWriter::fail(const Failure &failure)
+{
+    if (m_stream == nullptr) {
+        sendFailure(m_response, m_request, failure);
+        return;
+    }
+    write("event: error\ndata: " + errorBody(failure, m_request) + "\n\n");
+}
+
+void StreamWriter::begin()
+{
+    setAnswerHeaders(m_response, m_request, Verdict::Ran);
+    m_response.setChunkedTransferEncoding(true);
+    m_response.setContentType("text/event-stream");
+    m_response.set("Cache-Control", "no-cache");
+    m_stream = &m_response.send();
+}
+
+bool StreamWriter::write(const std::string &text)
+{
+    try {
+        if (m_stream == nullptr) {
+            begin();
+        }
+        *m_stream << text << std::flush;
+        return m_stream->good();
+    } catch (const Poco::Exception &) {
+        return false;
+    }
+}
+
+WholeWriter::WholeWriter(HTTPServerResponse &response, const CallerRequest &request,
+                         const GenerationRequest &generation)
+    : m_response(response)
+    , m_request(request)
+    , m_generation(generation)
+{
+}
+
+bool WholeWriter::token(const GenerationKey & /*key*/, SequenceNumber /*sequence*/, const std::string &text)
+{
+    m_text += text;
+    return m_text.size() <= maxAnswerBytes;
+}
+
+bool WholeWriter::finish(const GenerationKey & /*key*/, SequenceNumber tokens, const std::string &reason)
+{
+    const bool chat = m_generation.form == CompletionForm::Chat;
+    Json choice{ { "index", 0 }, { "finish_reason", reason } };
+    if (chat) {
+        choice["message"] = { { "role", "assistant" }, { "content", m_text } };
+    } else {
+        choice["text"] = m_text;
+    }
+    const Json body{ { "id", answerId(m_request.id, chat) },
+                     { "object", chat ? "chat.completion" : "text_completion" },
+                     { "created", unixSeconds() },
+                     { "model", m_generation.route },
+                     { "choices", { choice } },
+                     { "usage",
+                       { { "prompt_tokens", m_generation.promptTokens },
+                         { "completion_tokens", tokens },
+                         { "total_tokens", m_generation.promptTokens + tokens } } } };
+    setAnswerHeaders(m_response, m_request.id, Verdict::Ran);
+    try {
+        sendWhole(m_response, "application/json", dump(body));
+        return true;
+    } catch (const Poco::Exception &) {
+        return false;
+    }
+}
+
+// Nothing can be written before the whole answer, so a caller that closed its sending side counts as gone.
+bool WholeWriter::probe()
+{
+    return false;
+}
+
+void WholeWriter::fail(const Failure &failure)
+{
+    sendFailure(m_response, m_request.id, failure);
+}
+
+} // namespace zinniadock
