--- /dev/null
+++ b/src/request/requestrunner.cpp
@@ -0,0 +1,544 @@
+#include "zinniadock/request/requestrunner.h"
+
+#include <algorithm>
+
+#include <Poco/Exception.h>
+
+#include "zinniadock/process/log.h"
+#include "zinniadock/process/routing.h"
+
+namespace zinniadock
+{
+
+namespace
+{
+
+constexpr Log log{ "request" };
+
+constexpr GenerationId mostAttempts = 4;
+constexpr std::chrono::milliseconds popInterval{ 200 };
+constexpr SequenceNumber tokensPerAck = 64;
+
+// A broken link is mended by a new one; a request waits for it so long before it is given up.
+constexpr std::chrono::milliseconds linkPatience{ 15000 };
+
+// Before its first token a generation is cheaper to run elsewhere than to wait for.
+constexpr std::chrono::milliseconds linkPatienceBeforeFirstToken{ 1000 };
+
+// The sidecar refuses a request at its deadline; the entry gives it so long to say so.
+constexpr std::chrono::milliseconds deadlineSlack{ 2000 };
+
+constexpr std::chrono::milliseconds retryAfterNoServer{ 1000 };
+constexpr std::chrono::microseconds prefillPerToken{ 100 };
+
+Failure failureOf(const Failed &message)
+{
+    return Failure{ .code = static_cast<RequestError>(message.error),
+                    .verdict = message.verdict,
+                    .message = message.message,
+                    .retryAfter = message.retryAfter };
+}
+
+Failure linkLost(Verdict verdict)
+{
+    return Failure{ .code = RequestError::LinkLost,
+                    .verdict = verdict,
+                    .message = "the link to the backend server was lost" };
+}
+
+// Errors that another backend server may not have; the others come from the request itself.
+bool worthAnotherServer(const std::error_code &code)
+{
+    return code == RequestError::QueueFull || code == RequestError::Draining || code == RequestError::NoServer
+        || code == RequestError::LinkLost || code == RequestError::EngineLost || code == RequestError::EngineRefused
+        || code == RequestError::UnknownRequest;
+}
+
+// After a refusal the lack of a further server says less than the refusal, which knows when to come back.
+Failure lastWord(const Failure &failure, const std::optional<Failure> &refusal)
+{
+    return failure.code == RequestError::NoServer && refusal ? *refusal : failure;
+}
+
+bool isReadMethod(const std::string &method)
+{
+    return method == "GET" || method == "HEAD";
+}
+
+} // namespace
+
+RequestRunner::RequestRunner(EntryServices &services, const CallerRequest &request,
+                             Poco::Net::HTTPServerResponse &response, std::function<bool()> callerClosed)
+    : m_services(services)
+    , m_request(request)
+    , m_response(response)
+    , m_callerClosed(std::move(callerClosed))
+    , m_arrived(Clock::now())
+    , m_lastToken(m_arrived)
+{
+}
+
+void RequestRunner::run()
+{
+    ++m_services.metrics.requests;
+    if (m_services.draining) {
+        fail(Failure{ .code = RequestError::Draining,
+                      .verdict = Verdict::NotRun,
+                      .message = "this entry is leaving",
+                      .retryAfter = retryAfterNoServer });
+        return;
+    }
+    if (const auto failure = authenticate()) {
+        fail(*failure);
+        return;
+    }
+    if (const auto failure = m_services.limiter.enter(m_accountName, *m_account, Clock::now())) {
+        fail(*failure);
+        return;
+    }
+    try {
+        runAuthenticated();
+    } catch (const Poco::Exception &error) {
+        log.info("the caller of request " + m_request.id.text() + " is gone: " + error.displayText());
+    }
+    m_services.limiter.leave(m_accountName);
+}
+
+std::optional<Failure> RequestRunner::authenticate()
+{
+    m_version = m_services.versions.current();
+    if (!m_version) {
+        return Failure{ .code = RequestError::NotConfigured,
+                        .verdict = Verdict::NotRun,
+                        .message = "no configuration is in force yet",
+                        .retryAfter = retryAfterNoServer };
+    }
+    if (m_request.key.empty()) {
+        return Failure{ .code = RequestError::Unauthorized,
+                        .verdict = Verdict::NotRun,
+                        .message = "expected the header Authorization: Bearer KEY" };
+    }
+    m_account = m_version->accountOfKey(m_request.key, m_accountName);
+    if (m_account == nullptr) {
+        return Failure{ .code = RequestError::Unauthorized,
+                        .verdict = Verdict::NotRun,
+                        .message = "the key belongs to no client account" };
+    }
+    return std::nullopt;
+}
+
+void RequestRunner::runAuthenticated()
+{
+    const bool isGeneration = m_request.path == "/v1/completions" || m_request.path == "/v1/chat/completions";
+    if (isGeneration) {
+        runGeneration();
+        return;
+    }
+    std::string routeName;
+    m_route = m_version->routeOfPath(m_request.path, routeName);
+    if (m_route == nullptr) {
+        fail(Failure{ .code = RequestError::UnknownRoute,
+                      .verdict = Verdict::NotRun,
+                      .message = "no route has the path " + m_request.path });
+        return;
+    }
+    if (const auto failure = authorise(routeName)) {
+        fail(*failure);
+        return;
+    }
+    runCall();
+}
+
+std::optional<Failure> RequestRunner::authorise(const std::string &routeName)
+{
+    const auto &allowed = m_account->routes;
+    if (!allowed.empty() && std::find(allowed.begin(), allowed.end(), routeName) == allowed.end()) {
+        return Failure{ .code = RequestError::UnknownRoute,
+                        .verdict = Verdict::NotRun,
+                        .message = "the client account has no route " + routeName };
+    }
+    m_routeName = routeName;
+    m_pool = &m_version->configuration.pools.at(m_route->pool);
+    m_deadline = m_arrived + std::min(m_request.deadline.value_or(m_route->deadline), m_route->deadline);
+    return std::nullopt;
+}
+
+void RequestRunner::runGeneration()
+{
+    if (m_request.method != "POST") {
+        fail(Failure{
+            .code = RequestError::BadRequest, .verdict = Verdict::NotRun, .message = "expected the method POST" });
+        return;
+    }
+    auto parsed = parseGeneration(m_request);
+    if (const auto *failure = std::get_if<Failure>(&parsed)) {
+        fail(*failure);
+        return;
+    }
+    m_generation = std::get<GenerationRequest>(parsed);
+    const auto position = m_version->configuration.routes.find(m_generation.route);
+    if (position == m_version->configuration.routes.end() || !position->second.path.empty()) {
+        fail(Failure{ .code = RequestError::UnknownRoute,
+                      .verdict = Verdict::NotRun,
+                      .message = "model: there is no route \"" + m_generation.route + "\"" });
+        return;
+    }
+    m_route = &position->second;
+    if (const auto failure = authorise(m_generation.route)) {
+        fail(*failure);
+        return;
+    }
+    if (m_generation.stream) {
+        StreamWriter writer(m_response, m_request, m_generation);
+        generate(writer);
+    } else {
+        WholeWriter writer(m_response, m_request, m_generation);
+        generate(writer);
+    }
+}
+
+// Tries servers until a generation is whole. A new generation is begun only while no token has been shown.
+template <AnswerWriter Writer>
+void RequestRunner::generate(Writer &writer)
+{
+    std::set<std::string> tried;
+    Verdict verdict = Verdict::NotRun;
+    std::optional<Failure> refusal;
+    m_services.retries.requestSent(m_version->policy().retryBudget);
+    for (GenerationId generation = 1;; ++generation) {
+        Attempt attempt = attemptGeneration(writer, generation, tried);
+        if (attempt.callerGone) {
+            ++m_services.metrics.cancelled;
+            writer.fail(Failure{ .code = RequestError::Cancelled,
+                                 .verdict = Verdict::MayHaveRun,
+                                 .message = "the caller closed the connection" });
+            return;
+        }
+        if (const auto *finished = std::get_if<Finished>(&attempt.end)) {
+            writer.finish({ m_request.id, generation }, finished->tokens, finished->reason);
+            ++m_services.metrics.completed;
+            m_services.metrics.longestStall.record(m_longestStall);
+            return;
+        }
+        Failure failure = std::get<Failure>(attempt.end);
+        verdict = raised(verdict, m_order.next() > 0 ? Verdict::Ran : failure.verdict);
+        const bool again = m_order.next() == 0 && worthAnotherServer(failure.code) && generation < mostAttempts
+            && timeLeft().count() > 0 && m_services.retries.takeRetry();
+        if (!again) {
+            failure = lastWord(failure, refusal);
+            failure.verdict = verdict;
+            countFailure(failure);
+            writer.fail(failure);
+            return;
+        }
+        refusal = failure;
+        ++m_services.metrics.retries;
+        log.info("tries request " + m_request.id.text() + " again: " + failure.message);
+    }
+}
+
+template <AnswerWriter Writer>
+RequestRunner::Attempt RequestRunner::attemptGeneration(Writer &writer, GenerationId generation,
+                                                        std::set<std::string> &tried)
+{
+    m_order.follow(generation);
+    Offer offer = makeOffer(generation);
+    offer.kind = RequestKind::Generation;
+    offer.promptTokens = m_generation.promptTokens;
+    offer.maxTokens = m_generation.maxTokens;
+    offer.contentType = "application/json";
+    offer.body = engineBody(m_request.body, { m_request.id, generation }, m_route->priority);
+    auto exchange = std::make_shared<Exchange>(Resume{ .request = m_request.id,
+                                                       .generation = generation,
+                                                       .kind = RequestKind::Generation,
+                                                       .account = m_accountName,
+                                                       .route = m_routeName,
+                                                       .maxTokens = offer.maxTokens,
+                                                       .promptTokens = offer.promptTokens });
+    std::string server;
+    if (const auto failure = send(offer, exchange, tried, server)) {
+        return Attempt{ .end = *failure };
+    }
+    Attempt attempt = followGeneration(writer, server, exchange);
+    const bool whole = std::holds_alternative<Finished>(attempt.end) && !attempt.callerGone;
+    if (whole) {
+        m_services.links.finish(server, *exchange, m_order.next());
+    } else {
+        m_services.links.cancel(server, *exchange);
+    }
+    return attempt;
+}
+
+template <AnswerWriter Writer>
+RequestRunner::Attempt RequestRunner::followGeneration(Writer &writer, const std::string &server,
+                                                       const std::shared_ptr<Exchange> &exchange)
+{
+    std::optional<Clock::time_point> brokenSince;
+    while (true) {
+        std::optional<ExchangeEvent> event = exchange->pop(popInterval);
+        if (!event) {
+            if (m_callerClosed() && !writer.probe()) {
+                return Attempt{ .end = linkLost(Verdict::MayHaveRun), .callerGone = true };
+            }
+            const auto patience = m_order.next() == 0 ? linkPatienceBeforeFirstToken : linkPatience;
+            if (brokenSince && Clock::now() - *brokenSince > patience) {
+                return Attempt{ .end = linkLost(Verdict::MayHaveRun) };
+            }
+            if (m_order.next() == 0 && timeLeft() + deadlineSlack < std::chrono::milliseconds(0)) {
+                return Attempt{ .end = Failure{ .code = RequestError::DeadlineExceeded,
+                                                .verdict = Verdict::MayHaveRun,
+                                                .message = "no token arrived before the deadline" } };
+            }
+            continue;
+        }
+        if (std::holds_alternative<LinkBroken>(*event)) {
+            brokenSince = brokenSince.value_or(Clock::now());
+            continue;
+        }
+        brokenSince.reset();
+        if (const auto *token = std::get_if<Token>(&*event)) {
+            if (auto end = takeToken(writer, server, *exchange, *token)) {
+                return *end;
+            }
+        } else if (const auto *finished = std::get_if<Finished>(&*event)) {
+            if (finished->tokens == m_order.next()) {
+                return Attempt{ .end = *finished };
+            }
+            m_services.links.resume(server, *exchange);
+        } else if (const auto *failed = std::get_if<Failed>(&*event)) {
+            return Attempt{ .end = failureOf(*failed) };
+        }
+    }
+}
+
+template <AnswerWriter Writer>
+std::optional<RequestRunner::Attempt> RequestRunner::takeToken(Writer &writer, const std::string &server,
+                                                               Exchange &exchange, const Token &token)
+{
+    const TokenAction action = m_order.accept(token.generation, token.sequence);
+    if (action == TokenAction::Gap) {
+        m_services.links.resume(server, exchange);
+    }
+    if (action != TokenAction::Deliver) {
+        return std::nullopt;
+    }
+    if (!writer.token(exchange.key(), token.sequence, token.text)) {
+        return Attempt{ .end = linkLost(Verdict::Ran), .callerGone = true };
+    }
+    const auto now = Clock::now();
+    const auto gap = std::chrono::duration_cast<std::chrono::microseconds>(now - m_lastToken);
+    m_longestStall = std::max(m_longestStall, gap);
+    (token.sequence == 0 ? m_services.metrics.firstToken : m_services.metrics.tokenGap).record(gap);
+    m_lastToken = now;
+    ++m_services.metrics.tokens;
+    exchange.setNext(m_order.next());
+    if (m_order.next() % tokensPerAck == 0) {
+        m_services.links.acknowledge(server, exchange, m_order.next());
+    }
+    return std::nullopt;
+}
+
+void RequestRunner::runCall()
+{
+    const bool mayRepeat = m_route->idempotent || isReadMethod(m_request.method);
+    if (!m_request.idempotencyKey.empty() && !mayRepeat) {
+        runKeyedCall();
+        return;
+    }
+    m_services.retries.requestSent(m_version->policy().retryBudget);
+    std::variant<Reply, Failure> result = call(mayRepeat);
+    if (const auto *reply = std::get_if<Reply>(&result)) {
+        sendReply(reply->status, reply->contentType, reply->body, false);
+    } else {
+        fail(std::get<Failure>(result));
+    }
+}
+
+void RequestRunner::runKeyedCall()
+{
+    const std::string bodyDigest = sha256(m_request.method + "\n" + m_request.target + "\n" + m_request.body);
+    const ClaimDecision claim
+        = m_services.claims.acquire(m_accountName, m_request.idempotencyKey, m_request.id, bodyDigest);
+    switch (claim.result) {
+    case ClaimResult::Acquired:
+        break;
+    case ClaimResult::Answered:
+        ++m_services.metrics.replays;
+        sendReply(claim.record.outcome->status, claim.record.outcome->contentType, claim.record.outcome->body, true);
+        return;
+    case ClaimResult::InUse:
+        fail(Failure{ .code = RequestError::KeyInUse,
+                      .verdict = Verdict::MayHaveRun,
+                      .message
+                      = "request " + claim.record.request + " holds the idempotency key and its outcome is not known",
+                      .retryAfter = retryAfterNoServer });
+        return;
+    case ClaimResult::Mismatch:
+        fail(Failure{ .code = RequestError::KeyMismatch,
+                      .verdict = Verdict::NotRun,
+                      .message = "the idempotency key belongs to another call" });
+        return;
+    case ClaimResult::Unavailable:
+        fail(Failure{ .code = RequestError::StoreUnavailable,
+                      .verdict = Verdict::NotRun,
+                      .message = "the store does not answer, so the call was not sent",
+                      .retryAfter = retryAfterNoServer });
+        return;
+    }
+    m_services.retries.requestSent(m_version->policy().retryBudget);
+    std::variant<Reply, Failure> result = call(false);
+    if (const auto *reply = std::get_if<Reply>(&result)) {
+        const ClaimOutcome outcome{ .status = reply->status, .contentType = reply->contentType, .body = reply->body };
+        if (!m_services.claims.complete(m_accountName, m_request.idempotencyKey, claim, outcome)) {
+            log.warning("could not record the outcome of request " + m_request.id.text());
+        }
+        sendReply(reply->status, reply->contentType, reply->body, false);
+        return;
+    }
+    const Failure &failure = std::get<Failure>(result);
+    if (failure.verdict == Verdict::NotRun) {
+        m_services.claims.release(m_accountName, m_request.idempotencyKey, claim);
+    }
+    fail(failure);
+}
+
+// A call that may not be repeated goes to another server only where the last one is proven not to have run it.
+std::variant<Reply, Failure> RequestRunner::call(bool mayRepeat)
+{
+    std::set<std::string> tried;
+    Verdict verdict = Verdict::NotRun;
+    std::optional<Failure> refusal;
+    for (GenerationId generation = 1;; ++generation) {
+        std::variant<Reply, Failure> result = attemptCall(generation, tried);
+        if (std::holds_alternative<Reply>(result)) {
+            return result;
+        }
+        Failure failure = std::get<Failure>(result);
+        verdict = raised(verdict, failure.verdict);
+        const bool again = (mayRepeat || failure.verdict == Verdict::NotRun) && worthAnotherServer(failure.code)
+            && generation < mostAttempts && timeLeft().count() > 0 && m_services.retries.takeRetry();
+        if (!again) {
+            failure = lastWord(failure, refusal);
+            failure.verdict = verdict;
+            return failure;
+        }
+        refusal = failure;
+        ++m_services.metrics.retries;
+    }
+}
+
+std::variant<Reply, Failure> RequestRunner::attemptCall(GenerationId generation, std::set<std::string> &tried)
+{
+    Offer offer = makeOffer(generation);
+    offer.kind = RequestKind::Call;
+    offer.contentType = m_request.contentType;
+    offer.idempotencyKey = m_request.idempotencyKey;
+    offer.body = m_request.body;
+    auto exchange = std::make_shared<Exchange>(Resume{ .request = m_request.id,
+                                                       .generation = generation,
+                                                       .kind = RequestKind::Call,
+                                                       .account = m_accountName,
+                                                       .route = m_routeName });
+    std::string server;
+    if (const auto failure = send(offer, exchange, tried, server)) {
+        return *failure;
+    }
+    const auto giveUp = m_deadline + deadlineSlack;
+    while (Clock::now() < giveUp) {
+        std::optional<ExchangeEvent> event = exchange->pop(popInterval);
+        if (!event) {
+            continue;
+        }
+        if (auto *reply = std::get_if<Reply>(&*event)) {
+            m_services.links.finish(server, *exchange, 0);
+            return std::move(*reply);
+        }
+        if (const auto *failed = std::get_if<Failed>(&*event)) {
+            m_services.links.finish(server, *exchange, 0);
+            return failureOf(*failed);
+        }
+    }
+    m_services.links.finish(server, *exchange, 0);
+    return Failure{ .code = RequestError::DeadlineExceeded,
+                    .verdict = Verdict::MayHaveRun,
+                    .message = "no answer arrived before the deadline" };
+}
+
+void RequestRunner::sendReply(std::uint32_t status, const std::string &contentType, const std::string &body,
+                              bool replayed)
+{
+    ++m_services.metrics.completed;
+    m_response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    m_response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(m_response.getStatus()));
+    setAnswerHeaders(m_response, m_request.id, Verdict::Ran);
+    if (replayed) {
+        m_response.set("Idempotent-Replayed", "true");
+    }
+    if (!contentType.empty()) {
+        m_response.setContentType(contentType);
+    }
+    m_response.sendBuffer(body.data(), body.size());
+}
+
+std::optional<std::string> RequestRunner::chooseServer(const std::set<std::string> &tried)
+{
+    std::vector<ServerView> views = m_services.links.views(*m_pool, m_version->configuration);
+    for (ServerView &view : views) {
+        view.usable = view.usable && !tried.contains(view.name);
+    }
+    const auto saving = prefillPerToken * m_generation.promptTokens;
+    const auto index = zinniadock::chooseServer(views, m_generation.prefixHash, saving, randomNumber());
+    return index ? std::optional(views[*index].name) : std::nullopt;
+}
+
+// Offers a request to the best server. Where the link has just gone, nothing was sent and the next one is taken.
+std::optional<Failure> RequestRunner::send(const Offer &offer, const std::shared_ptr<Exchange> &exchange,
+                                           std::set<std::string> &tried, std::string &server)
+{
+    for (std::size_t i = 0; i <= m_pool->servers.size(); ++i) {
+        const auto chosen = chooseServer(tried);
+        if (!chosen) {
+            break;
+        }
+        tried.insert(*chosen);
+        if (m_services.links.offer(*chosen, offer, exchange)) {
+            server = *chosen;
+            return std::nullopt;
+        }
+    }
+    return Failure{ .code = RequestError::NoServer,
+                    .verdict = Verdict::NotRun,
+                    .message = "no backend server of pool " + m_route->pool + " can take the request",
+                    .retryAfter = retryAfterNoServer };
+}
+
+Offer RequestRunner::makeOffer(GenerationId generation) const
+{
+    return Offer{ .request = m_request.id,
+                  .generation = generation,
+                  .account = m_accountName,
+                  .route = m_routeName,
+                  .method = m_request.method,
+                  .path = m_request.target,
+                  .timeLeft = std::max(timeLeft(), std::chrono::milliseconds(1)),
+                  .priority = m_route->priority,
+                  .share = m_account->share };
+}
+
+std::chrono::milliseconds RequestRunner::timeLeft() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - Clock::now());
+}
+
+void RequestRunner::fail(const Failure &failure)
+{
+    countFailure(failure);
+    sendFailure(m_response, m_request.id, failure);
+}
+
+void RequestRunner::countFailure(const Failure &failure)
+{
+    ++(failure.verdict == Verdict::NotRun ? m_services.metrics.refused : m_services.metrics.failed);
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/version/changeset.cpp
@@ -0,0 +1,83 @@
+#include "zinniadock/version/changeset.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace zinniadock
+{
+
+namespace
+{
+
+std::string textOf(const ObjectTexts &objects, const std::string &heading)
+{
+    const auto position = objects.find(heading);
+    return position == objects.end() ? std::string() : position->second;
+}
+
+} // namespace
+
+ObjectTexts splitObjects(const std::string &canonicalText)
+{
+    ObjectTexts objects;
+    std::istringstream lines(canonicalText);
+    std::string heading;
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with('[')) {
+            heading = line.substr(1, line.find(']') - 1);
+            objects[heading] = line + "\n";
+        } else if (!line.empty() && !heading.empty()) {
+            objects[heading] += line + "\n";
+        }
+    }
+    return objects;
+}
+
+std::vector<ObjectChange> differences(const ObjectTexts &before, const ObjectTexts &after)
+{
+    std::vector<ObjectChange> changes;
+    for (const auto &[heading, text] : before) {
+        const std::string now = textOf(after, heading);
+        if (now != text) {
+            changes.push_back({ heading, text, now });
+        }
+    }
+    for (const auto &[heading, text] : after) {
+        if (!before.contains(heading)) {
+            changes.push_back({ heading, "", text });
+        }
+    }
+    return changes;
+}
+
+std::string applied(const ObjectTexts &base, const ChangeSet &change)
+{
+    ObjectTexts result = base;
+    for (const auto &[heading, text] : change.replaced) {
+        result[heading] = text;
+    }
+    for (const std::string &heading : change.removed) {
+        result.erase(heading);
+    }
+    std::string text;
+    for (const auto &[heading, object] : result) {
+        text += object + "\n";
+    }
+    return text;
+}
+
+std::vector<ObjectChange> conflicts(const ChangeSet &change, const ObjectTexts &seen, const ObjectTexts &now)
+{
+    std::vector<ObjectChange> result;
+    for (const ObjectChange &other : differences(seen, now)) {
+        const bool touched = change.replaced.contains(other.heading)
+            || std::find(change.removed.begin(), change.removed.end(), other.heading) != change.removed.end();
+        const bool same = textOf(change.replaced, other.heading) == other.after;
+        if (touched && !same) {
+            result.push_back(other);
+        }
+    }
+    return result;
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/version/version.cpp
@@ -0,0 +1,79 @@
+#include "zinniadock/version/version.h"
+
+namespace zinniadock
+{
+
+const Account *Version::accountOfKey(const std::string &key, std::string &name) const
+{
+    const auto position = accountOfKeyDigest.find(sha256(key));
+    if (position == accountOfKeyDigest.end()) {
+        return nullptr;
+    }
+    name = position->second;
+    return &configuration.accounts.at(name);
+}
+
+const Route *Version::routeOfPath(const std::string &path, std::string &name) const
+{
+    const Route *best = nullptr;
+    for (const auto &[routeName, route] : configuration.routes) {
+        const bool matches = !route.path.empty() && path.starts_with(route.path)
+            && (path.size() == route.path.size() || path[route.path.size()] == '/' || route.path.back() == '/');
+        if (matches && (best == nullptr || route.path.size() > best->path.size())) {
+            best = &route;
+            name = routeName;
+        }
+    }
+    return best;
+}
+
+Policy Version::policy() const
+{
+    const auto position = configuration.policies.find("default");
+    return position == configuration.policies.end() ? Policy() : position->second;
+}
+
+std::shared_ptr<const Version> makeVersion(std::uint64_t revision, const std::string &digest, const std::string &text)
+{
+    if (sha256(text) != digest) {
+        return nullptr;
+    }
+    Problems problems;
+    auto version = std::make_shared<Version>();
+    version->revision = revision;
+    version->digest = digest;
+    version->text = text;
+    version->configuration = parseConfiguration(text, "published configuration", problems);
+    checkConfiguration(version->configuration, "published configuration", problems);
+    if (!problems.empty()) {
+        return nullptr;
+    }
+    for (const auto &[name, account] : version->configuration.accounts) {
+        version->accountOfKeyDigest[account.keyDigest] = name;
+    }
+    return version;
+}
+
+bool VersionHolder::install(std::shared_ptr<const Version> version)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!version || (m_current && version->revision <= m_current->revision)) {
+        return false;
+    }
+    m_current = std::move(version);
+    return true;
+}
+
+std::shared_ptr<const Version> VersionHolder::current() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_current;
+}
+
+std::uint64_t VersionHolder::revision() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_current ? m_current->revision : 0;
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/tests/standin/enginestandin.cpp
@@ -0,0 +1,421 @@
+#include "enginestandin.h"
+
+#include <cmath>
+#include <cstdlib>
+
+#include <Poco/Exception.h>
+#include <Poco/URI.h>
+#include <nlohmann/json.hpp>
+
+namespace zinniadock::standin
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+constexpr int mostThreads = 2048;
+constexpr std::size_t bytesPerToken = 4;
+constexpr std::uint64_t prefixBytes = 1024;
+constexpr std::string_view tokenHint = "[tokens=";
+constexpr std::chrono::milliseconds idleWait{ 2 };
+
+std::uint64_t fnv(std::string_view text)
+{
+    std::uint64_t hash = 0xcbf29ce484222325ULL;
+    for (const char c : text) {
+        hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+    }
+    return hash;
+}
+
+std::string promptOf(const Json &body, bool chat)
+{
+    if (!chat) {
+        return body.value("prompt", std::string());
+    }
+    std::string text;
+    for (const Json &message : body.value("messages", Json::array())) {
+        text += message.value("content", std::string());
+    }
+    return text;
+}
+
+} // namespace
+
+std::string promptMark(const std::string &prompt)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::uint64_t hash = fnv(prompt);
+    std::string mark;
+    for (int i = 0; i < 8; ++i, hash >>= 4U) {
+        mark += digits[hash & 0xFU];
+    }
+    return mark;
+}
+
+EngineStandin::EngineStandin(EngineStandinSettings settings)
+    : m_settings(std::move(settings))
+    , m_incarnation(std::random_device()() + 1ULL)
+    , m_history(m_settings.history)
+    , m_model(m_settings.model)
+    , m_random(m_settings.seed)
+    , m_stepper([this] {
+        run();
+    })
+    , m_server(std::make_unique<FunctionServer>(m_settings.port, mostThreads, [this](auto &request, auto &response) {
+        handle(request, response);
+    }))
+{
+}
+
+EngineStandin::~EngineStandin()
+{
+    stop();
+}
+
+std::uint16_t EngineStandin::port() const
+{
+    return m_server->port();
+}
+
+void EngineStandin::dropStreams()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_streamEpoch;
+    }
+    m_changed.notify_all();
+}
+
+void EngineStandin::setFrozen(bool frozen)
+{
+    const std::lock_guard lock(m_mutex);
+    m_frozen = frozen;
+}
+
+std::uint64_t EngineStandin::started() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_lastJob;
+}
+
+std::uint64_t EngineStandin::cancelled() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_cancelled;
+}
+
+std::uint32_t EngineStandin::running() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_model.runningCount() + m_model.waitingCount();
+}
+
+void EngineStandin::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_stopping) {
+            return;
+        }
+        m_stopping = true;
+        ++m_streamEpoch;
+    }
+    m_changed.notify_all();
+    m_stepper.join();
+    m_server->stop();
+}
+
+void EngineStandin::handle(HTTPServerRequest &request, HTTPServerResponse &response)
+{
+    const Poco::URI uri(request.getURI());
+    const std::string path = uri.getPath();
+    constexpr std::string_view streams = "/v1/streams/";
+    if (path == "/v1/completions" || path == "/v1/chat/completions") {
+        complete(request, response, path == "/v1/chat/completions");
+    } else if (path.starts_with(streams)) {
+        const std::string key = path.substr(streams.size());
+        if (request.getMethod() == "DELETE") {
+            cancel(key, response);
+            return;
+        }
+        std::uint64_t from = 0;
+        for (const auto &[name, value] : uri.getQueryParameters()) {
+            from = name == "from" ? std::strtoull(value.c_str(), nullptr, 10) : from;
+        }
+        resume(key, from, response);
+    } else if (path == "/load") {
+        sendJson(response, loadText());
+    } else if (path == "/cache_events") {
+        sendJson(response, cacheEventText());
+    } else if (path == "/control") {
+        control(request, response);
+    } else {
+        sendJson(response, R"({"error":"no such page"})", HTTPServerResponse::HTTP_NOT_FOUND);
+    }
+}
+
+void EngineStandin::complete(HTTPServerRequest &request, HTTPServerResponse &response, bool chat)
+{
+    const Json body = Json::parse(readBody(request), nullptr, false);
+    if (!body.is_object()) {
+        sendJson(response, R"({"error":"not a JSON object"})", HTTPServerResponse::HTTP_BAD_REQUEST);
+        return;
+    }
+    const std::string prompt = promptOf(body, chat);
+    auto generation = std::make_shared<Generation>();
+    {
+        const std::lock_guard lock(m_mutex);
+        generation->id = ++m_lastJob;
+        generation->key = body.value("request_id", "direct-" + std::to_string(generation->id));
+        generation->chat = chat;
+        const std::size_t dash = generation->key.rfind('-');
+        generation->tokenPrefix = promptMark(prompt) + ":" + generation->key.substr(dash + 1) + ":";
+        if (m_generations.contains(generation->key)) {
+            sendJson(response, R"({"error":"the request id is in use"})", HTTPServerResponse::HTTP_CONFLICT);
+            return;
+        }
+        m_history.record({ { "event", "engine_start" }, { "key", generation->key }, { "mark", promptMark(prompt) } });
+        if (prompt.find("[crash]") != std::string::npos) {
+            std::_Exit(1);
+        }
+        EngineJob job{ .id = generation->id,
+                       .promptTokens = static_cast<std::uint32_t>(prompt.size() / bytesPerToken + 1),
+                       .priority = body.value("priority", 0U),
+                       .prefixHash = fnv(prompt.substr(0, prefixBytes)) };
+        std::string reason;
+        job.outputTokens = drawLength(body.value("model", std::string()), prompt, body.value("max_tokens", 0U), reason);
+        m_reasons[job.id] = reason;
+        m_generations[generation->key] = generation;
+        m_byJob[job.id] = generation;
+        m_cacheEvents.push_back({ Clock::now(), generation->id, job.prefixHash });
+        m_model.submit(job);
+    }
+    m_changed.notify_all();
+    stream(generation, 0, response);
+}
+
+void EngineStandin::resume(const std::string &key, std::uint64_t from, HTTPServerResponse &response)
+{
+    GenerationPointer generation;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto position = m_generations.find(key);
+        if (position != m_generations.end() && !position->second->cancelled) {
+            generation = position->second;
+        }
+    }
+    if (!generation) {
+        sendJson(response, R"({"error":"no such generation"})", HTTPServerResponse::HTTP_NOT_FOUND);
+        return;
+    }
+    stream(generation, from, response);
+}
+
+void EngineStandin::cancel(const std::string &key, HTTPServerResponse &response)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto position = m_generations.find(key);
+        if (position != m_generations.end() && !position->second->cancelled) {
+            position->second->cancelled = true;
+            m_cancelled += position->second->reason.empty() ? 1 : 0;
+            m_model.cancel(position->second->id);
+            m_history.record({ { "event", "engine_cancel" }, { "key", key } });
+        }
+    }
+    m_changed.notify_all();
+    sendJson(response, "{}");
+}
+
+void EngineStandin::control(HTTPServerRequest &request, HTTPServerResponse &response)
+{
+    const Json body = Json::parse(readBody(request), nullptr, false);
+    if (!body.is_object()) {
+        sendJson(response, R"({"error":"not a JSON object"})", HTTPServerResponse::HTTP_BAD_REQUEST);
+        return;
+    }
+    if (body.value("crash", false)) {
+        std::_Exit(1);
+    }
+    if (body.value("drop_streams", false)) {
+        dropStreams();
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_frozen = body.value("frozen", m_frozen);
+        if (body.contains("slowdown")) {
+            m_model.setSlowdown(body["slowdown"].get<double>());
+        }
+        if (body.contains("stolen_blocks")) {
+            m_model.setStolenBlocks(body["stolen_blocks"].get<std::uint32_t>());
+        }
+    }
+    sendJson(response, "{}");
+}
+
+void EngineStandin::stream(const GenerationPointer &generation, std::uint64_t from, HTTPServerResponse &response)
+{
+    std::unique_lock lock(m_mutex);
+    const std::uint64_t epoch = m_streamEpoch;
+    ++generation->readers;
+    lock.unlock();
+    try {
+        response.setChunkedTransferEncoding(true);
+        response.setContentType("text/event-stream");
+        std::ostream &out = response.send();
+        out << std::flush;
+        const std::string before = generation->chat ? R"("delta":{"content":")" : R"("text":")";
+        const std::string after = generation->chat ? R"("})" : R"(")";
+        for (std::uint64_t next = from; out.good();) {
+            lock.lock();
+            m_changed.wait(lock, [&] {
+                return generation->emitted > next || !generation->reason.empty() || generation->cancelled
+                    || m_streamEpoch != epoch;
+            });
+            const bool cut = generation->cancelled || m_streamEpoch != epoch;
+            const std::uint64_t emitted = generation->emitted;
+            const std::string reason = generation->reason;
+            lock.unlock();
+            if (cut) {
+                break;
+            }
+            std::string events;
+            for (; next < emitted; ++next) {
+                events += R"(data: {"choices":[{"index":0,)" + before + generation->tokenPrefix + std::to_string(next)
+                    + " " + after + R"(,"finish_reason":null}],"token_index":)" + std::to_string(next) + "}\n\n";
+            }
+            if (!reason.empty()) {
+                events += R"(data: {"choices":[{"index":0,)" + before + after + R"(,"finish_reason":")" + reason
+                    + "\"}]}\n\ndata: [DONE]\n\n";
+                out << events << std::flush;
+                break;
+            }
+            out << events << std::flush;
+        }
+    } catch (const Poco::Exception &) {
+        // The reader left; the generation goes on for a while. Only writes throw, and they run unlocked.
+        ++generation->lostReaders;
+    }
+    lock.lock();
+    --generation->readers;
+    generation->readerGone = Clock::now();
+}
+
+std::string EngineStandin::loadText()
+{
+    const std::lock_guard lock(m_mutex);
+    const auto wanted = Clock::now() - m_settings.loadLag;
+    LoadSample sample;
+    for (const LoadSample &candidate : m_samples) {
+        if (candidate.time <= wanted) {
+            sample = candidate;
+        }
+    }
+    while (m_samples.size() > 1 && m_samples[1].time <= wanted) {
+        m_samples.pop_front();
+    }
+    return Json{
+        { "incarnation", m_incarnation },
+        { "running", sample.running },
+        { "waiting", sample.waiting },
+        { "used_blocks", sample.usedBlocks },
+        { "total_blocks", m_settings.model.totalBlocks },
+        { "block_tokens", m_settings.model.blockTokens },
+        { "preemptions", sample.preemptions }
+    }.dump();
+}
+
+std::string EngineStandin::cacheEventText()
+{
+    const std::lock_guard lock(m_mutex);
+    Json events = Json::array();
+    while (!m_cacheEvents.empty() && Clock::now() - m_cacheEvents.front().time > m_settings.cacheEventLag) {
+        if (std::uniform_real_distribution<double>()(m_random) >= m_settings.cacheEventGap) {
+            events.push_back(
+                { { "number", m_cacheEvents.front().number }, { "prefix", m_cacheEvents.front().prefix } });
+        }
+        m_cacheEvents.pop_front();
+    }
+    return Json{ { "events", events } }.dump();
+}
+
+void EngineStandin::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        if (m_model.idle() || m_frozen) {
+            m_changed.wait_for(lock, idleWait);
+            giveUpOrphans();
+            continue;
+        }
+        takeStep(lock);
+        giveUpOrphans();
+    }
+}
+
+void EngineStandin::takeStep(std::unique_lock<std::mutex> &lock)
+{
+    const EngineStep step = m_model.step();
+    lock.unlock();
+    std::this_thread::sleep_for(step.duration);
+    lock.lock();
+    for (const std::uint64_t id : step.emitted) {
+        ++m_byJob.at(id)->emitted;
+    }
+    for (const std::uint64_t id : step.finished) {
+        const GenerationPointer generation = m_byJob.at(id);
+        generation->reason = m_reasons.at(id);
+        generation->readerGone = Clock::now();
+        m_history.record({ { "event", "engine_end" }, { "key", generation->key }, { "tokens", generation->emitted } });
+        m_byJob.erase(id);
+        m_reasons.erase(id);
+    }
+    m_samples.push_back(
+        { Clock::now(), m_model.runningCount(), m_model.waitingCount(), m_model.usedBlocks(), m_model.preemptions() });
+    m_changed.notify_all();
+}
+
+void EngineStandin::giveUpOrphans()
+{
+    const auto now = Clock::now();
+    std::erase_if(m_generations, [&](const auto &entry) {
+        const Generation &generation = *entry.second;
+        const bool left = generation.readers == 0 && generation.readerGone != Clock::time_point()
+            && now - generation.readerGone > m_settings.orphanLife;
+        if (left && generation.reason.empty() && !generation.cancelled) {
+            m_model.cancel(generation.id);
+            ++m_cancelled;
+        }
+        if (left) {
+            m_byJob.erase(generation.id);
+            m_reasons.erase(generation.id);
+        }
+        return left;
+    });
+}
+
+std::uint32_t EngineStandin::drawLength(const std::string &model, const std::string &prompt, std::uint32_t maxTokens,
+                                        std::string &reason)
+{
+    std::uint32_t length = 0;
+    const std::size_t hint = prompt.find(tokenHint);
+    if (hint != std::string::npos) {
+        length = static_cast<std::uint32_t>(std::strtoul(prompt.c_str() + hint + tokenHint.size(), nullptr, 10));
+    } else {
+        const auto position = m_settings.lengths.find(model);
+        const LengthDistribution distribution
+            = position == m_settings.lengths.end() ? LengthDistribution() : position->second;
+        std::mt19937_64 random(fnv(prompt) ^ m_settings.seed);
+        std::lognormal_distribution<double> draw(std::log(distribution.median), distribution.sigma);
+        length = static_cast<std::uint32_t>(std::min(60000.0, std::ceil(draw(random))));
+    }
+    length = std::max(length, 1U);
+    reason = maxTokens > 0 && length > maxTokens ? "length" : "stop";
+    return maxTokens > 0 ? std::min(length, maxTokens) : length;
+}
+
+} // namespace zinniadock::standin
--- /dev/null
+++ b/tests/standin/functionserver.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/ThreadPool.h>
+
+namespace zinniadock::standin
+{
+
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+/// An HTTP server on loopback that answers every request by one function.
+class FunctionServer
+{
+public:
+    using Function = std::function<void(HTTPServerRequest &, HTTPServerResponse &)>;
+
+    /// \param port  0 takes a free one
+    FunctionServer(std::uint16_t port, int threads, Function function)
+        : m_threads(std::make_unique<Poco::ThreadPool>(2, threads, 60, stackBytes))
+    {
+        Poco::Net::HTTPServerParams::Ptr parameters(new Poco::Net::HTTPServerParams);
+        parameters->setMaxThreads(threads);
+        parameters->setMaxQueued(threads);
+        parameters->setKeepAliveTimeout(Poco::Timespan(keepAliveSeconds, 0));
+        const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", port), backlog);
+        m_server
+            = std::make_unique<Poco::Net::HTTPServer>(new Factory(std::move(function)), *m_threads, socket, parameters);
+        m_server->start();
+    }
+
+    ~FunctionServer()
+    {
+        stop();
+    }
+
+    FunctionServer(const FunctionServer &) = delete;
+    FunctionServer &operator=(const FunctionServer &) = delete;
+
+    std::uint16_t port() const
+    {
+        return m_server->port();
+    }
+
+    /// Cuts every connection and stops.
+    void stop()
+    {
+        if (m_threads) {
+            m_server->stopAll(true);
+            m_server.reset();
+            m_threads->stopAll();
+            m_threads.reset();
+        }
+    }
+
+private:
+    static constexpr int stackBytes = 256 * 1024;
+    static constexpr int backlog = 1024;
+    static constexpr int keepAliveSeconds = 30;
+
+    class Handler final : public Poco::Net::HTTPRequestHandler
+    {
+    public:
+        explicit Handler(const Function &function)
+            : m_function(function)
+        {
+        }
+
+        void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
+        {
+            static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().setNoDelay(true);
+            m_function(request, response);
+        }
+
+    private:
+        const Function &m_function;
+    };
+
+    class Factory final : public Poco::Net::HTTPRequestHandlerFactory
+    {
+    public:
+        explicit Factory(Function function)
+            : m_function(std::move(function))
+        {
+        }
+
+        Poco::Net::HTTPRequestHandler *createRequestHandler(const HTTPServerRequest & /*request*/) override
+        {
+            return new Handler(m_function); // NOLINT: the library owns it
+        }
+
+    private:
+        const Function m_function;
+    };
+
+    std::unique_ptr<Poco::ThreadPool> m_threads;
+    std::unique_ptr<Poco::Net::HTTPServer> m_server;
+};
+
+/// Reads the whole body of a request.
+inline std::string readBody(HTTPServerRequest &request)
+{
+    std::string body;
+    Poco::StreamCopier::copyToString(request.stream(), body);
+    return body;
+}
+
+/// Sends a JSON answer.
+inline void sendJson(HTTPServerResponse &response, const std::string &body, int status = HTTPServerResponse::HTTP_OK)
+{
+    response.setStatusAndReason(static_cast<HTTPServerResponse::HTTPStatus>(status));
+    response.setContentType("application/json");
+    response.sendBuffer(body.data(), body.size());
+}
+
+} // namespace zinniadock::standin
--- /dev/null
+++ b/tests/standin/servicestandin.cpp
@@ -0,0 +1,104 @@
+#include "servicestandin.h"
+
+#include <thread>
+
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <nlohmann/json.hpp>
+
+namespace zinniadock::standin
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr int mostThreads = 256;
+
+} // namespace
+
+ServiceStandin::ServiceStandin(ServiceStandinSettings settings)
+    : m_history(settings.history)
+    , m_server(std::make_unique<FunctionServer>(settings.port, mostThreads, [this](auto &request, auto &response) {
+        handle(request, response);
+    }))
+{
+}
+
+std::uint16_t ServiceStandin::port() const
+{
+    return m_server->port();
+}
+
+std::uint64_t ServiceStandin::runs(const std::string &body) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto position = m_runs.find(body);
+    return position == m_runs.end() ? 0 : position->second;
+}
+
+void ServiceStandin::setDelay(std::chrono::milliseconds delay)
+{
+    const std::lock_guard lock(m_mutex);
+    m_delay = delay;
+}
+
+void ServiceStandin::setSilent(bool silent)
+{
+    const std::lock_guard lock(m_mutex);
+    m_silent = silent;
+}
+
+void ServiceStandin::stop()
+{
+    m_server->stop();
+}
+
+void ServiceStandin::handle(HTTPServerRequest &request, HTTPServerResponse &response)
+{
+    if (request.getURI() == "/control") {
+        control(request, response);
+        return;
+    }
+    if (request.getURI() == "/runs") {
+        const std::lock_guard lock(m_mutex);
+        sendJson(response, Json(m_runs).dump());
+        return;
+    }
+    const std::string body = readBody(request);
+    const std::string requestId = request.get("X-Request-Id", "");
+    std::chrono::milliseconds delay{ 0 };
+    bool silent = false;
+    std::uint64_t number = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_runs[body];
+        number = ++m_total;
+        delay = m_delay;
+        silent = m_silent;
+    }
+    m_history.record({ { "event", "service_run" },
+                       { "request", requestId },
+                       { "path", request.getURI() },
+                       { "method", request.getMethod() },
+                       { "body", body },
+                       { "key", request.get("Idempotency-Key", "") } });
+    std::this_thread::sleep_for(delay);
+    if (silent) {
+        static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().close();
+        return;
+    }
+    sendJson(response, Json{ { "path", request.getURI() }, { "run", number }, { "body", body } }.dump());
+}
+
+void ServiceStandin::control(HTTPServerRequest &request, HTTPServerResponse &response)
+{
+    const Json body = Json::parse(readBody(request), nullptr, false);
+    if (body.is_object()) {
+        setDelay(std::chrono::milliseconds(body.value("delay_ms", 0)));
+        setSilent(body.value("silent", false));
+    }
+    sendJson(response, "{}");
+}
+
+} // namespace zinniadock::standin
