--- a/include/zinniadock/connection/callerconnection.h
+++ b/include/zinniadock/connection/callerconnection.h
@@ -22,6 +22,8 @@
     void run() override;
 
 private:
+    bool waitForRequest(Poco::Net::HTTPServerSession &session, ReadPhase phase);
+
     /// Reads and answers one request; false if the connection can't be used for another one.
     bool serveOne(Poco::Net::HTTPServerSession &session);
     void refuse(Poco::Net::HTTPServerSession &session, const RequestId &id, const Failure &failure);
--- a/include/zinniadock/connection/readwatch.h
+++ b/include/zinniadock/connection/readwatch.h
@@ -11,6 +11,13 @@
 namespace zinniadock
 {
 
+/// What a connection is waited for.
+enum class ReadPhase {
+    FirstRequest, ///< a new connection, on which a request is likely under way
+    BetweenRequests, ///< a kept connection, idle after an answer
+    WithinRequest, ///< the rest of a request
+};
+
 /// Ends connections that take too long to send a whole request, and idle ones when the process drains.
 class ReadWatch
 {
@@ -21,7 +28,7 @@
     ReadWatch(const ReadWatch &) = delete;
     ReadWatch &operator=(const ReadWatch &) = delete;
 
-    /// Ends the reads of all idle connections, now and from now on.
+    /// Ends the reads of all connections between requests, now and from now on.
     void closeIdle();
 
     /// Watches one connection for as long as it lives.
@@ -29,8 +36,8 @@
     {
     public:
         /// \param limit  time until the reads of the socket are ended
-        /// \param idle  nothing of a request has arrived yet
-        Guard(ReadWatch &watch, const Poco::Net::StreamSocket &socket, std::chrono::milliseconds limit, bool idle);
+        Guard(ReadWatch &watch, const Poco::Net::StreamSocket &socket, std::chrono::milliseconds limit,
+              ReadPhase phase);
         ~Guard();
 
         Guard(const Guard &) = delete;
@@ -49,7 +56,7 @@
     {
         Poco::Net::StreamSocket socket;
         std::chrono::steady_clock::time_point due;
-        bool idle = false;
+        ReadPhase phase = ReadPhase::FirstRequest;
         bool ended = false;
     };
 
--- a/include/zinniadock/detail/fieldtable.h
+++ b/include/zinniadock/detail/fieldtable.h
@@ -98,7 +98,9 @@
                     Problems &problems)
 {
     Object object;
-    for (const auto &[key, text] : section.values) {
+    for (const auto &entry : section.values) {
+        const std::string &key = entry.first;
+        const std::string &text = entry.second;
         const auto rule = std::find_if(rules.begin(), rules.end(), [&key](const auto &entry) {
             return entry.key == key;
         });
--- a/include/zinniadock/process/adminserver.h
+++ b/include/zinniadock/process/adminserver.h
@@ -9,7 +9,7 @@
 
 #include "zinniadock/detail/fieldtable.h"
 
-namespace Poco::Net
+namespace Poco::Net // NOLINT(readability-identifier-naming)
 {
 class HTTPServer;
 }
--- a/include/zinniadock/process/configurationeditor.h
+++ b/include/zinniadock/process/configurationeditor.h
@@ -23,13 +23,14 @@
 class ConfigurationEditor
 {
 public:
-    ConfigurationEditor(StoreType &store, const std::string &prefix)
-        : m_publisher(store, prefix)
+    ConfigurationEditor(StoreType &store, const std::string &prefix,
+                        std::chrono::milliseconds retryPause = Publisher<StoreType>::standardRetryPause)
+        : m_publisher(store, prefix, retryPause)
     {
     }
 
-    /// Replaces the whole configuration by a canonical text, unless another change comes first.
-    EditOutcome replace(const std::string &text, const std::string &changeId, const std::string &author)
+    /// Replaces the whole configuration, unless another change comes first.
+    EditOutcome replace(const std::string &wanted, const std::string &changeId, const std::string &author)
     {
         EditOutcome outcome;
         const HeadRead base = m_publisher.readHead();
@@ -37,7 +38,8 @@
         if (!readBase(base, before)) {
             return outcome;
         }
-        if (!check(text, outcome)) {
+        const std::string text = canonical(wanted, outcome);
+        if (!outcome.problems.empty()) {
             return outcome;
         }
         outcome.changes = differences(splitObjects(before), splitObjects(text));
@@ -102,12 +104,6 @@
         return found.has_value();
     }
 
-    static bool check(const std::string &text, EditOutcome &outcome)
-    {
-        canonical(text, outcome);
-        return outcome.problems.empty();
-    }
-
     static std::string canonical(const std::string &text, EditOutcome &outcome)
     {
         const Configuration configuration = parseConfiguration(text, "resulting configuration", outcome.problems);
--- a/include/zinniadock/process/configurationfollower.h
+++ b/include/zinniadock/process/configurationfollower.h
@@ -78,6 +78,9 @@
         std::minstd_rand random(static_cast<std::minstd_rand::result_type>(randomNumber()));
         while (!stopping()) {
             const bool answered = followOnce();
+            if (stopping()) {
+                break;
+            }
             if (answered != m_storeAnswers) {
                 m_storeAnswers = answered;
                 if (answered) {
--- a/include/zinniadock/process/lengthstatistics.h
+++ b/include/zinniadock/process/lengthstatistics.h
@@ -83,7 +83,7 @@
     std::string route;
     std::string version;
 
-    auto operator<=>(const LengthClassKey &) const = default;
+    auto operator<=>(const LengthClassKey &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Forecast of one class, shared with its running requests and renewed as outputs finish.
--- a/include/zinniadock/process/publisher.h
+++ b/include/zinniadock/process/publisher.h
@@ -56,9 +56,13 @@
 class Publisher
 {
 public:
-    Publisher(StoreType &store, std::string prefix)
+    static constexpr std::chrono::milliseconds standardRetryPause{ 100 };
+
+    /// \param retryPause  time between attempts at a store that does not answer
+    Publisher(StoreType &store, std::string prefix, std::chrono::milliseconds retryPause = standardRetryPause)
         : m_store(store)
         , m_prefix(std::move(prefix))
+        , m_retryPause(retryPause)
     {
     }
 
@@ -119,7 +123,6 @@
 
 private:
     static constexpr int maxAttempts = 5;
-    static constexpr std::chrono::milliseconds retryPause{ 100 };
 
     bool writeOnce(const std::string &key, const std::string &value)
     {
@@ -128,7 +131,7 @@
             if (status == StoreStatus::Done || status == StoreStatus::Conflict) {
                 return true;
             }
-            std::this_thread::sleep_for(retryPause);
+            std::this_thread::sleep_for(m_retryPause);
         }
         return false;
     }
@@ -147,7 +150,7 @@
             if (status == StoreStatus::Conflict) {
                 return settle(maybeWritten, std::move(outcome));
             }
-            std::this_thread::sleep_for(retryPause);
+            std::this_thread::sleep_for(m_retryPause);
         }
         outcome.result = maybeWritten ? PublishResult::Unknown : PublishResult::Unavailable;
         return outcome;
@@ -160,7 +163,7 @@
         for (int attempt = 0; attempt < maxAttempts; ++attempt) {
             const HeadRead now = readHead();
             if (now.status != StoreStatus::Done || !now.head) {
-                std::this_thread::sleep_for(retryPause);
+                std::this_thread::sleep_for(m_retryPause);
                 continue;
             }
             const bool isHead = now.head->changeId == outcome.head.changeId;
@@ -183,6 +186,7 @@
 
     StoreType &m_store;
     std::string m_prefix;
+    std::chrono::milliseconds m_retryPause;
 };
 
 } // namespace zinniadock
--- a/include/zinniadock/request/error.h
+++ b/include/zinniadock/request/error.h
@@ -34,8 +34,9 @@
 };
 
 const std::error_category &requestCategory();
-std::error_code make_error_code(
-    RequestError error); // NOLINT(readability-identifier-naming): name required by the standard library
+
+/// Found by the standard library under this name.
+std::error_code make_error_code(RequestError error); // NOLINT(readability-identifier-naming)
 
 /// Why a request ended, whether it may have run, and when it is worth asking again.
 struct Failure
--- a/include/zinniadock/request/sidecarsession.h
+++ b/include/zinniadock/request/sidecarsession.h
@@ -55,7 +55,7 @@
     void cancel();
 
     /// Sets what cancel() calls to interrupt a worker that waits for its backend server; calls it at once if cancelled.
-    void setAbort(std::function<void()> abort);
+    void setAbort(const std::function<void()> &abort);
 
     bool cancelled() const;
 
--- a/src/connection/callerconnection.cpp
+++ b/src/connection/callerconnection.cpp
@@ -60,7 +60,8 @@
     m_parameters->setKeepAlive(true);
     m_parameters->setMaxKeepAliveRequests(0);
     m_parameters->setKeepAliveTimeout(detail::timespan(idleTimeout));
-    m_parameters->setTimeout(detail::timespan(services.settings.entry.readTimeout));
+    // Longer than the limit of the watch, which counts the whole request and not each read.
+    m_parameters->setTimeout(detail::timespan(2 * services.settings.entry.readTimeout));
 }
 
 void CallerConnection::run()
@@ -69,22 +70,22 @@
         socket().setNoDelay(true);
         socket().setSendTimeout(detail::timespan(sendTimeout));
         HTTPServerSession session(socket(), m_parameters);
-        while (true) {
-            {
-                const ReadWatch::Guard guard(m_watch, socket(), idleTimeout, true);
-                if (!session.hasMoreRequests() || guard.ended()) {
-                    return;
-                }
-            }
-            if (!serveOne(session)) {
-                return;
-            }
+        ReadPhase phase = ReadPhase::FirstRequest;
+        while (waitForRequest(session, phase) && serveOne(session)) {
+            phase = ReadPhase::BetweenRequests;
         }
     } catch (const Poco::Exception &error) {
         log.debug("a connection ended: " + error.displayText());
     }
 }
 
+bool CallerConnection::waitForRequest(HTTPServerSession &session, ReadPhase phase)
+{
+    const auto limit = phase == ReadPhase::FirstRequest ? m_services.settings.entry.readTimeout : idleTimeout;
+    const ReadWatch::Guard guard(m_watch, socket(), limit, phase);
+    return session.hasMoreRequests() && !guard.ended();
+}
+
 bool CallerConnection::serveOne(HTTPServerSession &session)
 {
     HTTPServerResponseImpl response(session);
@@ -94,7 +95,8 @@
     std::unique_ptr<HTTPServerRequestImpl> request;
     std::optional<Failure> failure;
     {
-        const ReadWatch::Guard guard(m_watch, socket(), m_services.settings.entry.readTimeout, false);
+        const ReadWatch::Guard guard(m_watch, socket(), m_services.settings.entry.readTimeout,
+                                     ReadPhase::WithinRequest);
         try {
             request = std::make_unique<HTTPServerRequestImpl>(response, session, m_parameters.get());
             failure = readRequest(*request, parsed);
--- a/src/connection/linkmessage.cpp
+++ b/src/connection/linkmessage.cpp
@@ -1,6 +1,7 @@
 #include "zinniadock/connection/linkmessage.h"
 
 #include <array>
+#include <cassert>
 #include <limits>
 #include <type_traits>
 #include <utility>
@@ -19,7 +20,7 @@
 constexpr std::size_t maxFrameBytes = 8U << 20U;
 constexpr std::size_t maxFields = 64;
 constexpr std::size_t maxNesting = 4;
-constexpr const char *typeField = "t";
+constexpr const char *typeField = "#";
 
 using FieldValue = std::variant<std::monostate, std::uint64_t, std::int64_t, bool, double, std::string>;
 
@@ -145,6 +146,7 @@
     template <typename Value>
     void operator()(const char *key, const Value &value)
     {
+        assert(!m_object.contains(key));
         if constexpr (Enumeration<Value>) {
             m_object[key] = static_cast<std::uint64_t>(value);
         } else {
--- a/src/connection/linktransport.cpp
+++ b/src/connection/linktransport.cpp
@@ -85,7 +85,7 @@
         prepare(m_server);
         prepare(m_client);
         m_server.set_reuse_addr(true);
-        m_server.set_open_handler([this](websocketpp::connection_hdl handle) {
+        m_server.set_open_handler([this](const websocketpp::connection_hdl &handle) {
             const LinkId link = nextLink();
             adopt(m_server.get_con_from_hdl(handle), link);
             m_handlers.opened(link);
@@ -132,10 +132,10 @@
             });
             return link;
         }
-        connection->set_open_handler([this, link](websocketpp::connection_hdl) {
+        connection->set_open_handler([this, link](const websocketpp::connection_hdl &) {
             m_handlers.opened(link);
         });
-        connection->set_fail_handler([this, link](websocketpp::connection_hdl) {
+        connection->set_fail_handler([this, link](const websocketpp::connection_hdl &) {
             forget(link);
         });
         adopt(connection, link);
@@ -210,11 +210,11 @@
         endpoint.set_max_message_size(maxFrameBytes);
         endpoint.set_open_handshake_timeout(openTimeoutMilliseconds);
         endpoint.set_close_handshake_timeout(closeTimeoutMilliseconds);
-        endpoint.set_socket_init_handler([](websocketpp::connection_hdl, boost::asio::ip::tcp::socket &socket) {
+        endpoint.set_socket_init_handler([](const websocketpp::connection_hdl &, boost::asio::ip::tcp::socket &socket) {
             boost::system::error_code ignored;
             socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
         });
-        endpoint.set_tcp_post_init_handler([&endpoint](websocketpp::connection_hdl handle) {
+        endpoint.set_tcp_post_init_handler([&endpoint](const websocketpp::connection_hdl &handle) {
             boost::system::error_code ignored;
             endpoint.get_con_from_hdl(handle)->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true),
                                                                            ignored);
@@ -241,10 +241,10 @@
     template <typename Pointer>
     void adopt(const Pointer &connection, LinkId link)
     {
-        connection->set_close_handler([this, link](websocketpp::connection_hdl) {
+        connection->set_close_handler([this, link](const websocketpp::connection_hdl &) {
             forget(link);
         });
-        connection->set_message_handler([this, link](websocketpp::connection_hdl, auto message) {
+        connection->set_message_handler([this, link](const websocketpp::connection_hdl &, const auto &message) {
             if (message->get_opcode() == websocketpp::frame::opcode::binary) {
                 m_handlers.received(link, message->get_payload());
             } else {
--- a/src/connection/readwatch.cpp
+++ b/src/connection/readwatch.cpp
@@ -34,20 +34,20 @@
     const std::lock_guard lock(m_mutex);
     m_closeIdle = true;
     for (auto &[number, watched] : m_watched) {
-        if (watched.idle) {
+        if (watched.phase == ReadPhase::BetweenRequests) {
             endReads(watched);
         }
     }
 }
 
 ReadWatch::Guard::Guard(ReadWatch &watch, const Poco::Net::StreamSocket &socket, std::chrono::milliseconds limit,
-                        bool idle)
+                        ReadPhase phase)
     : m_watch(watch)
 {
     const std::lock_guard lock(m_watch.m_mutex);
     m_number = ++m_watch.m_last;
-    Watched watched{ .socket = socket, .due = std::chrono::steady_clock::now() + limit, .idle = idle };
-    if (idle && m_watch.m_closeIdle) {
+    Watched watched{ .socket = socket, .due = std::chrono::steady_clock::now() + limit, .phase = phase };
+    if (phase == ReadPhase::BetweenRequests && m_watch.m_closeIdle) {
         endReads(watched);
     }
     m_watch.m_watched.emplace(m_number, watched);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -205,7 +205,7 @@
         std::cout << file << ": no mistakes\n";
         return ExitCode::Done;
     }
-    mallopt(M_ARENA_MAX, allocationArenas);
+    mallopt(M_ARENA_MAX, allocationArenas); // NOLINT(concurrency-mt-unsafe): before any other thread
     const Termination termination;
     startLog(parseLogLevel(settings.daemon.logLevel).value_or(LogLevel::Info), settings.daemon.instance);
     if (settings.daemon.role == "entry") {
--- a/src/process/admission.cpp
+++ b/src/process/admission.cpp
@@ -10,8 +10,23 @@
 namespace
 {
 
-// Horizons, in tokens from now, at which the memory of the running set is forecast.
-constexpr std::array<double, 13> horizons{ 0, 16, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192, 16384, 32768 };
+// Horizons, in tokens from now, at which the memory of the running set is forecast: four to the octave from 16 tokens
+// to 32768, after the present.
+constexpr std::size_t horizonCount = 46;
+
+const std::array<double, horizonCount> &horizons()
+{
+    static const std::array<double, horizonCount> values = [] {
+        constexpr double first = 16;
+        constexpr double perOctave = 4;
+        std::array<double, horizonCount> result{};
+        for (std::size_t i = 1; i < horizonCount; ++i) {
+            result[i] = first * std::exp2(static_cast<double>(i - 1) / perOctave);
+        }
+        return result;
+    }();
+    return values;
+}
 
 constexpr std::chrono::seconds reportWindow{ 2 };
 constexpr double headroomStep = 0.02;
@@ -34,6 +49,64 @@
     return high;
 }
 
+/// Mean and spread of the memory that a set of requests will hold at each horizon.
+class MemoryForecast
+{
+public:
+    explicit MemoryForecast(std::uint32_t blockTokens)
+        : m_blockTokens(blockTokens)
+    {
+    }
+
+    // From one horizon to the next a request counts as alive as at the first and as long as at the second, so that no
+    // peak between them is missed.
+    void add(const AdmissionRequest &request, double emitted, const LengthClass &lengthClass)
+    {
+        const std::array<double, horizonCount> &steps = horizons();
+        const double doubtWeight = 1 / std::sqrt(lengthClass.forecast.weight() + 1);
+        std::array<double, horizonCount> &doubt = m_doubts[&lengthClass];
+        for (std::size_t i = 0; i + 1 < horizonCount; ++i) {
+            if (request.maxTokens > 0 && emitted + steps[i] > request.maxTokens) {
+                break;
+            }
+            const double alive = steps[i] == 0 ? 1 : lengthClass.forecast.survival(emitted, steps[i]);
+            if (alive < negligible) {
+                break;
+            }
+            const double longest = request.maxTokens > 0 ? request.maxTokens : emitted + steps[i + 1];
+            const double tokens = request.promptTokens + std::min(longest, emitted + steps[i + 1]);
+            const double blocks = tokens / m_blockTokens + 1;
+            m_mean[i] += alive * blocks;
+            m_variance[i] += alive * (1 - alive) * blocks * blocks;
+            doubt[i] += std::sqrt(alive * (1 - alive)) * blocks * doubtWeight;
+        }
+    }
+
+    // Lengths of different requests are independent, but the error of a class's forecast is common to its requests, so
+    // it adds up within the class.
+    bool fits(double usable, double quantile) const
+    {
+        for (std::size_t i = 0; i < horizonCount; ++i) {
+            double variance = m_variance[i];
+            for (const auto &[lengthClass, doubt] : m_doubts) {
+                variance += doubt[i] * doubt[i];
+            }
+            if (m_mean[i] + quantile * std::sqrt(variance) > usable) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+private:
+    static constexpr double negligible = 1e-4;
+
+    std::uint32_t m_blockTokens;
+    std::array<double, horizonCount> m_mean{};
+    std::array<double, horizonCount> m_variance{};
+    std::map<const LengthClass *, std::array<double, horizonCount>> m_doubts;
+};
+
 double blocksOf(double tokens, std::uint32_t blockTokens)
 {
     return std::ceil(tokens / blockTokens);
@@ -237,7 +310,7 @@
 }
 
 // Bounds the risk that the running set with the candidate outgrows the memory: at each horizon the mean of the
-// forecast plus a quantile of its spread must fit. Lengths of different requests are taken as independent.
+// forecast plus a quantile of its spread must fit.
 bool Admission::fits(const AdmissionRequest &candidate)
 {
     if (m_running.size() >= m_limits.maxRunning) {
@@ -246,32 +319,12 @@
     if (m_running.empty()) {
         return true;
     }
-    const double usable = usableBlocks();
-    const double quantile = normalQuantile(m_limits.memoryRisk);
-    std::array<double, horizons.size()> mean{};
-    std::array<double, horizons.size()> variance{};
-    const auto add = [&](const AdmissionRequest &request, double emittedTokens, const LengthForecast &forecast) {
-        for (std::size_t i = 0; i < horizons.size(); ++i) {
-            const double total = emittedTokens + horizons[i];
-            if (request.maxTokens > 0 && total > request.maxTokens) {
-                break;
-            }
-            const double alive = horizons[i] == 0 ? 1 : forecast.survival(emittedTokens, horizons[i]);
-            const double blocks = (request.promptTokens + total) / m_limits.blockTokens + 1;
-            mean[i] += alive * blocks;
-            variance[i] += alive * (1 - alive) * blocks * blocks;
-        }
-    };
+    MemoryForecast forecast(m_limits.blockTokens);
     for (const auto &[key, running] : m_running) {
-        add(running.request, running.emitted, running.lengthClass->forecast);
-    }
-    add(candidate, 0, m_lengths.find({ candidate.account, candidate.route, candidate.version })->forecast);
-    for (std::size_t i = 0; i < horizons.size(); ++i) {
-        if (mean[i] + quantile * std::sqrt(variance[i]) > usable) {
-            return false;
-        }
+        forecast.add(running.request, running.emitted, *running.lengthClass);
     }
-    return true;
+    forecast.add(candidate, 0, *m_lengths.find({ candidate.account, candidate.route, candidate.version }));
+    return forecast.fits(usableBlocks(), normalQuantile(m_limits.memoryRisk));
 }
 
 void Admission::start(const AdmissionRequest &request, DecisionTime /*now*/)
--- a/src/process/etcdstore.cpp
+++ b/src/process/etcdstore.cpp
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include "zinniadock/detail/base64.h"
+#include "zinniadock/detail/httptime.h"
 
 namespace zinniadock
 {
@@ -24,11 +25,6 @@
 
 constexpr std::size_t maxIdleSessions = 8;
 
-Poco::Timespan timespan(std::chrono::milliseconds duration)
-{
-    return { std::chrono::duration_cast<std::chrono::microseconds>(duration).count() };
-}
-
 std::int64_t number(const Json &object, const char *key)
 {
     // The JSON form of the protocol writes 64-bit numbers as strings, and leaves out zeros.
@@ -130,9 +126,10 @@
                              const std::function<bool(const StoreValue &)> &changed)
 {
     ++m_calls;
+    const auto begin = std::chrono::steady_clock::now();
     try {
         HTTPClientSession session(m_endpoint.address, m_endpoint.port);
-        session.setTimeout(timespan(m_timeout), timespan(m_timeout), timespan(duration));
+        session.setTimeout(detail::timespan(m_timeout), detail::timespan(m_timeout), detail::timespan(duration));
         const Json create{ { "create_request",
                              { { "key", detail::base64(key) },
                                { "start_revision", std::to_string(afterRevision + 1) } } } };
@@ -155,12 +152,12 @@
                 }
             }
         }
-    } catch (const Poco::TimeoutException &) {
-        return StoreStatus::Done;
     } catch (const Poco::Exception &) {
         return StoreStatus::Unavailable;
     }
-    return StoreStatus::Unavailable;
+    // The stream ends in the same way when the store closes it and when nothing arrives for the whole duration.
+    const bool quiet = std::chrono::steady_clock::now() - begin >= duration;
+    return quiet ? StoreStatus::Done : StoreStatus::Unavailable;
 }
 
 void EtcdStore::interruptWatches()
@@ -199,7 +196,7 @@
     ++m_calls;
     std::unique_ptr<HTTPClientSession> session = takeSession();
     try {
-        session->setTimeout(timespan(m_timeout), timespan(m_timeout), timespan(m_timeout));
+        session->setTimeout(detail::timespan(m_timeout));
         if (!session->connected()) {
             session->reset();
         }
--- a/src/request/answerwriter.cpp
+++ b/src/request/answerwriter.cpp
@@ -32,8 +32,10 @@
 
 void sendWhole(HTTPServerResponse &response, const std::string &contentType, const std::string &body)
 {
+    // Not sendBuffer(), which leaves out the body of an answer to a request that could not be read.
     response.setContentType(contentType);
-    response.sendBuffer(body.data(), body.size());
+    response.setContentLength(static_cast<std::streamsize>(body.size()));
+    response.send() << body << std::flush;
 }
 
 } // namespace
--- a/src/request/requestrunner.cpp
+++ b/src/request/requestrunner.cpp
@@ -274,12 +274,16 @@
                                                        const std::shared_ptr<Exchange> &exchange)
 {
     std::optional<Clock::time_point> brokenSince;
+    Clock::time_point nextProbe = Clock::now() + popInterval;
     while (true) {
         std::optional<ExchangeEvent> event = exchange->pop(popInterval);
-        if (!event) {
+        if (Clock::now() >= nextProbe) {
+            nextProbe = Clock::now() + popInterval;
             if (m_callerClosed() && !writer.probe()) {
                 return Attempt{ .end = linkLost(Verdict::MayHaveRun), .callerGone = true };
             }
+        }
+        if (!event) {
             const auto patience = m_order.next() == 0 ? linkPatienceBeforeFirstToken : linkPatience;
             if (brokenSince && Clock::now() - *brokenSince > patience) {
                 return Attempt{ .end = linkLost(Verdict::MayHaveRun) };
--- a/src/request/sidecarsession.cpp
+++ b/src/request/sidecarsession.cpp
@@ -123,7 +123,7 @@
     }
 }
 
-void SidecarSession::setAbort(std::function<void()> abort)
+void SidecarSession::setAbort(const std::function<void()> &abort)
 {
     bool abortNow = false;
     {
--- a/tests/standin/enginestandin.cpp
+++ b/tests/standin/enginestandin.cpp
@@ -132,7 +132,7 @@
 void EngineStandin::handle(HTTPServerRequest &request, HTTPServerResponse &response)
 {
     const Poco::URI uri(request.getURI());
-    const std::string path = uri.getPath();
+    const std::string &path = uri.getPath();
     constexpr std::string_view streams = "/v1/streams/";
     if (path == "/v1/completions" || path == "/v1/chat/completions") {
         complete(request, response, path == "/v1/chat/completions");
@@ -274,9 +274,9 @@
             lock.lock();
             m_changed.wait(lock, [&] {
                 return generation->emitted > next || !generation->reason.empty() || generation->cancelled
-                    || m_streamEpoch != epoch;
+                    || m_streamEpoch != epoch || m_stopping;
             });
-            const bool cut = generation->cancelled || m_streamEpoch != epoch;
+            const bool cut = generation->cancelled || m_streamEpoch != epoch || m_stopping;
             const std::uint64_t emitted = generation->emitted;
             const std::string reason = generation->reason;
             lock.unlock();
--- a/tests/standin/servicestandin.cpp
+++ b/tests/standin/servicestandin.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-ServiceStandin::ServiceStandin(ServiceStandinSettings settings)
+ServiceStandin::ServiceStandin(const ServiceStandinSettings &settings)
     : m_history(settings.history)
     , m_server(std::make_unique<FunctionServer>(settings.port, mostThreads, [this](auto &request, auto &response) {
         handle(request, response);
--- a/tests/standin/servicestandin.h
+++ b/tests/standin/servicestandin.h
@@ -22,7 +22,7 @@
 class ServiceStandin
 {
 public:
-    explicit ServiceStandin(ServiceStandinSettings settings);
+    explicit ServiceStandin(const ServiceStandinSettings &settings);
 
     std::uint16_t port() const;
 
--- a/tests/standin/storestandin.cpp
+++ b/tests/standin/storestandin.cpp
@@ -27,6 +27,18 @@
                                  : position->get<std::int64_t>();
 }
 
+bool watcherLeft(HTTPServerRequest &request)
+{
+    Poco::Net::StreamSocket &socket = static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
+    try {
+        char byte = 0;
+        return socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)
+            && socket.receiveBytes(&byte, 1, MSG_PEEK) == 0;
+    } catch (const Poco::Exception &) {
+        return true;
+    }
+}
+
 void cutConnection(HTTPServerRequest &request)
 {
     static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().close();
@@ -34,7 +46,7 @@
 
 } // namespace
 
-StoreStandin::StoreStandin(StoreStandinSettings settings)
+StoreStandin::StoreStandin(const StoreStandinSettings &settings)
     : m_history(settings.history)
     , m_random(settings.seed)
     , m_server(std::make_unique<FunctionServer>(settings.port, mostThreads, [this](auto &request, auto &response) {
@@ -96,7 +108,7 @@
     }
     std::this_thread::sleep_for(faults.delay);
     if (request.getURI() == "/v3/watch") {
-        watch(body, response);
+        watch(request, body, response);
         return;
     }
     const Json document = Json::parse(body, nullptr, false);
@@ -134,7 +146,7 @@
     sendJson(response, "{}");
 }
 
-void StoreStandin::watch(const std::string &body, HTTPServerResponse &response)
+void StoreStandin::watch(HTTPServerRequest &request, const std::string &body, HTTPServerResponse &response)
 {
     const Json create = Json::parse(body, nullptr, false).value("create_request", Json::object());
     const std::string key = create.value("key", std::string());
@@ -165,6 +177,9 @@
             continue;
         }
         m_changed.wait_for(lock, watchCheck);
+        if (watcherLeft(request)) {
+            break;
+        }
     }
 }
 
--- a/tests/standin/storestandin.h
+++ b/tests/standin/storestandin.h
@@ -37,7 +37,7 @@
 class StoreStandin
 {
 public:
-    explicit StoreStandin(StoreStandinSettings settings);
+    explicit StoreStandin(const StoreStandinSettings &settings);
     ~StoreStandin();
 
     StoreStandin(const StoreStandin &) = delete;
@@ -71,7 +71,7 @@
 
     void handle(HTTPServerRequest &request, HTTPServerResponse &response);
     void control(HTTPServerRequest &request, HTTPServerResponse &response);
-    void watch(const std::string &body, HTTPServerResponse &response);
+    void watch(HTTPServerRequest &request, const std::string &body, HTTPServerResponse &response);
     nlohmann::json execute(const std::string &path, const nlohmann::json &body);
     nlohmann::json range(const nlohmann::json &body) const;
     nlohmann::json transact(const nlohmann::json &body);
--- /dev/null
+++ b/tests/unit/fakestore.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "zinniadock/process/store.h"
+
+namespace zinniadock::test
+{
+
+/// A store in memory that can be down, lose answers before or after a write took effect, and keep a history.
+class FakeStore
+{
+public:
+    explicit FakeStore(std::uint64_t seed = 1)
+        : m_random(seed)
+    {
+    }
+
+    /// Share of calls that find the store down, with nothing done.
+    double unavailable = 0;
+    /// Share of writes that take effect and whose answer is lost.
+    double lostAfterWrite = 0;
+    /// Share of writes that are lost on the way, which looks the same.
+    double lostBeforeWrite = 0;
+
+    /// Called inside each successful write, in the order in which writes take effect.
+    std::function<void(const std::string &key, const std::string &value)> written;
+
+    /// Called before each write, outside the store's lock.
+    std::function<void(const std::string &key)> beforeWrite;
+
+    StoreRead read(const std::string &key)
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_calls;
+        if (chance(unavailable)) {
+            return {};
+        }
+        const auto position = m_values.find(key);
+        StoreRead result{ .status = StoreStatus::Done, .value = {}, .storeRevision = m_revision };
+        if (position != m_values.end()) {
+            result.value = position->second;
+        }
+        return result;
+    }
+
+    StoreStatus compareAndSwap(const std::string &key, std::int64_t modRevision, const std::string &value,
+                               LeaseId /*lease*/)
+    {
+        return write(key, modRevision, &value);
+    }
+
+    StoreStatus compareAndErase(const std::string &key, std::int64_t modRevision)
+    {
+        return write(key, modRevision, nullptr);
+    }
+
+    std::optional<LeaseId> grantLease(std::chrono::milliseconds /*retention*/)
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_calls;
+        return chance(unavailable) ? std::nullopt : std::optional<LeaseId>(1);
+    }
+
+    StoreStatus watch(const std::string & /*key*/, std::int64_t /*after*/, std::chrono::milliseconds /*duration*/,
+                      const std::function<bool(const StoreValue &)> & /*changed*/)
+    {
+        return StoreStatus::Done;
+    }
+
+    void interruptWatches()
+    {
+    }
+
+    std::uint64_t calls() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_calls;
+    }
+
+private:
+    bool chance(double share)
+    {
+        return share > 0 && std::uniform_real_distribution<double>()(m_random) < share;
+    }
+
+    StoreStatus write(const std::string &key, std::int64_t modRevision, const std::string *value)
+    {
+        if (beforeWrite) {
+            beforeWrite(key);
+        }
+        const std::lock_guard lock(m_mutex);
+        ++m_calls;
+        if (chance(unavailable)) {
+            return StoreStatus::Unavailable;
+        }
+        if (chance(lostBeforeWrite)) {
+            return StoreStatus::Unknown;
+        }
+        const auto position = m_values.find(key);
+        const std::int64_t present = position == m_values.end() ? absentKey : position->second.modRevision;
+        const bool matches = present == modRevision;
+        if (matches) {
+            ++m_revision;
+            if (value != nullptr) {
+                m_values[key] = StoreValue{ .value = *value, .modRevision = m_revision };
+            } else {
+                m_values.erase(key);
+            }
+            if (written) {
+                written(key, value == nullptr ? "" : *value);
+            }
+        }
+        if (chance(lostAfterWrite)) {
+            return StoreStatus::Unknown;
+        }
+        return matches ? StoreStatus::Done : StoreStatus::Conflict;
+    }
+
+    mutable std::mutex m_mutex;
+    std::mt19937_64 m_random;
+    std::map<std::string, StoreValue> m_values;
+    std::int64_t m_revision = 0;
+    std::uint64_t m_calls = 0;
+};
+
+static_assert(Store<FakeStore>);
+
+} // namespace zinniadock::test
--- /dev/null
+++ b/tests/unit/unit-admission.cpp
@@ -0,0 +1,353 @@
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <random>
+#include <set>
+
+#include <rapidcheck.h>
+
+#include "zinniadock/process/admission.h"
+
+using namespace zinniadock;
+
+namespace
+{
+
+const DecisionTime start = DecisionTime(std::chrono::hours(1));
+
+AdmissionRequest request(std::uint64_t id, const std::string &account = "a", std::uint32_t prompt = 100)
+{
+    return AdmissionRequest{ .key = { .request = { .high = 0, .low = id }, .generation = 1 },
+                             .account = account,
+                             .route = "r",
+                             .version = "v",
+                             .promptTokens = prompt,
+                             .deadline = start + std::chrono::hours(1) };
+}
+
+EngineLimits limits(std::uint32_t blocks)
+{
+    return EngineLimits{ .totalBlocks = blocks, .maxRunning = 1000, .maxWaiting = 1000 };
+}
+
+// Teaches the statistics that every output has one length.
+void teach(Admission &admission, std::uint32_t tokens, int outputs, const std::string &account = "a")
+{
+    for (int i = 0; i < outputs; ++i) {
+        const AdmissionRequest sample = request(1000000 + static_cast<std::uint64_t>(i), account, 1);
+        REQUIRE(admission.offer(sample, start).outcome == AdmissionOutcome::Admitted);
+        for (std::uint32_t token = 0; token < tokens; ++token) {
+            admission.emitted(sample.key);
+        }
+        admission.ended(sample.key, true, start);
+    }
+}
+
+std::uint32_t admittedOf(Admission &admission, int offers, const std::string &account = "a")
+{
+    std::uint32_t admitted = 0;
+    for (int i = 0; i < offers; ++i) {
+        admitted += admission.offer(request(static_cast<std::uint64_t>(i), account), start).outcome
+            == AdmissionOutcome::Admitted;
+    }
+    return admitted;
+}
+
+} // namespace
+
+TEST_CASE("length forecasts")
+{
+    SECTION("of a class follow its outputs and not those of others")
+    {
+        LengthStatistics statistics(400);
+        const auto shortOnes = statistics.find({ "a", "check", "v" });
+        const auto longOnes = statistics.find({ "a", "brief", "v" });
+        for (int i = 0; i < 64; ++i) {
+            statistics.record(shortOnes, 20);
+            statistics.record(longOnes, 2000);
+        }
+        CHECK(shortOnes->forecast.survival(100) < 0.1);
+        CHECK(longOnes->forecast.survival(100) > 0.9);
+        CHECK(longOnes->forecast.survival(1000, 200) > 0.9);
+        CHECK(longOnes->forecast.survival(1000, 4000) < 0.1);
+    }
+
+    SECTION("of an account without outputs come from its route")
+    {
+        LengthStatistics statistics(400);
+        const auto known = statistics.find({ "a", "check", "v" });
+        for (int i = 0; i < 64; ++i) {
+            statistics.record(known, 20);
+        }
+        CHECK(statistics.find({ "new", "check", "v" })->forecast.survival(200) < 0.1);
+    }
+
+    SECTION("follow a change of the lengths within 128 outputs")
+    {
+        LengthStatistics statistics(400);
+        const auto changed = statistics.find({ "a", "brief", "v" });
+        for (int i = 0; i < 1000; ++i) {
+            statistics.record(changed, 100);
+        }
+        CHECK(changed->forecast.survival(500) < 0.1);
+        for (int i = 0; i < 128; ++i) {
+            statistics.record(changed, 1000);
+        }
+        CHECK(changed->forecast.survival(500) > 0.75);
+    }
+
+    SECTION("beyond all experience expect about as much again")
+    {
+        LengthStatistics statistics(400);
+        const auto known = statistics.find({ "a", "check", "v" });
+        for (int i = 0; i < 64; ++i) {
+            statistics.record(known, 20);
+        }
+        CHECK(known->forecast.survival(5000, 5000) == Approx(0.5).margin(0.1));
+    }
+
+    SECTION("are probabilities that only fall")
+    {
+        CHECK(rc::check([] {
+            LengthHistogram histogram;
+            for (const auto length :
+                 *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 70000)))) {
+                histogram.add(length);
+            }
+            const LengthForecast forecast(histogram.curve(), histogram.weight());
+            const double emitted = *rc::gen::inRange(0, 40000);
+            double last = 1;
+            for (double more = 0; more < 60000; more = more * 2 + 1) {
+                const double now = forecast.survival(emitted, more);
+                RC_ASSERT(now >= 0 && now <= last + 1e-9);
+                last = now;
+            }
+        }));
+    }
+}
+
+TEST_CASE("admission")
+{
+    SECTION("leaves room for what running requests will grow to")
+    {
+        Admission admission(limits(1000), 400); // 16000 tokens
+        teach(admission, 900, 64);
+        const std::uint32_t admitted = admittedOf(admission, 50);
+        CHECK(admitted >= 8); // 1000 tokens each would fill it with 16
+        CHECK(admitted <= 16);
+    }
+
+    SECTION("uses the memory when outputs are short")
+    {
+        Admission admission(limits(1000), 400);
+        teach(admission, 10, 64);
+        CHECK(admittedOf(admission, 200) >= 90); // 110 tokens each would fill it with 145
+    }
+
+    SECTION("always lets one request run")
+    {
+        Admission admission(limits(100), 100000);
+        CHECK(admission.offer(request(1), start).outcome == AdmissionOutcome::Admitted);
+    }
+
+    SECTION("refuses a prompt that can never fit")
+    {
+        Admission admission(limits(100), 400);
+        const AdmissionDecision decision = admission.offer(request(1, "a", 2000), start);
+        CHECK(decision.outcome == AdmissionOutcome::Refused);
+        CHECK(decision.reason == RequestError::EngineRefused);
+    }
+
+    SECTION("refuses early, with a time to come back, when the wait is longer than the deadline")
+    {
+        Admission admission(limits(100), 400);
+        DecisionTime now = start;
+        for (std::uint64_t i = 0; i < 20; ++i) { // one request ends every 2 s
+            admission.offer(request(500 + i), now);
+            now += std::chrono::seconds(2);
+            admission.ended(request(500 + i).key, true, now);
+            admission.admitReady(now);
+        }
+        AdmissionRequest patient = request(1, "a", 800);
+        patient.deadline = now + std::chrono::hours(1);
+        CHECK(admission.offer(patient, now).outcome == AdmissionOutcome::Admitted);
+        std::uint64_t id = 2;
+        for (; id < 7; ++id) {
+            AdmissionRequest next = request(id, "a", 800);
+            next.deadline = now + std::chrono::hours(1);
+            CHECK(admission.offer(next, now).outcome == AdmissionOutcome::Queued);
+        }
+        AdmissionRequest hasty = request(id, "a", 800);
+        hasty.deadline = now + std::chrono::seconds(3);
+        const AdmissionDecision decision = admission.offer(hasty, now);
+        CHECK(decision.outcome == AdmissionOutcome::Refused);
+        CHECK(decision.retryAfter >= std::chrono::seconds(1));
+        CHECK(decision.retryAfter <= std::chrono::seconds(60));
+    }
+
+    SECTION("serves the account that got least, and higher priority first")
+    {
+        Admission admission(limits(100), 400); // one request of 800 tokens at a time
+        admission.offer(request(1, "large", 800), start);
+        for (std::uint64_t id = 2; id < 10; ++id) {
+            CHECK(admission.offer(request(id, "large", 800), start).outcome == AdmissionOutcome::Queued);
+        }
+        admission.offer(request(20, "small", 800), start);
+        AdmissionRequest urgent = request(30, "large", 800);
+        urgent.priority = 5;
+        admission.offer(urgent, start);
+        std::vector<std::uint64_t> order;
+        GenerationKey running = request(1).key;
+        for (int i = 0; i < 3; ++i) {
+            admission.ended(running, false, start);
+            const auto ready = admission.admitReady(start);
+            REQUIRE(ready.size() == 1);
+            running = ready.front();
+            order.push_back(running.request.low);
+        }
+        CHECK(order == std::vector<std::uint64_t>{ 30, 20, 2 });
+    }
+
+    SECTION("gives way to memory that others use, as the engine reports it")
+    {
+        Admission admission(limits(1000), 400);
+        teach(admission, 10, 64);
+        admission.engineReport(900, 1000, 0, start);
+        CHECK(admission.usableBlocks() == Approx(100));
+        CHECK(admittedOf(admission, 200) <= 14);
+    }
+
+    SECTION("does not take its own requests for others' when the report lags")
+    {
+        Admission admission(limits(1000), 400);
+        teach(admission, 10, 64);
+        admittedOf(admission, 100);
+        admission.engineReport(0, 1000, 0, start);
+        const std::uint32_t committed = admission.committedBlocks();
+        for (std::uint64_t id = 0; id < 100; ++id) {
+            admission.ended(request(id).key, true, start);
+        }
+        admission.engineReport(committed, 1000, 0, start + std::chrono::milliseconds(500));
+        CHECK(admission.usableBlocks() == Approx(1000));
+    }
+
+    SECTION("keeps more room after preemptions, and uses it again later")
+    {
+        Admission admission(limits(1000), 400);
+        admission.engineReport(0, 1000, 10, start);
+        CHECK(admission.usableBlocks() == Approx(1000));
+        admission.engineReport(0, 1000, 13, start);
+        CHECK(admission.usableBlocks() < 950);
+        for (int i = 0; i < 5000; ++i) {
+            admission.engineReport(0, 1000, 13, start + std::chrono::milliseconds(i));
+        }
+        CHECK(admission.usableBlocks() > 990);
+    }
+
+    SECTION("hands back what waits when it closes, and admits nothing after")
+    {
+        Admission admission(limits(100), 400);
+        admission.offer(request(1, "a", 800), start);
+        admission.offer(request(2, "a", 800), start);
+        CHECK(admission.close().size() == 1);
+        CHECK(admission.offer(request(3), start).reason == RequestError::Draining);
+        admission.ended(request(1).key, true, start);
+        CHECK(admission.admitReady(start).empty());
+    }
+}
+
+TEST_CASE("properties of admission")
+{
+    // Offers, tokens, ends, cancellations and time at random; every request must be admitted, expired or refused once.
+    SECTION("every request gets one outcome, and counts come back to zero")
+    {
+        CHECK(rc::check([] {
+            Admission admission(limits(static_cast<std::uint32_t>(*rc::gen::inRange(20, 400))), 200);
+            std::set<std::uint64_t> running;
+            std::set<std::uint64_t> waiting;
+            DecisionTime now = start;
+            std::uint64_t id = 0;
+            const auto take = [&](const std::vector<GenerationKey> &keys, bool run) {
+                for (const GenerationKey &key : keys) {
+                    RC_ASSERT(waiting.erase(key.request.low) == 1U);
+                    if (run) {
+                        running.insert(key.request.low);
+                    }
+                }
+            };
+            const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
+            for (const int step : steps) {
+                now += std::chrono::milliseconds(step);
+                if (step < 40) {
+                    AdmissionRequest offered
+                        = request(++id, step % 2 == 0 ? "a" : "b", static_cast<std::uint32_t>(10 + step * 5));
+                    offered.deadline = now + std::chrono::milliseconds(step * 20);
+                    const AdmissionDecision decision = admission.offer(offered, now);
+                    if (decision.outcome == AdmissionOutcome::Admitted) {
+                        RC_ASSERT(waiting.empty());
+                        running.insert(id);
+                    } else if (decision.outcome == AdmissionOutcome::Queued) {
+                        waiting.insert(id);
+                    } else {
+                        RC_ASSERT(decision.retryAfter.count() >= 0);
+                    }
+                } else if (step < 70 && !running.empty()) {
+                    admission.emitted(request(*running.begin()).key);
+                } else if (step < 90 && !running.empty()) {
+                    admission.ended(request(*running.begin()).key, step % 2 == 0, now);
+                    running.erase(running.begin());
+                }
+                take(admission.expire(now), false);
+                take(admission.admitReady(now), true);
+                RC_ASSERT(admission.runningCount() == running.size());
+                RC_ASSERT(admission.waitingCount() == waiting.size());
+                RC_ASSERT(!running.empty() || waiting.empty());
+            }
+            for (const std::uint64_t left : running) {
+                admission.ended(request(left).key, true, now);
+            }
+            for (const std::uint64_t left : waiting) {
+                admission.ended(request(left).key, false, now);
+            }
+            RC_ASSERT(admission.runningCount() == 0U);
+            RC_ASSERT(admission.waitingCount() == 0U);
+            RC_ASSERT(admission.committedBlocks() == 0U);
+        }));
+    }
+
+    // With lengths drawn from the distribution that was learned, the memory is outgrown no more often than the bound.
+    SECTION("memory is outgrown within the bound on the risk")
+    {
+        std::mt19937_64 random(7);
+        std::lognormal_distribution<double> length(std::log(200), 0.8);
+        constexpr std::uint32_t blocks = 2000;
+        constexpr int trials = 400;
+        int outgrown = 0;
+        EngineLimits engine = limits(blocks);
+        engine.memoryRisk = 0.01;
+        Admission taught(engine, 400);
+        for (int i = 0; i < 300; ++i) {
+            teach(taught, static_cast<std::uint32_t>(std::ceil(length(random))), 1);
+        }
+        for (int trial = 0; trial < trials; ++trial) {
+            Admission admission = taught;
+            std::vector<double> lengths;
+            for (std::uint64_t id = 0; id < 1000; ++id) {
+                if (admission.offer(request(id), start).outcome != AdmissionOutcome::Admitted) {
+                    break;
+                }
+                lengths.push_back(std::ceil(length(random)));
+            }
+            double peak = 0;
+            for (double time = 0; time < 8000; time += 8) {
+                double used = 0;
+                for (const double total : lengths) {
+                    used += total > time ? std::ceil((100 + time) / 16) : 0;
+                }
+                peak = std::max(peak, used);
+            }
+            outgrown += peak > blocks ? 1 : 0;
+        }
+        CHECK(outgrown <= trials * 0.02);
+    }
+}
--- /dev/null
+++ b/tests/unit/unit-claims.cpp
@@ -0,0 +1,116 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+
+#include "fakestore.h"
+#include "zinniadock/process/claims.h"
+
+using namespace zinniadock;
+using namespace zinniadock::test;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds retention = std::chrono::hours(72);
+
+Claims<FakeStore> makeClaims(FakeStore &store)
+{
+    return Claims<FakeStore>(store, "test", retention);
+}
+
+} // namespace
+
+TEST_CASE("claims")
+{
+    FakeStore store;
+    Claims<FakeStore> first(store, "test", retention);
+    Claims<FakeStore> second(store, "test", retention);
+
+    SECTION("go to one process")
+    {
+        const ClaimDecision mine = first.acquire("a", "k", RequestId::random(), "body");
+        CHECK(mine.result == ClaimResult::Acquired);
+        CHECK(second.acquire("a", "k", RequestId::random(), "body").result == ClaimResult::InUse);
+        CHECK(second.acquire("a", "k", RequestId::random(), "other").result == ClaimResult::Mismatch);
+        CHECK(second.acquire("b", "k", RequestId::random(), "body").result == ClaimResult::Acquired);
+    }
+
+    SECTION("give the recorded outcome to a resend")
+    {
+        const ClaimDecision mine = first.acquire("a", "k", RequestId::random(), "body");
+        const std::string bytes("\0\xff answer", 9);
+        CHECK(first.complete("a", "k", mine, { .status = 201, .contentType = "text/plain", .body = bytes }));
+        const ClaimDecision resend = second.acquire("a", "k", RequestId::random(), "body");
+        REQUIRE(resend.result == ClaimResult::Answered);
+        CHECK(resend.record.outcome->status == 201);
+        CHECK(resend.record.outcome->body == bytes);
+    }
+
+    SECTION("are free again once their call is proven not to have run")
+    {
+        const ClaimDecision mine = first.acquire("a", "k", RequestId::random(), "body");
+        first.release("a", "k", mine);
+        CHECK(second.acquire("a", "k", RequestId::random(), "body").result == ClaimResult::Acquired);
+    }
+
+    SECTION("are not given while the store is down")
+    {
+        store.unavailable = 1;
+        CHECK(first.acquire("a", "k", RequestId::random(), "body").result == ClaimResult::Unavailable);
+    }
+
+    SECTION("whose answer was lost for good are freed later")
+    {
+        CHECK(first.acquire("a", "warm", RequestId::random(), "body").result == ClaimResult::Acquired);
+        store.lostAfterWrite = 1;
+        store.written = [&store](const std::string &, const std::string &) {
+            store.unavailable = 1;
+        };
+        CHECK(first.acquire("a", "k", RequestId::random(), "body").result == ClaimResult::Unavailable);
+        CHECK(first.abandonedCount() == 1);
+        store.written = nullptr;
+        store.unavailable = 0;
+        store.lostAfterWrite = 0;
+        first.releaseAbandoned();
+        CHECK(first.abandonedCount() == 0);
+        CHECK(second.acquire("a", "k", RequestId::random(), "body").result == ClaimResult::Acquired);
+    }
+}
+
+TEST_CASE("claims under faults")
+{
+    SECTION("are acquired at most once each, by racing processes on a store that loses answers")
+    {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            FakeStore store(seed);
+            store.unavailable = 0.05;
+            store.lostAfterWrite = 0.2;
+            store.lostBeforeWrite = 0.2;
+            constexpr int keys = 20;
+            std::array<std::atomic<int>, keys> acquired{};
+            std::vector<std::thread> threads;
+            threads.reserve(6);
+            for (int process = 0; process < 6; ++process) {
+                threads.emplace_back([&] {
+                    Claims<FakeStore> claims = makeClaims(store);
+                    for (int key = 0; key < keys; ++key) {
+                        const ClaimDecision decision
+                            = claims.acquire("a", std::to_string(key), RequestId::random(), "body");
+                        acquired[static_cast<std::size_t>(key)] += decision.result == ClaimResult::Acquired ? 1 : 0;
+                    }
+                });
+            }
+            for (std::thread &thread : threads) {
+                thread.join();
+            }
+            CHECK(std::all_of(acquired.begin(), acquired.end(), [](const auto &count) {
+                return count <= 1;
+            }));
+            CHECK(std::any_of(acquired.begin(), acquired.end(), [](const auto &count) {
+                return count == 1;
+            }));
+        }
+    }
+}
--- /dev/null
+++ b/tests/unit/unit-faults.cpp
@@ -0,0 +1,224 @@
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+#include "fleet.h"
+
+using namespace zinniadock;
+using namespace zinniadock::test;
+
+namespace
+{
+
+/// Runs a stream and calls a fault once, when some tokens have been shown.
+StreamAnswer streamWithFault(Fleet &fleet, const std::string &prompt, std::size_t at,
+                             const std::function<void()> &fault)
+{
+    return streamGeneration(fleet.entryPort(), prompt, [&](std::size_t count) {
+        if (count == at) {
+            fault();
+        }
+        return true;
+    });
+}
+
+std::size_t busyEngine(const Fleet &fleet)
+{
+    return fleet.engines[0]->running() > 0 ? 0 : 1;
+}
+
+} // namespace
+
+TEST_CASE("a stream under faults")
+{
+    Fleet fleet;
+    const std::string prompt = "under faults [tokens=1500]";
+
+    SECTION("goes on when its sidecar is replaced")
+    {
+        const StreamAnswer answer = streamWithFault(fleet, prompt, 100, [&] {
+            fleet.restartSidecar(busyEngine(fleet));
+        });
+        CHECK(tokensAreWhole(answer, prompt, 1500));
+        CHECK(fleet.engines[0]->started() + fleet.engines[1]->started() == 1);
+        CHECK(fleet.sidecars[0]->status().adopted + fleet.sidecars[1]->status().adopted == 1);
+    }
+
+    SECTION("goes on when its sidecar is replaced again and again")
+    {
+        const StreamAnswer answer = streamGeneration(fleet.entryPort(), prompt, [&](std::size_t count) {
+            if (count % 300 == 50) {
+                fleet.restartSidecar(busyEngine(fleet));
+            }
+            return true;
+        });
+        CHECK(tokensAreWhole(answer, prompt, 1500));
+        CHECK(fleet.engines[0]->started() + fleet.engines[1]->started() == 1);
+    }
+
+    SECTION("goes on when the engine cuts its connections")
+    {
+        const StreamAnswer answer = streamWithFault(fleet, prompt, 100, [&] {
+            fleet.engines[busyEngine(fleet)]->dropStreams();
+        });
+        CHECK(tokensAreWhole(answer, prompt, 1500));
+        CHECK(fleet.engines[0]->started() + fleet.engines[1]->started() == 1);
+    }
+
+    SECTION("ends with a clear event when its engine dies after tokens were shown")
+    {
+        const StreamAnswer answer = streamWithFault(fleet, prompt, 100, [&] {
+            fleet.restartEngine(busyEngine(fleet));
+        });
+        CHECK(answer.failed);
+        CHECK_FALSE(answer.whole);
+        CHECK(answer.body.find("\"verdict\":\"ran\"") != std::string::npos);
+        CHECK(fleet.engines[0]->started() + fleet.engines[1]->started() <= 1);
+        for (std::size_t i = 0; i < answer.tokens.size(); ++i) {
+            CHECK(answer.tokens[i] == standin::promptMark(prompt) + ":1:" + std::to_string(i) + " ");
+        }
+    }
+
+    SECTION("begins anew elsewhere when its engine dies before a token was shown")
+    {
+        fleet.engines[0]->setFrozen(true);
+        fleet.engines[1]->setFrozen(true);
+        StreamAnswer answer;
+        std::thread caller([&] {
+            answer = streamGeneration(fleet.entryPort(), prompt);
+        });
+        REQUIRE(eventually([&] {
+            return fleet.engines[0]->running() + fleet.engines[1]->running() == 1;
+        }));
+        const std::size_t busy = busyEngine(fleet);
+        fleet.engines[1 - busy]->setFrozen(false);
+        fleet.restartEngine(busy);
+        caller.join();
+        CHECK(tokensAreWhole(answer, prompt, 1500));
+        CHECK(answer.tokens.front().find(":2:0") != std::string::npos);
+    }
+}
+
+TEST_CASE("a slow caller")
+{
+    Fleet fleet(1, 1, std::chrono::microseconds(50));
+
+    SECTION("stalls no other caller and loses no token")
+    {
+        std::atomic<bool> release{ false };
+        StreamAnswer slow;
+        std::thread slowCaller([&] {
+            slow = streamGeneration(fleet.entryPort(), "slow [tokens=20000]", [&](std::size_t count) {
+                return count > 5 || eventually([&] {
+                           return release.load();
+                       });
+            });
+        });
+        const std::string prompt = "quick [tokens=300]";
+        CHECK(tokensAreWhole(streamGeneration(fleet.entryPort(), prompt), prompt, 300));
+        release = true;
+        slowCaller.join();
+        CHECK(tokensAreWhole(slow, "slow [tokens=20000]", 20000));
+    }
+}
+
+TEST_CASE("planned stops")
+{
+    Fleet fleet(2, 2);
+    const std::string prompt = "planned [tokens=800]";
+
+    SECTION("of a sidecar cut nothing, and it takes nothing new")
+    {
+        std::size_t drained = 0;
+        const StreamAnswer answer = streamWithFault(fleet, prompt, 50, [&] {
+            drained = busyEngine(fleet);
+            fleet.sidecars[drained]->drain();
+        });
+        CHECK(tokensAreWhole(answer, prompt, 800));
+        CHECK(fleet.sidecars[drained]->waitIdle(std::chrono::seconds(30)));
+        const std::uint64_t before = fleet.engines[drained]->started();
+        for (int i = 0; i < 20; ++i) {
+            CHECK(tokensAreWhole(streamGeneration(fleet.entryPort(), "[tokens=5]"), "[tokens=5]", 5));
+        }
+        CHECK(fleet.engines[drained]->started() == before);
+    }
+
+    SECTION("of an entry cut nothing, and it says that it leaves")
+    {
+        const StreamAnswer answer = streamWithFault(fleet, prompt, 50, [&] {
+            fleet.entries[0]->drain();
+        });
+        CHECK(tokensAreWhole(answer, prompt, 800));
+        CHECK(fleet.entries[0]->waitIdle(std::chrono::seconds(30)));
+        CHECK(send(fleet.entryPort(0), { .method = "GET", .path = "/health" }).status == 503);
+        const HttpAnswer refused = send(fleet.entryPort(0), { .path = "/work-orders", .body = "late" });
+        CHECK(refused.status == 503);
+        CHECK(refused.verdict == "not_run");
+        CHECK(fleet.service->runs("late") == 0);
+        CHECK(send(fleet.entryPort(1), { .method = "GET", .path = "/health" }).status == 200);
+    }
+}
+
+TEST_CASE("a lost entry")
+{
+    Fleet fleet(1, 2);
+
+    SECTION("gives the engine memory back")
+    {
+        std::thread caller([&] {
+            streamGeneration(fleet.entryPort(0), "orphan [tokens=60000]", [&](std::size_t count) {
+                return count < 20;
+            });
+        });
+        REQUIRE(eventually([&] {
+            return fleet.engines[0]->running() == 1;
+        }));
+        caller.join();
+        fleet.entries[0].reset();
+        CHECK(eventually([&] {
+            return fleet.engines[0]->running() == 0;
+        }));
+        CHECK(fleet.engines[0]->cancelled() == 1);
+    }
+}
+
+TEST_CASE("backend servers that are gone")
+{
+    Fleet fleet(2, 1);
+
+    SECTION("are passed over, and with none left a request is refused as not run")
+    {
+        fleet.engines[0]->stop();
+        for (int i = 0; i < 10; ++i) {
+            CHECK(tokensAreWhole(streamGeneration(fleet.entryPort(), "[tokens=4]"), "[tokens=4]", 4));
+        }
+        fleet.engines[1]->stop();
+        const StreamAnswer refused = streamGeneration(fleet.entryPort(), "[tokens=4]");
+        CHECK(refused.status >= 500);
+        CHECK(refused.verdict == "not_run");
+    }
+}
+
+TEST_CASE("configuration without the store")
+{
+    Fleet fleet(1, 1);
+
+    SECTION("reaches an entry that starts while the store is down")
+    {
+        fleet.store->setFaults({ .down = true });
+        fleet.entries.clear();
+        Settings settings;
+        settings.daemon.instance = "late";
+        settings.daemon.dataCentre = "campina";
+        settings.store.endpoint = Endpoint{ .address = "127.0.0.1", .port = fleet.store->port() };
+        settings.entry.listen = Endpoint{ .address = "127.0.0.1", .port = 0 };
+        Entry late(settings);
+        REQUIRE_FALSE(late.start());
+        const HttpAnswer answer = send(late.port(), { .method = "GET", .path = "/health" });
+        CHECK(answer.status == 503);
+        fleet.store->setFaults({});
+        CHECK(eventually([&] {
+            return late.status().revision == 1;
+        }));
+    }
+}
--- /dev/null
+++ b/tests/unit/unit-linkmessage.cpp
@@ -0,0 +1,147 @@
+#include <catch2/catch.hpp>
+
+#include <rapidcheck.h>
+
+#include "zinniadock/connection/linkmessage.h"
+
+using namespace zinniadock;
+
+namespace
+{
+
+// Writes every field to text, to compare messages whatever their type.
+class Printer
+{
+public:
+    template <typename Value>
+    void operator()(const char *key, const Value &value)
+    {
+        m_text += std::string(key) + "=";
+        if constexpr (std::is_same_v<Value, std::string>) {
+            m_text += value;
+        } else if constexpr (std::is_same_v<Value, RequestId>) {
+            m_text += value.text();
+        } else if constexpr (std::is_same_v<Value, std::chrono::milliseconds>) {
+            m_text += std::to_string(value.count());
+        } else if constexpr (std::is_enum_v<Value>) {
+            m_text += std::to_string(static_cast<int>(value));
+        } else {
+            m_text += std::to_string(value);
+        }
+        m_text += ";";
+    }
+
+    const std::string &text() const
+    {
+        return m_text;
+    }
+
+private:
+    std::string m_text;
+};
+
+std::string print(LinkMessage message)
+{
+    Printer printer;
+    std::visit(
+        [&printer](auto &content) {
+            content.fields(printer);
+        },
+        message);
+    return std::to_string(message.index()) + ":" + printer.text();
+}
+
+// Fills every field with an arbitrary value.
+class Filler
+{
+public:
+    template <typename Value>
+    void operator()(const char * /*key*/, Value &value)
+    {
+        if constexpr (std::is_same_v<Value, RequestId>) {
+            value = RequestId{ .high = *rc::gen::arbitrary<std::uint64_t>(),
+                               .low = *rc::gen::arbitrary<std::uint64_t>() };
+        } else if constexpr (std::is_same_v<Value, std::chrono::milliseconds>) {
+            value = std::chrono::milliseconds(*rc::gen::inRange(0, 86400000));
+        } else if constexpr (std::is_same_v<Value, Verdict>) {
+            value = static_cast<Verdict>(*rc::gen::inRange(0, 3));
+        } else if constexpr (std::is_same_v<Value, RequestKind>) {
+            value = static_cast<RequestKind>(*rc::gen::inRange(0, 2));
+        } else if constexpr (std::is_same_v<Value, std::string>) {
+            value = *rc::gen::container<std::string>(rc::gen::inRange<char>(' ', '~'));
+        } else {
+            value = *rc::gen::arbitrary<Value>();
+        }
+    }
+};
+
+template <std::size_t Index = 0>
+void roundTripAll()
+{
+    if constexpr (Index < std::variant_size_v<LinkMessage>) {
+        CHECK(rc::check("message " + std::to_string(Index), [] {
+            std::variant_alternative_t<Index, LinkMessage> message;
+            Filler filler;
+            message.fields(filler);
+            const auto decoded = decode(encode(message));
+            RC_ASSERT(decoded.has_value());
+            RC_ASSERT(print(*decoded) == print(message));
+        }));
+        roundTripAll<Index + 1>();
+    }
+}
+
+} // namespace
+
+TEST_CASE("link messages")
+{
+    SECTION("come back as they were sent")
+    {
+        roundTripAll();
+    }
+
+    SECTION("ignore unknown fields, nested ones too")
+    {
+        // {"#": 12, "n": 7, "new": {"a": [1, 2]}}
+        const std::string frame = "\xa3\x61#\x0c\x61n\x07\x63new\xa1\x61"
+                                  "a\x82\x01\x02";
+        const auto message = decode(frame);
+        REQUIRE(message.has_value());
+        CHECK(std::get<Ping>(*message).number == 7);
+    }
+
+    SECTION("refuse what is malformed")
+    {
+        const std::string frame = encode(Ping{ .number = 7 });
+        for (std::size_t length = 0; length < frame.size(); ++length) {
+            CHECK_FALSE(decode(frame.substr(0, length)).has_value());
+        }
+        CHECK_FALSE(decode("garbage").has_value());
+        CHECK_FALSE(decode("\xa1\x61#\x18\x63").has_value()); // a type that does not exist
+        CHECK_FALSE(decode("\xa2\x61#\x0c\x61n\x61x").has_value()); // a text in place of a number
+        CHECK_FALSE(decode("\x07").has_value());
+    }
+
+    SECTION("refuse deep nesting at constant depth")
+    {
+        CHECK_FALSE(decode(std::string(4U << 20U, '\x81')).has_value());
+        CHECK_FALSE(decode(std::string(4U << 20U, '\xbf')).has_value());
+    }
+
+    SECTION("refuse numbers out of range")
+    {
+        // A verdict of 9 in a Failed message.
+        std::string frame = encode(Failed{ .verdict = Verdict::Ran });
+        const std::size_t position = frame.find("av");
+        REQUIRE(position != std::string::npos);
+        frame[position + 2] = 9;
+        CHECK_FALSE(decode(frame).has_value());
+    }
+
+    SECTION("never crash on random bytes")
+    {
+        CHECK(rc::check([](const std::string &bytes) {
+            decode(bytes);
+        }));
+    }
+}
--- /dev/null
+++ b/tests/unit/unit-publisher.cpp
@@ -0,0 +1,196 @@
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+#include "fakestore.h"
+#include "zinniadock/process/configurationeditor.h"
+
+using namespace zinniadock;
+using namespace zinniadock::test;
+
+namespace
+{
+
+ChangeSet modelChange(int operatorNumber, int value)
+{
+    const std::string heading = "model m" + std::to_string(operatorNumber);
+    return ChangeSet{ .replaced = { { heading, "[" + heading + "]\nmax_tokens = " + std::to_string(value) + "\n" } },
+                      .removed = {} };
+}
+
+// Records every head in the order in which the store took it, and checks the chain as it grows.
+class HeadHistory
+{
+public:
+    explicit HeadHistory(FakeStore &store)
+    {
+        store.written = [this](const std::string &key, const std::string &value) {
+            if (key == headKey("test")) {
+                add(*decodeHead(value));
+            }
+        };
+    }
+
+    bool unbroken() const
+    {
+        return m_unbroken;
+    }
+
+    std::size_t count(const std::string &changeId) const
+    {
+        return static_cast<std::size_t>(std::count(m_changeIds.begin(), m_changeIds.end(), changeId));
+    }
+
+    std::size_t size() const
+    {
+        return m_changeIds.size();
+    }
+
+private:
+    void add(const ConfigurationHead &head)
+    {
+        m_unbroken = m_unbroken && head.revision == m_last.revision + 1 && head.parent == m_last.digest;
+        m_last = head;
+        m_changeIds.push_back(head.changeId);
+    }
+
+    ConfigurationHead m_last;
+    std::vector<std::string> m_changeIds;
+    bool m_unbroken = true;
+};
+
+} // namespace
+
+TEST_CASE("publishing")
+{
+    FakeStore store;
+    ConfigurationEditor<FakeStore> editor(store, "test");
+
+    SECTION("numbers the revisions and keeps their history")
+    {
+        CHECK(editor.replace("[model a]\n", "c1", "ana").publish.head.revision == 1);
+        CHECK(editor.replace("[model a]\nmax_tokens = 5\n", "c2", "ana").publish.head.revision == 2);
+        CHECK(editor.publisher().readHistory(1)->changeId == "c1");
+        CHECK(editor.replace("[model a]\nmax_tokens = 5\n", "c3", "ana").publish.result == PublishResult::Unchanged);
+    }
+
+    SECTION("publishes nothing that has mistakes")
+    {
+        const EditOutcome outcome = editor.replace("[version v]\nmodel = none\n", "c1", "ana");
+        CHECK(outcome.problems.size() == 1);
+        CHECK_FALSE(editor.publisher().readHead().head.has_value());
+    }
+
+    SECTION("checks the set that results from a change, not the change alone")
+    {
+        editor.replace("[model a]\n[version v]\nmodel = a\n", "c1", "ana");
+        const EditOutcome outcome = editor.change(ChangeSet{ .replaced = {}, .removed = { "model a" } }, "c2", "ana");
+        CHECK(outcome.problems.size() == 1);
+        CHECK(editor.publisher().readHead().head->revision == 1);
+    }
+
+    SECTION("reports the store that does not answer as unavailable")
+    {
+        store.unavailable = 1;
+        CHECK(editor.replace("[model a]\n", "c1", "ana").publish.result == PublishResult::Unavailable);
+    }
+}
+
+TEST_CASE("racing operators")
+{
+    SECTION("lose no accepted change, over a store that loses answers and has outages")
+    {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            FakeStore store(seed);
+            HeadHistory history(store);
+            store.lostAfterWrite = 0.1;
+            store.lostBeforeWrite = 0.1;
+            store.unavailable = 0.02;
+            constexpr int operators = 8;
+            constexpr int changes = 25;
+            std::array<std::vector<std::pair<std::string, PublishResult>>, operators> results;
+            std::array<int, operators> lastAccepted{};
+            std::vector<std::thread> threads;
+            for (int number = 0; number < operators; ++number) {
+                threads.emplace_back([&, number] {
+                    ConfigurationEditor<FakeStore> editor(store, "test", std::chrono::milliseconds(1));
+                    for (int value = 1; value <= changes; ++value) {
+                        const std::string id = std::to_string(number) + "/" + std::to_string(value);
+                        const EditOutcome outcome = editor.change(modelChange(number, value), id, "op");
+                        results[static_cast<std::size_t>(number)].emplace_back(id, outcome.publish.result);
+                        if (outcome.publish.result == PublishResult::Accepted) {
+                            lastAccepted[static_cast<std::size_t>(number)] = value;
+                        }
+                    }
+                });
+            }
+            for (std::thread &thread : threads) {
+                thread.join();
+            }
+            CHECK(history.unbroken());
+            for (const auto &ofOperator : results) {
+                for (const auto &[id, result] : ofOperator) {
+                    INFO(id);
+                    if (result == PublishResult::Accepted) {
+                        CHECK(history.count(id) == 1);
+                    } else if (result == PublishResult::Unavailable) {
+                        CHECK(history.count(id) == 0);
+                    } else {
+                        CHECK(history.count(id) <= 1);
+                    }
+                }
+            }
+            store.lostAfterWrite = 0;
+            store.lostBeforeWrite = 0;
+            store.unavailable = 0;
+            ConfigurationEditor<FakeStore> reader(store, "test");
+            const HeadRead head = reader.publisher().readHead();
+            const ObjectTexts objects = splitObjects(*reader.publisher().readText(head.head->digest));
+            for (std::size_t number = 0; number < operators; ++number) {
+                const std::string &text = objects.at("model m" + std::to_string(number));
+                const int value = std::atoi(text.substr(text.find("max_tokens = ") + 13).c_str());
+                CHECK(value >= lastAccepted[number]);
+            }
+        }
+    }
+
+    SECTION("conflict on one object, with both sides shown")
+    {
+        FakeStore store;
+        ConfigurationEditor<FakeStore> editor(store, "test");
+        editor.replace("[model m0]\nmax_tokens = 1\n", "base", "ana");
+        // The other operator gets in between the first one's reading and its swap.
+        bool raced = false;
+        store.beforeWrite = [&](const std::string &key) {
+            if (key == headKey("test") && !raced) {
+                raced = true;
+                ConfigurationEditor<FakeStore> other(store, "test");
+                REQUIRE(other.change(modelChange(0, 3), "second", "bo").publish.result == PublishResult::Accepted);
+            }
+        };
+        const EditOutcome outcome = editor.change(modelChange(0, 2), "first", "ana");
+        CHECK(outcome.publish.result == PublishResult::Conflict);
+        REQUIRE(outcome.conflicts.size() == 1);
+        CHECK(outcome.conflicts[0].before.find("max_tokens = 1") != std::string::npos);
+        CHECK(outcome.conflicts[0].after.find("max_tokens = 3") != std::string::npos);
+    }
+
+    SECTION("are rebased where they touch different objects")
+    {
+        FakeStore store;
+        ConfigurationEditor<FakeStore> editor(store, "test");
+        editor.replace("[model m0]\nmax_tokens = 1\n", "base", "ana");
+        bool raced = false;
+        store.beforeWrite = [&](const std::string &key) {
+            if (key == headKey("test") && !raced) {
+                raced = true;
+                ConfigurationEditor<FakeStore> other(store, "test");
+                other.change(modelChange(1, 3), "second", "bo");
+            }
+        };
+        const EditOutcome outcome = editor.change(modelChange(0, 2), "first", "ana");
+        CHECK(outcome.publish.result == PublishResult::Accepted);
+        CHECK(outcome.publish.head.revision == 3);
+        CHECK(outcome.changes.size() == 1);
+    }
+}
--- /dev/null
+++ b/tests/unit/unit-routing.cpp
@@ -0,0 +1,190 @@
+#include <catch2/catch.hpp>
+
+#include <map>
+
+#include <rapidcheck.h>
+
+#include "zinniadock/process/accountlimiter.h"
+#include "zinniadock/process/routing.h"
+
+using namespace zinniadock;
+
+namespace
+{
+
+constexpr std::chrono::microseconds saving{ 2000 };
+
+std::vector<ServerView> servers(int count)
+{
+    std::vector<ServerView> views;
+    for (int i = 0; i < count; ++i) {
+        views.push_back(ServerView{ .name = "server-" + std::to_string(i) });
+    }
+    return views;
+}
+
+} // namespace
+
+TEST_CASE("routing")
+{
+    SECTION("sends one prefix to one server while loads are even")
+    {
+        const auto views = servers(10);
+        const auto owner = chooseServer(views, 42, saving, 1);
+        for (std::uint64_t random = 0; random < 100; ++random) {
+            CHECK(chooseServer(views, 42, saving, random) == owner);
+        }
+    }
+
+    SECTION("spreads prefixes evenly")
+    {
+        const auto views = servers(10);
+        std::map<std::size_t, int> counts;
+        for (std::uint64_t prefix = 1; prefix <= 10000; ++prefix) {
+            ++counts[*chooseServer(views, stableHash(std::to_string(prefix)), saving, prefix)];
+        }
+        for (const auto &[index, count] : counts) {
+            CHECK(count > 800);
+            CHECK(count < 1200);
+        }
+    }
+
+    SECTION("moves few prefixes when a server goes")
+    {
+        auto views = servers(10);
+        int moved = 0;
+        for (std::uint64_t prefix = 1; prefix <= 1000; ++prefix) {
+            const auto before = chooseServer(views, stableHash(std::to_string(prefix)), saving, 0);
+            views[3].usable = false;
+            const auto after = chooseServer(views, stableHash(std::to_string(prefix)), saving, 0);
+            views[3].usable = true;
+            moved += before != after ? 1 : 0;
+            CHECK((before == after || before == std::optional<std::size_t>(3)));
+        }
+        CHECK(moved > 60);
+    }
+
+    SECTION("leaves a loaded owner for a free server")
+    {
+        auto views = servers(2);
+        const std::size_t owner = *chooseServer(views, 42, saving, 0);
+        views[owner].expectedWait = std::chrono::milliseconds(50);
+        CHECK(chooseServer(views, 42, saving, 1 - owner) == 1 - owner);
+    }
+
+    SECTION("stays in the data centre until it is full or gone")
+    {
+        auto views = servers(4);
+        views[2].sameDataCentre = false;
+        views[3].sameDataCentre = false;
+        for (std::uint64_t random = 0; random < 50; ++random) {
+            CHECK(*chooseServer(views, random, saving, random) < 2);
+        }
+        views[0].expectedWait = views[1].expectedWait = std::chrono::milliseconds(900);
+        bool spilled = false;
+        for (std::uint64_t random = 0; random < 50; ++random) {
+            spilled = spilled || *chooseServer(views, random, saving, random) >= 2;
+        }
+        CHECK(spilled);
+        views[0].usable = views[1].usable = false;
+        CHECK(*chooseServer(views, 1, saving, 0) >= 2);
+    }
+
+    SECTION("gives a server that came back little at first")
+    {
+        auto views = servers(2);
+        views[0].recovery = 0.05;
+        views[1].running = 10;
+        for (std::uint64_t random = 0; random < 20; ++random) {
+            const auto chosen = chooseServer(views, 0, saving, random);
+            CHECK((chosen == std::optional<std::size_t>(1) || random % 2 == 0));
+        }
+        CHECK(estimatedFirstToken(views[0]) > estimatedFirstToken(views[1]));
+    }
+
+    SECTION("never chooses a server that is not usable")
+    {
+        CHECK(rc::check([](std::uint64_t prefix, std::uint64_t random) {
+            auto views = servers(*rc::gen::inRange(0, 8));
+            bool anyUsable = false;
+            for (ServerView &view : views) {
+                view.usable = *rc::gen::arbitrary<bool>();
+                view.sameDataCentre = *rc::gen::arbitrary<bool>();
+                view.expectedWait = std::chrono::milliseconds(*rc::gen::inRange(0, 1000));
+                anyUsable = anyUsable || view.usable;
+            }
+            const auto chosen = chooseServer(views, prefix, saving, random);
+            RC_ASSERT(chosen.has_value() == anyUsable);
+            RC_ASSERT(!chosen || views[*chosen].usable);
+        }));
+    }
+}
+
+TEST_CASE("account limits")
+{
+    AccountLimiter limiter;
+    const Account account{ .requestsPerSecond = 10, .concurrency = 4 };
+    const AccountLimiter::Time start{ std::chrono::hours(1) };
+
+    SECTION("hold the rate over time")
+    {
+        int admitted = 0;
+        for (int i = 0; i < 10000; ++i) { // ten seconds
+            if (!limiter.enter("a", account, start + std::chrono::milliseconds(i))) {
+                ++admitted;
+                limiter.leave("a");
+            }
+        }
+        CHECK(admitted >= 100);
+        CHECK(admitted <= 110);
+    }
+
+    SECTION("hold the number at one time")
+    {
+        int admitted = 0;
+        for (int i = 0; i < 8; ++i) {
+            admitted += !limiter.enter("a", account, start);
+        }
+        CHECK(admitted == 4);
+        limiter.leave("a");
+        CHECK_FALSE(limiter.enter("a", account, start).has_value());
+    }
+
+    SECTION("are shared by the entries")
+    {
+        limiter.setEntries(2);
+        int admitted = 0;
+        for (int i = 0; i < 8; ++i) {
+            admitted += !limiter.enter("a", account, start);
+        }
+        CHECK(admitted == 2);
+    }
+
+    SECTION("say truthfully when to come back")
+    {
+        std::optional<Failure> failure;
+        AccountLimiter::Time now = start;
+        while (!(failure = limiter.enter("a", account, now))) {
+            limiter.leave("a");
+        }
+        CHECK(failure->verdict == Verdict::NotRun);
+        CHECK_FALSE(limiter.enter("a", account, now + failure->retryAfter).has_value());
+    }
+}
+
+TEST_CASE("retry budget")
+{
+    SECTION("keeps retries within a share of the requests")
+    {
+        RetryBudget budget;
+        int retries = 0;
+        for (int i = 0; i < 1000; ++i) {
+            budget.requestSent(0.1);
+            for (int attempt = 0; attempt < 3; ++attempt) {
+                retries += budget.takeRetry() ? 1 : 0;
+            }
+        }
+        CHECK(retries >= 100);
+        CHECK(retries <= 106);
+    }
+}
--- /dev/null
+++ b/tests/unit/unit-serving.cpp
@@ -0,0 +1,185 @@
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+#include <nlohmann/json.hpp>
+
+#include "fleet.h"
+
+using namespace zinniadock;
+using namespace zinniadock::test;
+using Json = nlohmann::json;
+
+namespace
+{
+
+Call completion(const std::string &prompt, bool chat = false)
+{
+    Json body{ { "model", "fitting-brief" } };
+    if (chat) {
+        body["messages"] = { { { "role", "user" }, { "content", prompt } } };
+    } else {
+        body["prompt"] = prompt;
+    }
+    return Call{ .path = chat ? "/v1/chat/completions" : "/v1/completions", .body = body.dump() };
+}
+
+} // namespace
+
+TEST_CASE("serving a generation")
+{
+    Fleet fleet;
+
+    SECTION("streams every token once and in order")
+    {
+        const std::string prompt = "a brief [tokens=500]";
+        CHECK(tokensAreWhole(streamGeneration(fleet.entryPort(), prompt), prompt, 500));
+    }
+
+    SECTION("answers whole without streaming, in both forms")
+    {
+        const HttpAnswer text = send(fleet.entryPort(), completion("[tokens=7]"));
+        REQUIRE(text.status == 200);
+        CHECK(text.verdict == "ran");
+        const Json textBody = Json::parse(text.body);
+        CHECK(textBody["object"] == "text_completion");
+        CHECK(textBody["usage"]["completion_tokens"] == 7);
+        CHECK(textBody["choices"][0]["finish_reason"] == "stop");
+        CHECK(textBody["choices"][0]["text"].get<std::string>().ends_with(":6 "));
+
+        const HttpAnswer chat = send(fleet.entryPort(), completion("[tokens=3]", true));
+        REQUIRE(chat.status == 200);
+        CHECK(Json::parse(chat.body)["choices"][0]["message"]["role"] == "assistant");
+    }
+
+    SECTION("gives many callers each its own answer")
+    {
+        constexpr int callers = 24;
+        std::atomic<int> right{ 0 };
+        std::vector<std::thread> threads;
+        for (int i = 0; i < callers; ++i) {
+            threads.emplace_back([&fleet, &right, i] {
+                const std::string prompt
+                    = "caller " + std::to_string(i) + " [tokens=" + std::to_string(20 + 10 * i) + "]";
+                right += tokensAreWhole(streamGeneration(fleet.entryPort(), prompt), prompt,
+                                        20 + 10 * static_cast<std::size_t>(i));
+            });
+        }
+        for (std::thread &thread : threads) {
+            thread.join();
+        }
+        CHECK(right == callers);
+    }
+
+    SECTION("ends a generation whose caller left")
+    {
+        streamGeneration(fleet.entryPort(), "[tokens=50000]", [](std::size_t count) {
+            return count < 10;
+        });
+        CHECK(eventually([&] {
+            return fleet.engines[0]->cancelled() + fleet.engines[1]->cancelled() == 1;
+        }));
+        CHECK(eventually([&] {
+            return fleet.sidecars[0]->status().sessions + fleet.sidecars[1]->status().sessions == 0;
+        }));
+    }
+}
+
+TEST_CASE("serving a plain service")
+{
+    Fleet fleet(1, 2);
+
+    SECTION("passes a call and its answer through")
+    {
+        const HttpAnswer answer = send(fleet.entryPort(), { .path = "/work-orders", .body = "order" });
+        CHECK(answer.status == 200);
+        CHECK(answer.verdict == "ran");
+        CHECK(fleet.service->runs("order") == 1);
+    }
+
+    SECTION("runs a keyed call once over all entries")
+    {
+        const Call call{ .path = "/work-orders", .body = "crew", .idempotencyKey = "key-1" };
+        const HttpAnswer first = send(fleet.entryPort(0), call);
+        const HttpAnswer second = send(fleet.entryPort(1), call);
+        CHECK(first.status == 200);
+        CHECK(second.body == first.body);
+        CHECK(second.replayed);
+        CHECK(fleet.service->runs("crew") == 1);
+    }
+
+    SECTION("refuses another call under the same key")
+    {
+        send(fleet.entryPort(), { .path = "/work-orders", .body = "one", .idempotencyKey = "key-2" });
+        const HttpAnswer other
+            = send(fleet.entryPort(), { .path = "/work-orders", .body = "two", .idempotencyKey = "key-2" });
+        CHECK(other.status == 422);
+        CHECK(other.verdict == "not_run");
+        CHECK(fleet.service->runs("two") == 0);
+    }
+
+    SECTION("runs a keyed call once when many send it at one time")
+    {
+        std::vector<std::thread> threads;
+        std::atomic<int> answered{ 0 };
+        for (std::size_t i = 0; i < 16; ++i) {
+            threads.emplace_back([&, i] {
+                const HttpAnswer answer = send(fleet.entryPort(i % 2),
+                                               { .path = "/work-orders", .body = "race", .idempotencyKey = "key-3" });
+                answered += answer.status == 200 || (answer.status == 409 && answer.verdict == "may_have_run") ? 1 : 0;
+            });
+        }
+        for (std::thread &thread : threads) {
+            thread.join();
+        }
+        CHECK(answered == 16);
+        CHECK(fleet.service->runs("race") == 1);
+    }
+
+    SECTION("keeps the outcome unknown when the service dies with the call")
+    {
+        fleet.service->setSilent(true);
+        const Call call{ .path = "/work-orders", .body = "lost", .idempotencyKey = "key-4" };
+        const HttpAnswer first = send(fleet.entryPort(), call);
+        CHECK(first.verdict == "may_have_run");
+        fleet.service->setSilent(false);
+        const HttpAnswer second = send(fleet.entryPort(), call);
+        CHECK(second.status == 409);
+        CHECK(second.verdict == "may_have_run");
+        CHECK(fleet.service->runs("lost") == 1);
+    }
+
+    SECTION("never resends a call without a key")
+    {
+        fleet.service->setSilent(true);
+        const HttpAnswer answer = send(fleet.entryPort(), { .path = "/work-orders", .body = "unkeyed" });
+        CHECK(answer.verdict == "may_have_run");
+        CHECK(fleet.service->runs("unkeyed") == 1);
+    }
+
+    SECTION("refuses keyed calls as not run while the store is down, and serves the rest")
+    {
+        fleet.store->setFaults({ .down = true });
+        const HttpAnswer keyed
+            = send(fleet.entryPort(), { .path = "/work-orders", .body = "down", .idempotencyKey = "key-5" });
+        CHECK(keyed.status == 503);
+        CHECK(keyed.verdict == "not_run");
+        CHECK(fleet.service->runs("down") == 0);
+        CHECK(send(fleet.entryPort(), { .method = "GET", .path = "/status/1" }).status == 200);
+        CHECK(tokensAreWhole(streamGeneration(fleet.entryPort(), "[tokens=20]"), "[tokens=20]", 20));
+    }
+
+    SECTION("runs a keyed call once though the store loses answers")
+    {
+        fleet.store->setFaults({ .loseAnswers = 0.5 });
+        for (int i = 0; i < 20; ++i) {
+            const std::string body = "lossy " + std::to_string(i);
+            const Call call{ .path = "/work-orders", .body = body, .idempotencyKey = "lossy-" + std::to_string(i) };
+            const HttpAnswer first = send(fleet.entryPort(0), call);
+            const HttpAnswer second = send(fleet.entryPort(1), call);
+            CHECK(fleet.service->runs(body) <= 1);
+            const bool ran = first.verdict == "ran" || second.verdict == "ran";
+            CHECK(fleet.service->runs(body) >= (ran ? 1U : 0U));
+        }
+    }
+}
--- /dev/null
+++ b/tests/unit/unit-tokenorder.cpp
@@ -0,0 +1,56 @@
+#include <catch2/catch.hpp>
+
+#include <rapidcheck.h>
+
+#include "zinniadock/request/tokenorder.h"
+#include "zinniadock/request/verdict.h"
+
+using namespace zinniadock;
+
+TEST_CASE("token order")
+{
+    SECTION("delivers each token once, in order, of one generation")
+    {
+        CHECK(rc::check([](const std::vector<std::pair<bool, std::uint8_t>> &frames) {
+            TokenOrder order;
+            order.follow(2);
+            SequenceNumber delivered = 0;
+            for (const auto &[ours, sequence] : frames) {
+                const TokenAction action = order.accept(ours ? 2 : 1, sequence % 8);
+                if (action == TokenAction::Deliver) {
+                    RC_ASSERT(ours);
+                    RC_ASSERT(sequence % 8 == delivered);
+                    ++delivered;
+                } else {
+                    RC_ASSERT(!ours || sequence % 8 != delivered);
+                }
+            }
+            RC_ASSERT(order.next() == delivered);
+        }));
+    }
+
+    SECTION("tells a gap from a repeat")
+    {
+        TokenOrder order;
+        order.follow(1);
+        CHECK(order.accept(1, 0) == TokenAction::Deliver);
+        CHECK(order.accept(1, 0) == TokenAction::Drop);
+        CHECK(order.accept(1, 2) == TokenAction::Gap);
+        CHECK(order.accept(1, 1) == TokenAction::Deliver);
+    }
+}
+
+TEST_CASE("verdict")
+{
+    SECTION("only moves up")
+    {
+        CHECK(raised(Verdict::NotRun, Verdict::MayHaveRun) == Verdict::MayHaveRun);
+        CHECK(raised(Verdict::Ran, Verdict::NotRun) == Verdict::Ran);
+    }
+
+    SECTION("is unknown where its name is")
+    {
+        CHECK(parseVerdict("not_run") == Verdict::NotRun);
+        CHECK(parseVerdict("no such verdict") == Verdict::MayHaveRun);
+    }
+}
