Carry the tokens of many streams in one frame, and wake a caller once for several

Cause: with 500 streams whose engines step together, each token was a frame, a lock of the link pool, a lock of the gap histogram, a wake-up and a write of its own; profiles showed wake-ups and locks, not codecs. Change: messages queued while the link's thread is busy share a frame (a CBOR array), a caller's thread takes all that has arrived and writes it once, gaps are recorded 64 at a time.

--- a/include/zinniadock/connection/linkmessage.h
+++ b/include/zinniadock/connection/linkmessage.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "zinniadock/request/requestid.h"
 #include "zinniadock/request/verdict.h"
@@ -313,8 +314,8 @@
 /// Encodes a message as one CBOR map.
 std::string encode(LinkMessage message);
 
-/// Decodes one frame; nothing if it is not a well-formed message within the size limits.
+/// Decodes one frame, an array of messages; nothing if it is not well-formed or exceeds the size limits.
 /// Complexity: linear in the frame, constant depth.
-std::optional<LinkMessage> decode(std::string_view frame);
+std::optional<std::vector<LinkMessage>> decode(std::string_view frame);
 
 } // namespace zinniadock
--- a/include/zinniadock/connection/linktransport.h
+++ b/include/zinniadock/connection/linktransport.h
@@ -10,6 +10,10 @@
 namespace zinniadock
 {
 
+/// A frame is a CBOR array of indefinite length: these bytes stand before and after its messages.
+constexpr char frameBegin = '\x9f';
+constexpr char frameEnd = '\xff';
+
 /// Names one connection of a LinkTransport; never used again after it closed.
 using LinkId = std::uint64_t;
 
@@ -40,8 +44,9 @@
     /// Starts to connect; `opened` or `closed` tells the result.
     LinkId connect(const std::string &address, std::uint16_t port);
 
-    /// Queues a frame; false if the connection is gone or its buffer is full, which also closes it.
-    bool send(LinkId link, const std::string &frame);
+    /// Queues a message; false if the connection is gone or its buffer is full, which also closes it.
+    /// Messages queued close together travel in one frame.
+    bool send(LinkId link, const std::string &message);
 
     /// Drops a connection without waiting for the peer.
     void drop(LinkId link);
--- a/include/zinniadock/process/boundedring.h
+++ b/include/zinniadock/process/boundedring.h
@@ -2,9 +2,10 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <iterator>
 #include <mutex>
-#include <optional>
 #include <utility>
+#include <vector>
 
 #include <boost/circular_buffer.hpp>
 
@@ -24,30 +25,31 @@
     /// Appends an item; false if the ring is full or closed. Complexity: constant.
     bool tryPush(Item item)
     {
+        bool wake = false;
         {
             const std::lock_guard lock(m_mutex);
             if (m_closed || m_items.full()) {
                 return false;
             }
             m_items.push_back(std::move(item));
+            wake = m_waiting;
+        }
+        if (wake) {
+            m_changed.notify_one();
         }
-        m_changed.notify_one();
         return true;
     }
 
-    /// Takes the oldest item, waiting up to \p timeout for one.
-    std::optional<Item> pop(std::chrono::milliseconds timeout)
+    /// Takes all items, oldest first, waiting up to \p timeout for one.
+    std::vector<Item> popAll(std::chrono::milliseconds timeout)
     {
         std::unique_lock lock(m_mutex);
-        m_changed.wait_for(lock, timeout, [this] {
-            return !m_items.empty() || m_closed;
-        });
-        if (m_items.empty()) {
-            return std::nullopt;
-        }
-        Item item = std::move(m_items.front());
-        m_items.pop_front();
-        return item;
+        m_waiting = true;
+        m_changed.wait_for(lock, timeout, [this] { return !m_items.empty() || m_closed; });
+        m_waiting = false;
+        std::vector<Item> items(std::make_move_iterator(m_items.begin()), std::make_move_iterator(m_items.end()));
+        m_items.clear();
+        return items;
     }
 
     /// Rejects further items and wakes the reader; items already there can still be taken.
@@ -77,6 +79,7 @@
     std::condition_variable m_changed;
     boost::circular_buffer<Item> m_items;
     bool m_closed = false;
+    bool m_waiting = false; ///< a reader is parked, so a push has to wake it
 };
 
 } // namespace zinniadock
--- a/include/zinniadock/process/linkpool.h
+++ b/include/zinniadock/process/linkpool.h
@@ -117,6 +117,8 @@
     void send(const ServerLink &server, const LinkMessage &message);
     void pushVersion(ServerLink &server);
     template <typename Message>
+    void handle(ServerLink &server, Message &message);
+    template <typename Message>
     void deliver(ServerLink &server, Message &message);
 
     const std::string m_instance;
--- a/include/zinniadock/process/metrics.h
+++ b/include/zinniadock/process/metrics.h
@@ -23,6 +23,7 @@
     DurationHistogram();
 
     void record(std::chrono::microseconds duration);
+    void record(const std::vector<std::chrono::microseconds> &durations);
 
     /// Returns the duration below which a share \p quantile of the records lies; zero without records.
     std::chrono::microseconds quantile(double quantile) const;
--- a/include/zinniadock/request/answerwriter.h
+++ b/include/zinniadock/request/answerwriter.h
@@ -19,9 +19,8 @@
 concept AnswerWriter
     = requires(Type writer, GenerationKey key, SequenceNumber sequence, const std::string &text, const Failure &failure)
 {
-    {
-        writer.token(key, sequence, text)
-        } -> std::same_as<bool>; ///< false if the caller is gone
+    writer.token(key, sequence, text);
+    { writer.flush() } -> std::same_as<bool>; ///< false if the caller is gone
     {
         writer.finish(key, sequence, text)
         } -> std::same_as<bool>;
@@ -44,7 +43,9 @@
     StreamWriter(Poco::Net::HTTPServerResponse &response, const CallerRequest &request,
                  const GenerationRequest &generation);
 
-    bool token(const GenerationKey &key, SequenceNumber sequence, const std::string &text);
+    /// Takes one token; flush() sends it.
+    void token(const GenerationKey &key, SequenceNumber sequence, const std::string &text);
+    bool flush();
     bool finish(const GenerationKey &key, SequenceNumber tokens, const std::string &reason);
     bool probe();
 
@@ -60,6 +61,7 @@
     const bool m_chat;
     std::string m_prefix; ///< the part of each event before the token
     std::ostream *m_stream = nullptr;
+    std::string m_pending; ///< events not yet sent
     std::uint64_t m_tokens = 0;
 };
 
@@ -70,7 +72,9 @@
     WholeWriter(Poco::Net::HTTPServerResponse &response, const CallerRequest &request,
                 const GenerationRequest &generation);
 
-    bool token(const GenerationKey &key, SequenceNumber sequence, const std::string &text);
+    /// Takes one token; flush() sends it.
+    void token(const GenerationKey &key, SequenceNumber sequence, const std::string &text);
+    bool flush();
     bool finish(const GenerationKey &key, SequenceNumber tokens, const std::string &reason);
     bool probe();
     void fail(const Failure &failure);
--- a/include/zinniadock/request/exchange.h
+++ b/include/zinniadock/request/exchange.h
@@ -65,9 +65,10 @@
         }
     }
 
-    std::optional<ExchangeEvent> pop(std::chrono::milliseconds timeout)
+    /// Takes all events that have arrived, waiting up to \p timeout for one.
+    std::vector<ExchangeEvent> popAll(std::chrono::milliseconds timeout)
     {
-        return m_events.pop(timeout);
+        return m_events.popAll(timeout);
     }
 
     std::uint64_t lostEvents() const
--- a/include/zinniadock/request/requestrunner.h
+++ b/include/zinniadock/request/requestrunner.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include <Poco/Net/HTTPServerResponse.h>
 
@@ -51,8 +52,13 @@
     Attempt attemptGeneration(Writer &writer, GenerationId generation, std::set<std::string> &tried);
     template <AnswerWriter Writer>
     Attempt followGeneration(Writer &writer, const std::string &server, const std::shared_ptr<Exchange> &exchange);
+    std::optional<Attempt> giveUp(const std::optional<Clock::time_point> &brokenSince) const;
     template <AnswerWriter Writer>
-    std::optional<Attempt> takeToken(Writer &writer, const std::string &server, Exchange &exchange, const Token &token);
+    std::optional<Attempt> takeEvent(Writer &writer, const std::string &server, Exchange &exchange,
+                                     const ExchangeEvent &event);
+    template <AnswerWriter Writer>
+    void takeToken(Writer &writer, const std::string &server, Exchange &exchange, const Token &token);
+    void recordGaps();
 
     void runCall();
     void runKeyedCall();
@@ -84,6 +90,7 @@
     TokenOrder m_order;
     Clock::time_point m_lastToken;
     std::chrono::microseconds m_longestStall{ 0 };
+    std::vector<std::chrono::microseconds> m_gaps; ///< not yet recorded
 };
 
 } // namespace zinniadock
--- a/src/connection/linkmessage.cpp
+++ b/src/connection/linkmessage.cpp
@@ -19,7 +19,8 @@
 
 constexpr std::size_t maxFrameBytes = 8U << 20U;
 constexpr std::size_t maxFields = 64;
-constexpr std::size_t maxNesting = 4;
+constexpr std::size_t maxNesting = 6;
+constexpr std::size_t maxMessages = 65536;
 constexpr const char *typeField = "#";
 
 using FieldValue = std::variant<std::monostate, std::uint64_t, std::int64_t, bool, double, std::string>;
@@ -30,14 +31,16 @@
     FieldValue value;
 };
 
-// Builds a flat list of the fields of the outer map. A document tree is not built, since a frame of nested arrays
-// would recurse once per byte; here the parser stops at a fixed depth.
+using Fields = std::vector<Field>;
+
+// Builds a flat list of fields for each map in the frame's array. A document tree is not built, since a frame of nested
+// arrays would recurse once per byte; here the parser stops at a fixed depth.
 class FlatReader final : public Json::json_sax_t
 {
 public:
-    std::vector<Field> &fields()
+    std::vector<Fields> &messages()
     {
-        return m_fields;
+        return m_messages;
     }
 
     bool null() override
@@ -77,18 +80,22 @@
 
     bool start_object(std::size_t /*elements*/) override
     {
-        return ++m_depth <= maxNesting;
+        if (m_depth == arrayDepth) {
+            m_messages.emplace_back();
+        }
+        return ++m_depth <= maxNesting && m_depth > arrayDepth && m_messages.size() <= maxMessages;
     }
 
     bool key(string_t &value) override
     {
-        if (m_depth != 1) {
+        if (m_depth != messageDepth) {
             return true;
         }
-        if (m_fields.size() >= maxFields) {
+        Fields &fields = m_messages.back();
+        if (fields.size() >= maxFields) {
             return false;
         }
-        m_fields.push_back(Field{ .key = std::move(value), .value = {} });
+        fields.push_back(Field{ .key = std::move(value), .value = {} });
         return true;
     }
 
@@ -100,7 +107,7 @@
 
     bool start_array(std::size_t /*elements*/) override
     {
-        return ++m_depth <= maxNesting;
+        return ++m_depth <= maxNesting && m_depth != messageDepth;
     }
 
     bool end_array() override
@@ -116,19 +123,22 @@
     }
 
 private:
+    static constexpr std::size_t arrayDepth = 1;
+    static constexpr std::size_t messageDepth = 2;
+
     // Values of a nested field that this version does not know are skipped.
     bool store(FieldValue value)
     {
-        if (m_depth == 0) {
+        if (m_depth < messageDepth) {
             return false;
         }
-        if (m_depth == 1 && !m_fields.empty()) {
-            m_fields.back().value = std::move(value);
+        if (m_depth == messageDepth && !m_messages.back().empty()) {
+            m_messages.back().back().value = std::move(value);
         }
         return true;
     }
 
-    std::vector<Field> m_fields;
+    std::vector<Fields> m_messages;
     std::size_t m_depth = 0;
 };
 
@@ -183,7 +193,7 @@
 class Decoder
 {
 public:
-    explicit Decoder(std::vector<Field> &fields)
+    explicit Decoder(Fields &fields)
         : m_fields(fields)
     {
     }
@@ -286,12 +296,12 @@
         }
     }
 
-    std::vector<Field> &m_fields;
+    Fields &m_fields;
     bool m_valid = true;
 };
 
 template <std::size_t Type = 0>
-std::optional<LinkMessage> decodeAs(std::size_t type, std::vector<Field> &fields)
+std::optional<LinkMessage> decodeAs(std::size_t type, Fields &fields)
 {
     if constexpr (Type < std::variant_size_v<LinkMessage>) {
         if (type != Type) {
@@ -309,6 +319,17 @@
     }
 }
 
+std::optional<LinkMessage> decodeFields(Fields &fields)
+{
+    for (const Field &field : fields) {
+        if (field.key == typeField) {
+            const auto *type = std::get_if<std::uint64_t>(&field.value);
+            return type == nullptr ? std::nullopt : decodeAs(*type, fields);
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 std::string encode(LinkMessage message)
@@ -322,7 +343,7 @@
     return encoder.bytes();
 }
 
-std::optional<LinkMessage> decode(std::string_view frame)
+std::optional<std::vector<LinkMessage>> decode(std::string_view frame)
 {
     if (frame.size() > maxFrameBytes) {
         return std::nullopt;
@@ -331,13 +352,16 @@
     if (!Json::sax_parse(frame.begin(), frame.end(), &reader, Json::input_format_t::cbor)) {
         return std::nullopt;
     }
-    for (const Field &field : reader.fields()) {
-        if (field.key == typeField) {
-            const auto *type = std::get_if<std::uint64_t>(&field.value);
-            return type == nullptr ? std::nullopt : decodeAs(*type, reader.fields());
+    std::vector<LinkMessage> messages;
+    messages.reserve(reader.messages().size());
+    for (Fields &fields : reader.messages()) {
+        std::optional<LinkMessage> message = decodeFields(fields);
+        if (!message) {
+            return std::nullopt;
         }
+        messages.push_back(std::move(*message));
     }
-    return std::nullopt;
+    return messages;
 }
 
 } // namespace zinniadock
--- a/src/connection/linktransport.cpp
+++ b/src/connection/linktransport.cpp
@@ -36,9 +36,45 @@
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
 
-    virtual std::size_t bufferedBytes() const = 0;
-    virtual bool send(const std::string &frame) = 0;
+    /// Returns the bytes not yet given to the kernel.
+    std::size_t bufferedBytes() const
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_pending.size() + writingBytes();
+    }
+
+    /// Queues a message; true if flush() has to be called for it.
+    bool append(const std::string &message)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        const bool first = m_pending.empty();
+        m_pending += first ? std::string(1, frameBegin) + message : message;
+        return first;
+    }
+
+    /// Sends the queued messages as one frame; messages that arrive while the transport's thread is busy share it.
+    void flush()
+    {
+        std::string frame;
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            frame.swap(m_pending);
+        }
+        if (!frame.empty()) {
+            frame += frameEnd;
+            write(frame);
+        }
+    }
+
     virtual void drop() = 0;
+
+protected:
+    virtual std::size_t writingBytes() const = 0;
+    virtual void write(const std::string &frame) = 0;
+
+private:
+    mutable std::mutex m_mutex;
+    std::string m_pending;
 };
 
 template <typename Pointer>
@@ -50,16 +86,6 @@
     {
     }
 
-    std::size_t bufferedBytes() const override
-    {
-        return m_pointer->get_buffered_amount();
-    }
-
-    bool send(const std::string &frame) override
-    {
-        return !m_pointer->send(frame, websocketpp::frame::opcode::binary);
-    }
-
     // The socket is shut down first, because a close handshake waits for a peer that may be silent for good.
     void drop() override
     {
@@ -69,6 +95,19 @@
         m_pointer->close(websocketpp::close::status::going_away, "", ignored);
     }
 
+protected:
+    std::size_t writingBytes() const override
+    {
+        return m_pointer->get_buffered_amount();
+    }
+
+    // A frame that can't be sent is lost with its connection, whose end is reported.
+    void write(const std::string &frame) override
+    {
+        const websocketpp::lib::error_code ignored = m_pointer->send(frame, websocketpp::frame::opcode::binary);
+        static_cast<void>(ignored);
+    }
+
 private:
     Pointer m_pointer;
 };
@@ -145,7 +184,7 @@
         return link;
     }
 
-    bool send(LinkId link, const std::string &frame)
+    bool send(LinkId link, const std::string &message)
     {
         const std::shared_ptr<Connection> connection = find(link);
         if (!connection) {
@@ -155,7 +194,10 @@
             drop(link);
             return false;
         }
-        return connection->send(frame);
+        if (connection->append(message)) {
+            boost::asio::post(m_io, [connection] { connection->flush(); });
+        }
+        return true;
     }
 
     void drop(LinkId link)
@@ -313,9 +355,9 @@
     return m_implementation->connect(address, port);
 }
 
-bool LinkTransport::send(LinkId link, const std::string &frame)
+bool LinkTransport::send(LinkId link, const std::string &message)
 {
-    return m_implementation->send(link, frame);
+    return m_implementation->send(link, message);
 }
 
 void LinkTransport::drop(LinkId link)
--- a/src/process/linkpool.cpp
+++ b/src/process/linkpool.cpp
@@ -264,15 +264,16 @@
 
 void LinkPool::received(LinkId link, const std::string &frame)
 {
-    std::optional<LinkMessage> message = decode(frame);
-    if (!message) {
+    std::optional<std::vector<LinkMessage>> messages = decode(frame);
+    if (!messages) {
         log.warning("dropped a link that sent a malformed frame");
         m_transport->drop(link);
         return;
     }
-    if (const auto *push = std::get_if<ConfigurationPush>(&*message)) {
-        adopt(link, *push);
-        return;
+    for (LinkMessage &message : *messages) {
+        if (const auto *push = std::get_if<ConfigurationPush>(&message)) {
+            adopt(link, *push);
+        }
     }
     const std::lock_guard lock(m_mutex);
     ServerLink *server = findByLink(link);
@@ -281,20 +282,23 @@
     }
     server->lastHeard = Clock::now();
     server->pinged = false;
-    std::visit(
-        [&](auto &content) {
-            using Content = std::decay_t<decltype(content)>;
-            if constexpr (std::is_same_v<Content, Hello>) {
-                greeted(*server, content);
-            } else if constexpr (std::is_same_v<Content, LoadReport>) {
-                server->load = content;
-                server->sentSinceReport = 0;
-                server->theirRevision = std::max(server->theirRevision, content.revision);
-            } else if constexpr (std::is_constructible_v<ExchangeEvent, Content>) {
-                deliver(*server, content);
-            }
-        },
-        *message);
+    for (LinkMessage &message : *messages) {
+        std::visit([this, server](auto &content) { handle(*server, content); }, message);
+    }
+}
+
+template <typename Message>
+void LinkPool::handle(ServerLink &server, Message &message)
+{
+    if constexpr (std::is_same_v<Message, Hello>) {
+        greeted(server, message);
+    } else if constexpr (std::is_same_v<Message, LoadReport>) {
+        server.load = message;
+        server.sentSinceReport = 0;
+        server.theirRevision = std::max(server.theirRevision, message.revision);
+    } else if constexpr (std::is_constructible_v<ExchangeEvent, Message>) {
+        deliver(server, message);
+    }
 }
 
 template <typename Message>
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -32,11 +32,18 @@
 }
 
 void DurationHistogram::record(std::chrono::microseconds duration)
+{
+    record(std::vector<std::chrono::microseconds>{ duration });
+}
+
+void DurationHistogram::record(const std::vector<std::chrono::microseconds> &durations)
 {
     const std::lock_guard lock(m_mutex);
-    m_histogram(std::max(seconds(duration), leastSeconds));
-    m_sum += seconds(duration);
-    ++m_count;
+    for (const std::chrono::microseconds duration : durations) {
+        m_histogram(std::max(seconds(duration), leastSeconds));
+        m_sum += seconds(duration);
+    }
+    m_count += durations.size();
 }
 
 std::chrono::microseconds DurationHistogram::quantile(double quantile) const
--- a/src/process/sidecar.cpp
+++ b/src/process/sidecar.cpp
@@ -194,8 +194,8 @@
 
 void Sidecar::received(LinkId link, const std::string &frame)
 {
-    std::optional<LinkMessage> message = decode(frame);
-    if (!message) {
+    std::optional<std::vector<LinkMessage>> messages = decode(frame);
+    if (!messages) {
         log.warning("dropped a link that sent a malformed frame of " + std::to_string(frame.size()) + " bytes");
         {
             const std::lock_guard lock(m_mutex);
@@ -204,11 +204,9 @@
         m_transport->drop(link);
         return;
     }
-    std::visit(
-        [this, link](auto &content) {
-            handle(link, content);
-        },
-        *message);
+    for (LinkMessage &message : *messages) {
+        std::visit([this, link](auto &content) { handle(link, content); }, message);
+    }
 }
 
 void Sidecar::closed(LinkId link)
--- a/src/request/answerwriter.cpp
+++ b/src/request/answerwriter.cpp
@@ -1,6 +1,7 @@
 #include "zinniadock/request/answerwriter.h"
 
 #include <chrono>
+#include <utility>
 
 #include <Poco/Exception.h>
 #include <nlohmann/json.hpp>
@@ -71,20 +72,25 @@
         + R"(,"model":)" + dump(generation.route) + R"(,"choices":[{"index":0,)";
 }
 
-bool StreamWriter::token(const GenerationKey &key, SequenceNumber sequence, const std::string &text)
+void StreamWriter::token(const GenerationKey &key, SequenceNumber sequence, const std::string &text)
 {
     const bool isFirst = m_tokens == 0;
     ++m_tokens;
-    std::string event
-        = "id: " + std::to_string(key.generation) + ":" + std::to_string(sequence) + "\ndata: " + m_prefix;
+    m_pending += "id: " + std::to_string(key.generation) + ":" + std::to_string(sequence) + "\ndata: " + m_prefix;
     if (m_chat) {
-        event += std::string(R"("delta":{)") + (isFirst ? R"("role":"assistant",)" : "") + R"("content":)" + dump(text)
+        m_pending += std::string(R"("delta":{)") + (isFirst ? R"("role":"assistant",)" : "") + R"("content":)" + dump(text)
             + "}";
     } else {
-        event += R"("text":)" + dump(text);
+        m_pending += R"("text":)" + dump(text);
     }
-    event += R"(,"finish_reason":null}]})";
-    return write(event + "\n\n");
+    m_pending += R"(,"finish_reason":null}]})";
+    m_pending += "\n\n";
+}
+
+bool StreamWriter::flush()
+{
+    const std::string events = std::exchange(m_pending, std::string());
+    return events.empty() || write(events);
 }
 
 bool StreamWriter::finish(const GenerationKey & /*key*/, SequenceNumber /*tokens*/, const std::string &reason)
@@ -138,9 +144,13 @@
 {
 }
 
-bool WholeWriter::token(const GenerationKey & /*key*/, SequenceNumber /*sequence*/, const std::string &text)
+void WholeWriter::token(const GenerationKey & /*key*/, SequenceNumber /*sequence*/, const std::string &text)
 {
     m_text += text;
+}
+
+bool WholeWriter::flush()
+{
     return m_text.size() <= maxAnswerBytes;
 }
 
--- a/src/request/requestrunner.cpp
+++ b/src/request/requestrunner.cpp
@@ -276,70 +276,99 @@
     std::optional<Clock::time_point> brokenSince;
     Clock::time_point nextProbe = Clock::now() + popInterval;
     while (true) {
-        std::optional<ExchangeEvent> event = exchange->pop(popInterval);
+        const std::vector<ExchangeEvent> events = exchange->popAll(popInterval);
+        std::optional<Attempt> end;
+        for (const ExchangeEvent &event : events) {
+            if (std::holds_alternative<LinkBroken>(event)) {
+                brokenSince = brokenSince.value_or(Clock::now());
+            } else if (!end) {
+                brokenSince.reset();
+                end = takeEvent(writer, server, *exchange, event);
+            }
+        }
+        bool callerGone = !writer.flush();
         if (Clock::now() >= nextProbe) {
             nextProbe = Clock::now() + popInterval;
-            if (m_callerClosed() && !writer.probe()) {
-                return Attempt{ .end = linkLost(Verdict::MayHaveRun), .callerGone = true };
-            }
+            callerGone = callerGone || (m_callerClosed() && !writer.probe());
         }
-        if (!event) {
-            const auto patience = m_order.next() == 0 ? linkPatienceBeforeFirstToken : linkPatience;
-            if (brokenSince && Clock::now() - *brokenSince > patience) {
-                return Attempt{ .end = linkLost(Verdict::MayHaveRun) };
-            }
-            if (m_order.next() == 0 && timeLeft() + deadlineSlack < std::chrono::milliseconds(0)) {
-                return Attempt{ .end = Failure{ .code = RequestError::DeadlineExceeded,
-                                                .verdict = Verdict::MayHaveRun,
-                                                .message = "no token arrived before the deadline" } };
-            }
-            continue;
+        if (callerGone) {
+            return Attempt{ .end = linkLost(Verdict::MayHaveRun), .callerGone = true };
         }
-        if (std::holds_alternative<LinkBroken>(*event)) {
-            brokenSince = brokenSince.value_or(Clock::now());
-            continue;
+        if (!end) {
+            end = giveUp(brokenSince);
         }
-        brokenSince.reset();
-        if (const auto *token = std::get_if<Token>(&*event)) {
-            if (auto end = takeToken(writer, server, *exchange, *token)) {
-                return *end;
-            }
-        } else if (const auto *finished = std::get_if<Finished>(&*event)) {
-            if (finished->tokens == m_order.next()) {
-                return Attempt{ .end = *finished };
-            }
-            m_services.links.resume(server, *exchange);
-        } else if (const auto *failed = std::get_if<Failed>(&*event)) {
-            return Attempt{ .end = failureOf(*failed) };
+        if (end) {
+            recordGaps();
+            return *end;
         }
     }
 }
 
+// Says whether nothing more is to be expected of an attempt: its link stays broken, or no token came in time.
+std::optional<RequestRunner::Attempt> RequestRunner::giveUp(const std::optional<Clock::time_point> &brokenSince) const
+{
+    const auto patience = m_order.next() == 0 ? linkPatienceBeforeFirstToken : linkPatience;
+    if (brokenSince && Clock::now() - *brokenSince > patience) {
+        return Attempt{ .end = linkLost(Verdict::MayHaveRun) };
+    }
+    if (m_order.next() == 0 && timeLeft() + deadlineSlack < std::chrono::milliseconds(0)) {
+        return Attempt{ .end = Failure{ .code = RequestError::DeadlineExceeded,
+                                        .verdict = Verdict::MayHaveRun,
+                                        .message = "no token arrived before the deadline" } };
+    }
+    return std::nullopt;
+}
+
 template <AnswerWriter Writer>
-std::optional<RequestRunner::Attempt> RequestRunner::takeToken(Writer &writer, const std::string &server,
-                                                               Exchange &exchange, const Token &token)
+std::optional<RequestRunner::Attempt> RequestRunner::takeEvent(Writer &writer, const std::string &server,
+                                                               Exchange &exchange, const ExchangeEvent &event)
+{
+    if (const auto *token = std::get_if<Token>(&event)) {
+        takeToken(writer, server, exchange, *token);
+    } else if (const auto *finished = std::get_if<Finished>(&event)) {
+        if (finished->tokens == m_order.next()) {
+            return Attempt{ .end = *finished };
+        }
+        m_services.links.resume(server, exchange);
+    } else if (const auto *failed = std::get_if<Failed>(&event)) {
+        return Attempt{ .end = failureOf(*failed) };
+    }
+    return std::nullopt;
+}
+
+template <AnswerWriter Writer>
+void RequestRunner::takeToken(Writer &writer, const std::string &server, Exchange &exchange, const Token &token)
 {
     const TokenAction action = m_order.accept(token.generation, token.sequence);
     if (action == TokenAction::Gap) {
         m_services.links.resume(server, exchange);
     }
     if (action != TokenAction::Deliver) {
-        return std::nullopt;
-    }
-    if (!writer.token(exchange.key(), token.sequence, token.text)) {
-        return Attempt{ .end = linkLost(Verdict::Ran), .callerGone = true };
+        return;
     }
+    writer.token(exchange.key(), token.sequence, token.text);
     const auto now = Clock::now();
     const auto gap = std::chrono::duration_cast<std::chrono::microseconds>(now - m_lastToken);
     m_longestStall = std::max(m_longestStall, gap);
-    (token.sequence == 0 ? m_services.metrics.firstToken : m_services.metrics.tokenGap).record(gap);
     m_lastToken = now;
-    ++m_services.metrics.tokens;
+    if (token.sequence == 0) {
+        m_services.metrics.firstToken.record(gap);
+    } else {
+        m_gaps.push_back(gap);
+    }
     exchange.setNext(m_order.next());
     if (m_order.next() % tokensPerAck == 0) {
         m_services.links.acknowledge(server, exchange, m_order.next());
+        recordGaps();
     }
-    return std::nullopt;
+}
+
+// The gaps of many tokens go into the process's histogram together, since its lock is shared by all requests.
+void RequestRunner::recordGaps()
+{
+    m_services.metrics.tokenGap.record(m_gaps);
+    m_services.metrics.tokens += m_gaps.size();
+    m_gaps.clear();
 }
 
 void RequestRunner::runCall()
@@ -449,17 +478,15 @@
     }
     const auto giveUp = m_deadline + deadlineSlack;
     while (Clock::now() < giveUp) {
-        std::optional<ExchangeEvent> event = exchange->pop(popInterval);
-        if (!event) {
-            continue;
-        }
-        if (auto *reply = std::get_if<Reply>(&*event)) {
-            m_services.links.finish(server, *exchange, 0);
-            return std::move(*reply);
-        }
-        if (const auto *failed = std::get_if<Failed>(&*event)) {
-            m_services.links.finish(server, *exchange, 0);
-            return failureOf(*failed);
+        for (ExchangeEvent &event : exchange->popAll(popInterval)) {
+            if (auto *reply = std::get_if<Reply>(&event)) {
+                m_services.links.finish(server, *exchange, 0);
+                return std::move(*reply);
+            }
+            if (const auto *failed = std::get_if<Failed>(&event)) {
+                m_services.links.finish(server, *exchange, 0);
+                return failureOf(*failed);
+            }
         }
     }
     m_services.links.finish(server, *exchange, 0);
--- a/tests/standin/enginestandin.cpp
+++ b/tests/standin/enginestandin.cpp
@@ -31,6 +31,12 @@
     return hash;
 }
 
+std::int64_t wallMicroseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+}
+
 std::string promptOf(const Json &body, bool chat)
 {
     if (!chat) {
@@ -166,10 +172,12 @@
         return;
     }
     const std::string prompt = promptOf(body, chat);
+    const std::int64_t arrived = wallMicroseconds();
     auto generation = std::make_shared<Generation>();
     {
         const std::lock_guard lock(m_mutex);
         generation->id = ++m_lastJob;
+        generation->arrived = arrived;
         generation->key = body.value("request_id", "direct-" + std::to_string(generation->id));
         generation->chat = chat;
         const std::size_t dash = generation->key.rfind('-');
@@ -178,7 +186,10 @@
             sendJson(response, R"({"error":"the request id is in use"})", HTTPServerResponse::HTTP_CONFLICT);
             return;
         }
-        m_history.record({ { "event", "engine_start" }, { "key", generation->key }, { "mark", promptMark(prompt) } });
+        m_history.record({ { "event", "engine_start" },
+                           { "key", generation->key },
+                           { "mark", promptMark(prompt) },
+                           { "server", m_settings.server } });
         if (prompt.find("[crash]") != std::string::npos) {
             std::_Exit(1);
         }
@@ -279,14 +290,19 @@
             const bool cut = generation->cancelled || m_streamEpoch != epoch || m_stopping;
             const std::uint64_t emitted = generation->emitted;
             const std::string reason = generation->reason;
+            std::vector<std::string> tokens;
+            for (std::uint64_t index = next; index < emitted && !cut; ++index) {
+                tokens.push_back(tokenText(*generation, index));
+            }
             lock.unlock();
             if (cut) {
                 break;
             }
             std::string events;
-            for (; next < emitted; ++next) {
-                events += R"(data: {"choices":[{"index":0,)" + before + generation->tokenPrefix + std::to_string(next)
-                    + " " + after + R"(,"finish_reason":null}],"token_index":)" + std::to_string(next) + "}\n\n";
+            for (const std::string &token : tokens) {
+                events += R"(data: {"choices":[{"index":0,)" + before + token + after
+                    + R"(,"finish_reason":null}],"token_index":)" + std::to_string(next) + "}\n\n";
+                ++next;
             }
             if (!reason.empty()) {
                 events += R"(data: {"choices":[{"index":0,)" + before + after + R"(,"finish_reason":")" + reason
@@ -305,6 +321,16 @@
     generation->readerGone = Clock::now();
 }
 
+std::string EngineStandin::tokenText(const Generation &generation, std::uint64_t index)
+{
+    std::string text = generation.tokenPrefix + std::to_string(index);
+    if (index < generation.stamps.size()) {
+        text += "@" + std::to_string(generation.stamps[index]);
+        text += index == 0 ? "@" + std::to_string(generation.arrived) : "";
+    }
+    return text + " ";
+}
+
 std::string EngineStandin::loadText()
 {
     const std::lock_guard lock(m_mutex);
@@ -363,8 +389,13 @@
     lock.unlock();
     std::this_thread::sleep_for(step.duration);
     lock.lock();
+    const std::int64_t now = wallMicroseconds();
     for (const std::uint64_t id : step.emitted) {
-        ++m_byJob.at(id)->emitted;
+        Generation &generation = *m_byJob.at(id);
+        ++generation.emitted;
+        if (m_settings.stamp) {
+            generation.stamps.push_back(now);
+        }
     }
     for (const std::uint64_t id : step.finished) {
         const GenerationPointer generation = m_byJob.at(id);
--- a/tests/standin/enginestandin.h
+++ b/tests/standin/enginestandin.h
@@ -36,6 +36,8 @@
     double cacheEventGap = 0.1; ///< share of cache events that are never published
     std::chrono::milliseconds orphanLife{ 10000 }; ///< a generation without a reader goes on for so long
     std::string history;
+    std::string server; ///< name in the history
+    bool stamp = false; ///< adds `@emitted`, and to the first token `@arrived`, in microseconds of the wall clock
 };
 
 /// A model engine in the form of the completions interface with server-sent events.
@@ -78,6 +80,8 @@
         std::string tokenPrefix;
         std::uint64_t id = 0;
         std::uint64_t emitted = 0;
+        std::int64_t arrived = 0; ///< wall clock
+        std::deque<std::int64_t> stamps; ///< of the tokens emitted
         std::string reason; ///< set at the end
         bool chat = false;
         bool cancelled = false;
@@ -110,6 +114,7 @@
     void cancel(const std::string &key, HTTPServerResponse &response);
     void control(HTTPServerRequest &request, HTTPServerResponse &response);
     void stream(const GenerationPointer &generation, std::uint64_t from, HTTPServerResponse &response);
+    static std::string tokenText(const Generation &generation, std::uint64_t index);
     std::string loadText();
     std::string cacheEventText();
     void run();
--- a/tests/standin/history.h
+++ b/tests/standin/history.h
@@ -21,6 +21,11 @@
         }
     }
 
+    bool records() const
+    {
+        return m_stream.is_open();
+    }
+
     /// Writes one event with the time in microseconds since the epoch.
     void record(nlohmann::json event)
     {
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -17,6 +17,8 @@
 ABSL_FLAG(int, blocks, 4096, "engine: key-value memory in blocks of 16 tokens");
 ABSL_FLAG(int, step_us, 15000, "engine: base time of a decoding step");
 ABSL_FLAG(int, step_per_sequence_us, 60, "engine: time of a step per sequence in the batch");
+ABSL_FLAG(bool, stamp, false, "engine: stamp each token with the time of its emission");
+ABSL_FLAG(std::string, server, "", "engine: name in the history");
 ABSL_FLAG(int, max_batch, 256, "engine: sequences in a batch");
 ABSL_FLAG(std::vector<std::string>, lengths, {}, "engine: model=median:sigma of each model's output lengths");
 
@@ -67,6 +69,8 @@
         settings.model.maxBatch = static_cast<std::uint32_t>(absl::GetFlag(FLAGS_max_batch));
         settings.model.stepBase = std::chrono::microseconds(absl::GetFlag(FLAGS_step_us));
         settings.model.stepPerSequence = std::chrono::microseconds(absl::GetFlag(FLAGS_step_per_sequence_us));
+        settings.stamp = absl::GetFlag(FLAGS_stamp);
+        settings.server = absl::GetFlag(FLAGS_server);
         if (!readLengths(settings)) {
             return 2;
         }
--- a/tests/unit/unit-linkmessage.cpp
+++ b/tests/unit/unit-linkmessage.cpp
@@ -3,6 +3,7 @@
 #include <rapidcheck.h>
 
 #include "zinniadock/connection/linkmessage.h"
+#include "zinniadock/connection/linktransport.h"
 
 using namespace zinniadock;
 
@@ -40,6 +41,11 @@
     std::string m_text;
 };
 
+std::string frameOf(const std::string &messages)
+{
+    return frameBegin + messages + frameEnd;
+}
+
 std::string print(LinkMessage message)
 {
     Printer printer;
@@ -83,9 +89,10 @@
             std::variant_alternative_t<Index, LinkMessage> message;
             Filler filler;
             message.fields(filler);
-            const auto decoded = decode(encode(message));
+            const auto decoded = decode(frameOf(encode(message)));
             RC_ASSERT(decoded.has_value());
-            RC_ASSERT(print(*decoded) == print(message));
+            RC_ASSERT(decoded->size() == 1U);
+            RC_ASSERT(print(decoded->front()) == print(message));
         }));
         roundTripAll<Index + 1>();
     }
@@ -105,21 +112,24 @@
         // {"#": 12, "n": 7, "new": {"a": [1, 2]}}
         const std::string frame = "\xa3\x61#\x0c\x61n\x07\x63new\xa1\x61"
                                   "a\x82\x01\x02";
-        const auto message = decode(frame);
-        REQUIRE(message.has_value());
-        CHECK(std::get<Ping>(*message).number == 7);
+        const auto messages = decode(frameOf(frame));
+        REQUIRE(messages.has_value());
+        CHECK(std::get<Ping>(messages->front()).number == 7);
     }
 
     SECTION("refuse what is malformed")
     {
-        const std::string frame = encode(Ping{ .number = 7 });
+        const std::string frame = frameOf(encode(Ping{ .number = 7 }) + encode(Ping{ .number = 8 }));
+        REQUIRE(decode(frame)->size() == 2);
         for (std::size_t length = 0; length < frame.size(); ++length) {
             CHECK_FALSE(decode(frame.substr(0, length)).has_value());
         }
         CHECK_FALSE(decode("garbage").has_value());
-        CHECK_FALSE(decode("\xa1\x61#\x18\x63").has_value()); // a type that does not exist
-        CHECK_FALSE(decode("\xa2\x61#\x0c\x61n\x61x").has_value()); // a text in place of a number
+        CHECK_FALSE(decode(frameOf("\xa1\x61#\x18\x63")).has_value()); // a type that does not exist
+        CHECK_FALSE(decode(frameOf("\xa2\x61#\x0c\x61n\x61x")).has_value()); // a text in place of a number
         CHECK_FALSE(decode("\x07").has_value());
+        CHECK_FALSE(decode(encode(Ping{ .number = 7 })).has_value()); // a message outside a frame
+        CHECK_FALSE(decode(frameOf("\x07")).has_value());
     }
 
     SECTION("refuse deep nesting at constant depth")
@@ -131,7 +141,7 @@
     SECTION("refuse numbers out of range")
     {
         // A verdict of 9 in a Failed message.
-        std::string frame = encode(Failed{ .verdict = Verdict::Ran });
+        std::string frame = frameOf(encode(Failed{ .verdict = Verdict::Ran }));
         const std::size_t position = frame.find("av");
         REQUIRE(position != std::string::npos);
         frame[position + 2] = 9;
