Judge a new request in microseconds, and install a configuration in linear time

One admission went over all running requests and all horizons under the lock that each token takes; reading a configuration listed the keys of each section by a pass over all sections.

--- /dev/null
+++ b/bench/micro/main.cpp
@@ -0,0 +1,198 @@
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <iostream>
+#include <random>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+#include "figures.h"
+#include "zinniadock/connection/linkmessage.h"
+#include "zinniadock/connection/linktransport.h"
+#include "zinniadock/process/accountlimiter.h"
+#include "zinniadock/process/admission.h"
+#include "zinniadock/process/claims.h"
+#include "zinniadock/process/metrics.h"
+#include "zinniadock/process/routing.h"
+#include "zinniadock/version/version.h"
+
+ABSL_FLAG(int, seed, 1, "seed");
+ABSL_FLAG(std::string, json, "", "file for the figures");
+
+// Times single decisions at several sizes; each figure is the least of several rounds, in nanoseconds.
+
+namespace zinniadock::load
+{
+
+namespace
+{
+
+using Clock = std::chrono::steady_clock;
+
+constexpr int rounds = 5;
+
+double nanoseconds(int repeats, const std::function<void(int)> &work)
+{
+    double least = 0;
+    for (int round = 0; round < rounds; ++round) {
+        const auto begin = Clock::now();
+        for (int i = 0; i < repeats; ++i) {
+            work(i);
+        }
+        const double each = std::chrono::duration<double, std::nano>(Clock::now() - begin).count() / repeats;
+        least = round == 0 ? each : std::min(least, each);
+    }
+    return least;
+}
+
+AdmissionRequest admissionRequest(std::uint64_t id, DecisionTime now)
+{
+    return AdmissionRequest{ .key = { .request = { .high = 1, .low = id }, .generation = 1 },
+                             .account = "account-" + std::to_string(id % 730),
+                             .route = "route-" + std::to_string(id % 8),
+                             .version = "version",
+                             .promptTokens = 200,
+                             .deadline = now + std::chrono::hours(1) };
+}
+
+void measureAdmission(Figures &figures, std::uint64_t seed)
+{
+    for (const std::uint32_t running : { 62U, 125U, 250U, 500U }) {
+        const DecisionTime now{ std::chrono::hours(1) };
+        Admission admission({ .totalBlocks = 1U << 24U, .maxRunning = 4096, .maxWaiting = 64 }, 400);
+        std::mt19937_64 random(seed);
+        for (std::uint64_t id = 1; id <= running; ++id) {
+            const AdmissionRequest request = admissionRequest(id, now);
+            admission.offer(request, now);
+            for (std::uint64_t token = random() % 400; token > 0; --token) {
+                admission.emitted(request.key);
+            }
+        }
+        const double offer = nanoseconds(200, [&](int i) {
+            const AdmissionRequest request = admissionRequest(1000000 + static_cast<std::uint64_t>(i), now);
+            admission.offer(request, now);
+            admission.ended(request.key, false, now);
+        });
+        figures.add("admission_offer_ns_at_" + std::to_string(running) + "_running", offer);
+    }
+    Admission admission({ .totalBlocks = 1U << 24U, .maxRunning = 4096, .maxWaiting = 64 }, 400);
+    const DecisionTime now{ std::chrono::hours(1) };
+    const AdmissionRequest request = admissionRequest(1, now);
+    admission.offer(request, now);
+    figures.add("admission_token_ns", nanoseconds(100000, [&](int) { admission.emitted(request.key); }));
+}
+
+void measureRouting(Figures &figures)
+{
+    for (const int count : { 106, 212, 425, 850, 1700 }) {
+        std::vector<ServerView> servers;
+        for (int i = 0; i < count; ++i) {
+            servers.push_back({ .name = "server-" + std::to_string(i), .sameDataCentre = i % 11 == 0 });
+        }
+        std::uint64_t random = 1;
+        std::size_t sum = 0;
+        const double choose = nanoseconds(200, [&](int) {
+            random = random * 6364136223846793005ULL + 1442695040888963407ULL;
+            sum += chooseServer(servers, random | 1U, std::chrono::microseconds(100), random >> 7U).value_or(0);
+        });
+        figures.add("routing_ns_at_" + std::to_string(count) + "_servers", choose);
+    }
+}
+
+std::string fleetText(int scale)
+{
+    std::string text = "[model m]\n[version v]\nmodel = m\n[server orders]\naddress = 10.255.0.1:9\ndata_centre = c\n"
+                       "[pool orders]\nservers = orders\n[route orders]\npool = orders\npath = /orders\n";
+    std::string names;
+    const int servers = 1700 * scale / 8;
+    const int accounts = 730 * scale / 8;
+    for (int i = 0; i < servers; ++i) {
+        const std::string name = "server-" + std::to_string(i);
+        text += "[server " + name + "]\naddress = 10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1)
+            + ":9000\ndata_centre = centre-" + std::to_string(i % 11) + "\n";
+        names += (i == 0 ? "" : ", ") + name;
+    }
+    text += "[pool p]\nservers = " + names + "\nversion = v\n[route r]\npool = p\n";
+    for (int i = 0; i < accounts; ++i) {
+        text += "[account account-" + std::to_string(i) + "]\nkey_digest = " + sha256(std::to_string(i)) + "\n";
+    }
+    return text;
+}
+
+void measureConfiguration(Figures &figures)
+{
+    for (const int scale : { 1, 2, 4, 8 }) {
+        Problems problems;
+        const std::string text = formatConfiguration(parseConfiguration(fleetText(scale), "bench", problems));
+        const std::string digest = sha256(text);
+        const std::string suffix = "_at_" + std::to_string(scale) + "_eighths";
+        figures.add("configuration_bytes" + suffix, static_cast<double>(text.size()));
+        figures.add("configuration_install_ns" + suffix, nanoseconds(1, [&](int) {
+                        if (!makeVersion(1, digest, text)) {
+                            std::cerr << "the configuration of the bench has mistakes\n";
+                        }
+                    }));
+        const auto version = makeVersion(1, digest, text);
+        std::string name;
+        figures.add("authentication_ns" + suffix, nanoseconds(2000, [&](int i) {
+                        version->accountOfKey(std::to_string(i % 90), name);
+                    }));
+    }
+}
+
+void measureMessages(Figures &figures)
+{
+    const Token token{ .request = RequestId::random(), .generation = 1, .sequence = 12345, .text = "a typical token " };
+    figures.add("token_encode_ns", nanoseconds(20000, [&](int) { encode(token); }));
+    for (const int count : { 1, 4, 16, 64 }) {
+        std::string frame(1, frameBegin);
+        for (int i = 0; i < count; ++i) {
+            frame += encode(token);
+        }
+        frame += frameEnd;
+        figures.add("frame_decode_ns_at_" + std::to_string(count) + "_tokens", nanoseconds(2000, [&](int) { decode(frame); }));
+    }
+    figures.add("token_message_bytes", static_cast<double>(encode(token).size()));
+    figures.add("load_report_bytes", static_cast<double>(encode(LoadReport{ .running = 200, .waiting = 10, .usedBlocks = 40000,
+                                                                             .totalBlocks = 60000, .entries = 64,
+                                                                             .revision = 100000, .preemptions = 1000 })
+                                                             .size()));
+}
+
+void measureSmallThings(Figures &figures)
+{
+    AccountLimiter limiter;
+    const Account account{ .requestsPerSecond = 1e6, .concurrency = 1000000 };
+    std::int64_t now = 1;
+    figures.add("account_limit_ns", nanoseconds(20000, [&](int i) {
+                    const AccountLimiter::Time time{ std::chrono::milliseconds(++now) };
+                    const std::string name = "account-" + std::to_string(i % 730);
+                    limiter.enter(name, account, time);
+                    limiter.leave(name);
+                }));
+    DurationHistogram histogram;
+    const std::vector<std::chrono::microseconds> gaps(64, std::chrono::microseconds(47000));
+    figures.add("gap_record_ns_per_token", nanoseconds(2000, [&](int) { histogram.record(gaps); }) / 64);
+    const ClaimRecord record{ .nonce = 1, .request = RequestId::random().text(), .bodyDigest = sha256("x"),
+                              .outcome = ClaimOutcome{ .status = 200, .body = std::string(200, 'x') } };
+    figures.add("claim_bytes", static_cast<double>(encodeClaim(record).size()));
+}
+
+} // namespace
+
+} // namespace zinniadock::load
+
+int main(int argc, char **argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    zinniadock::load::Figures figures;
+    zinniadock::load::measureAdmission(figures, static_cast<std::uint64_t>(absl::GetFlag(FLAGS_seed)));
+    zinniadock::load::measureRouting(figures);
+    zinniadock::load::measureConfiguration(figures);
+    zinniadock::load::measureMessages(figures);
+    zinniadock::load::measureSmallThings(figures);
+    figures.print();
+    const std::string file = absl::GetFlag(FLAGS_json);
+    return file.empty() || figures.write(file) ? 0 : 1;
+}
--- a/include/zinniadock/process/admission.h
+++ b/include/zinniadock/process/admission.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "zinniadock/process/lengthstatistics.h"
+#include "zinniadock/process/memoryforecast.h"
 #include "zinniadock/request/error.h"
 #include "zinniadock/request/requestid.h"
 
@@ -67,11 +68,11 @@
 public:
     Admission(EngineLimits limits, double expectedTokens);
 
-    /// Decides on a new request. Complexity: linear in the running requests.
+    /// Decides on a new request. Complexity: constant for requests that have not grown since the last decision.
     AdmissionDecision offer(const AdmissionRequest &request, DecisionTime now);
 
     /// Returns the waiting requests that may start now, in order.
-    std::vector<GenerationKey> admitReady(DecisionTime now);
+    std::vector<GenerationKey> admitReady();
 
     /// Removes and returns the waiting requests whose deadline has passed.
     std::vector<GenerationKey> expire(DecisionTime now);
@@ -87,7 +88,7 @@
     void engineReport(std::uint32_t usedBlocks, std::uint32_t totalBlocks, std::uint64_t preemptions, DecisionTime now);
 
     /// Adopts a request that already runs, found on the engine after a restart of the sidecar.
-    void adopt(const AdmissionRequest &request, std::uint32_t emittedTokens, DecisionTime now);
+    void adopt(const AdmissionRequest &request, std::uint32_t emittedTokens);
 
     /// Refuses every request from now on; waiting ones are returned and removed.
     std::vector<GenerationKey> close();
@@ -113,8 +114,8 @@
     struct Running
     {
         AdmissionRequest request;
-        std::shared_ptr<LengthClass> lengthClass;
         std::uint32_t emitted = 0;
+        MemoryForecast::Part part;
     };
 
     struct Waiting
@@ -136,14 +137,18 @@
     };
 
     bool fits(const AdmissionRequest &candidate);
-    void start(const AdmissionRequest &request, DecisionTime now);
+    void start(const AdmissionRequest &request, std::uint32_t emitted);
+    MemoryForecast::Part partOf(const AdmissionRequest &request, std::uint32_t emitted,
+                                const std::shared_ptr<LengthClass> &lengthClass) const;
     std::size_t nextWaiting() const;
     void join(const std::string &account);
     void leave(const std::string &account);
     std::chrono::milliseconds waitOf(std::size_t requestsAhead) const;
 
     EngineLimits m_limits;
+    double m_riskQuantile;
     LengthStatistics m_lengths;
+    MemoryForecast m_forecast;
     std::unordered_map<GenerationKey, Running> m_running;
     std::deque<Waiting> m_waiting;
     std::map<std::string, AccountState> m_accounts;
--- a/include/zinniadock/process/lengthstatistics.h
+++ b/include/zinniadock/process/lengthstatistics.h
@@ -46,7 +46,29 @@
     double m_total = 0;
 };
 
-/// Says how likely an output is to go on, given how long it already is.
+class LengthForecast;
+
+/// Says how likely an output that has reached some length is to go on.
+class RemainingLength
+{
+public:
+    /// \pre \p forecast outlives this object
+    RemainingLength(const LengthForecast &forecast, double emitted);
+
+    /// Returns the probability that the output gets \p more tokens longer.
+    ///
+    /// The ratio of survivals is blended with the heavy-tail estimate n / (n + more) by the number of outputs seen
+    /// that got as far, so a length beyond all experience is still expected to go on for about as long again.
+    double survival(double more) const;
+
+private:
+    const LengthForecast &m_forecast;
+    double m_emitted;
+    double m_reached; ///< probability of an output that long
+    double m_seen; ///< number of outputs that got as far
+};
+
+/// Distribution of the length of an output, and how many outputs it rests on.
 class LengthForecast
 {
 public:
@@ -56,15 +78,12 @@
     /// \param weight  number of outputs that the curve rests on
     LengthForecast(const LengthHistogram::Curve &curve, double weight);
 
-    /// Returns the probability that an output that has reached \p emitted tokens reaches \p emitted + \p more.
-    ///
-    /// The ratio of survivals is blended with the heavy-tail estimate n / (n + more) by the number of outputs seen
-    /// that got as far, so a length beyond all experience is still expected to go on for about as long again.
-    double survival(double emitted, double more) const;
-
     /// Returns the probability of an output longer than \p tokens.
     double survival(double tokens) const;
 
+    /// Returns the forecast for an output that has reached \p emitted tokens.
+    RemainingLength remaining(double emitted) const;
+
     double weight() const;
     const LengthHistogram::Curve &curve() const;
 
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -12,7 +12,7 @@
     fleet_pids+=("$pid")
     printf -v "pid_${name//-/_}" '%s' "$pid"
     for _ in $(seq 500); do
-        if grep -q '"ready":true' "$work/$name.out"; then
+        if grep -qs '"ready":true' "$work/$name.out"; then
             return 0
         fi
         if ! kill -0 "$pid" 2>/dev/null; then
--- a/src/process/admission.cpp
+++ b/src/process/admission.cpp
@@ -1,7 +1,6 @@
 #include "zinniadock/process/admission.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 
 namespace zinniadock
@@ -10,24 +9,6 @@
 namespace
 {
 
-// Horizons, in tokens from now, at which the memory of the running set is forecast: four to the octave from 16 tokens
-// to 32768, after the present.
-constexpr std::size_t horizonCount = 46;
-
-const std::array<double, horizonCount> &horizons()
-{
-    static const std::array<double, horizonCount> values = [] {
-        constexpr double first = 16;
-        constexpr double perOctave = 4;
-        std::array<double, horizonCount> result{};
-        for (std::size_t i = 1; i < horizonCount; ++i) {
-            result[i] = first * std::exp2(static_cast<double>(i - 1) / perOctave);
-        }
-        return result;
-    }();
-    return values;
-}
-
 constexpr std::chrono::seconds reportWindow{ 2 };
 constexpr double headroomStep = 0.02;
 constexpr double mostHeadroom = 0.3;
@@ -36,77 +17,6 @@
 constexpr std::chrono::milliseconds shortestRetryAfter{ 1000 };
 constexpr std::chrono::milliseconds longestRetryAfter{ 60000 };
 
-// Upper quantile of the normal distribution by bisection of the complementary error function.
-double normalQuantile(double risk)
-{
-    double low = 0;
-    double high = 8;
-    constexpr int steps = 40;
-    for (int i = 0; i < steps; ++i) {
-        const double middle = (low + high) / 2;
-        (std::erfc(middle / std::sqrt(2.0)) / 2 > risk ? low : high) = middle;
-    }
-    return high;
-}
-
-/// Mean and spread of the memory that a set of requests will hold at each horizon.
-class MemoryForecast
-{
-public:
-    explicit MemoryForecast(std::uint32_t blockTokens)
-        : m_blockTokens(blockTokens)
-    {
-    }
-
-    // From one horizon to the next a request counts as alive as at the first and as long as at the second, so that no
-    // peak between them is missed.
-    void add(const AdmissionRequest &request, double emitted, const LengthClass &lengthClass)
-    {
-        const std::array<double, horizonCount> &steps = horizons();
-        const double doubtWeight = 1 / std::sqrt(lengthClass.forecast.weight() + 1);
-        std::array<double, horizonCount> &doubt = m_doubts[&lengthClass];
-        for (std::size_t i = 0; i + 1 < horizonCount; ++i) {
-            if (request.maxTokens > 0 && emitted + steps[i] > request.maxTokens) {
-                break;
-            }
-            const double alive = steps[i] == 0 ? 1 : lengthClass.forecast.survival(emitted, steps[i]);
-            if (alive < negligible) {
-                break;
-            }
-            const double longest = request.maxTokens > 0 ? request.maxTokens : emitted + steps[i + 1];
-            const double tokens = request.promptTokens + std::min(longest, emitted + steps[i + 1]);
-            const double blocks = tokens / m_blockTokens + 1;
-            m_mean[i] += alive * blocks;
-            m_variance[i] += alive * (1 - alive) * blocks * blocks;
-            doubt[i] += std::sqrt(alive * (1 - alive)) * blocks * doubtWeight;
-        }
-    }
-
-    // Lengths of different requests are independent, but the error of a class's forecast is common to its requests, so
-    // it adds up within the class.
-    bool fits(double usable, double quantile) const
-    {
-        for (std::size_t i = 0; i < horizonCount; ++i) {
-            double variance = m_variance[i];
-            for (const auto &[lengthClass, doubt] : m_doubts) {
-                variance += doubt[i] * doubt[i];
-            }
-            if (m_mean[i] + quantile * std::sqrt(variance) > usable) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-private:
-    static constexpr double negligible = 1e-4;
-
-    std::uint32_t m_blockTokens;
-    std::array<double, horizonCount> m_mean{};
-    std::array<double, horizonCount> m_variance{};
-    std::map<const LengthClass *, std::array<double, horizonCount>> m_doubts;
-};
-
 double blocksOf(double tokens, std::uint32_t blockTokens)
 {
     return std::ceil(tokens / blockTokens);
@@ -116,7 +26,9 @@
 
 Admission::Admission(EngineLimits limits, double expectedTokens)
     : m_limits(limits)
+    , m_riskQuantile(normalQuantile(limits.memoryRisk))
     , m_lengths(expectedTokens)
+    , m_forecast(limits.blockTokens)
 {
 }
 
@@ -134,7 +46,7 @@
         return decision;
     }
     if (m_waiting.empty() && fits(request)) {
-        start(request, now);
+        start(request, 0);
         decision.outcome = AdmissionOutcome::Admitted;
         return decision;
     }
@@ -152,7 +64,7 @@
     return decision;
 }
 
-std::vector<GenerationKey> Admission::admitReady(DecisionTime now)
+std::vector<GenerationKey> Admission::admitReady()
 {
     std::vector<GenerationKey> ready;
     while (!m_waiting.empty()) {
@@ -163,7 +75,7 @@
         }
         m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(index));
         leave(request.account);
-        start(request, now);
+        start(request, 0);
         ready.push_back(request.key);
     }
     return ready;
@@ -211,10 +123,11 @@
     }
     const Running running = std::move(position->second);
     m_running.erase(position);
+    m_forecast.remove(running.part);
     m_committedTokens -= running.request.promptTokens + running.emitted;
     leave(running.request.account);
-    if (whole && running.lengthClass) {
-        m_lengths.record(running.lengthClass, running.emitted);
+    if (whole) {
+        m_lengths.record(running.part.lengthClass, running.emitted);
     }
     if (m_lastEnd) {
         const double interval = std::chrono::duration<double>(now - *m_lastEnd).count();
@@ -248,11 +161,9 @@
     m_headroom = std::min(mostHeadroom, m_headroom * headroomDecay + headroomStep * static_cast<double>(fresh));
 }
 
-void Admission::adopt(const AdmissionRequest &request, std::uint32_t emittedTokens, DecisionTime now)
+void Admission::adopt(const AdmissionRequest &request, std::uint32_t emittedTokens)
 {
-    start(request, now);
-    m_running[request.key].emitted = emittedTokens;
-    m_committedTokens += emittedTokens;
+    start(request, emittedTokens);
 }
 
 std::vector<GenerationKey> Admission::close()
@@ -271,6 +182,7 @@
 {
     const std::uint32_t totalBlocks = m_limits.totalBlocks;
     m_limits = limits;
+    m_riskQuantile = normalQuantile(limits.memoryRisk);
     if (limits.totalBlocks == 0) {
         m_limits.totalBlocks = totalBlocks;
     }
@@ -319,21 +231,33 @@
     if (m_running.empty()) {
         return true;
     }
-    MemoryForecast forecast(m_limits.blockTokens);
-    for (const auto &[key, running] : m_running) {
-        forecast.add(running.request, running.emitted, *running.lengthClass);
+    for (auto &[key, running] : m_running) {
+        if (MemoryForecast::isStale(running.part, running.emitted)) {
+            m_forecast.remove(running.part);
+            running.part = partOf(running.request, running.emitted, running.part.lengthClass);
+            m_forecast.add(running.part);
+        }
     }
-    forecast.add(candidate, 0, *m_lengths.find({ candidate.account, candidate.route, candidate.version }));
-    return forecast.fits(usableBlocks(), normalQuantile(m_limits.memoryRisk));
+    const auto lengthClass = m_lengths.find({ candidate.account, candidate.route, candidate.version });
+    return m_forecast.fitsWith(partOf(candidate, 0, lengthClass), usableBlocks(), m_riskQuantile);
+}
+
+MemoryForecast::Part Admission::partOf(const AdmissionRequest &request, std::uint32_t emitted,
+                                       const std::shared_ptr<LengthClass> &lengthClass) const
+{
+    return m_forecast.partOf(
+        { .promptTokens = request.promptTokens, .maxTokens = request.maxTokens, .emitted = emitted }, lengthClass);
 }
 
-void Admission::start(const AdmissionRequest &request, DecisionTime /*now*/)
+void Admission::start(const AdmissionRequest &request, std::uint32_t emitted)
 {
     Running running;
     running.request = request;
-    running.lengthClass = m_lengths.find({ request.account, request.route, request.version });
+    running.emitted = emitted;
+    running.part = partOf(request, emitted, m_lengths.find({ request.account, request.route, request.version }));
+    m_forecast.add(running.part);
     m_running[request.key] = std::move(running);
-    m_committedTokens += request.promptTokens;
+    m_committedTokens += request.promptTokens + emitted;
     join(request.account);
     AccountState &account = m_accounts[request.account];
     m_virtualTime = std::max(m_virtualTime, account.served);
--- a/src/process/lengthstatistics.cpp
+++ b/src/process/lengthstatistics.cpp
@@ -76,17 +76,28 @@
     return m_curve[edge] + (m_curve[edge + 1] - m_curve[edge]) * fraction;
 }
 
-double LengthForecast::survival(double emitted, double more) const
+RemainingLength LengthForecast::remaining(double emitted) const
 {
-    const double reached = survival(emitted);
-    const double seen = reached * m_weight;
-    const double base = std::max(emitted, 1.0);
+    return { *this, emitted };
+}
+
+RemainingLength::RemainingLength(const LengthForecast &forecast, double emitted)
+    : m_forecast(forecast)
+    , m_emitted(emitted)
+    , m_reached(forecast.survival(emitted))
+    , m_seen(m_reached * forecast.weight())
+{
+}
+
+double RemainingLength::survival(double more) const
+{
+    const double base = std::max(m_emitted, 1.0);
     const double heavyTail = base / (base + more);
-    const double ratio = reached > 0 ? survival(emitted + more) / reached : heavyTail;
-    if (m_weight <= 0) {
-        return emitted <= 1 ? ratio : (ratio + heavyTail) / 2;
+    const double ratio = m_reached > 0 ? m_forecast.survival(m_emitted + more) / m_reached : heavyTail;
+    if (m_forecast.weight() <= 0) {
+        return m_emitted <= 1 ? ratio : (ratio + heavyTail) / 2;
     }
-    return (seen * ratio + tailWeight * heavyTail) / (seen + tailWeight);
+    return (m_seen * ratio + tailWeight * heavyTail) / (m_seen + tailWeight);
 }
 
 double LengthForecast::weight() const
--- a/src/process/sidecar.cpp
+++ b/src/process/sidecar.cpp
@@ -532,8 +532,7 @@
     {
         const std::lock_guard lock(m_mutex);
         ++m_counters.adopted;
-        m_admission.adopt(admissionRequest(session->offer()), static_cast<std::uint32_t>(session->next()),
-                          Clock::now());
+        m_admission.adopt(admissionRequest(session->offer()), static_cast<std::uint32_t>(session->next()));
     }
     log.info("took up generation " + session->key().text() + " at token " + std::to_string(session->next()));
     session->started(std::chrono::milliseconds(0));
@@ -638,7 +637,7 @@
     std::vector<SessionPointer> ready;
     {
         const std::lock_guard lock(m_mutex);
-        for (const GenerationKey &key : m_admission.admitReady(Clock::now())) {
+        for (const GenerationKey &key : m_admission.admitReady()) {
             m_queuedSince.erase(key);
             ready.push_back(m_sessions.at(key));
         }
--- a/src/version/inidocument.cpp
+++ b/src/version/inidocument.cpp
@@ -50,6 +50,8 @@
                 problems.push_back({ document.file, number, "", key, "stands before the first [section]" });
             } else if (!keysOfSection.insert(key).second) {
                 problems.push_back({ document.file, number, section, key, "is set twice in this section" });
+            } else {
+                document.sections.back().values[key];
             }
             continue;
         }
@@ -107,11 +109,9 @@
         std::istringstream stream(text);
         const Poco::AutoPtr<Poco::Util::IniFileConfiguration> ini(new Poco::Util::IniFileConfiguration(stream));
         for (IniSection &section : document.sections) {
-            Poco::Util::AbstractConfiguration::Keys keys;
-            const std::string heading = section.heading();
-            ini->keys(heading, keys);
-            for (const std::string &key : keys) {
-                section.values[key] = ini->getRawString(heading + "." + key);
+            // Asked for one by one: listing the keys of a section takes the library a pass over all sections.
+            for (auto &[key, value] : section.values) {
+                value = ini->getRawString(section.heading() + "." + key);
             }
         }
     } catch (const Poco::Exception &error) {
--- a/tests/unit/unit-admission.cpp
+++ b/tests/unit/unit-admission.cpp
@@ -68,8 +68,8 @@
         }
         CHECK(shortOnes->forecast.survival(100) < 0.1);
         CHECK(longOnes->forecast.survival(100) > 0.9);
-        CHECK(longOnes->forecast.survival(1000, 200) > 0.9);
-        CHECK(longOnes->forecast.survival(1000, 4000) < 0.1);
+        CHECK(longOnes->forecast.remaining(1000).survival(200) > 0.9);
+        CHECK(longOnes->forecast.remaining(1000).survival(4000) < 0.1);
     }
 
     SECTION("of an account without outputs come from its route")
@@ -103,7 +103,7 @@
         for (int i = 0; i < 64; ++i) {
             statistics.record(known, 20);
         }
-        CHECK(known->forecast.survival(5000, 5000) == Approx(0.5).margin(0.1));
+        CHECK(known->forecast.remaining(5000).survival(5000) == Approx(0.5).margin(0.1));
     }
 
     SECTION("are probabilities that only fall")
@@ -118,7 +118,7 @@
             const double emitted = *rc::gen::inRange(0, 40000);
             double last = 1;
             for (double more = 0; more < 60000; more = more * 2 + 1) {
-                const double now = forecast.survival(emitted, more);
+                const double now = forecast.remaining(emitted).survival(more);
                 RC_ASSERT(now >= 0 && now <= last + 1e-9);
                 last = now;
             }
@@ -166,7 +166,7 @@
             admission.offer(request(500 + i), now);
             now += std::chrono::seconds(2);
             admission.ended(request(500 + i).key, true, now);
-            admission.admitReady(now);
+            admission.admitReady();
         }
         AdmissionRequest patient = request(1, "a", 800);
         patient.deadline = now + std::chrono::hours(1);
@@ -200,7 +200,7 @@
         GenerationKey running = request(1).key;
         for (int i = 0; i < 3; ++i) {
             admission.ended(running, false, start);
-            const auto ready = admission.admitReady(start);
+            const auto ready = admission.admitReady();
             REQUIRE(ready.size() == 1);
             running = ready.front();
             order.push_back(running.request.low);
@@ -252,7 +252,7 @@
         CHECK(admission.close().size() == 1);
         CHECK(admission.offer(request(3), start).reason == RequestError::Draining);
         admission.ended(request(1).key, true, start);
-        CHECK(admission.admitReady(start).empty());
+        CHECK(admission.admitReady().empty());
     }
 }
 
@@ -298,7 +298,7 @@
                     running.erase(running.begin());
                 }
                 take(admission.expire(now), false);
-                take(admission.admitReady(now), true);
+                take(admission.admitReady(), true);
                 RC_ASSERT(admission.runningCount() == running.size());
                 RC_ASSERT(admission.waitingCount() == waiting.size());
                 RC_ASSERT(!running.empty() || waiting.empty());
