Take memory risk by the weights, and refuse early what would wait too long

Change: the risk follows from weight_stall and weight_preemption; a request that would wait over longest_wait_ms is refused with a time to come back, and no wait exceeds twice that; a full queue gives the place to the client account served least; less headroom is kept after preemptions. weight_token_gap and memory_risk are gone: the first did nothing, the second is worked out. Tried and left: forecasts without the common error of a class gave no more goodput. The bound in the headroom test follows the new step.

--- a/bench/load/callers.cpp
+++ b/bench/load/callers.cpp
@@ -69,7 +69,7 @@
     std::int64_t arrived = 0;
 };
 
-template<typename Number>
+template <typename Number>
 Number numberAt(std::string_view text)
 {
     Number value = 0;
@@ -170,8 +170,12 @@
         }
         m_results.stall.add(std::max(m_longest, since(m_last)));
         count(end, verdict);
-        m_history.record({ { "event", "answer" }, { "request", requestId }, { "mark", m_mark }, { "end", end },
-                           { "verdict", verdict }, { "tokens", m_tokens } });
+        m_history.record({ { "event", "answer" },
+                           { "request", requestId },
+                           { "mark", m_mark },
+                           { "end", end },
+                           { "verdict", verdict },
+                           { "tokens", m_tokens } });
     }
 
     std::string read(std::istream &stream, Clock::time_point begin)
@@ -256,8 +260,12 @@
             if (attempt == 0) {
                 count(status == HTTPResponse::HTTP_OK ? "whole" : "refused", verdict);
             }
-            m_history.record({ { "event", "call" }, { "request", requestId }, { "body", body }, { "keyed", keyed },
-                               { "status", status }, { "verdict", verdict } });
+            m_history.record({ { "event", "call" },
+                               { "request", requestId },
+                               { "body", body },
+                               { "keyed", keyed },
+                               { "status", status },
+                               { "verdict", verdict } });
         }
     }
 
--- a/bench/load/callers.h
+++ b/bench/load/callers.h
@@ -26,8 +26,8 @@
     std::string callPath; ///< path of keyed calls to a plain service; empty for none
     std::uint32_t callers = 1; ///< threads, each with one request at a time
     std::uint32_t requests = 1; ///< per caller, unless \c duration is set
-    std::chrono::milliseconds duration{0};
-    std::chrono::milliseconds ramp{0}; ///< the callers start evenly over this time
+    std::chrono::milliseconds duration{ 0 };
+    std::chrono::milliseconds ramp{ 0 }; ///< the callers start evenly over this time
     std::uint32_t tokens = 100; ///< of each generation; 0 leaves it to the engine
     std::uint32_t promptBytes = 64;
     std::uint64_t seed = 1;
--- a/bench/load/historychecker.cpp
+++ b/bench/load/historychecker.cpp
@@ -87,7 +87,8 @@
         }
         const auto length = m_lengths.find(request + "-" + generation);
         if (length == m_lengths.end() || !length->second.contains(tokens.size())) {
-            violations.push_back({ "whole", request + " was shown " + std::to_string(tokens.size())
+            violations.push_back({ "whole",
+                                   request + " was shown " + std::to_string(tokens.size())
                                        + " tokens as whole, which its engine did not generate" });
         }
     }
@@ -122,7 +123,8 @@
     }
     for (const Json &call : m_calls) {
         if (field(call, "verdict") == "ran" && !runs.contains(field(call, "body"))) {
-            violations.push_back({ "at-most-once", "\"" + field(call, "body") + "\" was answered as run and did not run" });
+            violations.push_back(
+                { "at-most-once", "\"" + field(call, "body") + "\" was answered as run and did not run" });
         }
     }
 }
@@ -135,8 +137,9 @@
         for (const Json &start : m_starts) {
             const std::int64_t time = start.value("time", std::int64_t());
             if (field(start, "server") == field(leaving, "server") && time > from && time < until) {
-                violations.push_back({ "leaving", field(start, "key") + " started on " + field(leaving, "server")
-                                           + ", which was leaving" });
+                violations.push_back(
+                    { "leaving",
+                      field(start, "key") + " started on " + field(leaving, "server") + ", which was leaving" });
             }
         }
     }
@@ -153,7 +156,8 @@
         const std::string process = field(report, "instance") + "/" + field(report, "incarnation");
         const std::uint64_t revision = report.value("revision", std::uint64_t());
         if (revision < highest[process]) {
-            violations.push_back({ "revision", process + " went from revision " + std::to_string(highest[process]) + " to "
+            violations.push_back({ "revision",
+                                   process + " went from revision " + std::to_string(highest[process]) + " to "
                                        + std::to_string(revision) });
         }
         highest[process] = std::max(highest[process], revision);
--- a/bench/micro/main.cpp
+++ b/bench/micro/main.cpp
@@ -80,7 +80,9 @@
     const DecisionTime now{ std::chrono::hours(1) };
     const AdmissionRequest request = admissionRequest(1, now);
     admission.offer(request, now);
-    figures.add("admission_token_ns", nanoseconds(100000, [&](int) { admission.emitted(request.key); }));
+    figures.add("admission_token_ns", nanoseconds(100000, [&](int) {
+                    admission.emitted(request.key);
+                }));
 }
 
 void measureRouting(Figures &figures)
@@ -144,20 +146,29 @@
 void measureMessages(Figures &figures)
 {
     const Token token{ .request = RequestId::random(), .generation = 1, .sequence = 12345, .text = "a typical token " };
-    figures.add("token_encode_ns", nanoseconds(20000, [&](int) { encode(token); }));
+    figures.add("token_encode_ns", nanoseconds(20000, [&](int) {
+                    encode(token);
+                }));
     for (const int count : { 1, 4, 16, 64 }) {
         std::string frame(1, frameBegin);
         for (int i = 0; i < count; ++i) {
             frame += encode(token);
         }
         frame += frameEnd;
-        figures.add("frame_decode_ns_at_" + std::to_string(count) + "_tokens", nanoseconds(2000, [&](int) { decode(frame); }));
+        figures.add("frame_decode_ns_at_" + std::to_string(count) + "_tokens", nanoseconds(2000, [&](int) {
+                        decode(frame);
+                    }));
     }
     figures.add("token_message_bytes", static_cast<double>(encode(token).size()));
-    figures.add("load_report_bytes", static_cast<double>(encode(LoadReport{ .running = 200, .waiting = 10, .usedBlocks = 40000,
-                                                                             .totalBlocks = 60000, .entries = 64,
-                                                                             .revision = 100000, .preemptions = 1000 })
-                                                             .size()));
+    figures.add("load_report_bytes",
+                static_cast<double>(encode(LoadReport{ .running = 200,
+                                                       .waiting = 10,
+                                                       .usedBlocks = 40000,
+                                                       .totalBlocks = 60000,
+                                                       .entries = 64,
+                                                       .revision = 100000,
+                                                       .preemptions = 1000 })
+                                        .size()));
 }
 
 void measureSmallThings(Figures &figures)
@@ -173,8 +184,13 @@
                 }));
     DurationHistogram histogram;
     const std::vector<std::chrono::microseconds> gaps(64, std::chrono::microseconds(47000));
-    figures.add("gap_record_ns_per_token", nanoseconds(2000, [&](int) { histogram.record(gaps); }) / 64);
-    const ClaimRecord record{ .nonce = 1, .request = RequestId::random().text(), .bodyDigest = sha256("x"),
+    figures.add("gap_record_ns_per_token",
+                nanoseconds(2000, [&](int) {
+                    histogram.record(gaps);
+                }) / 64);
+    const ClaimRecord record{ .nonce = 1,
+                              .request = RequestId::random().text(),
+                              .bodyDigest = sha256("x"),
                               .outcome = ClaimOutcome{ .status = 200, .body = std::string(200, 'x') } };
     figures.add("claim_bytes", static_cast<double>(encodeClaim(record).size()));
 }
--- a/include/zinniadock/process/admission.h
+++ b/include/zinniadock/process/admission.h
@@ -28,7 +28,8 @@
     std::uint32_t blockTokens = 16; ///< tokens per block
     std::uint32_t maxRunning = 256;
     std::uint32_t maxWaiting = 512;
-    double memoryRisk = 0.01; ///< bound on the probability of outgrowing the memory
+    double memoryRisk = 0.25; ///< bound on the probability of outgrowing the memory
+    std::chrono::milliseconds longestWait{ 2000 }; ///< a request that would wait longer is refused
 };
 
 /// A request that asks to be admitted.
@@ -60,6 +61,14 @@
     std::string explanation;
 };
 
+/// A request that waited and must not run any more.
+struct Withdrawal
+{
+    GenerationKey key;
+    RequestError reason = RequestError::DeadlineExceeded;
+    std::chrono::milliseconds retryAfter{ 0 };
+};
+
 /// Decides which requests run on one engine, on unknown output lengths.
 ///
 /// A pure function of what it was told: it reads no clock, holds no socket and is not thread-safe.
@@ -74,8 +83,8 @@
     /// Returns the waiting requests that may start now, in order.
     std::vector<GenerationKey> admitReady();
 
-    /// Removes and returns the waiting requests whose deadline has passed.
-    std::vector<GenerationKey> expire(DecisionTime now);
+    /// Returns the requests that wait no more: their deadline has passed, or a later one took their place.
+    std::vector<Withdrawal> withdraw(DecisionTime now);
 
     /// Counts one emitted token of a running request. Complexity: constant.
     void emitted(const GenerationKey &key);
@@ -140,7 +149,11 @@
     void start(const AdmissionRequest &request, std::uint32_t emitted);
     MemoryForecast::Part partOf(const AdmissionRequest &request, std::uint32_t emitted,
                                 const std::shared_ptr<LengthClass> &lengthClass) const;
+    bool goesBefore(const AdmissionRequest &first, const AdmissionRequest &second) const;
     std::size_t nextWaiting() const;
+    std::size_t lastWaiting() const;
+    std::size_t waitingBefore(const AdmissionRequest &request) const;
+    void displace(std::size_t index);
     void join(const std::string &account);
     void leave(const std::string &account);
     std::chrono::milliseconds waitOf(std::size_t requestsAhead) const;
@@ -151,6 +164,7 @@
     MemoryForecast m_forecast;
     std::unordered_map<GenerationKey, Running> m_running;
     std::deque<Waiting> m_waiting;
+    std::vector<Withdrawal> m_displaced; ///< not yet returned by withdraw()
     std::map<std::string, AccountState> m_accounts;
     std::deque<CountSample> m_counts;
     std::uint64_t m_committedTokens = 0;
--- a/include/zinniadock/process/boundedring.h
+++ b/include/zinniadock/process/boundedring.h
@@ -45,7 +45,9 @@
     {
         std::unique_lock lock(m_mutex);
         m_waiting = true;
-        m_changed.wait_for(lock, timeout, [this] { return !m_items.empty() || m_closed; });
+        m_changed.wait_for(lock, timeout, [this] {
+            return !m_items.empty() || m_closed;
+        });
         m_waiting = false;
         std::vector<Item> items(std::make_move_iterator(m_items.begin()), std::make_move_iterator(m_items.end()));
         m_items.clear();
--- a/include/zinniadock/process/sidecar.h
+++ b/include/zinniadock/process/sidecar.h
@@ -98,6 +98,7 @@
     void admitWaiting();
 
     void housekeep();
+    void endWithdrawn();
     void reapSessions();
     void reportLoad(bool toAll);
     void pollBackend();
--- a/include/zinniadock/request/answerwriter.h
+++ b/include/zinniadock/request/answerwriter.h
@@ -20,7 +20,9 @@
     = requires(Type writer, GenerationKey key, SequenceNumber sequence, const std::string &text, const Failure &failure)
 {
     writer.token(key, sequence, text);
-    { writer.flush() } -> std::same_as<bool>; ///< false if the caller is gone
+    {
+        writer.flush()
+        } -> std::same_as<bool>; ///< false if the caller is gone
     {
         writer.finish(key, sequence, text)
         } -> std::same_as<bool>;
--- a/include/zinniadock/version/configuration.h
+++ b/include/zinniadock/version/configuration.h
@@ -66,9 +66,12 @@
 {
     double weightStall = 1;
     double weightPreemption = 1;
-    double weightTokenGap = 1;
+    std::chrono::milliseconds longestWait{ 2000 }; ///< a request that would wait longer is refused
     double retryBudget = 0.1; ///< retries per request
-    double memoryRisk = 0.01; ///< bound on the probability that running work outgrows engine memory
+
+    /// Returns the bound on the probability that running work outgrows engine memory: half the stall's share of the
+    /// weights, so that a deployment which minds stalls more takes more risk of preemptions.
+    double memoryRisk() const;
 };
 
 /// All of an operator's named objects.
--- a/src/connection/linktransport.cpp
+++ b/src/connection/linktransport.cpp
@@ -195,7 +195,9 @@
             return false;
         }
         if (connection->append(message)) {
-            boost::asio::post(m_io, [connection] { connection->flush(); });
+            boost::asio::post(m_io, [connection] {
+                connection->flush();
+            });
         }
         return true;
     }
--- a/src/process/admission.cpp
+++ b/src/process/admission.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace zinniadock
 {
@@ -10,7 +11,7 @@
 {
 
 constexpr std::chrono::seconds reportWindow{ 2 };
-constexpr double headroomStep = 0.02;
+constexpr double headroomStep = 0.005;
 constexpr double mostHeadroom = 0.3;
 constexpr double headroomDecay = 0.999;
 constexpr double endIntervalGain = 0.1;
@@ -50,15 +51,22 @@
         decision.outcome = AdmissionOutcome::Admitted;
         return decision;
     }
-    const auto wait = waitOf(m_waiting.size() + 1);
+    join(request.account);
     const auto patience = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - now);
-    if (m_waiting.size() >= m_limits.maxWaiting || wait > patience) {
-        decision.retryAfter = std::clamp(wait - patience, shortestRetryAfter, longestRetryAfter);
+    const auto limit = std::min(patience, m_limits.longestWait);
+    const auto wait = waitOf(waitingBefore(request) + 1);
+    const bool full = m_waiting.size() >= m_limits.maxWaiting || waitOf(m_waiting.size() + 1) > m_limits.longestWait;
+    const bool takesPlace = full && !m_waiting.empty() && goesBefore(request, m_waiting[lastWaiting()].request);
+    if (wait > limit || (full && !takesPlace)) {
+        leave(request.account);
+        decision.retryAfter = std::clamp(wait, shortestRetryAfter, longestRetryAfter);
         decision.explanation = std::to_string(m_waiting.size()) + " requests wait, about "
-            + std::to_string(wait.count()) + " ms; " + std::to_string(patience.count()) + " ms are left";
+            + std::to_string(wait.count()) + " ms; at most " + std::to_string(limit.count()) + " ms are allowed";
         return decision;
     }
-    join(request.account);
+    if (takesPlace) {
+        displace(lastWaiting());
+    }
     m_waiting.push_back({ request, now });
     decision.outcome = AdmissionOutcome::Queued;
     return decision;
@@ -81,18 +89,19 @@
     return ready;
 }
 
-std::vector<GenerationKey> Admission::expire(DecisionTime now)
+std::vector<Withdrawal> Admission::withdraw(DecisionTime now)
 {
-    std::vector<GenerationKey> expired;
+    std::vector<Withdrawal> withdrawn = std::exchange(m_displaced, {});
     std::erase_if(m_waiting, [&](const Waiting &waiting) {
-        if (waiting.request.deadline > now) {
+        // The estimate may have been wrong, or others may have gone before; the wait is bounded in any case.
+        if (std::min(waiting.request.deadline, waiting.since + 2 * m_limits.longestWait) > now) {
             return false;
         }
-        expired.push_back(waiting.request.key);
+        withdrawn.push_back({ waiting.request.key, RequestError::DeadlineExceeded, shortestRetryAfter });
         leave(waiting.request.account);
         return true;
     });
-    return expired;
+    return withdrawn;
 }
 
 void Admission::emitted(const GenerationKey &key)
@@ -264,22 +273,55 @@
     account.served += request.promptTokens / request.share;
 }
 
-// Higher priority first, then the client account that was served least for its share, then the longest wait.
+// Higher priority first, then the client account that was served least for its share, then the one with fewer requests
+// here. Among equals the one that has waited longer goes first, so neither goes before the other here.
+bool Admission::goesBefore(const AdmissionRequest &first, const AdmissionRequest &second) const
+{
+    if (first.priority != second.priority) {
+        return first.priority > second.priority;
+    }
+    if (first.account == second.account) {
+        return false;
+    }
+    const AccountState &ofFirst = m_accounts.at(first.account);
+    const AccountState &ofSecond = m_accounts.at(second.account);
+    return ofFirst.served != ofSecond.served ? ofFirst.served < ofSecond.served : ofFirst.active < ofSecond.active;
+}
+
 std::size_t Admission::nextWaiting() const
 {
     std::size_t best = 0;
     for (std::size_t i = 1; i < m_waiting.size(); ++i) {
-        const AdmissionRequest &challenger = m_waiting[i].request;
-        const AdmissionRequest &holder = m_waiting[best].request;
-        if (challenger.priority != holder.priority) {
-            best = challenger.priority > holder.priority ? i : best;
-        } else if (m_accounts.at(challenger.account).served < m_accounts.at(holder.account).served) {
-            best = i;
-        }
+        best = goesBefore(m_waiting[i].request, m_waiting[best].request) ? i : best;
     }
     return best;
 }
 
+std::size_t Admission::lastWaiting() const
+{
+    std::size_t last = 0;
+    for (std::size_t i = 1; i < m_waiting.size(); ++i) {
+        last = goesBefore(m_waiting[i].request, m_waiting[last].request) ? last : i;
+    }
+    return last;
+}
+
+std::size_t Admission::waitingBefore(const AdmissionRequest &request) const
+{
+    return static_cast<std::size_t>(std::count_if(m_waiting.begin(), m_waiting.end(), [&](const Waiting &waiting) {
+        return !goesBefore(request, waiting.request);
+    }));
+}
+
+void Admission::displace(std::size_t index)
+{
+    const AdmissionRequest request = m_waiting[index].request;
+    m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(index));
+    leave(request.account);
+    const auto retryAfter = std::clamp(waitOf(m_waiting.size() + 1), shortestRetryAfter, longestRetryAfter);
+    m_displaced.push_back({ request.key, RequestError::QueueFull, retryAfter });
+}
+
 // A client account that comes back starts at the present virtual time, so that idleness saves up no credit.
 void Admission::join(const std::string &account)
 {
--- a/src/process/linkpool.cpp
+++ b/src/process/linkpool.cpp
@@ -283,7 +283,11 @@
     server->lastHeard = Clock::now();
     server->pinged = false;
     for (LinkMessage &message : *messages) {
-        std::visit([this, server](auto &content) { handle(*server, content); }, message);
+        std::visit(
+            [this, server](auto &content) {
+                handle(*server, content);
+            },
+            message);
     }
 }
 
--- a/src/process/memoryforecast.cpp
+++ b/src/process/memoryforecast.cpp
@@ -57,7 +57,8 @@
 
 // From one horizon to the next a request counts as alive as at the first and as long as at the second, so that no peak
 // between them is missed.
-MemoryForecast::Part MemoryForecast::partOf(const MemoryDemand &demand, const std::shared_ptr<LengthClass> &lengthClass) const
+MemoryForecast::Part MemoryForecast::partOf(const MemoryDemand &demand,
+                                            const std::shared_ptr<LengthClass> &lengthClass) const
 {
     Part part;
     part.lengthClass = lengthClass;
--- a/src/process/sidecar.cpp
+++ b/src/process/sidecar.cpp
@@ -205,7 +205,11 @@
         return;
     }
     for (LinkMessage &message : *messages) {
-        std::visit([this, link](auto &content) { handle(link, content); }, message);
+        std::visit(
+            [this, link](auto &content) {
+                handle(link, content);
+            },
+            message);
     }
 }
 
@@ -363,7 +367,8 @@
         EngineLimits limits{ .totalBlocks = 0,
                              .maxRunning = m_settings.maxRunning,
                              .maxWaiting = m_settings.maxWaiting };
-        limits.memoryRisk = version->policy().memoryRisk;
+        limits.memoryRisk = version->policy().memoryRisk();
+        limits.longestWait = version->policy().longestWait;
         m_admission.setLimits(limits);
     }
     reportLoad(true);
@@ -651,21 +656,7 @@
 {
     auto nextIdleReport = Clock::now();
     while (waitUnlessStopping(housekeepingInterval)) {
-        std::vector<SessionPointer> expired;
-        {
-            const std::lock_guard lock(m_mutex);
-            for (const GenerationKey &key : m_admission.expire(Clock::now())) {
-                m_queuedSince.erase(key);
-                expired.push_back(m_sessions.at(key));
-            }
-        }
-        for (const SessionPointer &session : expired) {
-            session->end(failedMessage(session->key(),
-                                       Failure{ .code = RequestError::DeadlineExceeded,
-                                                .verdict = Verdict::NotRun,
-                                                .message = "the deadline passed while the request waited",
-                                                .retryAfter = retryAfterDown }));
-        }
+        endWithdrawn();
         admitWaiting();
         reapSessions();
         const bool toAll = Clock::now() >= nextIdleReport;
@@ -674,6 +665,32 @@
     }
 }
 
+void Sidecar::endWithdrawn()
+{
+    std::vector<std::pair<SessionPointer, Withdrawal>> ended;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const Withdrawal &withdrawal : m_admission.withdraw(Clock::now())) {
+            m_queuedSince.erase(withdrawal.key);
+            const auto position = m_sessions.find(withdrawal.key);
+            if (position != m_sessions.end()) {
+                ended.emplace_back(position->second, withdrawal);
+                ++m_counters.refusals;
+            }
+        }
+    }
+    for (const auto &[session, withdrawal] : ended) {
+        const bool expired = withdrawal.reason == RequestError::DeadlineExceeded;
+        session->end(failedMessage(session->key(),
+                                   Failure{ .code = withdrawal.reason,
+                                            .verdict = Verdict::NotRun,
+                                            .message = expired
+                                                ? "the deadline passed while the request waited"
+                                                : "a request of a client account that was served less took the place",
+                                            .retryAfter = withdrawal.retryAfter }));
+    }
+}
+
 void Sidecar::reapSessions()
 {
     const auto now = Clock::now();
--- a/src/request/answerwriter.cpp
+++ b/src/request/answerwriter.cpp
@@ -78,8 +78,8 @@
     ++m_tokens;
     m_pending += "id: " + std::to_string(key.generation) + ":" + std::to_string(sequence) + "\ndata: " + m_prefix;
     if (m_chat) {
-        m_pending += std::string(R"("delta":{)") + (isFirst ? R"("role":"assistant",)" : "") + R"("content":)" + dump(text)
-            + "}";
+        m_pending += std::string(R"("delta":{)") + (isFirst ? R"("role":"assistant",)" : "") + R"("content":)"
+            + dump(text) + "}";
     } else {
         m_pending += R"("text":)" + dump(text);
     }
--- a/src/version/configuration.cpp
+++ b/src/version/configuration.cpp
@@ -1,5 +1,6 @@
 #include "zinniadock/version/configuration.h"
 
+#include <algorithm>
 #include <array>
 
 #include <Poco/DigestEngine.h>
@@ -76,15 +77,13 @@
 
 constexpr std::array policyRules{
     fieldRule<&Policy::weightStall>("weight_stall", false, weight, "a number from 0 to 1000000",
-                                    "Cost of a second of stall."),
+                                    "Weight of stall time against preemptions."),
     fieldRule<&Policy::weightPreemption>("weight_preemption", false, weight, "a number from 0 to 1000000",
-                                         "Cost of one preemption."),
-    fieldRule<&Policy::weightTokenGap>("weight_token_gap", false, weight, "a number from 0 to 1000000",
-                                       "Cost of a second of gap beyond the target."),
+                                         "Weight of preemptions against stall time."),
+    fieldRule<&Policy::longestWait>("longest_wait_ms", false, milliseconds, "milliseconds from 1 to 86400000",
+                                    "A request that would wait longer for an engine is refused."),
     fieldRule<&Policy::retryBudget>("retry_budget", false, Range{ 0, 1 }, "a number from 0 to 1",
                                     "Retries per request sent."),
-    fieldRule<&Policy::memoryRisk>("memory_risk", false, Range{ 0.000001, 0.5 }, "a number from 0.000001 to 0.5",
-                                   "Bound on the probability that running work outgrows engine memory."),
 };
 
 template <typename Object, std::size_t Count>
@@ -276,6 +275,16 @@
     return out;
 }
 
+double Policy::memoryRisk() const
+{
+    constexpr double mostRisk = 0.5;
+    constexpr double leastRisk = 0.001;
+    constexpr double highestRisk = 0.45;
+    const double sum = weightStall + weightPreemption;
+    const double share = sum > 0 ? weightStall / sum : 0.5;
+    return std::clamp(mostRisk * share, leastRisk, highestRisk);
+}
+
 std::string sha256(std::string_view text)
 {
     Poco::SHA2Engine engine(Poco::SHA2Engine::SHA_256);
--- a/tests/unit/unit-admission.cpp
+++ b/tests/unit/unit-admission.cpp
@@ -27,7 +27,11 @@
 
 EngineLimits limits(std::uint32_t blocks)
 {
-    return EngineLimits{ .totalBlocks = blocks, .maxRunning = 1000, .maxWaiting = 1000 };
+    return EngineLimits{ .totalBlocks = blocks,
+                         .maxRunning = 1000,
+                         .maxWaiting = 1000,
+                         .memoryRisk = 0.01,
+                         .longestWait = std::chrono::hours(1) };
 }
 
 // Teaches the statistics that every output has one length.
@@ -237,11 +241,11 @@
         admission.engineReport(0, 1000, 10, start);
         CHECK(admission.usableBlocks() == Approx(1000));
         admission.engineReport(0, 1000, 13, start);
-        CHECK(admission.usableBlocks() < 950);
+        CHECK(admission.usableBlocks() < 990);
         for (int i = 0; i < 5000; ++i) {
             admission.engineReport(0, 1000, 13, start + std::chrono::milliseconds(i));
         }
-        CHECK(admission.usableBlocks() > 990);
+        CHECK(admission.usableBlocks() > 998);
     }
 
     SECTION("hands back what waits when it closes, and admits nothing after")
@@ -256,6 +260,56 @@
     }
 }
 
+TEST_CASE("waiting for admission")
+{
+    EngineLimits engine = limits(100); // one request of 800 tokens at a time
+    engine.longestWait = std::chrono::milliseconds(2000);
+    Admission admission(engine, 400);
+    DecisionTime now = start;
+    for (std::uint64_t i = 0; i < 20; ++i) { // one request ends every 500 ms
+        admission.offer(request(500 + i, "large"), now);
+        now += std::chrono::milliseconds(500);
+        admission.ended(request(500 + i, "large").key, true, now);
+        admission.admitReady();
+    }
+    const auto offer = [&](std::uint64_t id, const std::string &account) {
+        AdmissionRequest offered = request(id, account, 800);
+        offered.deadline = now + std::chrono::hours(1);
+        return admission.offer(offered, now);
+    };
+    REQUIRE(offer(1, "large").outcome == AdmissionOutcome::Admitted);
+    std::uint64_t id = 2;
+    while (offer(id, "large").outcome == AdmissionOutcome::Queued) {
+        ++id;
+    }
+
+    SECTION("is refused beyond the longest wait, whatever the deadline")
+    {
+        CHECK(admission.waitingCount() <= 4);
+        CHECK(admission.waitingCount() >= 2);
+        CHECK(offer(50, "large").retryAfter >= std::chrono::seconds(1));
+    }
+
+    SECTION("a request of an account that was served less takes the place of the last one")
+    {
+        const std::uint32_t waiting = admission.waitingCount();
+        CHECK(offer(60, "small").outcome == AdmissionOutcome::Queued);
+        CHECK(admission.waitingCount() == waiting);
+        const std::vector<Withdrawal> withdrawn = admission.withdraw(now);
+        REQUIRE(withdrawn.size() == 1);
+        CHECK(withdrawn[0].reason == RequestError::QueueFull);
+        CHECK(withdrawn[0].retryAfter >= std::chrono::seconds(1));
+        CHECK(withdrawn[0].key.request.low == id - 1);
+    }
+
+    SECTION("ends after twice the longest wait even if the estimate was wrong")
+    {
+        const std::uint32_t waiting = admission.waitingCount();
+        CHECK(admission.withdraw(now + std::chrono::milliseconds(3900)).empty());
+        CHECK(admission.withdraw(now + std::chrono::milliseconds(4000)).size() == waiting);
+    }
+}
+
 TEST_CASE("properties of admission")
 {
     // Offers, tokens, ends, cancellations and time at random; every request must be admitted, expired or refused once.
@@ -297,7 +351,11 @@
                     admission.ended(request(*running.begin()).key, step % 2 == 0, now);
                     running.erase(running.begin());
                 }
-                take(admission.expire(now), false);
+                std::vector<GenerationKey> withdrawn;
+                for (const Withdrawal &withdrawal : admission.withdraw(now)) {
+                    withdrawn.push_back(withdrawal.key);
+                }
+                take(withdrawn, false);
                 take(admission.admitReady(), true);
                 RC_ASSERT(admission.runningCount() == running.size());
                 RC_ASSERT(admission.waitingCount() == waiting.size());
--- a/tests/unit/unit-configuration.cpp
+++ b/tests/unit/unit-configuration.cpp
@@ -67,7 +67,7 @@
         CHECK(hasProblem(valid() + "[server x]\naddress = example.org:1\ndata_centre = c\n", "server x", "address"));
         CHECK(hasProblem(valid() + "[server x]\naddress = 127.0.0.1:9\ndata_centre = c\n", "server x", "address"));
         CHECK(hasProblem(valid() + "[policy default]\nweight_stall = -1\n", "policy default", "weight_stall"));
-        CHECK(hasProblem(valid() + "[policy default]\nmemory_risk = nan\n", "policy default", "memory_risk"));
+        CHECK(hasProblem(valid() + "[policy default]\nretry_budget = nan\n", "policy default", "retry_budget"));
         CHECK(hasProblem(valid() + "[planet x]\n", "planet x", ""));
         CHECK(hasProblem(valid() + "[model]\n", "model", ""));
         CHECK(hasProblem(valid() + "[model m]\n", "model m", ""));
@@ -127,6 +127,20 @@
     }
 }
 
+TEST_CASE("policy")
+{
+    SECTION("takes more risk with memory the more it minds stalls")
+    {
+        const double stalls = Policy{ .weightStall = 10, .weightPreemption = 1 }.memoryRisk();
+        const double even = Policy().memoryRisk();
+        const double preemptions = Policy{ .weightStall = 1, .weightPreemption = 10 }.memoryRisk();
+        CHECK(stalls > even);
+        CHECK(even > preemptions);
+        CHECK(Policy{ .weightStall = 0, .weightPreemption = 1 }.memoryRisk() > 0);
+        CHECK(Policy{ .weightStall = 1, .weightPreemption = 0 }.memoryRisk() < 0.5);
+    }
+}
+
 TEST_CASE("change sets")
 {
     const ObjectTexts base = splitObjects("[model a]\nmax_tokens = 1\n\n[model b]\nmax_tokens = 2\n\n");
