--- a/include/zinniadock/process/sidecar.h
+++ b/include/zinniadock/process/sidecar.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -18,6 +19,7 @@
 #include "zinniadock/connection/linktransport.h"
 #include "zinniadock/process/admission.h"
 #include "zinniadock/process/settings.h"
+#include "zinniadock/request/generationrunner.h"
 #include "zinniadock/request/sidecarsession.h"
 #include "zinniadock/version/version.h"
 
@@ -88,11 +90,8 @@
     void send(LinkId link, const LinkMessage &message);
     void pushConfiguration(LinkId link, std::uint64_t theirRevision);
 
-    void startWorker(const SessionPointer &session, void (Sidecar::*work)(const SessionPointer &));
-    void runGeneration(const SessionPointer &session);
-    void resumeGeneration(const SessionPointer &session);
-    void streamTokens(const SessionPointer &session, const std::shared_ptr<EngineStream> &stream);
-    bool reopenStream(const SessionPointer &session, std::shared_ptr<EngineStream> &stream);
+    void startWorker(const SessionPointer &session, std::function<void()> work);
+    GenerationHooks generationHooks();
     void runCall(const SessionPointer &session);
     void endGeneration(const SessionPointer &session, LinkMessage message, bool whole);
     void admitWaiting();
@@ -131,6 +130,7 @@
     std::mutex m_owedMutex; ///< innermost lock: sessions send while they hold theirs
     std::set<LinkId> m_reportOwed; ///< links that carried an answer since their last load report
 
+    GenerationRunner m_runner;
     std::unique_ptr<Poco::ThreadPool> m_workers;
     std::unique_ptr<LinkTransport> m_transport;
     std::thread m_housekeeper;
--- a/src/process/sidecar.cpp
+++ b/src/process/sidecar.cpp
@@ -21,8 +21,6 @@
 constexpr std::chrono::milliseconds idleReportInterval{ 5000 };
 constexpr std::chrono::milliseconds answerLinger{ 30000 };
 constexpr std::chrono::milliseconds tombstoneLife{ std::chrono::minutes(10) };
-constexpr std::chrono::milliseconds reopenPause{ 100 };
-constexpr int reopenAttempts = 5;
 constexpr double expectedTokensAtStart = 400;
 constexpr std::uint32_t blocksUntilReported = 1U << 20U;
 constexpr std::uint32_t spareWorkers = 16;
@@ -47,16 +45,6 @@
     std::function<void()> m_work;
 };
 
-Failed failedMessage(const GenerationKey &key, const Failure &failure)
-{
-    return Failed{ .request = key.request,
-                   .generation = key.generation,
-                   .error = failure.code.value(),
-                   .verdict = failure.verdict,
-                   .message = failure.message,
-                   .retryAfter = failure.retryAfter };
-}
-
 bool isAnswer(const LinkMessage &message)
 {
     return std::holds_alternative<Started>(message) || std::holds_alternative<Finished>(message)
@@ -80,6 +68,7 @@
                                 .maxRunning = m_settings.maxRunning,
                                 .maxWaiting = m_settings.maxWaiting },
                   expectedTokensAtStart)
+    , m_runner(m_settings.backend, m_timeouts, generationHooks())
     , m_workers(std::make_unique<Poco::ThreadPool>(2, static_cast<int>(m_settings.maxRunning + spareWorkers)))
 {
 }
@@ -291,7 +280,9 @@
     } else if (failure.code) {
         refuse(link, key, failure);
     } else if (session->offer().kind == RequestKind::Call) {
-        startWorker(session, &Sidecar::runCall);
+        startWorker(session, [this, session] {
+            runCall(session);
+        });
     } else {
         offerGeneration(session, link);
     }
@@ -400,7 +391,9 @@
     }
     switch (decision.outcome) {
     case AdmissionOutcome::Admitted:
-        startWorker(session, &Sidecar::runGeneration);
+        startWorker(session, [this, session] {
+            m_runner.run(session);
+        });
         break;
     case AdmissionOutcome::Queued:
         break;
@@ -454,7 +447,9 @@
         const std::lock_guard lock(m_mutex);
         m_sessions[key] = session;
     }
-    startWorker(session, &Sidecar::resumeGeneration);
+    startWorker(session, [this, session] {
+        m_runner.resume(session);
+    });
 }
 
 void Sidecar::refuse(LinkId link, const GenerationKey &key, const Failure &failure)
@@ -480,11 +475,9 @@
     }
 }
 
-void Sidecar::startWorker(const SessionPointer &session, void (Sidecar::*work)(const SessionPointer &))
+void Sidecar::startWorker(const SessionPointer &session, std::function<void()> work)
 {
-    auto task = std::make_unique<Task>([this, session, work] {
-        (this->*work)(session);
-    });
+    auto task = std::make_unique<Task>(std::move(work));
     try {
         m_workers->start(*task);
         static_cast<void>(task.release());
@@ -498,119 +491,29 @@
     }
 }
 
-void Sidecar::runGeneration(const SessionPointer &session)
-{
-    const auto begin = Clock::now();
-    auto stream = std::make_shared<EngineStream>(m_settings.backend, m_timeouts);
-    session->setAbort([stream] {
-        stream->abort();
-    });
-    std::optional<Failure> failure = session->cancelled() ? Failure{ .code = RequestError::Cancelled,
-                                                                     .verdict = Verdict::NotRun,
-                                                                     .message = "cancelled before it started" }
-                                                          : stream->open(session->offer().path, session->offer().body);
-    if (failure && failure->verdict == Verdict::NotRun) {
-        endGeneration(session, failedMessage(session->key(), *failure), false);
-        return;
-    }
-    if (failure && !reopenStream(session, stream)) {
-        endGeneration(session, failedMessage(session->key(), *failure), false);
-        return;
-    }
-    session->started(std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begin));
-    streamTokens(session, stream);
-}
-
-void Sidecar::resumeGeneration(const SessionPointer &session)
+GenerationHooks Sidecar::generationHooks()
 {
-    std::shared_ptr<EngineStream> stream;
-    if (!reopenStream(session, stream)) {
-        cancelOnEngine(m_settings.backend, session->key(), m_timeouts);
-        endGeneration(session,
-                      failedMessage(session->key(),
-                                    Failure{ .code = RequestError::EngineLost,
-                                             .verdict = session->next() > 0 ? Verdict::Ran : Verdict::MayHaveRun,
-                                             .message = "the engine no longer has the generation" }),
-                      false);
-        return;
-    }
-    {
+    GenerationHooks hooks;
+    hooks.emitted = [this](const GenerationKey &key) {
+        const std::lock_guard lock(m_mutex);
+        m_admission.emitted(key);
+    };
+    hooks.adopted = [this](const SessionPointer &session) {
         const std::lock_guard lock(m_mutex);
         ++m_counters.adopted;
         m_admission.adopt(admissionRequest(session->offer()), static_cast<std::uint32_t>(session->next()));
-    }
-    log.info("took up generation " + session->key().text() + " at token " + std::to_string(session->next()));
-    session->started(std::chrono::milliseconds(0));
-    streamTokens(session, stream);
-}
-
-void Sidecar::streamTokens(const SessionPointer &session, const std::shared_ptr<EngineStream> &firstStream)
-{
-    std::shared_ptr<EngineStream> stream = firstStream;
-    const GenerationKey key = session->key();
-    while (true) {
-        EngineEvent event = stream->next();
-        if (session->cancelled()) {
-            break;
-        }
-        if (const auto *token = std::get_if<EngineToken>(&event)) {
-            if (token->sequence != session->next()) {
-                continue;
-            }
-            {
-                const std::lock_guard lock(m_mutex);
-                m_admission.emitted(key);
-            }
-            if (!session->append(token->text)) {
-                break;
-            }
-        } else if (const auto *end = std::get_if<EngineEnd>(&event)) {
-            endGeneration(session,
-                          Finished{ .request = key.request,
-                                    .generation = key.generation,
-                                    .tokens = session->next(),
-                                    .reason = end->reason },
-                          true);
-            return;
-        } else if (!reopenStream(session, stream)) {
-            Failure failure = std::get<Failure>(event);
-            failure.verdict = raised(failure.verdict, session->next() > 0 ? Verdict::Ran : Verdict::MayHaveRun);
-            endGeneration(session, failedMessage(key, failure), false);
-            return;
-        }
-    }
-    bool stopping = false;
-    {
+    };
+    hooks.ended = [this](const SessionPointer &session, LinkMessage message, bool whole) {
+        endGeneration(session, std::move(message), whole);
+    };
+    hooks.pause = [this](std::chrono::milliseconds duration) {
+        return waitUnlessStopping(duration);
+    };
+    hooks.stopping = [this] {
         const std::lock_guard lock(m_mutex);
-        stopping = m_stopping;
-    }
-    if (!stopping) {
-        cancelOnEngine(m_settings.backend, key, m_timeouts);
-    }
-    endGeneration(
-        session,
-        failedMessage(key, Failure{ .code = RequestError::Cancelled, .verdict = Verdict::Ran, .message = "cancelled" }),
-        false);
-}
-
-// The engine keeps a generation for a while after its connection broke, so the stream is asked for again by name.
-bool Sidecar::reopenStream(const SessionPointer &session, std::shared_ptr<EngineStream> &stream)
-{
-    for (int attempt = 0; attempt < reopenAttempts; ++attempt) {
-        auto next = std::make_shared<EngineStream>(m_settings.backend, m_timeouts);
-        session->setAbort([next] {
-            next->abort();
-        });
-        const std::optional<Failure> failure = next->reopen(session->key(), session->next());
-        if (!failure) {
-            stream = next;
-            return true;
-        }
-        if (failure->code == RequestError::UnknownRequest || session->cancelled() || !waitUnlessStopping(reopenPause)) {
-            return false;
-        }
-    }
-    return false;
+        return m_stopping;
+    };
+    return hooks;
 }
 
 void Sidecar::runCall(const SessionPointer &session)
@@ -648,7 +551,9 @@
         }
     }
     for (const SessionPointer &session : ready) {
-        startWorker(session, &Sidecar::runGeneration);
+        startWorker(session, [this, session] {
+            m_runner.run(session);
+        });
     }
 }
 
--- /dev/null
+++ b/src/request/generationrunner.cpp
@@ -0,0 +1,143 @@
+#include "zinniadock/request/generationrunner.h"
+
+#include <utility>
+
+#include "zinniadock/process/log.h"
+
+namespace zinniadock
+{
+
+namespace
+{
+
+using SessionPointer = std::shared_ptr<SidecarSession>;
+using Clock = std::chrono::steady_clock;
+
+constexpr Log log{ "engine" };
+
+constexpr std::chrono::milliseconds reopenPause{ 100 };
+constexpr int reopenAttempts = 5;
+
+} // namespace
+
+Failed failedMessage(const GenerationKey &key, const Failure &failure)
+{
+    return Failed{ .request = key.request,
+                   .generation = key.generation,
+                   .error = failure.code.value(),
+                   .verdict = failure.verdict,
+                   .message = failure.message,
+                   .retryAfter = failure.retryAfter };
+}
+
+GenerationRunner::GenerationRunner(Endpoint engine, BackendTimeouts timeouts, GenerationHooks hooks)
+    : m_engine(std::move(engine))
+    , m_timeouts(timeouts)
+    , m_hooks(std::move(hooks))
+{
+}
+
+void GenerationRunner::run(const SessionPointer &session)
+{
+    const auto begin = Clock::now();
+    auto stream = std::make_shared<EngineStream>(m_engine, m_timeouts);
+    session->setAbort([stream] {
+        stream->abort();
+    });
+    std::optional<Failure> failure = session->cancelled() ? Failure{ .code = RequestError::Cancelled,
+                                                                     .verdict = Verdict::NotRun,
+                                                                     .message = "cancelled before it started" }
+                                                          : stream->open(session->offer().path, session->offer().body);
+    if (failure && failure->verdict == Verdict::NotRun) {
+        m_hooks.ended(session, failedMessage(session->key(), *failure), false);
+        return;
+    }
+    if (failure && !reopenStream(session, stream)) {
+        m_hooks.ended(session, failedMessage(session->key(), *failure), false);
+        return;
+    }
+    session->started(std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begin));
+    streamTokens(session, stream);
+}
+
+void GenerationRunner::resume(const SessionPointer &session)
+{
+    std::shared_ptr<EngineStream> stream;
+    if (!reopenStream(session, stream)) {
+        cancelOnEngine(m_engine, session->key(), m_timeouts);
+        m_hooks.ended(session,
+                      failedMessage(session->key(),
+                                    Failure{ .code = RequestError::EngineLost,
+                                             .verdict = session->next() > 0 ? Verdict::Ran : Verdict::MayHaveRun,
+                                             .message = "the engine no longer has the generation" }),
+                      false);
+        return;
+    }
+    m_hooks.adopted(session);
+    log.info("took up generation " + session->key().text() + " at token " + std::to_string(session->next()));
+    session->started(std::chrono::milliseconds(0));
+    streamTokens(session, stream);
+}
+
+void GenerationRunner::streamTokens(const SessionPointer &session, const std::shared_ptr<EngineStream> &firstStream)
+{
+    std::shared_ptr<EngineStream> stream = firstStream;
+    const GenerationKey key = session->key();
+    while (true) {
+        EngineEvent event = stream->next();
+        if (session->cancelled()) {
+            break;
+        }
+        if (const auto *token = std::get_if<EngineToken>(&event)) {
+            if (token->sequence != session->next()) {
+                continue;
+            }
+            m_hooks.emitted(key);
+            if (!session->append(token->text)) {
+                break;
+            }
+        } else if (const auto *end = std::get_if<EngineEnd>(&event)) {
+            m_hooks.ended(session,
+                          Finished{ .request = key.request,
+                                    .generation = key.generation,
+                                    .tokens = session->next(),
+                                    .reason = end->reason },
+                          true);
+            return;
+        } else if (!reopenStream(session, stream)) {
+            Failure failure = std::get<Failure>(event);
+            failure.verdict = raised(failure.verdict, session->next() > 0 ? Verdict::Ran : Verdict::MayHaveRun);
+            m_hooks.ended(session, failedMessage(key, failure), false);
+            return;
+        }
+    }
+    if (!m_hooks.stopping()) {
+        cancelOnEngine(m_engine, key, m_timeouts);
+    }
+    m_hooks.ended(
+        session,
+        failedMessage(key, Failure{ .code = RequestError::Cancelled, .verdict = Verdict::Ran, .message = "cancelled" }),
+        false);
+}
+
+// The engine keeps a generation for a while after its connection broke, so the stream is asked for again by name.
+bool GenerationRunner::reopenStream(const SessionPointer &session, std::shared_ptr<EngineStream> &stream)
+{
+    for (int attempt = 0; attempt < reopenAttempts; ++attempt) {
+        auto next = std::make_shared<EngineStream>(m_engine, m_timeouts);
+        session->setAbort([next] {
+            next->abort();
+        });
+        const std::optional<Failure> failure = next->reopen(session->key(), session->next());
+        if (!failure) {
+            stream = next;
+            return true;
+        }
+        if (failure->code == RequestError::UnknownRequest || session->cancelled() || !m_hooks.pause(reopenPause)) {
+            return false;
+        }
+    }
+    return false;
+}
+
+} // namespace zinniadock
