Stop a request that crashes engines after its second crash

Cause: one poison request could crash four engines, one an attempt, and each resend four more. Also a data race, found by the thread sanitizer: any thread read the size of the link library's write queue. Change: sidecars name each crash and tell all entries which requests were in it; a request in one crash runs alone among its like, one in two crashes is refused as quarantined, over all entries and without the store. The size of the write queue is looked at on the transport's thread only.

--- a/include/zinniadock/connection/linkmessage.h
+++ b/include/zinniadock/connection/linkmessage.h
@@ -61,6 +61,8 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t maxTokens = 0;
     double share = 1.0; ///< weight of the client account in fair sharing
+    std::uint64_t fingerprint = 0; ///< the same for every resend of a request
+    bool suspect = false; ///< the request was running when an engine crashed
 
     template <typename Archive>
     void fields(Archive &archive)
@@ -80,6 +82,8 @@
         archive("q", promptTokens);
         archive("x", maxTokens);
         archive("s", share);
+        archive("f", fingerprint);
+        archive("u", suspect);
     }
 };
 
@@ -224,12 +228,14 @@
     Verdict verdict = Verdict::MayHaveRun;
     std::string message;
     std::chrono::milliseconds retryAfter{ 0 };
+    std::uint64_t crash = 0; ///< names the crash of the engine that ended the request, 0 for none
 
     template <typename Archive>
     void fields(Archive &archive)
     {
         archive("r", request);
         archive("g", generation);
+        archive("c", crash);
         archive("e", error);
         archive("v", verdict);
         archive("x", message);
@@ -307,9 +313,23 @@
     }
 };
 
+/// Tells an entry that a request was running when an engine crashed.
+struct CrashNotice
+{
+    std::uint64_t fingerprint = 0;
+    std::uint64_t crash = 0; ///< names the crash
+
+    template <typename Archive>
+    void fields(Archive &archive)
+    {
+        archive("f", fingerprint);
+        archive("c", crash);
+    }
+};
+
 /// Every message of the protocol; the position in the list is its type number on the wire.
 using LinkMessage = std::variant<Hello, Offer, Resume, Cancel, Ack, Started, Token, Finished, Reply, Failed, LoadReport,
-                                 ConfigurationPush, Ping, Pong>;
+                                 ConfigurationPush, Ping, Pong, CrashNotice>;
 
 /// Encodes a message as one CBOR map.
 std::string encode(LinkMessage message);
--- a/include/zinniadock/process/linkpool.h
+++ b/include/zinniadock/process/linkpool.h
@@ -14,6 +14,7 @@
 #include "zinniadock/connection/linkmessage.h"
 #include "zinniadock/connection/linktransport.h"
 #include "zinniadock/process/routing.h"
+#include "zinniadock/process/suspecttable.h"
 #include "zinniadock/request/exchange.h"
 #include "zinniadock/version/version.h"
 
@@ -72,6 +73,12 @@
 
     LinkPoolStatus status() const;
 
+    /// Returns the requests that were running when engines crashed.
+    SuspectTable &suspects()
+    {
+        return m_suspects;
+    }
+
     /// Closes every link.
     void stop();
 
@@ -131,6 +138,7 @@
     bool m_stopping = false;
     std::map<std::string, std::shared_ptr<ServerLink>> m_servers;
     std::unordered_map<LinkId, std::shared_ptr<ServerLink>> m_byLink;
+    SuspectTable m_suspects;
     LinkPoolStatus m_counters;
     std::unique_ptr<LinkTransport> m_transport;
     std::thread m_maintainer;
--- a/include/zinniadock/process/sidecar.h
+++ b/include/zinniadock/process/sidecar.h
@@ -94,6 +94,7 @@
     GenerationHooks generationHooks();
     void runCall(const SessionPointer &session);
     void endGeneration(const SessionPointer &session, LinkMessage message, bool whole);
+    bool suspectRuns() const;
     void admitWaiting();
 
     void housekeep();
@@ -125,6 +126,7 @@
     bool m_draining = false;
     bool m_stopping = false;
     bool m_backendAlive = true;
+    std::uint64_t m_engineIncarnation = 0;
     SidecarStatus m_counters;
 
     std::mutex m_owedMutex; ///< innermost lock: sessions send while they hold theirs
--- a/include/zinniadock/request/error.h
+++ b/include/zinniadock/request/error.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <system_error>
 
@@ -31,6 +32,7 @@
     Cancelled,
     NotConfigured,
     AnswerTooLarge,
+    Quarantined,
 };
 
 const std::error_category &requestCategory();
@@ -45,6 +47,7 @@
     Verdict verdict = Verdict::MayHaveRun;
     std::string message;
     std::chrono::milliseconds retryAfter{ 0 }; ///< zero where the reason gives no time
+    std::uint64_t crash = 0; ///< names the crash of the engine that ended the request, 0 for none
 };
 
 /// Returns the HTTP status that tells the caller about an error.
--- a/src/connection/linktransport.cpp
+++ b/src/connection/linktransport.cpp
@@ -27,6 +27,13 @@
 constexpr long openTimeoutMilliseconds = 2000;
 constexpr long closeTimeoutMilliseconds = 500;
 
+/// What became of a message given to a connection.
+enum class AppendResult {
+    Queued,
+    FlushNeeded, ///< the first of a frame; flush() has to be called
+    Full,
+};
+
 // Both endpoint kinds have connections of different types; this gives them one face.
 class Connection
 {
@@ -36,23 +43,20 @@
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
 
-    /// Returns the bytes not yet given to the kernel.
-    std::size_t bufferedBytes() const
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        return m_pending.size() + writingBytes();
-    }
-
-    /// Queues a message; true if flush() has to be called for it.
-    bool append(const std::string &message)
+    /// Queues a message. Callable from any thread.
+    AppendResult append(const std::string &message)
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
+        if (m_pending.size() > maxBufferedBytes) {
+            return AppendResult::Full;
+        }
         const bool first = m_pending.empty();
         m_pending += first ? std::string(1, frameBegin) + message : message;
-        return first;
+        return first ? AppendResult::FlushNeeded : AppendResult::Queued;
     }
 
     /// Sends the queued messages as one frame; messages that arrive while the transport's thread is busy share it.
+    /// Only on the transport's thread, the one that may look at what the library has not written yet.
     void flush()
     {
         std::string frame;
@@ -60,7 +64,9 @@
             const std::lock_guard<std::mutex> lock(m_mutex);
             frame.swap(m_pending);
         }
-        if (!frame.empty()) {
+        if (writingBytes() > maxBufferedBytes) {
+            drop();
+        } else if (!frame.empty()) {
             frame += frameEnd;
             write(frame);
         }
@@ -190,16 +196,15 @@
         if (!connection) {
             return false;
         }
-        if (connection->bufferedBytes() > maxBufferedBytes) {
-            drop(link);
-            return false;
-        }
-        if (connection->append(message)) {
+        const AppendResult result = connection->append(message);
+        if (result == AppendResult::FlushNeeded) {
             boost::asio::post(m_io, [connection] {
                 connection->flush();
             });
+        } else if (result == AppendResult::Full) {
+            drop(link);
         }
-        return true;
+        return result != AppendResult::Full;
     }
 
     void drop(LinkId link)
--- a/src/process/linkpool.cpp
+++ b/src/process/linkpool.cpp
@@ -300,6 +300,8 @@
         server.load = message;
         server.sentSinceReport = 0;
         server.theirRevision = std::max(server.theirRevision, message.revision);
+    } else if constexpr (std::is_same_v<Message, CrashNotice>) {
+        m_suspects.crashed(message.fingerprint, message.crash, Clock::now());
     } else if constexpr (std::is_constructible_v<ExchangeEvent, Message>) {
         deliver(server, message);
     }
--- a/src/process/sidecar.cpp
+++ b/src/process/sidecar.cpp
@@ -1,5 +1,6 @@
 #include "zinniadock/process/sidecar.h"
 
+#include <algorithm>
 #include <functional>
 
 #include <Poco/Exception.h>
@@ -7,6 +8,7 @@
 
 #include "zinniadock/connection/servicecall.h"
 #include "zinniadock/process/log.h"
+#include "zinniadock/process/routing.h"
 
 namespace zinniadock
 {
@@ -51,6 +53,12 @@
         || std::holds_alternative<Reply>(message) || std::holds_alternative<Failed>(message);
 }
 
+// An engine that can't be reached again after its stream broke has crashed with the request on it.
+bool isCrash(const Failed &failed)
+{
+    return failed.error == static_cast<std::int32_t>(RequestError::EngineLost) && failed.verdict != Verdict::NotRun;
+}
+
 template <typename Message>
 GenerationKey keyOf(const Message &message)
 {
@@ -260,6 +268,11 @@
                         .verdict = Verdict::NotRun,
                         .message = "the backend server is down",
                         .retryAfter = retryAfterDown };
+        } else if (message.suspect && suspectRuns()) {
+            failure = { .code = RequestError::QueueFull,
+                        .verdict = Verdict::NotRun,
+                        .message = "another request that was in a crash runs here alone",
+                        .retryAfter = retryAfterDown };
         } else if (message.kind == RequestKind::Call && m_runningCalls >= m_settings.maxRunning) {
             failure = { .code = RequestError::QueueFull,
                         .verdict = Verdict::NotRun,
@@ -532,14 +545,33 @@
 
 void Sidecar::endGeneration(const SessionPointer &session, LinkMessage message, bool whole)
 {
+    std::vector<LinkId> links;
+    std::uint64_t crash = 0;
     {
         const std::lock_guard lock(m_mutex);
         m_admission.ended(session->key(), whole, Clock::now());
+        if (auto *failed = std::get_if<Failed>(&message); failed != nullptr && isCrash(*failed)) {
+            crash = stableHash(m_settings.server + "/" + std::to_string(m_engineIncarnation));
+            failed->crash = crash;
+            for (const auto &[link, instance] : m_links) {
+                links.push_back(link);
+            }
+        }
+    }
+    for (const LinkId link : links) {
+        send(link, CrashNotice{ .fingerprint = session->offer().fingerprint, .crash = crash });
     }
     session->end(std::move(message));
     admitWaiting();
 }
 
+bool Sidecar::suspectRuns() const
+{
+    return std::any_of(m_sessions.begin(), m_sessions.end(), [](const auto &entry) {
+        return entry.second->offer().suspect && !entry.second->ended();
+    });
+}
+
 void Sidecar::admitWaiting()
 {
     std::vector<SessionPointer> ready;
@@ -654,6 +686,7 @@
             alive = report.has_value();
             if (report) {
                 const std::lock_guard lock(m_mutex);
+                m_engineIncarnation = report->incarnation;
                 m_admission.engineReport(report->usedBlocks, report->totalBlocks, report->preemptions, Clock::now());
             }
         } else {
--- /dev/null
+++ b/src/process/suspecttable.cpp
@@ -0,0 +1,33 @@
+#include "zinniadock/process/suspecttable.h"
+
+namespace zinniadock
+{
+
+void SuspectTable::crashed(std::uint64_t fingerprint, std::uint64_t crash, Time now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_suspects.size() >= maxSuspects) {
+        std::erase_if(m_suspects, [now](const auto &entry) {
+            return now - entry.second.last > memory;
+        });
+    }
+    if (m_suspects.size() >= maxSuspects && !m_suspects.contains(fingerprint)) {
+        return;
+    }
+    Suspect &suspect = m_suspects[fingerprint];
+    if (now - suspect.last > memory) {
+        suspect.crashes.clear();
+    }
+    suspect.crashes.insert(crash);
+    suspect.last = now;
+}
+
+std::size_t SuspectTable::crashes(std::uint64_t fingerprint, Time now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto position = m_suspects.find(fingerprint);
+    const bool known = position != m_suspects.end() && now - position->second.last <= memory;
+    return known ? position->second.crashes.size() : 0;
+}
+
+} // namespace zinniadock
--- a/src/request/error.cpp
+++ b/src/request/error.cpp
@@ -34,6 +34,7 @@
     { RequestError::Cancelled, "cancelled", 499 },
     { RequestError::NotConfigured, "not_configured", 503 },
     { RequestError::AnswerTooLarge, "answer_too_large", 502 },
+    { RequestError::Quarantined, "quarantined", 422 },
 };
 
 class RequestCategory final : public std::error_category
--- a/src/request/generationrunner.cpp
+++ b/src/request/generationrunner.cpp
@@ -27,7 +27,8 @@
                    .error = failure.code.value(),
                    .verdict = failure.verdict,
                    .message = failure.message,
-                   .retryAfter = failure.retryAfter };
+                   .retryAfter = failure.retryAfter,
+                   .crash = failure.crash };
 }
 
 GenerationRunner::GenerationRunner(Endpoint engine, BackendTimeouts timeouts, GenerationHooks hooks)
--- a/src/request/requestrunner.cpp
+++ b/src/request/requestrunner.cpp
@@ -36,7 +36,8 @@
     return Failure{ .code = static_cast<RequestError>(message.error),
                     .verdict = message.verdict,
                     .message = message.message,
-                    .retryAfter = message.retryAfter };
+                    .retryAfter = message.retryAfter,
+                    .crash = message.crash };
 }
 
 Failure linkLost(Verdict verdict)
@@ -243,6 +244,14 @@
 {
     m_order.follow(generation);
     Offer offer = makeOffer(generation);
+    offer.fingerprint = stableHash(m_accountName + "\n" + m_request.body);
+    const std::size_t crashes = m_services.links.suspects().crashes(offer.fingerprint, Clock::now());
+    if (crashes >= SuspectTable::quarantineCrashes) {
+        return Attempt{ .end = Failure{ .code = RequestError::Quarantined,
+                                        .verdict = Verdict::NotRun,
+                                        .message = "the request was running when two engines crashed" } };
+    }
+    offer.suspect = crashes > 0;
     offer.kind = RequestKind::Generation;
     offer.promptTokens = m_generation.promptTokens;
     offer.maxTokens = m_generation.maxTokens;
@@ -260,6 +269,9 @@
         return Attempt{ .end = *failure };
     }
     Attempt attempt = followGeneration(writer, server, exchange);
+    if (const auto *failure = std::get_if<Failure>(&attempt.end); failure != nullptr && failure->crash != 0) {
+        m_services.links.suspects().crashed(offer.fingerprint, failure->crash, Clock::now());
+    }
     const bool whole = std::holds_alternative<Finished>(attempt.end) && !attempt.callerGone;
     if (whole) {
         m_services.links.finish(server, *exchange, m_order.next());
--- a/tests/standin/enginestandin.cpp
+++ b/tests/standin/enginestandin.cpp
@@ -135,8 +135,18 @@
     m_server->stop();
 }
 
+bool EngineStandin::crashed() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_crashed;
+}
+
 void EngineStandin::handle(HTTPServerRequest &request, HTTPServerResponse &response)
 {
+    if (crashed()) {
+        cutConnection(request);
+        return;
+    }
     const Poco::URI uri(request.getURI());
     const std::string &path = uri.getPath();
     constexpr std::string_view streams = "/v1/streams/";
@@ -191,7 +201,14 @@
                            { "mark", promptMark(prompt) },
                            { "server", m_settings.server } });
         if (prompt.find("[crash]") != std::string::npos) {
-            std::_Exit(1);
+            if (m_settings.exitOnCrash) {
+                std::_Exit(1);
+            }
+            m_crashed = true;
+            ++m_streamEpoch;
+            m_changed.notify_all();
+            cutConnection(request);
+            return;
         }
         EngineJob job{ .id = generation->id,
                        .promptTokens = static_cast<std::uint32_t>(prompt.size() / bytesPerToken + 1),
--- a/tests/standin/enginestandin.h
+++ b/tests/standin/enginestandin.h
@@ -37,6 +37,7 @@
     std::chrono::milliseconds orphanLife{ 10000 }; ///< a generation without a reader goes on for so long
     std::string history;
     std::string server; ///< name in the history
+    bool exitOnCrash = true; ///< else the engine only stops answering, for tests in one process
     bool stamp = false; ///< adds `@emitted`, and to the first token `@arrived`, in microseconds of the wall clock
 };
 
@@ -70,6 +71,9 @@
 
     std::uint32_t running() const;
 
+    /// Says whether a prompt has crashed the engine.
+    bool crashed() const;
+
     /// Stops at once, with all its generations.
     void stop();
 
@@ -140,6 +144,7 @@
     std::uint64_t m_streamEpoch = 0; ///< streams of an earlier epoch are cut
     bool m_frozen = false;
     bool m_stopping = false;
+    bool m_crashed = false;
     std::thread m_stepper;
     std::unique_ptr<FunctionServer> m_server;
 };
--- a/tests/standin/functionserver.h
+++ b/tests/standin/functionserver.h
@@ -115,6 +115,12 @@
     return body;
 }
 
+/// Closes the connection of a request without an answer.
+inline void cutConnection(HTTPServerRequest &request)
+{
+    static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().close();
+}
+
 /// Sends a JSON answer.
 inline void sendJson(HTTPServerResponse &response, const std::string &body, int status = HTTPServerResponse::HTTP_OK)
 {
--- a/tests/standin/servicestandin.cpp
+++ b/tests/standin/servicestandin.cpp
@@ -85,7 +85,7 @@
                        { "key", request.get("Idempotency-Key", "") } });
     std::this_thread::sleep_for(delay);
     if (silent) {
-        static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().close();
+        cutConnection(request);
         return;
     }
     sendJson(response, Json{ { "path", request.getURI() }, { "run", number }, { "body", body } }.dump());
--- a/tests/standin/storestandin.cpp
+++ b/tests/standin/storestandin.cpp
@@ -39,11 +39,6 @@
     }
 }
 
-void cutConnection(HTTPServerRequest &request)
-{
-    static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().close();
-}
-
 } // namespace
 
 StoreStandin::StoreStandin(const StoreStandinSettings &settings)
--- a/tests/unit/fleet.cpp
+++ b/tests/unit/fleet.cpp
@@ -143,6 +143,7 @@
 {
     engineSettings.model.stepBase = stepBase;
     engineSettings.model.stepPerSequence = std::chrono::microseconds(10);
+    engineSettings.exitOnCrash = false;
     engineSettings.loadLag = std::chrono::milliseconds(50);
     for (std::size_t i = 0; i < engineCount; ++i) {
         engines.push_back(std::make_unique<standin::EngineStandin>(engineSettings));
--- a/tests/unit/unit-faults.cpp
+++ b/tests/unit/unit-faults.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <atomic>
 
 #include "fleet.h"
@@ -222,3 +223,34 @@
         }));
     }
 }
+
+TEST_CASE("a request that crashes each engine it runs on")
+{
+    Fleet fleet(5, 2);
+    const std::string poison = "poison [crash]";
+    const auto crashedEngines = [&] {
+        return std::count_if(fleet.engines.begin(), fleet.engines.end(), [](const auto &engine) {
+            return engine->crashed();
+        });
+    };
+
+    SECTION("takes down at most two, though its caller sends it again through every entry and the store is down")
+    {
+        fleet.store->setFaults({ .down = true });
+        for (std::size_t i = 0; i < 8; ++i) {
+            CHECK_FALSE(streamGeneration(fleet.entryPort(i % 2), poison).whole);
+        }
+        CHECK(crashedEngines() == 2);
+        const StreamAnswer refused = streamGeneration(fleet.entryPort(1), poison);
+        CHECK(refused.status == 422);
+        CHECK(refused.verdict == "not_run");
+    }
+
+    SECTION("does not stop others")
+    {
+        streamGeneration(fleet.entryPort(0), poison);
+        for (int i = 0; i < 10; ++i) {
+            CHECK(tokensAreWhole(streamGeneration(fleet.entryPort(1), "[tokens=5]"), "[tokens=5]", 5));
+        }
+    }
+}
--- a/tests/unit/unit-historychecker.cpp
+++ b/tests/unit/unit-historychecker.cpp
@@ -13,8 +13,8 @@
 
 Json answer(const std::vector<std::string> &tokens, const std::string &end = "whole")
 {
-    return { { "event", "answer" }, { "request", request }, { "mark", "m" }, { "end", end }, { "verdict", "ran" },
-             { "tokens", tokens } };
+    return { { "event", "answer" }, { "request", request }, { "mark", "m" },
+             { "end", end },        { "verdict", "ran" },   { "tokens", tokens } };
 }
 
 Json engineEnd(int generation, int tokens)
@@ -67,7 +67,8 @@
     {
         Json refused = answer({}, "refused");
         refused["verdict"] = "not_run";
-        CHECK(brokenRules({ refused, { { "event", "engine_start" }, { "key", request + "-1" } } }) == Rules{ "not-run" });
+        CHECK(brokenRules({ refused, { { "event", "engine_start" }, { "key", request + "-1" } } })
+              == Rules{ "not-run" });
         const Json call{ { "event", "call" }, { "request", request }, { "body", "b" }, { "verdict", "not_run" } };
         const Json run{ { "event", "service_run" }, { "request", request }, { "method", "POST" }, { "body", "b" } };
         CHECK(brokenRules({ call, run }) == Rules{ "not-run" });
@@ -93,8 +94,11 @@
     SECTION("finds a revision that went back within one incarnation")
     {
         const auto revision = [](const std::string &incarnation, int number, int time) {
-            return Json{ { "event", "revision" }, { "instance", "e" }, { "incarnation", incarnation },
-                         { "revision", number }, { "time", time } };
+            return Json{ { "event", "revision" },
+                         { "instance", "e" },
+                         { "incarnation", incarnation },
+                         { "revision", number },
+                         { "time", time } };
         };
         CHECK(brokenRules({ revision("1", 5, 1), revision("1", 4, 2) }) == Rules{ "revision" });
         CHECK(brokenRules({ revision("1", 5, 2), revision("1", 4, 1) }).empty());
