Mend what the linter found in the benches

Cause: two casts that round or widen in the wrong place. Change: lround, and the sum after the casts.

--- a/bench/crowded/main.cpp
+++ b/bench/crowded/main.cpp
@@ -123,7 +123,7 @@
                 plan.workload = workload;
                 plan.engine = crowdedEngine();
                 plan.length = Seconds(absl::GetFlag(FLAGS_seconds));
-                plan.seed = static_cast<std::uint64_t>(absl::GetFlag(FLAGS_seed) + i);
+                plan.seed = static_cast<std::uint64_t>(absl::GetFlag(FLAGS_seed)) + static_cast<std::uint64_t>(i);
                 plan.arrivals = drawArrivals(workload, factor * fullRate(workload, plan), plan.length, plan.seed);
                 for (const Policy &policy : policies) {
                     const std::string name
--- a/bench/load/figures.h
+++ b/bench/load/figures.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -44,7 +45,7 @@
             m_sorted = true;
         }
         const auto last = static_cast<double>(m_values.size() - 1);
-        return static_cast<double>(m_values[static_cast<std::size_t>(quantile * last + 0.5)].count()) / 1000;
+        return static_cast<double>(m_values[static_cast<std::size_t>(std::lround(quantile * last))].count()) / 1000;
     }
 
 private:
