--- a/include/zinniadock/detail/fieldtable.h
+++ b/include/zinniadock/detail/fieldtable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <limits>
@@ -92,6 +93,13 @@
                               } };
 }
 
+/// Returns a view of a rule table.
+template <typename Object, std::size_t Count>
+std::span<const FieldRule<Object>> spanOf(const std::array<FieldRule<Object>, Count> &rules)
+{
+    return { rules.data(), rules.size() };
+}
+
 /// Fills an aggregate from a section; every mistake goes to \p problems.
 template <typename Object>
 Object parseSection(const IniSection &section, const std::string &file, std::span<const FieldRule<Object>> rules,
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -13,6 +13,7 @@
 using detail::FieldRule;
 using detail::fieldRule;
 using detail::Range;
+using detail::spanOf;
 
 constexpr Range anyText{ 1, 256 };
 constexpr Range optionalText{ 0, 256 };
@@ -86,12 +87,6 @@
                                              "Longest wait of a planned stop for requests in flight."),
 };
 
-template <typename Object, std::size_t Count>
-std::span<const FieldRule<Object>> spanOf(const std::array<FieldRule<Object>, Count> &rules)
-{
-    return { rules.data(), rules.size() };
-}
-
 template <typename Visitor>
 void forEachSection(Settings &settings, Visitor visitor)
 {
--- a/src/version/configuration.cpp
+++ b/src/version/configuration.cpp
@@ -15,6 +15,7 @@
 using detail::FieldRule;
 using detail::fieldRule;
 using detail::Range;
+using detail::spanOf;
 
 constexpr Range anyText{ 1, 1024 };
 constexpr Range optionalText{ 0, 1024 };
@@ -86,12 +87,6 @@
                                     "Retries per request sent."),
 };
 
-template <typename Object, std::size_t Count>
-std::span<const FieldRule<Object>> spanOf(const std::array<FieldRule<Object>, Count> &rules)
-{
-    return { rules.data(), rules.size() };
-}
-
 // Calls a visitor with the section kind, the objects and the rules of each kind.
 template <typename AnyConfiguration, typename Visitor>
 void forEachKind(AnyConfiguration &configuration, Visitor visitor)
