--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -10,7 +10,6 @@
 namespace
 {
 
-using detail::FieldRule;
 using detail::fieldRule;
 using detail::Range;
 using detail::spanOf;
