Refuse events of other requests, and stage silent, cut and crossed links

Cause: an engine that puts an event of one request into the stream of another would have had its text shown to the wrong caller, since the sidecar checked only the token's number. An entry that linked after a crash had not heard of the request that caused it. Links that fall silent one way had no test. Change: the engine stream compares the id of each event with the generation it asked for and opens the stream anew on a mismatch; sidecars tell entries that link later of the newest crashes; a relay stand-in holds back or cuts links; the faults bench gains 8 kinds of fault, which now overlap, planned stops with their leaving events, and stall and recovery per kind. With a third of servers down, 200 requests were offered at most 240 times.

--- a/bench/faults.sh
+++ b/bench/faults.sh
@@ -7,6 +7,7 @@
 RANDOM=$seed
 engineCount=3
 fleet_log_level=error
+bench_relays=1
 bench_fleet "$engineCount" 2 --step_us 5000 --step_per_sequence_us 20 --blocks 3000
 
 declare -A port
@@ -18,9 +19,12 @@
 
 microseconds() { echo $(($(date +%s%N) / 1000)); }
 faults=0
+# note_fault KIND TARGET MILLISECONDS: records a fault that begins now.
 note_fault() {
+    local now
+    now=$(microseconds)
     faults=$((faults + 1))
-    echo "{\"event\":\"fault\",\"kind\":\"$1\",\"target\":\"$2\",\"time\":$(microseconds)}" >>"$history_dir/faults.jsonl"
+    echo "{\"event\":\"fault\",\"kind\":\"$1\",\"target\":\"$2\",\"time\":$now,\"until\":$((now + $3 * 1000))}" >>"$history_dir/faults.jsonl"
 }
 control() { curl -sS -o "$work/control.out" -X POST -d "$2" "http://127.0.0.1:$1/control" 2>"$work/control.err" || true; }
 end_process() {
@@ -42,30 +46,61 @@
     esac
 }
 kill_and_restart() {
-    note_fault kill "$1"
+    local pause=$((RANDOM % 5 + 1))
+    note_fault "kill_${1%%-*}" "$1" "$((pause * 100))"
     end_process "$1"
-    sleep "0.$((RANDOM % 5 + 1))"
+    sleep "0.$pause"
     start_again "$1"
 }
+stop_and_restart() {
+    local from until
+    note_fault planned_stop "$1" 0
+    from=$(microseconds)
+    kill -TERM "$(bench_pid "$1")"
+    wait "$(bench_pid "$1")" || true
+    until=$(microseconds)
+    echo "{\"event\":\"leaving\",\"server\":\"${1#sidecar-}\",\"time\":$from,\"until\":$until}" >>"$history_dir/leavings.jsonl"
+    end_process "$1"
+    start_again "$1"
+}
+# Freezes, silences and outages last while the next faults come, so that faults overlap.
 freeze() {
-    note_fault freeze "$1"
-    kill -STOP "$(bench_pid "$1")"
-    sleep "$2"
-    kill -CONT "$(bench_pid "$1")"
+    local pid
+    pid=$(bench_pid "$1")
+    note_fault "freeze_${1%%-*}" "$1" "$(($2 * 1000))"
+    kill -STOP "$pid"
+    (sleep "$2"; kill -CONT "$pid" 2>/dev/null || true) &
+}
+silence() {
+    note_fault "$1" "$2" 1500
+    control "$(fleet_field "relay-$2" control)" "$3"
+    (sleep 1.5; control "$(fleet_field "relay-$2" control)" '{}') &
+}
+trouble_store() {
+    note_fault "$1" store 1000
+    control "${store#*:}" "$2"
+    (sleep 1; control "${store#*:}" '{}') &
 }
 one_fault() {
     local engine="engine-$((RANDOM % engineCount))" entry="entry-$((RANDOM % 2))"
-    case $((RANDOM % 11)) in
+    case $((RANDOM % 18)) in
     0 | 1) kill_and_restart "sidecar-$engine" ;;
     2) kill_and_restart "$entry" ;;
     3) kill_and_restart "$engine" ;;
     4) freeze "sidecar-$engine" 2 ;;
     5) freeze "$entry" 1 ;;
     6) freeze "$engine" 1 ;;
-    7) note_fault drop_streams "$engine"; control "${port[$engine]}" '{"drop_streams":true}' ;;
-    8) note_fault store_down store; control "${store#*:}" '{"down":true}'; sleep 1; control "${store#*:}" '{}' ;;
-    9) note_fault store_loses store; control "${store#*:}" '{"lose_answers":0.5}'; sleep 1; control "${store#*:}" '{}' ;;
-    10) kill_and_restart sidecar-orders ;;
+    7) note_fault drop_streams "$engine" 0; control "${port[$engine]}" '{"drop_streams":true}' ;;
+    8) note_fault cross_streams "$engine" 0; control "${port[$engine]}" '{"cross_streams":20}' ;;
+    9) silence silent_to_entry "$engine" '{"silent_to_client":true}' ;;
+    10) silence silent_to_sidecar "$engine" '{"silent_to_server":true}' ;;
+    11) silence silent_both "$engine" '{"silent_to_server":true,"silent_to_client":true}' ;;
+    12) note_fault cut_link "$engine" 0; control "$(fleet_field "relay-$engine" control)" '{"cut":true}' ;;
+    13) trouble_store store_down '{"down":true}' ;;
+    14) trouble_store store_loses '{"lose_answers":0.5}' ;;
+    15) trouble_store store_slow '{"delay_ms":300}' ;;
+    16) kill_and_restart sidecar-orders ;;
+    17) stop_and_restart "sidecar-$engine" ;;
     esac
 }
 record_revisions() {
@@ -84,7 +119,7 @@
 while [ "$SECONDS" -lt "$deadline" ]; do
     if [ $((RANDOM % 4)) -eq 0 ]; then
         # Two faults at one time: streams are cut while the other fault is under way.
-        note_fault drop_streams engine-0
+        note_fault drop_streams engine-0 200
         (sleep 0.2; control "${port[engine-0]}" '{"drop_streams":true}') &
         one_fault
     else
@@ -95,7 +130,7 @@
         printf '[route work-orders]\npool = orders\npath = /work-orders\ndeadline_ms = %s\n' "$((4000 + RANDOM % 1000))" >"$work/change.ini"
         "$bin/zinniadock" apply --partial --store "$store" "$work/change.ini" >"$work/apply.out" 2>&1 || true
     fi
-    sleep "0.$((RANDOM % 4 + 3))"
+    sleep "0.$((RANDOM % 3 + 1))"
 done
 wait "$loadPid"
 "$bin/zinniadock-load" check --json "$work/check.json" "$history_dir"/*.jsonl >/dev/null 2>"$work/violations" || true
@@ -107,5 +142,6 @@
     for name in requests whole partial refused unknown wrong_tokens gap_p99_ms stall_p99_ms stall_max_ms; do
         echo "$name $(figure "$work/load.json" "$name")"
     done
+    sed -n 's/^ *"\(faults_[a-z_]*\|stall_[a-z_]*_ms\|stall_[a-z_]*_p50_ms\|recovery_[a-z_]*_ms\)": \([-0-9.e+]*\),*$/\1 \2/p' "$work/check.json"
 } >"$work/figures"
 publish_figures
--- a/bench/load/callers.cpp
+++ b/bench/load/callers.cpp
@@ -28,6 +28,9 @@
 constexpr std::string_view textField = "\"text\":\"";
 constexpr std::uint32_t callEvery = 8;
 
+// Waits of at least this long are written into the history, each with its begin and end.
+constexpr Microseconds recordedStall{ 200000 };
+
 Microseconds since(Clock::time_point begin)
 {
     return std::chrono::duration_cast<Microseconds>(Clock::now() - begin);
@@ -137,6 +140,7 @@
         const std::string body = Json{ { "model", m_plan.route }, { "prompt", prompt }, { "stream", true } }.dump();
         m_mark = markOf(prompt);
         m_tokens.clear();
+        m_stalls = Json::array();
         m_wrong = false;
         const auto begin = Clock::now();
         m_last = begin;
@@ -168,13 +172,15 @@
             end = "broken";
         }
         m_results.stall.add(std::max(m_longest, since(m_last)));
+        noteStall(since(m_last));
         count(end, verdict);
         m_history.record({ { "event", "answer" },
                            { "request", requestId },
                            { "mark", m_mark },
                            { "end", end },
                            { "verdict", verdict },
-                           { "tokens", m_tokens } });
+                           { "tokens", m_tokens },
+                           { "stalls", m_stalls } });
     }
 
     std::string read(std::istream &stream, Clock::time_point begin)
@@ -210,6 +216,7 @@
         const auto now = Clock::now();
         const auto waited = std::chrono::duration_cast<Microseconds>(now - m_last);
         m_longest = std::max(m_longest, waited);
+        noteStall(waited);
         m_last = now;
         ++m_results.tokens;
         (index == 0 ? m_results.firstToken : m_results.gap).add(index == 0 ? since(begin) : waited);
@@ -226,6 +233,14 @@
         }
     }
 
+    void noteStall(Microseconds waited)
+    {
+        if (waited >= recordedStall && m_history.records()) {
+            const std::int64_t now = wallMicroseconds();
+            m_stalls.push_back(Json{ { "from", now - waited.count() }, { "until", now } });
+        }
+    }
+
     void call(std::uint32_t number)
     {
         const std::string body = "call " + std::to_string(m_number) + " " + std::to_string(number) + " seed "
@@ -290,6 +305,7 @@
     std::string m_mark;
     std::string m_generation;
     std::vector<std::string> m_tokens;
+    Json m_stalls;
     std::size_t m_shown = 0;
     bool m_wrong = false;
     std::int64_t m_sentAt = 0;
--- a/bench/load/figures.cpp
+++ b/bench/load/figures.cpp
@@ -8,6 +8,14 @@
 namespace zinniadock::load
 {
 
+std::optional<double> Figures::value(const std::string &name) const
+{
+    const auto position = std::find_if(m_figures.begin(), m_figures.end(), [&name](const auto &figure) {
+        return figure.first == name;
+    });
+    return position == m_figures.end() ? std::nullopt : std::optional(position->second);
+}
+
 void Figures::print() const
 {
     for (const auto &[name, value] : m_figures) {
--- a/bench/load/figures.h
+++ b/bench/load/figures.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cmath>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -62,6 +63,9 @@
         m_figures.emplace_back(name, value);
     }
 
+    /// Returns the first figure of a name; nothing if there is none.
+    std::optional<double> value(const std::string &name) const;
+
     void print() const;
 
     /// Writes a JSON object; false if the file can't be written.
--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -7,6 +7,7 @@
 #include <absl/flags/usage.h>
 
 #include "callers.h"
+#include "faultstalls.h"
 #include "historychecker.h"
 
 ABSL_FLAG(std::vector<std::string>, target, {}, "IP:port of each entry, or of each engine");
@@ -103,6 +104,7 @@
 int checkHistory(const std::vector<std::string> &files)
 {
     HistoryChecker checker;
+    FaultStalls stalls;
     for (const std::string &file : files) {
         std::ifstream stream(file);
         if (!stream) {
@@ -114,6 +116,7 @@
             const nlohmann::json event = nlohmann::json::parse(line, nullptr, false);
             if (event.is_object()) {
                 checker.add(event);
+                stalls.add(event);
             } else if (!stream.eof()) {
                 return usageError(file + ":" + std::to_string(number) + ": not a JSON object");
             }
@@ -123,9 +126,13 @@
     for (const Violation &violation : violations) {
         std::cerr << violation.rule << ": " << violation.detail << "\n";
     }
+    if (const std::string longest = stalls.longest(); !longest.empty()) {
+        std::cerr << longest << "\n";
+    }
     Figures figures;
     figures.add("events", static_cast<double>(checker.eventCount()));
     figures.add("violations", static_cast<double>(violations.size()));
+    stalls.report(figures);
     const int code = finish(figures);
     return code != 0 ? code : violations.empty() ? 0 : 1;
 }
--- a/include/zinniadock/connection/enginestream.h
+++ b/include/zinniadock/connection/enginestream.h
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include <Poco/Net/HTTPClientSession.h>
+#include <nlohmann/json_fwd.hpp>
 
 #include "zinniadock/detail/fieldtable.h"
 #include "zinniadock/request/error.h"
@@ -43,14 +44,15 @@
 class EngineStream
 {
 public:
-    EngineStream(const Endpoint &engine, BackendTimeouts timeouts);
+    /// \param key  the generation that the stream brings; events of any other end the stream with a failure
+    EngineStream(const Endpoint &engine, BackendTimeouts timeouts, const GenerationKey &key);
 
     /// Sends a request in the form of the completions interface; nothing if the engine accepted it.
     /// A Failure is NotRun where no byte was sent or the engine refused.
     std::optional<Failure> open(const std::string &path, const std::string &body);
 
     /// Takes up a running generation at a token; nothing if the engine still has it.
-    std::optional<Failure> reopen(const GenerationKey &key, SequenceNumber from);
+    std::optional<Failure> reopen(SequenceNumber from);
 
     /// Waits for the next event. \pre open() or reopen() succeeded
     EngineEvent next();
@@ -61,7 +63,10 @@
 private:
     std::optional<Failure> exchange(const std::string &method, const std::string &path, const std::string &body);
     std::optional<Failure> failureOf(int status);
+    bool isOfAnother(const nlohmann::json &event);
 
+    const GenerationKey m_key;
+    std::string m_streamId; ///< id of the first event
     Poco::Net::HTTPClientSession m_session;
     std::mutex m_mutex;
     bool m_aborted = false;
--- a/include/zinniadock/process/sidecar.h
+++ b/include/zinniadock/process/sidecar.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -127,6 +128,7 @@
     bool m_stopping = false;
     bool m_backendAlive = true;
     std::uint64_t m_engineIncarnation = 0;
+    std::deque<CrashNotice> m_crashes; ///< the newest, for entries that link later
     SidecarStatus m_counters;
 
     std::mutex m_owedMutex; ///< innermost lock: sessions send while they hold theirs
--- a/src/connection/enginestream.cpp
+++ b/src/connection/enginestream.cpp
@@ -45,9 +45,8 @@
     return delta.value("content", std::string());
 }
 
-EngineEvent parseEvent(std::string_view data, SequenceNumber next)
+EngineEvent parseEvent(const Json &event, SequenceNumber next)
 {
-    const Json event = Json::parse(data, nullptr, false);
     try {
         if (event.contains("error")) {
             return failure(RequestError::EngineLost, Verdict::MayHaveRun, "the engine ended the stream with an error");
@@ -65,8 +64,9 @@
 
 } // namespace
 
-EngineStream::EngineStream(const Endpoint &engine, BackendTimeouts timeouts)
-    : m_session(engine.address, engine.port)
+EngineStream::EngineStream(const Endpoint &engine, BackendTimeouts timeouts, const GenerationKey &key)
+    : m_key(key)
+    , m_session(engine.address, engine.port)
 {
     m_session.setTimeout(detail::timespan(timeouts.connect), detail::timespan(timeouts.connect),
                          detail::timespan(timeouts.silence));
@@ -77,10 +77,28 @@
     return exchange(HTTPRequest::HTTP_POST, path, body);
 }
 
-std::optional<Failure> EngineStream::reopen(const GenerationKey &key, SequenceNumber from)
+std::optional<Failure> EngineStream::reopen(SequenceNumber from)
 {
     m_next = from;
-    return exchange(HTTPRequest::HTTP_GET, streamPath(key) + "?from=" + std::to_string(from), {});
+    return exchange(HTTPRequest::HTTP_GET, streamPath(m_key) + "?from=" + std::to_string(from), {});
+}
+
+// Engines put the request id they were given at the end of theirs; an engine with ids of its own must at least keep one
+// id over a whole stream.
+bool EngineStream::isOfAnother(const Json &event)
+{
+    const auto position = event.find("id");
+    if (position == event.end() || !position->is_string()) {
+        return false;
+    }
+    const std::string &id = position->get_ref<const std::string &>();
+    if (!m_streamId.empty()) {
+        return id != m_streamId;
+    }
+    m_streamId = id;
+    const std::string own = m_key.text();
+    const bool namesRequest = id.size() >= own.size() && GenerationKey::parse(id.substr(id.size() - own.size()));
+    return namesRequest && !id.ends_with(own);
 }
 
 EngineEvent EngineStream::next()
@@ -100,7 +118,12 @@
             if (data.size() > maxEventBytes) {
                 return failure(RequestError::EngineLost, Verdict::MayHaveRun, "the engine sent an oversized event");
             }
-            EngineEvent event = parseEvent(data, m_next);
+            const Json document = Json::parse(data, nullptr, false);
+            if (document.is_object() && isOfAnother(document)) {
+                return failure(RequestError::EngineLost, Verdict::MayHaveRun,
+                               "the engine sent an event of another request");
+            }
+            EngineEvent event = parseEvent(document, m_next);
             if (const auto *token = std::get_if<EngineToken>(&event)) {
                 m_next = token->sequence + 1;
             }
--- a/src/process/sidecar.cpp
+++ b/src/process/sidecar.cpp
@@ -26,6 +26,7 @@
 constexpr double expectedTokensAtStart = 400;
 constexpr std::uint32_t blocksUntilReported = 1U << 20U;
 constexpr std::uint32_t spareWorkers = 16;
+constexpr std::size_t crashesKept = 256;
 constexpr std::chrono::milliseconds retryAfterDown{ 1000 };
 
 // Runs a function once on a pooled thread, and owns itself until then.
@@ -227,9 +228,11 @@
 
 void Sidecar::handle(LinkId link, Hello &message)
 {
+    std::deque<CrashNotice> crashes;
     {
         const std::lock_guard lock(m_mutex);
         m_links[link] = message.instance;
+        crashes = m_crashes;
     }
     {
         const std::lock_guard lock(m_owedMutex);
@@ -240,6 +243,9 @@
                 .dataCentre = m_daemon.dataCentre,
                 .incarnation = m_incarnation,
                 .revision = m_version.revision() });
+    for (const CrashNotice &crash : crashes) {
+        send(link, crash);
+    }
     pushConfiguration(link, message.revision);
 }
 
@@ -546,20 +552,24 @@
 void Sidecar::endGeneration(const SessionPointer &session, LinkMessage message, bool whole)
 {
     std::vector<LinkId> links;
-    std::uint64_t crash = 0;
+    CrashNotice notice{ .fingerprint = session->offer().fingerprint };
     {
         const std::lock_guard lock(m_mutex);
         m_admission.ended(session->key(), whole, Clock::now());
         if (auto *failed = std::get_if<Failed>(&message); failed != nullptr && isCrash(*failed)) {
-            crash = stableHash(m_settings.server + "/" + std::to_string(m_engineIncarnation));
-            failed->crash = crash;
+            notice.crash = stableHash(m_settings.server + "/" + std::to_string(m_engineIncarnation));
+            failed->crash = notice.crash;
+            m_crashes.push_back(notice);
+            if (m_crashes.size() > crashesKept) {
+                m_crashes.pop_front();
+            }
             for (const auto &[link, instance] : m_links) {
                 links.push_back(link);
             }
         }
     }
     for (const LinkId link : links) {
-        send(link, CrashNotice{ .fingerprint = session->offer().fingerprint, .crash = crash });
+        send(link, notice);
     }
     session->end(std::move(message));
     admitWaiting();
--- a/src/request/generationrunner.cpp
+++ b/src/request/generationrunner.cpp
@@ -41,7 +41,7 @@
 void GenerationRunner::run(const SessionPointer &session)
 {
     const auto begin = Clock::now();
-    auto stream = std::make_shared<EngineStream>(m_engine, m_timeouts);
+    auto stream = std::make_shared<EngineStream>(m_engine, m_timeouts, session->key());
     session->setAbort([stream] {
         stream->abort();
     });
@@ -125,11 +125,11 @@
 bool GenerationRunner::reopenStream(const SessionPointer &session, std::shared_ptr<EngineStream> &stream)
 {
     for (int attempt = 0; attempt < reopenAttempts; ++attempt) {
-        auto next = std::make_shared<EngineStream>(m_engine, m_timeouts);
+        auto next = std::make_shared<EngineStream>(m_engine, m_timeouts, session->key());
         session->setAbort([next] {
             next->abort();
         });
-        const std::optional<Failure> failure = next->reopen(session->key(), session->next());
+        const std::optional<Failure> failure = next->reopen(session->next());
         if (!failure) {
             stream = next;
             return true;
--- a/tests/standin/enginestandin.cpp
+++ b/tests/standin/enginestandin.cpp
@@ -49,6 +49,11 @@
     return text;
 }
 
+std::string choiceText(bool chat, const std::string &text)
+{
+    return chat ? R"("delta":{"content":")" + text + R"("})" : R"("text":")" + text + R"(")";
+}
+
 } // namespace
 
 std::string promptMark(const std::string &prompt)
@@ -96,6 +101,12 @@
     m_changed.notify_all();
 }
 
+void EngineStandin::crossStreams(std::uint32_t count)
+{
+    const std::lock_guard lock(m_mutex);
+    m_crossings = count;
+}
+
 void EngineStandin::setFrozen(bool frozen)
 {
     const std::lock_guard lock(m_mutex);
@@ -272,6 +283,9 @@
     if (body.value("drop_streams", false)) {
         dropStreams();
     }
+    if (body.contains("cross_streams")) {
+        crossStreams(body["cross_streams"].get<std::uint32_t>());
+    }
     {
         const std::lock_guard lock(m_mutex);
         m_frozen = body.value("frozen", m_frozen);
@@ -296,8 +310,6 @@
         response.setContentType("text/event-stream");
         std::ostream &out = response.send();
         out << std::flush;
-        const std::string before = generation->chat ? R"("delta":{"content":")" : R"("text":")";
-        const std::string after = generation->chat ? R"("})" : R"(")";
         for (std::uint64_t next = from; out.good();) {
             lock.lock();
             m_changed.wait(lock, [&] {
@@ -307,23 +319,17 @@
             const bool cut = generation->cancelled || m_streamEpoch != epoch || m_stopping;
             const std::uint64_t emitted = generation->emitted;
             const std::string reason = generation->reason;
-            std::vector<std::string> tokens;
-            for (std::uint64_t index = next; index < emitted && !cut; ++index) {
-                tokens.push_back(tokenText(*generation, index));
+            std::string events = cut ? std::string() : crossedEvent(*generation);
+            for (; next < emitted && !cut; ++next) {
+                events += tokenEvent(*generation, next);
             }
             lock.unlock();
             if (cut) {
                 break;
             }
-            std::string events;
-            for (const std::string &token : tokens) {
-                events += R"(data: {"choices":[{"index":0,)" + before + token + after
-                    + R"(,"finish_reason":null}],"token_index":)" + std::to_string(next) + "}\n\n";
-                ++next;
-            }
             if (!reason.empty()) {
-                events += R"(data: {"choices":[{"index":0,)" + before + after + R"(,"finish_reason":")" + reason
-                    + "\"}]}\n\ndata: [DONE]\n\n";
+                events += R"(data: {"id":"cmpl-)" + generation->key + R"(","choices":[{"index":0,)"
+                    + choiceText(generation->chat, "") + R"(,"finish_reason":")" + reason + "\"}]}\n\ndata: [DONE]\n\n";
                 out << events << std::flush;
                 break;
             }
@@ -348,6 +354,27 @@
     return text + " ";
 }
 
+std::string EngineStandin::tokenEvent(const Generation &generation, std::uint64_t index)
+{
+    return R"(data: {"id":"cmpl-)" + generation.key + R"(","choices":[{"index":0,)"
+        + choiceText(generation.chat, tokenText(generation, index)) + R"(,"finish_reason":null}],"token_index":)"
+        + std::to_string(index) + "}\n\n";
+}
+
+std::string EngineStandin::crossedEvent(const Generation &generation)
+{
+    if (m_crossings == 0) {
+        return {};
+    }
+    for (const auto &[job, other] : m_byJob) {
+        if (other->key != generation.key && other->emitted > 0) {
+            --m_crossings;
+            return tokenEvent(*other, other->emitted - 1);
+        }
+    }
+    return {};
+}
+
 std::string EngineStandin::loadText()
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/standin/enginestandin.h
+++ b/tests/standin/enginestandin.h
@@ -63,6 +63,9 @@
     /// Stops giving tokens while \p frozen.
     void setFrozen(bool frozen);
 
+    /// Puts an event of another running generation before the next event of each of \p count streams.
+    void crossStreams(std::uint32_t count);
+
     /// Returns the number of generations that were ever started.
     std::uint64_t started() const;
 
@@ -119,6 +122,8 @@
     void control(HTTPServerRequest &request, HTTPServerResponse &response);
     void stream(const GenerationPointer &generation, std::uint64_t from, HTTPServerResponse &response);
     static std::string tokenText(const Generation &generation, std::uint64_t index);
+    static std::string tokenEvent(const Generation &generation, std::uint64_t index);
+    std::string crossedEvent(const Generation &generation);
     std::string loadText();
     std::string cacheEventText();
     void run();
@@ -142,6 +147,7 @@
     std::uint64_t m_lastJob = 0;
     std::uint64_t m_cancelled = 0;
     std::uint64_t m_streamEpoch = 0; ///< streams of an earlier epoch are cut
+    std::uint32_t m_crossings = 0; ///< events of other generations still to be put into streams
     bool m_frozen = false;
     bool m_stopping = false;
     bool m_crashed = false;
--- /dev/null
+++ b/tests/standin/linkrelay.cpp
@@ -0,0 +1,181 @@
+#include "linkrelay.h"
+
+#include <array>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <nlohmann/json.hpp>
+
+namespace zinniadock::standin
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr int controlThreads = 2;
+constexpr int pollMilliseconds = 50;
+constexpr std::size_t bufferBytes = 65536;
+
+void shutDown(Poco::Net::StreamSocket &socket)
+{
+    try {
+        socket.shutdown();
+    } catch (const Poco::Exception &) {
+        // The peer has closed it before.
+        return;
+    }
+}
+
+void sendAll(Poco::Net::StreamSocket &socket, const char *data, int size)
+{
+    for (int sent = 0; sent < size;) {
+        sent += socket.sendBytes(data + sent, size - sent);
+    }
+}
+
+} // namespace
+
+LinkRelay::LinkRelay(const LinkRelaySettings &settings)
+    : m_target(settings.server)
+    , m_socket(Poco::Net::SocketAddress("127.0.0.1", settings.port))
+    , m_acceptor([this] {
+        accept();
+    })
+    , m_control(
+          std::make_unique<FunctionServer>(settings.controlPort, controlThreads, [this](auto &request, auto &response) {
+              const Json body = Json::parse(readBody(request), nullptr, false);
+              if (body.is_object()) {
+                  setSilence({ .toServer = body.value("silent_to_server", false),
+                               .toClient = body.value("silent_to_client", false) });
+                  if (body.value("cut", false)) {
+                      cut();
+                  }
+              }
+              sendJson(response, "{}");
+          }))
+{
+}
+
+LinkRelay::~LinkRelay()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_changed.notify_all();
+    cut();
+    m_acceptor.join();
+    reap(true);
+}
+
+std::uint16_t LinkRelay::port() const
+{
+    return m_socket.address().port();
+}
+
+std::uint16_t LinkRelay::controlPort() const
+{
+    return m_control->port();
+}
+
+void LinkRelay::setSilence(Silence silence)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_silence = silence;
+    }
+    m_changed.notify_all();
+}
+
+void LinkRelay::cut()
+{
+    const std::lock_guard lock(m_mutex);
+    for (Connection &connection : m_connections) {
+        shutDown(connection.client);
+        shutDown(connection.server);
+    }
+}
+
+void LinkRelay::accept()
+{
+    const auto stopping = [this] {
+        const std::lock_guard lock(m_mutex);
+        return m_stopping;
+    };
+    while (!stopping()) {
+        reap(false);
+        if (!m_socket.poll(Poco::Timespan(0, pollMilliseconds * 1000), Poco::Net::Socket::SELECT_READ)) {
+            continue;
+        }
+        try {
+            Poco::Net::StreamSocket client = m_socket.acceptConnection();
+            Poco::Net::StreamSocket server{ Poco::Net::SocketAddress(m_target) };
+            client.setNoDelay(true);
+            server.setNoDelay(true);
+            const std::lock_guard lock(m_mutex);
+            Connection &connection = m_connections.emplace_back();
+            connection.client = client;
+            connection.server = server;
+            for (const bool toServer : { true, false }) {
+                connection.threads.emplace_back([this, &connection, toServer] {
+                    pass(connection, toServer);
+                });
+            }
+        } catch (const Poco::Exception &) {
+            // The server is down: the client sees its connection close.
+            continue;
+        }
+    }
+}
+
+void LinkRelay::pass(Connection &connection, bool toServer)
+{
+    Poco::Net::StreamSocket &from = toServer ? connection.client : connection.server;
+    Poco::Net::StreamSocket &to = toServer ? connection.server : connection.client;
+    std::array<char, bufferBytes> buffer{};
+    try {
+        for (int size = 0; (size = from.receiveBytes(buffer.data(), buffer.size())) > 0;) {
+            {
+                std::unique_lock lock(m_mutex);
+                m_changed.wait(lock, [&] {
+                    return m_stopping || !held(toServer);
+                });
+            }
+            sendAll(to, buffer.data(), size);
+        }
+    } catch (const Poco::Exception &) {
+        // One of the two ends is gone, which ends the other below.
+        shutDown(from);
+    }
+    shutDown(to);
+    --connection.running;
+}
+
+bool LinkRelay::held(bool toServer) const
+{
+    return toServer ? m_silence.toServer : m_silence.toClient;
+}
+
+void LinkRelay::reap(bool all)
+{
+    std::list<Connection> ended;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (auto position = m_connections.begin(); position != m_connections.end();) {
+            const auto next = std::next(position);
+            if (all || position->running == 0) {
+                ended.splice(ended.end(), m_connections, position);
+            }
+            position = next;
+        }
+    }
+    for (Connection &connection : ended) {
+        for (std::thread &thread : connection.threads) {
+            thread.join();
+        }
+    }
+}
+
+} // namespace zinniadock::standin
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -8,6 +8,7 @@
 #include <absl/flags/usage.h>
 
 #include "enginestandin.h"
+#include "linkrelay.h"
 #include "servicestandin.h"
 #include "storestandin.h"
 
@@ -18,7 +19,7 @@
 ABSL_FLAG(int, step_us, 15000, "engine: base time of a decoding step");
 ABSL_FLAG(int, step_per_sequence_us, 60, "engine: time of a step per sequence in the batch");
 ABSL_FLAG(bool, stamp, false, "engine: stamp each token with the time of its emission");
-ABSL_FLAG(std::string, server, "", "engine: name in the history");
+ABSL_FLAG(std::string, server, "", "engine: name in the history; relay: IP:port that it passes connections on to");
 ABSL_FLAG(int, max_batch, 256, "engine: sequences in a batch");
 ABSL_FLAG(std::vector<std::string>, lengths, {}, "engine: model=median:sigma of each model's output lengths");
 
@@ -27,9 +28,9 @@
 
 using namespace zinniadock::standin;
 
-int serve(std::uint16_t port, const sigset_t &signals)
+int serve(std::uint16_t port, const sigset_t &signals, std::uint16_t controlPort = 0)
 {
-    std::cout << R"({"ready":true,"port":)" << port << "}" << std::endl;
+    std::cout << R"({"ready":true,"port":)" << port << R"(,"control":)" << controlPort << "}" << std::endl;
     int number = 0;
     sigwait(&signals, &number);
     return 0;
@@ -77,7 +78,11 @@
         EngineStandin engine(settings);
         return serve(engine.port(), signals);
     }
-    std::cerr << "zinniadock-standin: expected store, engine or service; see --help\n";
+    if (role == "relay") {
+        LinkRelay relay({ .port = port, .server = absl::GetFlag(FLAGS_server) });
+        return serve(relay.port(), signals, relay.controlPort());
+    }
+    std::cerr << "zinniadock-standin: expected store, engine, service or relay; see --help\n";
     return 2;
 }
 
@@ -85,7 +90,7 @@
 
 int main(int argc, char **argv)
 {
-    absl::SetProgramUsageMessage("Stands in for the platform in tests: zinniadock-standin store|engine|service");
+    absl::SetProgramUsageMessage("Stands in for the platform in tests: zinniadock-standin store|engine|service|relay");
     sigset_t signals{};
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
--- a/tests/unit/fleet.cpp
+++ b/tests/unit/fleet.cpp
@@ -155,15 +155,7 @@
         m_sidecarPorts[i] = sidecars.back()->port();
     }
     for (std::size_t i = 0; i < entryCount; ++i) {
-        Settings settings;
-        settings.daemon.role = "entry";
-        settings.daemon.instance = "entry-" + std::to_string(i);
-        settings.daemon.dataCentre = "campina";
-        settings.store.endpoint = Endpoint{ .address = "127.0.0.1", .port = store->port() };
-        settings.entry.listen = Endpoint{ .address = "127.0.0.1", .port = 0 };
-        settings.entry.readTimeout = std::chrono::milliseconds(2000);
-        entries.push_back(std::make_unique<Entry>(settings));
-        entries.back()->start();
+        startEntry();
     }
     publish(configurationText());
     waitLinked();
@@ -176,14 +168,43 @@
     engines.clear();
 }
 
+void Fleet::startEntry()
+{
+    Settings settings;
+    settings.daemon.role = "entry";
+    settings.daemon.instance = "entry-" + std::to_string(entries.size());
+    settings.daemon.dataCentre = "campina";
+    settings.store.endpoint = Endpoint{ .address = "127.0.0.1", .port = store->port() };
+    settings.entry.listen = Endpoint{ .address = "127.0.0.1", .port = 0 };
+    settings.entry.readTimeout = std::chrono::milliseconds(2000);
+    entries.push_back(std::make_unique<Entry>(settings));
+    entries.back()->start();
+}
+
+void Fleet::addEntry()
+{
+    startEntry();
+    waitLinked();
+}
+
+void Fleet::placeRelays()
+{
+    for (const std::uint16_t port : m_sidecarPorts) {
+        relays.push_back(std::make_unique<standin::LinkRelay>(
+            standin::LinkRelaySettings{ .server = "127.0.0.1:" + std::to_string(port) }));
+    }
+    publish(configurationText());
+    waitLinked();
+}
+
 std::string Fleet::configurationText() const
 {
     std::string text = "[model drafting]\n[version drafting-1]\nmodel = drafting\n";
     std::string servers;
     for (std::size_t i = 0; i < sidecars.size(); ++i) {
         const std::string name = "server-" + std::to_string(i);
-        text += "[server " + name + "]\naddress = 127.0.0.1:" + std::to_string(m_sidecarPorts[i])
-            + "\ndata_centre = campina\n";
+        const std::uint16_t port = relays.empty() ? m_sidecarPorts[i] : relays[i]->port();
+        text += "[server " + name + "]\naddress = 127.0.0.1:" + std::to_string(port) + "\ndata_centre = campina\n";
         servers += i < engines.size() ? (i > 0 ? ", " : "") + name : "";
     }
     const std::string last = "server-" + std::to_string(engines.size());
--- a/tests/unit/fleet.h
+++ b/tests/unit/fleet.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "enginestandin.h"
+#include "linkrelay.h"
 #include "servicestandin.h"
 #include "storestandin.h"
 #include "zinniadock/process/entry.h"
@@ -81,6 +82,12 @@
     /// Waits until every entry is linked to every sidecar.
     void waitLinked();
 
+    /// Puts a relay between the entries and each sidecar.
+    void placeRelays();
+
+    /// Starts one more entry, and waits until it is linked.
+    void addEntry();
+
     /// Stops a sidecar at once and starts a new one at the same address.
     void restartSidecar(std::size_t index);
 
@@ -93,6 +100,7 @@
     std::vector<std::unique_ptr<standin::EngineStandin>> engines;
     std::unique_ptr<standin::ServiceStandin> service;
     std::vector<std::unique_ptr<Sidecar>> sidecars; ///< of the engines, then of the service
+    std::vector<std::unique_ptr<standin::LinkRelay>> relays; ///< before the sidecars; none until placeRelays()
     std::vector<std::unique_ptr<Entry>> entries;
 
     /// Settings of the engines; changes count for engines started later.
@@ -100,6 +108,7 @@
 
 private:
     SidecarSection sidecarSettings(std::size_t index) const;
+    void startEntry();
 
     std::vector<std::uint16_t> m_sidecarPorts;
 };
--- a/tests/unit/unit-faults.cpp
+++ b/tests/unit/unit-faults.cpp
@@ -66,6 +66,26 @@
         CHECK(fleet.engines[0]->started() + fleet.engines[1]->started() == 1);
     }
 
+    SECTION("shows nothing of an event that its engine sent to the wrong stream")
+    {
+        StreamAnswer other;
+        std::thread neighbour([&] {
+            other = streamGeneration(fleet.entryPort(), prompt + " neighbour");
+        });
+        const StreamAnswer answer = streamWithFault(fleet, prompt, 100, [&] {
+            REQUIRE(eventually([&] {
+                return fleet.engines[0]->running() + fleet.engines[1]->running() >= 2;
+            }));
+            for (const auto &engine : fleet.engines) {
+                engine->crossStreams(10);
+            }
+        });
+        neighbour.join();
+        CHECK(tokensAreWhole(answer, prompt, 1500));
+        CHECK(tokensAreWhole(other, prompt + " neighbour", 1500));
+        CHECK(fleet.engines[0]->started() + fleet.engines[1]->started() == 2);
+    }
+
     SECTION("ends with a clear event when its engine dies after tokens were shown")
     {
         const StreamAnswer answer = streamWithFault(fleet, prompt, 100, [&] {
@@ -100,6 +120,107 @@
     }
 }
 
+TEST_CASE("a link that brings nothing")
+{
+    Fleet fleet(1, 1);
+    fleet.placeRelays();
+    const std::string prompt = "silent link [tokens=1500]";
+    const auto runWith = [&](standin::Silence silence) {
+        const StreamAnswer answer = streamWithFault(fleet, prompt, 100, [&] {
+            fleet.relays[0]->setSilence(silence);
+            REQUIRE(eventually([&] {
+                return fleet.entries[0]->status().links.silentLinks > 0;
+            }));
+            fleet.relays[0]->setSilence({});
+        });
+        CHECK(tokensAreWhole(answer, prompt, 1500));
+        CHECK(fleet.engines[0]->started() == 1);
+    };
+
+    SECTION("towards the entry is replaced, and late frames of the old one show nothing twice")
+    {
+        runWith({ .toClient = true });
+    }
+
+    SECTION("towards the sidecar is replaced")
+    {
+        runWith({ .toServer = true });
+    }
+
+    SECTION("either way is replaced")
+    {
+        runWith({ .toServer = true, .toClient = true });
+    }
+
+    SECTION("is cut again and again, and the stream goes on")
+    {
+        const StreamAnswer answer = streamGeneration(fleet.entryPort(), prompt, [&](std::size_t count) {
+            if (count % 200 == 50) {
+                fleet.relays[0]->cut();
+            }
+            return true;
+        });
+        CHECK(tokensAreWhole(answer, prompt, 1500));
+        CHECK(fleet.engines[0]->started() == 1);
+    }
+
+    SECTION("never makes a call run twice or a call that ran be told as not run")
+    {
+        for (int i = 0; i < 4; ++i) {
+            const std::string body = "order " + std::to_string(i);
+            HttpAnswer answer;
+            std::thread caller([&] {
+                answer = send(fleet.entryPort(), { .path = "/work-orders", .body = body });
+            });
+            fleet.service->setDelay(std::chrono::milliseconds(50));
+            if (i % 2 == 0) {
+                eventually([&] {
+                    return fleet.service->runs(body) > 0;
+                });
+            }
+            fleet.relays.back()->cut();
+            caller.join();
+            CHECK(fleet.service->runs(body) <= 1);
+            CHECK((answer.verdict != "not_run" || fleet.service->runs(body) == 0));
+            CHECK((answer.verdict != "ran" || fleet.service->runs(body) == 1));
+            fleet.waitLinked();
+        }
+    }
+}
+
+TEST_CASE("a third of the servers down")
+{
+    Fleet fleet(3, 1);
+
+    SECTION("makes the entries send at most 1.2 times the work that was asked for")
+    {
+        constexpr int requests = 200;
+        const auto offers = [&] {
+            std::uint64_t sum = 0;
+            for (std::size_t i = 0; i < fleet.engines.size(); ++i) {
+                sum += fleet.sidecars[i]->status().offers;
+            }
+            return sum;
+        };
+        // The sidecar goes on answering for an engine that is gone, so each request may be sent there once in vain.
+        fleet.engines[0]->stop();
+        std::vector<std::thread> callers;
+        callers.reserve(4);
+        for (int caller = 0; caller < 4; ++caller) {
+            callers.emplace_back([&] {
+                for (int i = 0; i < requests / 4; ++i) {
+                    streamGeneration(fleet.entryPort(), "storm " + std::to_string(i) + " [tokens=3]");
+                }
+            });
+        }
+        for (std::thread &caller : callers) {
+            caller.join();
+        }
+        CHECK(offers() >= requests);
+        CHECK(offers() <= requests * 12 / 10);
+    }
+}
+
 TEST_CASE("a slow caller")
 {
     Fleet fleet(1, 1, std::chrono::microseconds(50));
@@ -246,6 +367,18 @@
         CHECK(refused.verdict == "not_run");
     }
 
+    SECTION("is known to an entry that comes later, though the store is down")
+    {
+        fleet.addEntry();
+        streamGeneration(fleet.entryPort(0), poison);
+        streamGeneration(fleet.entryPort(1), poison);
+        REQUIRE(crashedEngines() == 2);
+        fleet.addEntry();
+        fleet.store->setFaults({ .down = true });
+        CHECK(streamGeneration(fleet.entryPort(fleet.entries.size() - 1), poison).verdict == "not_run");
+        CHECK(crashedEngines() == 2);
+    }
+
     SECTION("does not stop others")
     {
         streamGeneration(fleet.entryPort(0), poison);
