Keep a time line of events in every process, and explain a request

Cause: after a night nobody could tell from the logs of a dozen processes what had happened to one request, or in which order. A draining sidecar keeps an answer without a link for 5 s in place of 30 s.

--- a/include/zinniadock/connection/linkmessage.h
+++ b/include/zinniadock/connection/linkmessage.h
@@ -327,9 +327,24 @@
     }
 };
 
+/// The sender's hybrid time, sent before each message that tells of an event, so that the receiver's events come later.
+struct ClockStamp
+{
+    std::uint64_t time = 0;
+
+    template <typename Archive>
+    void fields(Archive &archive)
+    {
+        archive("t", time);
+    }
+};
+
 /// Every message of the protocol; the position in the list is its type number on the wire.
 using LinkMessage = std::variant<Hello, Offer, Resume, Cancel, Ack, Started, Token, Finished, Reply, Failed, LoadReport,
-                                 ConfigurationPush, Ping, Pong, CrashNotice>;
+                                 ConfigurationPush, Ping, Pong, CrashNotice, ClockStamp>;
+
+/// Says whether a message is one of the many that carry tokens or keep links alive, and tells of no event.
+bool isFrequent(const LinkMessage &message);
 
 /// Encodes a message as one CBOR map.
 std::string encode(LinkMessage message);
--- a/include/zinniadock/process/adminserver.h
+++ b/include/zinniadock/process/adminserver.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <system_error>
 
@@ -17,12 +18,19 @@
 namespace zinniadock
 {
 
+/// What the query of an operators' request may hold; each is empty if not given.
+struct AdminQuery
+{
+    std::string request;
+    std::string since;
+};
+
 /// One thing that operators can ask a process for.
 struct AdminAction
 {
     std::string method; ///< `GET` or `POST`
     std::string contentType;
-    std::function<std::string()> run; ///< returns the body of the answer
+    std::function<std::optional<std::string>(const AdminQuery &)> run; ///< the body of the answer, or a bad query
 };
 
 /// The operators' HTTP interface of a process.
--- a/include/zinniadock/process/entry.h
+++ b/include/zinniadock/process/entry.h
@@ -17,6 +17,7 @@
 #include "zinniadock/process/linkpool.h"
 #include "zinniadock/process/metrics.h"
 #include "zinniadock/process/settings.h"
+#include "zinniadock/process/timeline.h"
 #include "zinniadock/version/version.h"
 
 namespace zinniadock
@@ -62,6 +63,7 @@
     EntryStatus status() const;
     const EntryMetrics &metrics() const;
     VersionHolder &versions();
+    Timeline &timeline();
 
 private:
     void installed();
@@ -70,7 +72,9 @@
     const Settings m_settings;
     std::atomic<bool> m_draining{ false };
     std::atomic<bool> m_stopped{ false };
+    bool m_storeAnswered = true; ///< at the last look, by the follower's thread
     VersionHolder m_versions;
+    Timeline m_timeline;
     EntryMetrics m_metrics;
     AccountLimiter m_limiter;
     RetryBudget m_retries;
--- a/include/zinniadock/process/entryservices.h
+++ b/include/zinniadock/process/entryservices.h
@@ -8,6 +8,7 @@
 #include "zinniadock/process/linkpool.h"
 #include "zinniadock/process/metrics.h"
 #include "zinniadock/process/settings.h"
+#include "zinniadock/process/timeline.h"
 #include "zinniadock/version/version.h"
 
 namespace zinniadock
@@ -23,6 +24,7 @@
     RetryBudget &retries;
     Claims<EtcdStore> &claims;
     EntryMetrics &metrics;
+    Timeline &timeline;
     std::atomic<bool> &draining;
 };
 
--- a/include/zinniadock/process/linkpool.h
+++ b/include/zinniadock/process/linkpool.h
@@ -15,6 +15,7 @@
 #include "zinniadock/connection/linktransport.h"
 #include "zinniadock/process/routing.h"
 #include "zinniadock/process/suspecttable.h"
+#include "zinniadock/process/timeline.h"
 #include "zinniadock/request/exchange.h"
 #include "zinniadock/version/version.h"
 
@@ -38,7 +39,8 @@
 public:
     /// \param version  configuration offered to sidecars that have an older one, and taken from those with a newer one
     /// \param adopted  called after a newer version was taken from a sidecar
-    LinkPool(std::string instance, std::string dataCentre, VersionHolder &version, std::function<void()> adopted);
+    LinkPool(std::string instance, std::string dataCentre, VersionHolder &version, Timeline &timeline,
+             std::function<void()> adopted);
     ~LinkPool();
 
     LinkPool(const LinkPool &) = delete;
@@ -132,6 +134,7 @@
     const std::string m_dataCentre;
     const std::uint64_t m_incarnation;
     VersionHolder &m_version;
+    Timeline &m_timeline;
     const std::function<void()> m_adopted;
     mutable std::mutex m_mutex;
     std::condition_variable m_wake;
--- a/include/zinniadock/process/sidecar.h
+++ b/include/zinniadock/process/sidecar.h
@@ -20,6 +20,7 @@
 #include "zinniadock/connection/linktransport.h"
 #include "zinniadock/process/admission.h"
 #include "zinniadock/process/settings.h"
+#include "zinniadock/process/timeline.h"
 #include "zinniadock/request/generationrunner.h"
 #include "zinniadock/request/sidecarsession.h"
 #include "zinniadock/version/version.h"
@@ -68,6 +69,7 @@
 
     SidecarStatus status() const;
     std::uint64_t revision() const;
+    Timeline &timeline();
 
 private:
     using SessionPointer = std::shared_ptr<SidecarSession>;
@@ -82,6 +84,7 @@
     void handle(LinkId link, Ack &message);
     void handle(LinkId link, ConfigurationPush &message);
     void handle(LinkId link, Ping &message);
+    void handle(LinkId link, ClockStamp &message);
     template <typename Other>
     void handle(LinkId link, Other &message);
 
@@ -115,6 +118,7 @@
     const BackendTimeouts m_timeouts;
     const std::uint64_t m_incarnation;
     VersionHolder m_version;
+    Timeline m_timeline;
 
     mutable std::mutex m_mutex; ///< guards everything down to the counters
     std::condition_variable m_wake;
--- a/include/zinniadock/request/generationrunner.h
+++ b/include/zinniadock/request/generationrunner.h
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "zinniadock/connection/enginestream.h"
+#include "zinniadock/process/timeline.h"
 #include "zinniadock/request/sidecarsession.h"
 
 namespace zinniadock
@@ -25,7 +26,7 @@
 class GenerationRunner
 {
 public:
-    GenerationRunner(Endpoint engine, BackendTimeouts timeouts, GenerationHooks hooks);
+    GenerationRunner(Endpoint engine, BackendTimeouts timeouts, GenerationHooks hooks, Timeline &timeline);
 
     /// Sends a new request to the engine and follows it to its end.
     void run(const std::shared_ptr<SidecarSession> &session);
@@ -40,6 +41,7 @@
     const Endpoint m_engine;
     const BackendTimeouts m_timeouts;
     const GenerationHooks m_hooks;
+    Timeline &m_timeline;
 };
 
 /// Returns the message that tells an entry of a failure.
--- a/include/zinniadock/request/requestrunner.h
+++ b/include/zinniadock/request/requestrunner.h
@@ -73,6 +73,8 @@
     std::chrono::milliseconds timeLeft() const;
     void fail(const Failure &failure);
     void countFailure(const Failure &failure);
+    void note(EventKind kind, GenerationId generation, const std::string &detail);
+    void noteFailure(const Failure &failure);
 
     EntryServices &m_services;
     const CallerRequest &m_request;
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -44,14 +44,26 @@
     bool quiet = false;
 };
 
+/// Options of `timeline`.
+struct TimelineOptions
+{
+    std::string request; ///< empty for all
+    std::string instance; ///< only events of or about it; empty for all
+    std::chrono::seconds since{ 0 }; ///< before now; 0 for all that is kept
+    std::string page; ///< file for a page, in place of text
+};
+
 ExitCode checkFiles(const Options &options, const std::vector<std::string> &files);
 ExitCode applyFiles(const Options &options, const ChangeOptions &change, const std::vector<std::string> &files);
 ExitCode diffFiles(const Options &options, const ChangeOptions &change, const std::vector<std::string> &files);
 ExitCode showConfiguration(const Options &options);
 ExitCode showHistory(const Options &options);
 ExitCode revertTo(const Options &options, const ChangeOptions &change, const std::string &revision);
-ExitCode showStatus(const Options &options);
+/// \param watch  shows it again every second until interrupted
+ExitCode showStatus(const Options &options, bool watch);
 ExitCode drainInstances(const Options &options);
+ExitCode showTimeline(const Options &options, const TimelineOptions &question);
+ExitCode explainRequest(const Options &options, const std::string &request);
 ExitCode ask(const AskOptions &options, const std::string &prompt);
 
 /// An answer of an instance's operators' interface; nothing if it does not answer.
--- a/src/cli/fleetcommands.cpp
+++ b/src/cli/fleetcommands.cpp
@@ -2,6 +2,7 @@
 
 #include <iomanip>
 #include <iostream>
+#include <thread>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
@@ -19,6 +20,8 @@
 using Json = nlohmann::json;
 
 constexpr int adminTimeoutSeconds = 2;
+constexpr std::chrono::milliseconds watchInterval{ 1000 };
+constexpr const char *clearScreen = "\x1b[H\x1b[2J";
 
 std::string field(const Json &status, const char *key)
 {
@@ -96,9 +99,15 @@
     }
 }
 
-ExitCode showStatus(const Options &options)
+ExitCode showStatus(const Options &options, bool watch)
 {
-    return forEachInstance(options, "GET", "/status");
+    ExitCode result = forEachInstance(options, "GET", "/status");
+    while (watch && std::cout.flush()) {
+        std::this_thread::sleep_for(watchInterval);
+        std::cout << clearScreen;
+        result = forEachInstance(options, "GET", "/status");
+    }
+    return result;
 }
 
 ExitCode drainInstances(const Options &options)
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -25,6 +25,12 @@
 ABSL_FLAG(std::string, idempotency_key, "", "key under which a call runs at most once");
 ABSL_FLAG(std::string, method, "POST", "method of a call to a plain service");
 ABSL_FLAG(std::string, path, "", "path of a call to a plain service; the argument is its body");
+ABSL_FLAG(bool, watch, false, "status: show it again every second until interrupted");
+ABSL_FLAG(std::string, request, "",
+          "timeline: only events of this request, and of the processes that it met meanwhile");
+ABSL_FLAG(std::string, instance, "", "timeline: only events of this instance, or about it");
+ABSL_FLAG(int, since, 0, "timeline: only events of the last so many seconds; 0 for all that is kept");
+ABSL_FLAG(std::string, html, "", "timeline: write a page for a browser to this file, in place of text");
 ABSL_FLAG(bool, quiet, false, "do not print the answer, only its figures");
 
 namespace zinniadock::cli
@@ -43,6 +49,8 @@
   zinniadock history                  list the accepted revisions
   zinniadock revert-to REVISION       publish the content of an earlier revision as a new one
   zinniadock status --admin A,B       show instances
+  zinniadock timeline --admin A,B     show what happened, over all instances, in order of cause and effect
+  zinniadock explain --admin A,B ID   tell what happened to one request
   zinniadock drain --admin A          stop new work on instances
   zinniadock ask --entry E --key K --route R PROMPT      stream a generation
   zinniadock ask --entry E --key K --path /P [BODY]      call a plain service
@@ -104,7 +112,8 @@
     if (needsFiles && arguments.empty() && change.removed.empty()) {
         return usageError(command + ": expected FILE...");
     }
-    if ((command == "status" || command == "drain") && options.admins.empty()) {
+    const bool needsAdmins = command == "status" || command == "drain" || command == "timeline" || command == "explain";
+    if (needsAdmins && options.admins.empty()) {
         return usageError(command + ": expected --admin IP:port");
     }
     if (command == "check") {
@@ -127,7 +136,18 @@
                                      : usageError("revert-to: expected REVISION");
     }
     if (command == "status") {
-        return showStatus(options);
+        return showStatus(options, absl::GetFlag(FLAGS_watch));
+    }
+    if (command == "timeline") {
+        return showTimeline(options,
+                            TimelineOptions{ .request = absl::GetFlag(FLAGS_request),
+                                             .instance = absl::GetFlag(FLAGS_instance),
+                                             .since = std::chrono::seconds(std::max(0, absl::GetFlag(FLAGS_since))),
+                                             .page = absl::GetFlag(FLAGS_html) });
+    }
+    if (command == "explain") {
+        return arguments.size() == 1 ? explainRequest(options, arguments.front())
+                                     : usageError("explain: expected the id of a request");
     }
     if (command == "drain") {
         return drainInstances(options);
--- a/src/connection/linkmessage.cpp
+++ b/src/connection/linkmessage.cpp
@@ -332,6 +332,12 @@
 
 } // namespace
 
+bool isFrequent(const LinkMessage &message)
+{
+    return std::holds_alternative<Token>(message) || std::holds_alternative<Ack>(message)
+        || std::holds_alternative<Ping>(message) || std::holds_alternative<Pong>(message);
+}
+
 std::string encode(LinkMessage message)
 {
     Encoder encoder(message.index());
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -2,6 +2,7 @@
 #include <iostream>
 #include <thread>
 
+#include <Poco/NumberParser.h>
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
@@ -135,24 +136,47 @@
                  { "rejected_frames", status.rejectedFrames } };
 }
 
+std::optional<TimelineQuery> parseQuery(const AdminQuery &text)
+{
+    TimelineQuery query;
+    if (!text.request.empty()) {
+        query.request = RequestId::parse(text.request);
+        if (!query.request) {
+            return std::nullopt;
+        }
+    }
+    Poco::UInt64 since = 0;
+    const bool sinceIsRight = text.since.empty() || Poco::NumberParser::tryParseUnsigned64(text.since, since);
+    query.since.value = since;
+    return sinceIsRight ? std::optional(query) : std::nullopt;
+}
+
 /// Serves until a signal, then stops gracefully; a second signal stops at once.
 template <typename Role>
 ExitCode serve(const Settings &settings, Role &role, const Termination &termination, std::chrono::milliseconds lameDuck,
-               std::chrono::milliseconds drainTimeout, const std::function<std::string()> &metrics)
+               std::chrono::milliseconds drainTimeout, const std::function<std::string(const AdminQuery &)> &metrics)
 {
     if (const std::error_code error = role.start()) {
         log.error("can't listen: " + error.message());
         return ExitCode::Failed;
     }
-    const auto status = [&] {
+    const auto status = [&](const AdminQuery &) {
         return dump(statusOf(settings, role));
     };
-    const auto drain = [&] {
+    const auto drain = [&](const AdminQuery &query) {
         role.drain();
-        return status();
+        return status(query);
+    };
+    const TimelineSource source{ .instance = settings.daemon.instance,
+                                 .role = settings.daemon.role,
+                                 .incarnation = randomNumber() };
+    const auto timeline = [&](const AdminQuery &query) -> std::optional<std::string> {
+        const auto parsed = parseQuery(query);
+        return parsed ? std::optional(formatTimeline(role.timeline(), source, *parsed)) : std::nullopt;
     };
     AdminServer admin(settings.daemon.admin, settings.daemon.adminKeyDigest,
                       { { "/status", { .method = "GET", .contentType = "application/json", .run = status } },
+                        { "/timeline", { .method = "GET", .contentType = "application/json", .run = timeline } },
                         { "/metrics", { .method = "GET", .contentType = "text/plain; version=0.0.4", .run = metrics } },
                         { "/drain", { .method = "POST", .contentType = "application/json", .run = drain } } });
     if (const std::error_code error = admin.start()) {
@@ -210,14 +234,16 @@
     startLog(parseLogLevel(settings.daemon.logLevel).value_or(LogLevel::Info), settings.daemon.instance);
     if (settings.daemon.role == "entry") {
         Entry entry(settings);
-        return serve(settings, entry, termination, settings.entry.lameDuck, settings.entry.drainTimeout, [&entry] {
-            return entry.metrics().print();
-        });
+        return serve(settings, entry, termination, settings.entry.lameDuck, settings.entry.drainTimeout,
+                     [&entry](const AdminQuery &) {
+                         return entry.metrics().print();
+                     });
     }
     Sidecar sidecar(settings.daemon, settings.sidecar);
-    return serve(settings, sidecar, termination, std::chrono::milliseconds(0), settings.sidecar.drainTimeout, [] {
-        return std::string();
-    });
+    return serve(settings, sidecar, termination, std::chrono::milliseconds(0), settings.sidecar.drainTimeout,
+                 [](const AdminQuery &) {
+                     return std::string();
+                 });
 }
 
 } // namespace
--- a/src/process/adminserver.cpp
+++ b/src/process/adminserver.cpp
@@ -31,6 +31,19 @@
     response.sendBuffer(body.data(), body.size());
 }
 
+AdminQuery queryOf(const Poco::URI &uri)
+{
+    AdminQuery query;
+    for (const auto &[name, value] : uri.getQueryParameters()) {
+        if (name == "request") {
+            query.request = value;
+        } else if (name == "since") {
+            query.since = value;
+        }
+    }
+    return query;
+}
+
 class Handler final : public Poco::Net::HTTPRequestHandler
 {
 public:
@@ -48,14 +61,18 @@
             answer(response, HTTPResponse::HTTP_UNAUTHORIZED, "text/plain", "expected the operators' key\n");
             return;
         }
-        const auto action = m_actions.find(Poco::URI(request.getURI()).getPath());
+        const Poco::URI uri(request.getURI());
+        const auto action = m_actions.find(uri.getPath());
         if (action == m_actions.end()) {
             answer(response, HTTPResponse::HTTP_NOT_FOUND, "text/plain", "no such page\n");
         } else if (action->second.method != request.getMethod()) {
             answer(response, HTTPResponse::HTTP_METHOD_NOT_ALLOWED, "text/plain",
                    "expected " + action->second.method + "\n");
+        } else if (const auto body = action->second.run(queryOf(uri))) {
+            answer(response, HTTPResponse::HTTP_OK, action->second.contentType, *body);
         } else {
-            answer(response, HTTPResponse::HTTP_OK, action->second.contentType, action->second.run());
+            answer(response, HTTPResponse::HTTP_BAD_REQUEST, "text/plain",
+                   "expected request=ID of 32 hexadecimal digits and since=NUMBER\n");
         }
     }
 
--- a/src/process/entry.cpp
+++ b/src/process/entry.cpp
@@ -27,7 +27,7 @@
     , m_store(m_settings.store.endpoint, m_settings.store.timeout)
     , m_claimStore(m_settings.store.endpoint, m_settings.store.timeout)
     , m_claims(m_claimStore, m_settings.store.prefix, m_settings.store.claimRetention)
-    , m_links(m_settings.daemon.instance, m_settings.daemon.dataCentre, m_versions,
+    , m_links(m_settings.daemon.instance, m_settings.daemon.dataCentre, m_versions, m_timeline,
               [this] {
                   installed();
               })
@@ -38,6 +38,7 @@
                   .retries = m_retries,
                   .claims = m_claims,
                   .metrics = m_metrics,
+                  .timeline = m_timeline,
                   .draining = m_draining }
     , m_follower(
           m_store, m_settings.store.prefix, m_versions,
@@ -72,6 +73,7 @@
         return std::make_error_code(std::errc::address_in_use);
     }
     log.info("serves callers on port " + std::to_string(port()));
+    m_timeline.record(EventKind::ProcessStarted);
     return {};
 }
 
@@ -84,6 +86,7 @@
 {
     if (!m_draining.exchange(true)) {
         log.info("drains; new requests are refused");
+        m_timeline.record(EventKind::Draining);
         m_readWatch.closeIdle();
     }
 }
@@ -136,6 +139,11 @@
     return m_metrics;
 }
 
+Timeline &Entry::timeline()
+{
+    return m_timeline;
+}
+
 VersionHolder &Entry::versions()
 {
     return m_versions;
@@ -144,6 +152,7 @@
 void Entry::installed()
 {
     if (const auto version = m_versions.current()) {
+        m_timeline.record(EventKind::RevisionInForce, { .subject = std::to_string(version->revision) });
         m_links.setServers(*version);
         m_links.publish();
     }
@@ -151,6 +160,10 @@
 
 void Entry::idle()
 {
+    if (m_follower.storeAnswers() != m_storeAnswered) {
+        m_storeAnswered = !m_storeAnswered;
+        m_timeline.record(m_storeAnswered ? EventKind::StoreUp : EventKind::StoreDown);
+    }
     m_limiter.setEntries(m_links.entryCount());
     m_claims.releaseAbandoned();
 }
--- /dev/null
+++ b/src/process/hybridclock.cpp
@@ -0,0 +1,60 @@
+#include "zinniadock/process/hybridclock.h"
+
+#include <algorithm>
+
+namespace zinniadock
+{
+
+namespace
+{
+
+constexpr std::uint64_t countsPerMicrosecond = 4096;
+
+} // namespace
+
+HybridTime HybridTime::fromWall(std::chrono::system_clock::time_point time)
+{
+    const auto sinceEpoch = std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch());
+    const auto microseconds = std::max<std::chrono::microseconds::rep>(0, sinceEpoch.count());
+    return HybridTime{ static_cast<std::uint64_t>(microseconds) * countsPerMicrosecond };
+}
+
+std::chrono::system_clock::time_point HybridTime::wall() const
+{
+    return std::chrono::system_clock::time_point(std::chrono::microseconds(value / countsPerMicrosecond));
+}
+
+HybridTime HybridClock::now()
+{
+    const std::uint64_t wall = physical();
+    std::uint64_t last = m_last.load();
+    while (true) {
+        const std::uint64_t next = std::max(last + 1, wall);
+        if (m_last.compare_exchange_weak(last, next)) {
+            return HybridTime{ next };
+        }
+    }
+}
+
+void HybridClock::observe(HybridTime time)
+{
+    constexpr auto most
+        = static_cast<std::uint64_t>(std::chrono::microseconds(mostAhead).count()) * countsPerMicrosecond;
+    if (time.value > physical() + most) {
+        return;
+    }
+    std::uint64_t last = m_last.load();
+    while (last < time.value && !m_last.compare_exchange_weak(last, time.value)) { }
+}
+
+void HybridClock::setOffset(std::chrono::milliseconds offset)
+{
+    m_offset = offset.count();
+}
+
+std::uint64_t HybridClock::physical() const
+{
+    return HybridTime::fromWall(std::chrono::system_clock::now() + std::chrono::milliseconds(m_offset.load())).value;
+}
+
+} // namespace zinniadock
--- a/src/process/linkpool.cpp
+++ b/src/process/linkpool.cpp
@@ -26,11 +26,13 @@
 
 } // namespace
 
-LinkPool::LinkPool(std::string instance, std::string dataCentre, VersionHolder &version, std::function<void()> adopted)
+LinkPool::LinkPool(std::string instance, std::string dataCentre, VersionHolder &version, Timeline &timeline,
+                   std::function<void()> adopted)
     : m_instance(std::move(instance))
     , m_dataCentre(std::move(dataCentre))
     , m_incarnation(randomNumber())
     , m_version(version)
+    , m_timeline(timeline)
     , m_adopted(std::move(adopted))
     , m_transport(std::make_unique<LinkTransport>(LinkHandlers{ .opened =
                                                                     [this](LinkId link) {
@@ -249,6 +251,9 @@
         if (server.state == State::Open) {
             log.warning("lost the link to server " + server.server + " with " + std::to_string(server.exchanges.size())
                         + " requests outstanding");
+            m_timeline.record(EventKind::LinkDown,
+                              { .subject = server.server,
+                                .detail = std::to_string(server.exchanges.size()) + " requests outstanding" });
             server.pause = std::chrono::milliseconds(0);
         }
         server.state = State::Idle;
@@ -296,6 +301,8 @@
 {
     if constexpr (std::is_same_v<Message, Hello>) {
         greeted(server, message);
+    } else if constexpr (std::is_same_v<Message, ClockStamp>) {
+        m_timeline.clock().observe(HybridTime{ message.time });
     } else if constexpr (std::is_same_v<Message, LoadReport>) {
         server.load = message;
         server.sentSinceReport = 0;
@@ -337,9 +344,15 @@
     server.load.backendAlive = true;
     server.load.draining = false;
     log.info("linked to server " + server.server);
+    m_timeline.record(EventKind::LinkUp, { .subject = server.server });
     pushVersion(server);
     for (const auto &[request, exchange] : server.exchanges) {
         ++m_counters.resumes;
+        m_timeline.record(EventKind::Resumed,
+                          { .request = request,
+                            .generation = exchange->key().generation,
+                            .subject = server.server,
+                            .detail = "from token " + std::to_string(exchange->resumeMessage().next) });
         send(server, exchange->resumeMessage());
     }
 }
@@ -412,6 +425,7 @@
         }
         if (silence > silenceBeforeDrop) {
             log.warning("the link to server " + server.server + " is silent; dropped");
+            m_timeline.record(EventKind::LinkSilent, { .subject = server.server });
             ++m_counters.silentLinks;
             silent.push_back(server.link);
         } else if (!server.pinged) {
@@ -436,6 +450,9 @@
 
 void LinkPool::send(const ServerLink &server, const LinkMessage &message)
 {
+    if (!isFrequent(message)) {
+        m_transport->send(server.link, encode(ClockStamp{ .time = m_timeline.clock().now().value }));
+    }
     m_transport->send(server.link, encode(message));
 }
 
--- a/src/process/sidecar.cpp
+++ b/src/process/sidecar.cpp
@@ -22,6 +22,9 @@
 constexpr std::chrono::milliseconds pollInterval{ 200 };
 constexpr std::chrono::milliseconds idleReportInterval{ 5000 };
 constexpr std::chrono::milliseconds answerLinger{ 30000 };
+
+// While draining, an answer without a link is kept so long as an entry may need to open a new one.
+constexpr std::chrono::milliseconds answerLingerInDrain{ 5000 };
 constexpr std::chrono::milliseconds tombstoneLife{ std::chrono::minutes(10) };
 constexpr double expectedTokensAtStart = 400;
 constexpr std::uint32_t blocksUntilReported = 1U << 20U;
@@ -77,7 +80,7 @@
                                 .maxRunning = m_settings.maxRunning,
                                 .maxWaiting = m_settings.maxWaiting },
                   expectedTokensAtStart)
-    , m_runner(m_settings.backend, m_timeouts, generationHooks())
+    , m_runner(m_settings.backend, m_timeouts, generationHooks(), m_timeline)
     , m_workers(std::make_unique<Poco::ThreadPool>(2, static_cast<int>(m_settings.maxRunning + spareWorkers)))
 {
 }
@@ -108,6 +111,7 @@
         pollBackend();
     });
     log.info("listens for entries on port " + std::to_string(port()));
+    m_timeline.record(EventKind::ProcessStarted);
     return {};
 }
 
@@ -130,6 +134,7 @@
         }
     }
     log.info("drains; new requests are refused");
+    m_timeline.record(EventKind::Draining);
     for (const SessionPointer &session : refused) {
         session->end(failedMessage(session->key(),
                                    Failure{ .code = RequestError::Draining,
@@ -185,6 +190,11 @@
     return status;
 }
 
+Timeline &Sidecar::timeline()
+{
+    return m_timeline;
+}
+
 std::uint64_t Sidecar::revision() const
 {
     return m_version.revision();
@@ -214,13 +224,19 @@
 void Sidecar::closed(LinkId link)
 {
     std::vector<SessionPointer> sessions;
+    std::string peer;
     {
         const std::lock_guard lock(m_mutex);
-        m_links.erase(link);
+        if (const auto node = m_links.extract(link)) {
+            peer = node.mapped();
+        }
         for (const auto &[key, session] : m_sessions) {
             sessions.push_back(session);
         }
     }
+    if (!peer.empty()) {
+        m_timeline.record(EventKind::LinkDown, { .subject = peer });
+    }
     for (const SessionPointer &session : sessions) {
         session->detach(link);
     }
@@ -234,6 +250,7 @@
         m_links[link] = message.instance;
         crashes = m_crashes;
     }
+    m_timeline.record(EventKind::LinkUp, { .subject = message.instance });
     {
         const std::lock_guard lock(m_owedMutex);
         m_reportOwed.insert(link);
@@ -372,6 +389,7 @@
         return;
     }
     log.info("configuration revision " + std::to_string(message.revision) + " is in force");
+    m_timeline.record(EventKind::RevisionInForce, { .subject = std::to_string(message.revision) });
     {
         const std::lock_guard lock(m_mutex);
         EngineLimits limits{ .totalBlocks = 0,
@@ -389,6 +407,11 @@
     send(link, Pong{ .number = message.number });
 }
 
+void Sidecar::handle(LinkId /*link*/, ClockStamp &message)
+{
+    m_timeline.clock().observe(HybridTime{ message.time });
+}
+
 // Messages that only entries receive; a peer that sends one is of a later protocol or confused, and does no harm.
 template <typename Other>
 void Sidecar::handle(LinkId /*link*/, Other & /*message*/)
@@ -415,6 +438,10 @@
         });
         break;
     case AdmissionOutcome::Queued:
+        m_timeline.record(EventKind::Queued,
+                          { .request = session->key().request,
+                            .generation = session->key().generation,
+                            .detail = decision.explanation });
         break;
     case AdmissionOutcome::Refused:
         log.info("refused request " + session->key().text() + ": " + decision.explanation);
@@ -473,11 +500,16 @@
 
 void Sidecar::refuse(LinkId link, const GenerationKey &key, const Failure &failure)
 {
+    m_timeline.record(failure.verdict == Verdict::NotRun ? EventKind::Refused : EventKind::Failed,
+                      { .request = key.request, .generation = key.generation, .detail = failure.message });
     send(link, failedMessage(key, failure));
 }
 
 void Sidecar::send(LinkId link, const LinkMessage &message)
 {
+    if (!isFrequent(message)) {
+        m_transport->send(link, encode(ClockStamp{ .time = m_timeline.clock().now().value }));
+    }
     m_transport->send(link, encode(message));
     if (isAnswer(message)) {
         const std::lock_guard lock(m_owedMutex);
@@ -537,6 +569,8 @@
 
 void Sidecar::runCall(const SessionPointer &session)
 {
+    const GenerationKey key = session->key();
+    m_timeline.record(EventKind::Admitted, { .request = key.request, .generation = key.generation });
     std::variant<Reply, Failure> result = callService(m_settings.backend, session->offer(), m_timeouts);
     {
         const std::lock_guard lock(m_mutex);
@@ -568,6 +602,9 @@
             }
         }
     }
+    if (notice.crash != 0) {
+        m_timeline.record(EventKind::EngineCrash, { .request = session->key().request });
+    }
     for (const LinkId link : links) {
         send(link, notice);
     }
@@ -628,13 +665,15 @@
     }
     for (const auto &[session, withdrawal] : ended) {
         const bool expired = withdrawal.reason == RequestError::DeadlineExceeded;
-        session->end(failedMessage(session->key(),
-                                   Failure{ .code = withdrawal.reason,
-                                            .verdict = Verdict::NotRun,
-                                            .message = expired
-                                                ? "the deadline passed while the request waited"
-                                                : "a request of a client account that was served less took the place",
-                                            .retryAfter = withdrawal.retryAfter }));
+        const Failure failure{ .code = withdrawal.reason,
+                               .verdict = Verdict::NotRun,
+                               .message = expired ? "the deadline passed while the request waited"
+                                                  : "a request of a client account that was served less took the place",
+                               .retryAfter = withdrawal.retryAfter };
+        m_timeline.record(
+            EventKind::Withdrawn,
+            { .request = session->key().request, .generation = session->key().generation, .detail = failure.message });
+        session->end(failedMessage(session->key(), failure));
     }
 }
 
@@ -645,7 +684,7 @@
     {
         const std::lock_guard lock(m_mutex);
         std::erase_if(m_sessions, [&](const auto &entry) {
-            return entry.second->finished(now, answerLinger);
+            return entry.second->finished(now, m_draining ? answerLingerInDrain : answerLinger);
         });
         std::erase_if(m_tombstones, [&](const auto &entry) {
             return now - entry.second > tombstoneLife;
@@ -710,6 +749,7 @@
         }
         if (changed) {
             alive ? log.info("the backend server answers") : log.warning("the backend server does not answer");
+            m_timeline.record(alive ? EventKind::BackendUp : EventKind::BackendDown);
             reportLoad(true);
         }
     } while (waitUnlessStopping(pollInterval));
--- a/src/request/generationrunner.cpp
+++ b/src/request/generationrunner.cpp
@@ -31,16 +31,19 @@
                    .crash = failure.crash };
 }
 
-GenerationRunner::GenerationRunner(Endpoint engine, BackendTimeouts timeouts, GenerationHooks hooks)
+GenerationRunner::GenerationRunner(Endpoint engine, BackendTimeouts timeouts, GenerationHooks hooks, Timeline &timeline)
     : m_engine(std::move(engine))
     , m_timeouts(timeouts)
     , m_hooks(std::move(hooks))
+    , m_timeline(timeline)
 {
 }
 
 void GenerationRunner::run(const SessionPointer &session)
 {
     const auto begin = Clock::now();
+    const GenerationKey key = session->key();
+    m_timeline.record(EventKind::Admitted, { .request = key.request, .generation = key.generation });
     auto stream = std::make_shared<EngineStream>(m_engine, m_timeouts, session->key());
     session->setAbort([stream] {
         stream->abort();
@@ -75,6 +78,10 @@
         return;
     }
     m_hooks.adopted(session);
+    m_timeline.record(EventKind::Adopted,
+                      { .request = session->key().request,
+                        .generation = session->key().generation,
+                        .detail = "at token " + std::to_string(session->next()) });
     log.info("took up generation " + session->key().text() + " at token " + std::to_string(session->next()));
     session->started(std::chrono::milliseconds(0));
     streamTokens(session, stream);
@@ -105,7 +112,11 @@
                                     .reason = end->reason },
                           true);
             return;
-        } else if (!reopenStream(session, stream)) {
+        } else if (reopenStream(session, stream)) {
+            m_timeline.record(
+                EventKind::StreamReopened,
+                { .request = key.request, .generation = key.generation, .detail = std::get<Failure>(event).message });
+        } else {
             Failure failure = std::get<Failure>(event);
             failure.verdict = raised(failure.verdict, session->next() > 0 ? Verdict::Ran : Verdict::MayHaveRun);
             m_hooks.ended(session, failedMessage(key, failure), false);
--- a/src/request/requestrunner.cpp
+++ b/src/request/requestrunner.cpp
@@ -159,6 +159,8 @@
                         .message = "the client account has no route " + routeName };
     }
     m_routeName = routeName;
+    m_services.timeline.record(
+        EventKind::Received, { .request = m_request.id, .subject = m_accountName, .detail = "for route " + routeName });
     m_pool = &m_version->configuration.pools.at(m_route->pool);
     m_deadline = m_arrived + std::min(m_request.deadline.value_or(m_route->deadline), m_route->deadline);
     return std::nullopt;
@@ -210,6 +212,7 @@
         Attempt attempt = attemptGeneration(writer, generation, tried);
         if (attempt.callerGone) {
             ++m_services.metrics.cancelled;
+            note(EventKind::Cancelled, generation, {});
             writer.fail(Failure{ .code = RequestError::Cancelled,
                                  .verdict = Verdict::MayHaveRun,
                                  .message = "the caller closed the connection" });
@@ -219,6 +222,9 @@
             writer.finish({ m_request.id, generation }, finished->tokens, finished->reason);
             ++m_services.metrics.completed;
             m_services.metrics.longestStall.record(m_longestStall);
+            note(EventKind::Finished, generation,
+                 std::to_string(finished->tokens) + " tokens, longest wait "
+                     + std::to_string(m_longestStall.count() / 1000) + " ms");
             return;
         }
         Failure failure = std::get<Failure>(attempt.end);
@@ -229,12 +235,14 @@
             failure = lastWord(failure, refusal);
             failure.verdict = verdict;
             countFailure(failure);
+            noteFailure(failure);
             writer.fail(failure);
             return;
         }
         refusal = failure;
         ++m_services.metrics.retries;
         log.info("tries request " + m_request.id.text() + " again: " + failure.message);
+        note(EventKind::Retried, generation, failure.message);
     }
 }
 
@@ -365,6 +373,7 @@
     m_lastToken = now;
     if (token.sequence == 0) {
         m_services.metrics.firstToken.record(gap);
+        note(EventKind::FirstToken, token.generation, "after " + std::to_string(gap.count() / 1000) + " ms");
     } else {
         m_gaps.push_back(gap);
     }
@@ -469,6 +478,7 @@
         }
         refusal = failure;
         ++m_services.metrics.retries;
+        note(EventKind::Retried, generation, failure.message);
     }
 }
 
@@ -511,6 +521,7 @@
                               bool replayed)
 {
     ++m_services.metrics.completed;
+    note(EventKind::Finished, 0, replayed ? "with the recorded outcome of an earlier call" : "the call was answered");
     m_response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
     m_response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(m_response.getStatus()));
     setAnswerHeaders(m_response, m_request.id, Verdict::Ran);
@@ -544,6 +555,9 @@
             break;
         }
         tried.insert(*chosen);
+        // Noted before it is sent, so that no event at the sidecar is earlier.
+        m_services.timeline.record(EventKind::Offered,
+                                   { .request = m_request.id, .generation = offer.generation, .subject = *chosen });
         if (m_services.links.offer(*chosen, offer, exchange)) {
             server = *chosen;
             return std::nullopt;
@@ -576,9 +590,21 @@
 void RequestRunner::fail(const Failure &failure)
 {
     countFailure(failure);
+    noteFailure(failure);
     sendFailure(m_response, m_request.id, failure);
 }
 
+void RequestRunner::note(EventKind kind, GenerationId generation, const std::string &detail)
+{
+    m_services.timeline.record(kind, { .request = m_request.id, .generation = generation, .detail = detail });
+}
+
+void RequestRunner::noteFailure(const Failure &failure)
+{
+    note(failure.verdict == Verdict::NotRun ? EventKind::Refused : EventKind::Failed, 0,
+         failure.message + " (" + std::string(toString(failure.verdict)) + ")");
+}
+
 void RequestRunner::countFailure(const Failure &failure)
 {
     ++(failure.verdict == Verdict::NotRun ? m_services.metrics.refused : m_services.metrics.failed);
