Send configuration changes as deltas, and cut long texts into chunks

Change: the head carries the delta to the revision before, so a follower that has that one reads nothing more; entries send sidecars the delta, which is verified by the digest of the result, and a sidecar that it does not fit asks for the whole text.

--- a/bench/micro/main.cpp
+++ b/bench/micro/main.cpp
@@ -15,6 +15,7 @@
 #include "zinniadock/process/claims.h"
 #include "zinniadock/process/metrics.h"
 #include "zinniadock/process/routing.h"
+#include "zinniadock/process/timeline.h"
 #include "zinniadock/version/version.h"
 
 ABSL_FLAG(int, seed, 1, "seed");
@@ -188,6 +189,15 @@
                 nanoseconds(2000, [&](int) {
                     histogram.record(gaps);
                 }) / 64);
+    Timeline timeline;
+    const RequestId request = RequestId::random();
+    figures.add("timeline_record_ns", nanoseconds(20000, [&](int) {
+                    timeline.record(EventKind::Offered,
+                                    { .request = request, .generation = 1, .subject = "engine-campina-17" });
+                }));
+    figures.add("clock_stamp_ns", nanoseconds(20000, [&](int) {
+                    encode(ClockStamp{ .time = timeline.clock().now().value });
+                }));
     const ClaimRecord record{ .nonce = 1,
                               .request = RequestId::random().text(),
                               .bodyDigest = sha256("x"),
--- a/include/zinniadock/connection/linkmessage.h
+++ b/include/zinniadock/connection/linkmessage.h
@@ -339,9 +339,40 @@
     }
 };
 
+/// What changed from one revision to the next, sent to a peer that has the one before.
+struct ConfigurationDelta
+{
+    std::uint64_t revision = 0;
+    std::uint64_t base = 0; ///< revision that it changes
+    std::string digest; ///< of the resulting text
+    std::string changes;
+
+    template <typename Archive>
+    void fields(Archive &archive)
+    {
+        archive("v", revision);
+        archive("b", base);
+        archive("d", digest);
+        archive("x", changes);
+    }
+};
+
+/// Asks the peer for its whole configuration, where a delta did not fit.
+struct ConfigurationRequest
+{
+    std::uint64_t revision = 0; ///< in force at the asking side
+
+    template <typename Archive>
+    void fields(Archive &archive)
+    {
+        archive("v", revision);
+    }
+};
+
 /// Every message of the protocol; the position in the list is its type number on the wire.
-using LinkMessage = std::variant<Hello, Offer, Resume, Cancel, Ack, Started, Token, Finished, Reply, Failed, LoadReport,
-                                 ConfigurationPush, Ping, Pong, CrashNotice, ClockStamp>;
+using LinkMessage
+    = std::variant<Hello, Offer, Resume, Cancel, Ack, Started, Token, Finished, Reply, Failed, LoadReport,
+                   ConfigurationPush, Ping, Pong, CrashNotice, ClockStamp, ConfigurationDelta, ConfigurationRequest>;
 
 /// Says whether a message is one of the many that carry tokens or keep links alive, and tells of no event.
 bool isFrequent(const LinkMessage &message);
--- a/include/zinniadock/process/configurationeditor.h
+++ b/include/zinniadock/process/configurationeditor.h
@@ -5,6 +5,7 @@
 
 #include "zinniadock/process/publisher.h"
 #include "zinniadock/version/changeset.h"
+#include "zinniadock/version/versiondelta.h"
 
 namespace zinniadock
 {
@@ -43,7 +44,7 @@
             return outcome;
         }
         outcome.changes = differences(splitObjects(before), splitObjects(text));
-        outcome.publish = m_publisher.publish(text, base, changeId, author);
+        outcome.publish = m_publisher.publish(text, deltaBetween(before, text), base, changeId, author);
         return outcome;
     }
 
@@ -73,7 +74,7 @@
                 return outcome;
             }
             outcome.changes = differences(objects, splitObjects(text));
-            outcome.publish = m_publisher.publish(text, base, changeId, author);
+            outcome.publish = m_publisher.publish(text, deltaBetween(before, text), base, changeId, author);
             if (outcome.publish.result != PublishResult::Conflict) {
                 return outcome;
             }
--- a/include/zinniadock/process/configurationfollower.h
+++ b/include/zinniadock/process/configurationfollower.h
@@ -14,6 +14,7 @@
 #include "zinniadock/process/publisher.h"
 #include "zinniadock/process/store.h"
 #include "zinniadock/version/version.h"
+#include "zinniadock/version/versiondelta.h"
 
 namespace zinniadock
 {
@@ -65,6 +66,12 @@
         return m_storeAnswers;
     }
 
+    /// Returns how many times a whole text was read, and not only a delta.
+    std::uint64_t wholeReads() const
+    {
+        return m_wholeReads;
+    }
+
 private:
     // A watch that went silent for good hides changes until it is opened anew from the last revision seen, so its
     // duration is well within the bound on the spread of a change.
@@ -138,11 +145,15 @@
         if (head->revision <= m_holder.revision()) {
             return true;
         }
-        const StoreRead text = m_store.read(textKey(m_prefix, head->digest));
-        if (text.status != StoreStatus::Done || !text.value) {
-            return false;
+        std::shared_ptr<const Version> version = fromDelta(*head);
+        if (!version) {
+            const auto text = readPublishedText(m_store, textKey(m_prefix, head->digest), head->digest);
+            if (!text) {
+                return false;
+            }
+            ++m_wholeReads;
+            version = makeVersion(head->revision, head->digest, *text);
         }
-        const auto version = makeVersion(head->revision, head->digest, text.value->value);
         if (!version) {
             log.error("configuration revision " + std::to_string(head->revision)
                       + " does not match its digest or its rules");
@@ -155,6 +166,15 @@
         return true;
     }
 
+    // The head carries what changed, so a follower that has the revision before reads nothing more.
+    std::shared_ptr<const Version> fromDelta(const ConfigurationHead &head) const
+    {
+        const auto current = m_holder.current();
+        const bool fits = current && !head.delta.empty() && current->digest == head.parent
+            && current->revision + 1 == head.revision;
+        return fits ? makeNextVersion(*current, head.revision, head.digest, head.delta) : nullptr;
+    }
+
     bool stopping() const
     {
         const std::lock_guard lock(m_mutex);
@@ -181,6 +201,7 @@
     bool m_stopping = false;
     bool m_readNeeded = true;
     std::atomic<bool> m_storeAnswers{ true };
+    std::atomic<std::uint64_t> m_wholeReads{ 0 };
     std::int64_t m_seenRevision = 0;
     std::thread m_thread;
 };
--- a/include/zinniadock/process/linkpool.h
+++ b/include/zinniadock/process/linkpool.h
@@ -31,6 +31,8 @@
     std::uint64_t reconnects = 0;
     std::uint64_t silentLinks = 0; ///< links dropped because nothing arrived on them
     std::uint64_t resumes = 0;
+    std::uint64_t deltas = 0; ///< configuration sent as a delta
+    std::uint64_t wholeTexts = 0; ///< configuration sent whole
 };
 
 /// The links of an entry to the sidecars: keeps them open, and carries requests over breaks.
--- a/include/zinniadock/process/publisher.h
+++ b/include/zinniadock/process/publisher.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <thread>
 
+#include "zinniadock/process/publishedtext.h"
 #include "zinniadock/process/store.h"
 #include "zinniadock/version/configuration.h"
 
@@ -20,8 +21,12 @@
     std::string parent; ///< digest of the revision before
     std::string changeId; ///< names the change that was accepted
     std::string author;
+    std::string delta; ///< to the revision before, in the form of formatDelta(); empty where it is long or unknown
 };
 
+/// A longer delta does not travel with the head; followers then read the whole text.
+constexpr std::size_t longestDelta = 16384;
+
 std::string encodeHead(const ConfigurationHead &head);
 std::optional<ConfigurationHead> decodeHead(const std::string &text);
 
@@ -80,11 +85,7 @@
     /// Reads a text and verifies its digest.
     std::optional<std::string> readText(const std::string &digest)
     {
-        const StoreRead found = m_store.read(textKey(m_prefix, digest));
-        if (!found.value || sha256(found.value->value) != digest) {
-            return std::nullopt;
-        }
-        return found.value->value;
+        return readPublishedText(m_store, textKey(m_prefix, digest), digest);
     }
 
     /// Reads the head record of an earlier revision.
@@ -95,9 +96,10 @@
     }
 
     /// Publishes a canonical text as the successor of the head that was read as \p base.
+    /// \param delta  from the text of \p base to this one
     /// \pre the text has passed checkConfiguration()
-    PublishOutcome publish(const std::string &text, const HeadRead &base, const std::string &changeId,
-                           const std::string &author)
+    PublishOutcome publish(const std::string &text, const std::string &delta, const HeadRead &base,
+                           const std::string &changeId, const std::string &author)
     {
         const ConfigurationHead before = base.head.value_or(ConfigurationHead());
         PublishOutcome outcome;
@@ -105,14 +107,19 @@
                                           .digest = sha256(text),
                                           .parent = before.digest,
                                           .changeId = changeId,
-                                          .author = author };
+                                          .author = author,
+                                          .delta = delta.size() <= longestDelta ? delta : std::string() };
         if (before.digest == outcome.head.digest) {
             outcome.result = PublishResult::Unchanged;
             outcome.head = before;
             return outcome;
         }
         // The text is stored before the head names it, so no reader finds a head without its text.
-        if (!writeOnce(textKey(m_prefix, outcome.head.digest), text)) {
+        const bool stored = writePublishedText(textKey(m_prefix, outcome.head.digest), text,
+                                               [this](const std::string &key, const std::string &value) {
+                                                   return writeOnce(key, value);
+                                               });
+        if (!stored) {
             return outcome;
         }
         if (before.revision > 0 && !writeOnce(historyKey(m_prefix, before.revision), encodeHead(before))) {
--- a/include/zinniadock/process/sidecar.h
+++ b/include/zinniadock/process/sidecar.h
@@ -83,11 +83,13 @@
     void handle(LinkId link, Cancel &message);
     void handle(LinkId link, Ack &message);
     void handle(LinkId link, ConfigurationPush &message);
+    void handle(LinkId link, ConfigurationDelta &message);
     void handle(LinkId link, Ping &message);
     void handle(LinkId link, ClockStamp &message);
     template <typename Other>
     void handle(LinkId link, Other &message);
 
+    void install(const std::shared_ptr<const Version> &version);
     void offerGeneration(const SessionPointer &session, LinkId link);
     void resumeUnknown(LinkId link, const Resume &message);
     void refuse(LinkId link, const GenerationKey &key, const Failure &failure);
@@ -106,6 +108,7 @@
     void reapSessions();
     void reportLoad(bool toAll);
     void pollBackend();
+    bool pollEngine();
 
     AdmissionRequest admissionRequest(const Offer &offer) const;
     std::string versionOfServer() const;
--- a/include/zinniadock/process/timeline.h
+++ b/include/zinniadock/process/timeline.h
@@ -30,6 +30,11 @@
     StoreUp,
     StoreDown,
     EngineCrash,
+    BackendRestarted,
+    BackendSlow,
+    StoreSlow,
+    PeerDraining,
+    ProcessPaused,
     // Of a request that went another way than planned.
     Refused,
     Withdrawn,
@@ -90,6 +95,9 @@
 /// Says in words what happened, without the process that it happened to: "offered generation 1 to engine-0".
 std::string phraseOf(EventKind kind, const EventContent &content);
 
+/// Returns milliseconds in words, for the detail of an event.
+std::string durationText(std::chrono::milliseconds duration);
+
 /// The newest events of one process, in bounded memory. Thread-safe.
 class Timeline
 {
--- a/include/zinniadock/version/version.h
+++ b/include/zinniadock/version/version.h
@@ -13,12 +13,20 @@
 namespace zinniadock
 {
 
+/// How a version differs from the one before it.
+struct VersionDelta
+{
+    std::uint64_t base = 0; ///< revision before; 0 where the delta is not known
+    std::string changes; ///< in the form of formatDelta()
+};
+
 /// One accepted configuration with its indexes; a request runs wholly under one of these.
 struct Version
 {
     std::uint64_t revision = 0;
     std::string digest; ///< SHA-256 of \c text
     std::string text; ///< canonical form
+    VersionDelta delta;
     Configuration configuration;
     std::unordered_map<std::string, std::string> accountOfKeyDigest;
 
@@ -33,7 +41,8 @@
 };
 
 /// Builds a version from a published text; nothing if the digest or the content is wrong.
-std::shared_ptr<const Version> makeVersion(std::uint64_t revision, const std::string &digest, const std::string &text);
+std::shared_ptr<const Version> makeVersion(std::uint64_t revision, const std::string &digest, const std::string &text,
+                                           VersionDelta delta = {});
 
 /// Holds the version in force; only ever moves to a higher revision.
 class VersionHolder
--- a/src/process/linkpool.cpp
+++ b/src/process/linkpool.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "zinniadock/process/log.h"
+#include "zinniadock/process/pausewatch.h"
 
 namespace zinniadock
 {
@@ -304,9 +305,15 @@
     } else if constexpr (std::is_same_v<Message, ClockStamp>) {
         m_timeline.clock().observe(HybridTime{ message.time });
     } else if constexpr (std::is_same_v<Message, LoadReport>) {
+        if (message.draining && !server.load.draining) {
+            m_timeline.record(EventKind::PeerDraining, { .subject = server.server });
+        }
         server.load = message;
         server.sentSinceReport = 0;
         server.theirRevision = std::max(server.theirRevision, message.revision);
+    } else if constexpr (std::is_same_v<Message, ConfigurationRequest>) {
+        server.theirRevision = message.revision;
+        pushVersion(server);
     } else if constexpr (std::is_same_v<Message, CrashNotice>) {
         m_suspects.crashed(message.fingerprint, message.crash, Clock::now());
     } else if constexpr (std::is_constructible_v<ExchangeEvent, Message>) {
@@ -378,7 +385,9 @@
 void LinkPool::maintain()
 {
     std::unique_lock lock(m_mutex);
+    PauseWatch pause;
     while (!m_stopping) {
+        pause.beat(m_timeline);
         const auto now = Clock::now();
         std::vector<LinkId> silent;
         for (auto position = m_servers.begin(); position != m_servers.end();) {
@@ -460,7 +469,18 @@
 {
     const auto version = m_version.current();
     if (version && version->revision > server.theirRevision) {
+        const bool deltaFits = version->delta.base != 0 && version->delta.base == server.theirRevision;
         server.theirRevision = version->revision;
+        if (deltaFits) {
+            ++m_counters.deltas;
+            send(server,
+                 ConfigurationDelta{ .revision = version->revision,
+                                     .base = version->delta.base,
+                                     .digest = version->digest,
+                                     .changes = version->delta.changes });
+            return;
+        }
+        ++m_counters.wholeTexts;
         send(server,
              ConfigurationPush{ .revision = version->revision, .digest = version->digest, .text = version->text });
     }
--- a/src/process/publisher.cpp
+++ b/src/process/publisher.cpp
@@ -14,13 +14,15 @@
 
 std::string encodeHead(const ConfigurationHead &head)
 {
-    return Json{
-        { "revision", head.revision },
-        { "digest", head.digest },
-        { "parent", head.parent },
-        { "change_id", head.changeId },
-        { "author", head.author }
-    }.dump();
+    Json object{ { "revision", head.revision },
+                 { "digest", head.digest },
+                 { "parent", head.parent },
+                 { "change_id", head.changeId },
+                 { "author", head.author } };
+    if (!head.delta.empty()) {
+        object["delta"] = head.delta;
+    }
+    return object.dump();
 }
 
 std::optional<ConfigurationHead> decodeHead(const std::string &text)
@@ -34,7 +36,8 @@
                                   .digest = object.at("digest").get<std::string>(),
                                   .parent = object.at("parent").get<std::string>(),
                                   .changeId = object.at("change_id").get<std::string>(),
-                                  .author = object.at("author").get<std::string>() };
+                                  .author = object.at("author").get<std::string>(),
+                                  .delta = object.value("delta", std::string()) };
     } catch (const Json::exception &) {
         return std::nullopt;
     }
--- a/src/process/sidecar.cpp
+++ b/src/process/sidecar.cpp
@@ -8,7 +8,9 @@
 
 #include "zinniadock/connection/servicecall.h"
 #include "zinniadock/process/log.h"
+#include "zinniadock/process/pausewatch.h"
 #include "zinniadock/process/routing.h"
+#include "zinniadock/version/versiondelta.h"
 
 namespace zinniadock
 {
@@ -20,6 +22,9 @@
 
 constexpr std::chrono::milliseconds housekeepingInterval{ 20 };
 constexpr std::chrono::milliseconds pollInterval{ 200 };
+
+// Longer waits than this are told in the time line.
+constexpr std::chrono::milliseconds longPoll{ 500 };
 constexpr std::chrono::milliseconds idleReportInterval{ 5000 };
 constexpr std::chrono::milliseconds answerLinger{ 30000 };
 
@@ -385,11 +390,34 @@
         m_transport->drop(link);
         return;
     }
+    install(version);
+}
+
+// A delta that does not fit, after a message was lost with its link, is answered by asking for the whole text.
+void Sidecar::handle(LinkId link, ConfigurationDelta &message)
+{
+    const auto current = m_version.current();
+    const std::uint64_t revision = current ? current->revision : 0;
+    if (message.revision <= revision) {
+        return;
+    }
+    const auto version = current && revision == message.base
+        ? makeNextVersion(*current, message.revision, message.digest, message.changes)
+        : nullptr;
+    if (!version) {
+        send(link, ConfigurationRequest{ .revision = revision });
+        return;
+    }
+    install(version);
+}
+
+void Sidecar::install(const std::shared_ptr<const Version> &version)
+{
     if (!m_version.install(version)) {
         return;
     }
-    log.info("configuration revision " + std::to_string(message.revision) + " is in force");
-    m_timeline.record(EventKind::RevisionInForce, { .subject = std::to_string(message.revision) });
+    log.info("configuration revision " + std::to_string(version->revision) + " is in force");
+    m_timeline.record(EventKind::RevisionInForce, { .subject = std::to_string(version->revision) });
     {
         const std::lock_guard lock(m_mutex);
         EngineLimits limits{ .totalBlocks = 0,
@@ -639,7 +667,9 @@
 void Sidecar::housekeep()
 {
     auto nextIdleReport = Clock::now();
+    PauseWatch pause;
     while (waitUnlessStopping(housekeepingInterval)) {
+        pause.beat(m_timeline);
         endWithdrawn();
         admitWaiting();
         reapSessions();
@@ -729,17 +759,11 @@
 {
     const bool isEngine = m_settings.kind == "engine";
     do {
-        bool alive = false;
-        if (isEngine) {
-            const auto report = readEngineReport(m_settings.backend, m_timeouts);
-            alive = report.has_value();
-            if (report) {
-                const std::lock_guard lock(m_mutex);
-                m_engineIncarnation = report->incarnation;
-                m_admission.engineReport(report->usedBlocks, report->totalBlocks, report->preemptions, Clock::now());
-            }
-        } else {
-            alive = serviceAnswers(m_settings.backend, m_timeouts);
+        const auto begin = Clock::now();
+        const bool alive = isEngine ? pollEngine() : serviceAnswers(m_settings.backend, m_timeouts);
+        const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begin);
+        if (took > longPoll) {
+            m_timeline.record(EventKind::BackendSlow, { .detail = durationText(took) });
         }
         bool changed = false;
         {
@@ -755,6 +779,25 @@
     } while (waitUnlessStopping(pollInterval));
 }
 
+bool Sidecar::pollEngine()
+{
+    const auto report = readEngineReport(m_settings.backend, m_timeouts);
+    if (!report) {
+        return false;
+    }
+    bool restarted = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        restarted = m_engineIncarnation != 0 && m_engineIncarnation != report->incarnation;
+        m_engineIncarnation = report->incarnation;
+        m_admission.engineReport(report->usedBlocks, report->totalBlocks, report->preemptions, Clock::now());
+    }
+    if (restarted) {
+        m_timeline.record(EventKind::BackendRestarted);
+    }
+    return true;
+}
+
 AdmissionRequest Sidecar::admissionRequest(const Offer &offer) const
 {
     return AdmissionRequest{ .key = keyOf(offer),
--- a/src/process/timeline.cpp
+++ b/src/process/timeline.cpp
@@ -19,7 +19,7 @@
     std::string_view phrase; ///< %s stands for the subject, %g for the generation
 };
 
-constexpr std::array<KindEntry, 26> kinds{ {
+constexpr std::array<KindEntry, 31> kinds{ {
     { "process_started", EventClass::Process, "started" },
     { "process_stopped", EventClass::Process, "stopped" },
     { "draining", EventClass::Process, "began to drain and refuses new requests" },
@@ -32,6 +32,11 @@
     { "store_up", EventClass::Process, "reached the store again" },
     { "store_down", EventClass::Process, "got no answer from the store" },
     { "engine_crash", EventClass::Process, "saw its engine crash" },
+    { "backend_restarted", EventClass::Process, "saw that its backend server has restarted" },
+    { "backend_slow", EventClass::Process, "waited long for its backend server" },
+    { "store_slow", EventClass::Process, "waited long for the store" },
+    { "peer_draining", EventClass::Process, "was told that server %s is leaving" },
+    { "process_paused", EventClass::Process, "stood still" },
     { "refused", EventClass::Notable, "refused it as not run" },
     { "withdrawn", EventClass::Notable, "took generation %g out of the queue" },
     { "resumed", EventClass::Notable, "resumed generation %g on a new link with %s" },
@@ -93,6 +98,11 @@
     return content.detail.empty() ? phrase : phrase + ": " + content.detail;
 }
 
+std::string durationText(std::chrono::milliseconds duration)
+{
+    return std::to_string(duration.count()) + " ms";
+}
+
 void Timeline::record(EventKind kind, EventContent content)
 {
     content.detail.resize(std::min(content.detail.size(), mostDetailBytes));
--- a/src/request/requestrunner.cpp
+++ b/src/request/requestrunner.cpp
@@ -29,6 +29,9 @@
 constexpr std::chrono::milliseconds deadlineSlack{ 2000 };
 
 constexpr std::chrono::milliseconds retryAfterNoServer{ 1000 };
+
+// A claim that takes longer than this is told in the time line.
+constexpr std::chrono::milliseconds longClaim{ 200 };
 constexpr std::chrono::microseconds prefillPerToken{ 100 };
 
 Failure failureOf(const Failed &message)
@@ -411,8 +414,13 @@
 void RequestRunner::runKeyedCall()
 {
     const std::string bodyDigest = sha256(m_request.method + "\n" + m_request.target + "\n" + m_request.body);
+    const auto begin = Clock::now();
     const ClaimDecision claim
         = m_services.claims.acquire(m_accountName, m_request.idempotencyKey, m_request.id, bodyDigest);
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begin);
+    if (took > longClaim) {
+        m_services.timeline.record(EventKind::StoreSlow, { .detail = durationText(took) });
+    }
     switch (claim.result) {
     case ClaimResult::Acquired:
         break;
--- a/src/version/version.cpp
+++ b/src/version/version.cpp
@@ -33,7 +33,8 @@
     return position == configuration.policies.end() ? Policy() : position->second;
 }
 
-std::shared_ptr<const Version> makeVersion(std::uint64_t revision, const std::string &digest, const std::string &text)
+std::shared_ptr<const Version> makeVersion(std::uint64_t revision, const std::string &digest, const std::string &text,
+                                           VersionDelta delta)
 {
     if (sha256(text) != digest) {
         return nullptr;
@@ -43,6 +44,7 @@
     version->revision = revision;
     version->digest = digest;
     version->text = text;
+    version->delta = std::move(delta);
     version->configuration = parseConfiguration(text, "published configuration", problems);
     checkConfiguration(version->configuration, "published configuration", problems);
     if (!problems.empty()) {
