Pass over servers that err or have become slow, and notice one-way silence

Cause: an engine slowed down twentyfold, or one that failed each request, got its full share of new work, since only links and drains took a server out. Change: entries note failures and the pace of tokens by server, and take the worst out of routing for 5 s and longer each time, at most a third of a pool and never the last; it comes back slowly. A request for which nothing arrives for 400 ms makes its link answer a ping, whatever else arrives. Links with requests outstanding are tried again every 200 ms, not every 2 s.

--- a/bench/faults.sh
+++ b/bench/faults.sh
@@ -19,10 +19,9 @@
 
 microseconds() { echo $(($(date +%s%N) / 1000)); }
 faults=0
-# note_fault KIND TARGET MILLISECONDS: records a fault that begins now.
+# note_fault KIND TARGET MILLISECONDS [BEGIN]: records a fault that begins now, or began at a time in microseconds.
 note_fault() {
-    local now
-    now=$(microseconds)
+    local now=${4:-$(microseconds)}
     faults=$((faults + 1))
     echo "{\"event\":\"fault\",\"kind\":\"$1\",\"target\":\"$2\",\"time\":$now,\"until\":$((now + $3 * 1000))}" >>"$history_dir/faults.jsonl"
 }
@@ -90,8 +89,10 @@
 }
 # A cut that meets no stream is no fault.
 drop_streams() {
+    local begin
+    begin=$(microseconds)
     control "${port[$1]}" '{"drop_streams":true}'
-    grep -q '"cut":[1-9]' "$work/control.out" && note_fault drop_streams "$1" 0 || true
+    grep -q '"cut":[1-9]' "$work/control.out" && note_fault drop_streams "$1" 0 "$begin" || true
 }
 one_fault() {
     local engine="engine-$((RANDOM % engineCount))" entry="entry-$((RANDOM % 2))"
--- a/include/zinniadock/process/linkpool.h
+++ b/include/zinniadock/process/linkpool.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <unordered_map>
@@ -14,6 +15,7 @@
 #include "zinniadock/connection/linkmessage.h"
 #include "zinniadock/connection/linktransport.h"
 #include "zinniadock/process/routing.h"
+#include "zinniadock/process/serverhealth.h"
 #include "zinniadock/process/suspecttable.h"
 #include "zinniadock/process/timeline.h"
 #include "zinniadock/request/exchange.h"
@@ -54,8 +56,8 @@
     /// Sends newer configuration to every linked sidecar.
     void publish();
 
-    /// Returns what is known of the servers of a pool, in their order.
-    std::vector<ServerView> views(const Pool &pool, const Configuration &configuration) const;
+    /// Returns what is known of the servers of a pool, in their order; takes those out that err or have become slow.
+    std::vector<ServerView> views(const std::string &poolName, const Configuration &configuration);
 
     /// Sends a request; false, with nothing sent, if the server is not linked.
     bool offer(const std::string &server, const Offer &offer, const std::shared_ptr<Exchange> &exchange);
@@ -63,6 +65,10 @@
     /// Asks for the tokens of a request again, after a gap.
     void resume(const std::string &server, const Exchange &exchange);
 
+    /// Asks a server for a sign of life, for a request that waits long; the link is dropped if none comes, though it
+    /// may bring other things, since it may have fallen silent the other way.
+    void probe(const std::string &server);
+
     /// Releases delivered tokens at the sidecar.
     void acknowledge(const std::string &server, const Exchange &exchange, SequenceNumber next);
 
@@ -77,6 +83,12 @@
 
     LinkPoolStatus status() const;
 
+    /// Returns what requests saw of each server.
+    ServerHealth &health()
+    {
+        return m_health;
+    }
+
     /// Returns the requests that were running when engines crashed.
     SuspectTable &suspects()
     {
@@ -111,7 +123,7 @@
         Clock::time_point connectDue;
         Clock::time_point lastHeard;
         Clock::time_point openedAt;
-        bool pinged = false;
+        std::optional<Clock::time_point> pingedAt; ///< of the ping that has no answer yet
         bool removed = false;
         std::unordered_map<RequestId, std::shared_ptr<Exchange>> exchanges;
     };
@@ -120,7 +132,9 @@
     void closed(LinkId link);
     void received(LinkId link, const std::string &frame);
     void greeted(ServerLink &server, const Hello &hello);
+    void reviewHealth(const std::string &poolName, const Pool &pool);
     void adopt(LinkId link, const ConfigurationPush &push);
+    void ping(ServerLink &server);
     void maintain();
     void maintainLink(ServerLink &server, Clock::time_point now, std::vector<LinkId> &silent);
     ServerLink *findByLink(LinkId link);
@@ -144,6 +158,7 @@
     std::map<std::string, std::shared_ptr<ServerLink>> m_servers;
     std::unordered_map<LinkId, std::shared_ptr<ServerLink>> m_byLink;
     SuspectTable m_suspects;
+    ServerHealth m_health;
     LinkPoolStatus m_counters;
     std::unique_ptr<LinkTransport> m_transport;
     std::thread m_maintainer;
--- a/include/zinniadock/process/timeline.h
+++ b/include/zinniadock/process/timeline.h
@@ -34,6 +34,7 @@
     BackendSlow,
     StoreSlow,
     PeerDraining,
+    ServerEjected,
     ProcessPaused,
     // Of a request that went another way than planned.
     Refused,
--- a/include/zinniadock/request/requestrunner.h
+++ b/include/zinniadock/request/requestrunner.h
@@ -59,6 +59,7 @@
     template <AnswerWriter Writer>
     void takeToken(Writer &writer, const std::string &server, Exchange &exchange, const Token &token);
     void recordGaps();
+    void noteHealth(const std::string &server, const Attempt &attempt);
 
     void runCall();
     void runKeyedCall();
@@ -93,6 +94,7 @@
     Clock::time_point m_lastToken;
     std::chrono::microseconds m_longestStall{ 0 };
     std::vector<std::chrono::microseconds> m_gaps; ///< not yet recorded
+    std::string m_server; ///< of the present attempt
 };
 
 } // namespace zinniadock
--- a/src/process/linkpool.cpp
+++ b/src/process/linkpool.cpp
@@ -17,9 +17,14 @@
 constexpr std::chrono::milliseconds firstPause{ 50 };
 constexpr std::chrono::milliseconds longestPause{ 2000 };
 
-// A link with requests outstanding that brings nothing is asked for a sign of life, and dropped without one.
+// Callers wait for the link, so it is tried more often.
+constexpr std::chrono::milliseconds longestPauseWithRequests{ 200 };
+
+// A link with requests outstanding that brings nothing is asked for a sign of life, and dropped without one. Where
+// other frames arrive, the answer may wait behind them, and is given more time.
 constexpr std::chrono::milliseconds silenceBeforePing{ 400 };
-constexpr std::chrono::milliseconds silenceBeforeDrop{ 1000 };
+constexpr std::chrono::milliseconds answerTimeout{ 600 };
+constexpr std::chrono::milliseconds answerTimeoutWhenBusy{ 1000 };
 constexpr std::chrono::milliseconds greetingTimeout{ 1000 };
 
 // A server that came back gets its full share of requests after this time.
@@ -90,8 +95,10 @@
     }
 }
 
-std::vector<ServerView> LinkPool::views(const Pool &pool, const Configuration &configuration) const
+std::vector<ServerView> LinkPool::views(const std::string &poolName, const Configuration &configuration)
 {
+    const Pool &pool = configuration.pools.at(poolName);
+    reviewHealth(poolName, pool);
     const auto now = Clock::now();
     std::vector<ServerView> views;
     views.reserve(pool.servers.size());
@@ -105,19 +112,29 @@
             const ServerLink &server = *position->second;
             const double total = server.load.totalBlocks;
             const auto age = std::chrono::duration<double>(now - server.openedAt) / slowStart;
-            view.usable = server.state == State::Open && server.load.backendAlive && !server.load.draining;
+            const double share = m_health.share(name, now);
+            view.usable = server.state == State::Open && server.load.backendAlive && !server.load.draining && share > 0;
             view.running = server.load.running;
             view.waiting = server.load.waiting;
             view.memoryUse = total > 0 ? server.load.usedBlocks / total : 0;
             view.expectedWait = server.load.expectedWait;
             view.sentSinceReport = server.sentSinceReport;
-            view.recovery = std::min(1.0, age);
+            view.recovery = std::min(share, age);
         }
         views.push_back(std::move(view));
     }
     return views;
 }
 
+void LinkPool::reviewHealth(const std::string &poolName, const Pool &pool)
+{
+    for (const Ejection &ejection : m_health.review(poolName, pool.servers, Clock::now())) {
+        const std::string detail = "for " + durationText(ejection.duration) + ", since " + ejection.reason;
+        log.warning("sends nothing new to server " + ejection.server + " " + detail);
+        m_timeline.record(EventKind::ServerEjected, { .subject = ejection.server, .detail = detail });
+    }
+}
+
 bool LinkPool::offer(const std::string &server, const Offer &offer, const std::shared_ptr<Exchange> &exchange)
 {
     const std::lock_guard lock(m_mutex);
@@ -130,7 +147,6 @@
     if (link->exchanges.size() == 1) {
         // Silence counts from the first request outstanding, not from the end of the last one.
         link->lastHeard = Clock::now();
-        link->pinged = false;
     }
     ++link->sentSinceReport;
     send(*link, offer);
@@ -147,6 +163,23 @@
     }
 }
 
+void LinkPool::probe(const std::string &server)
+{
+    const std::lock_guard lock(m_mutex);
+    ServerLink *link = findByName(server);
+    if (link != nullptr && link->state == State::Open) {
+        ping(*link);
+    }
+}
+
+void LinkPool::ping(ServerLink &server)
+{
+    if (!server.pingedAt) {
+        server.pingedAt = Clock::now();
+        send(server, Ping{ .number = server.link });
+    }
+}
+
 void LinkPool::acknowledge(const std::string &server, const Exchange &exchange, SequenceNumber next)
 {
     const std::lock_guard lock(m_mutex);
@@ -259,7 +292,8 @@
         }
         server.state = State::Idle;
         server.connectDue = Clock::now() + server.pause;
-        server.pause = std::clamp(server.pause * 2, firstPause, longestPause);
+        const auto longest = server.exchanges.empty() ? longestPause : longestPauseWithRequests;
+        server.pause = std::clamp(server.pause * 2, firstPause, longest);
         for (const auto &[request, exchange] : server.exchanges) {
             exchange->push(LinkBroken());
         }
@@ -287,7 +321,6 @@
         return;
     }
     server->lastHeard = Clock::now();
-    server->pinged = false;
     for (LinkMessage &message : *messages) {
         std::visit(
             [this, server](auto &content) {
@@ -302,6 +335,8 @@
 {
     if constexpr (std::is_same_v<Message, Hello>) {
         greeted(server, message);
+    } else if constexpr (std::is_same_v<Message, Pong>) {
+        server.pingedAt.reset();
     } else if constexpr (std::is_same_v<Message, ClockStamp>) {
         m_timeline.clock().observe(HybridTime{ message.time });
     } else if constexpr (std::is_same_v<Message, LoadReport>) {
@@ -342,6 +377,7 @@
         return;
     }
     server.state = State::Open;
+    server.pingedAt.reset();
     server.pause = std::chrono::milliseconds(0);
     if (server.incarnation != hello.incarnation) {
         server.openedAt = Clock::now();
@@ -429,17 +465,17 @@
         }
         break;
     case State::Open:
-        if (server.exchanges.empty() || silence < silenceBeforePing) {
-            break;
+        if (!server.exchanges.empty() && silence > silenceBeforePing) {
+            ping(server);
         }
-        if (silence > silenceBeforeDrop) {
-            log.warning("the link to server " + server.server + " is silent; dropped");
-            m_timeline.record(EventKind::LinkSilent, { .subject = server.server });
-            ++m_counters.silentLinks;
-            silent.push_back(server.link);
-        } else if (!server.pinged) {
-            server.pinged = true;
-            send(server, Ping{ .number = server.link });
+        if (server.pingedAt) {
+            const auto timeout = silence > answerTimeout ? answerTimeout : answerTimeoutWhenBusy;
+            if (now - *server.pingedAt > timeout) {
+                log.warning("the link to server " + server.server + " is silent; dropped");
+                m_timeline.record(EventKind::LinkSilent, { .subject = server.server });
+                ++m_counters.silentLinks;
+                silent.push_back(server.link);
+            }
         }
         break;
     }
--- a/src/process/timeline.cpp
+++ b/src/process/timeline.cpp
@@ -19,7 +19,7 @@
     std::string_view phrase; ///< %s stands for the subject, %g for the generation
 };
 
-constexpr std::array<KindEntry, 31> kinds{ {
+constexpr std::array<KindEntry, 32> kinds{ {
     { "process_started", EventClass::Process, "started" },
     { "process_stopped", EventClass::Process, "stopped" },
     { "draining", EventClass::Process, "began to drain and refuses new requests" },
@@ -36,6 +36,7 @@
     { "backend_slow", EventClass::Process, "waited long for its backend server" },
     { "store_slow", EventClass::Process, "waited long for the store" },
     { "peer_draining", EventClass::Process, "was told that server %s is leaving" },
+    { "server_ejected", EventClass::Process, "sends nothing new to server %s for a while" },
     { "process_paused", EventClass::Process, "stood still" },
     { "refused", EventClass::Notable, "refused it as not run" },
     { "withdrawn", EventClass::Notable, "took generation %g out of the queue" },
--- a/src/request/requestrunner.cpp
+++ b/src/request/requestrunner.cpp
@@ -1,6 +1,7 @@
 #include "zinniadock/request/requestrunner.h"
 
 #include <algorithm>
+#include <numeric>
 
 #include <Poco/Exception.h>
 
@@ -19,6 +20,9 @@
 constexpr std::chrono::milliseconds popInterval{ 200 };
 constexpr SequenceNumber tokensPerAck = 64;
 
+// A request for which nothing arrives for so long makes its link prove that it works both ways.
+constexpr std::chrono::milliseconds quietBeforeProbe{ 400 };
+
 // A broken link is mended by a new one; a request waits for it so long before it is given up.
 constexpr std::chrono::milliseconds linkPatience{ 15000 };
 
@@ -58,6 +62,13 @@
         || code == RequestError::UnknownRequest;
 }
 
+// Errors that tell against the server, and not against the request, the caller or the load.
+bool isFaultOfServer(const std::error_code &code)
+{
+    return code == RequestError::EngineLost || code == RequestError::EngineRefused || code == RequestError::LinkLost
+        || code == RequestError::DeadlineExceeded;
+}
+
 // After a refusal the lack of a further server says less than the refusal, which knows when to come back.
 Failure lastWord(const Failure &failure, const std::optional<Failure> &refusal)
 {
@@ -279,7 +290,9 @@
     if (const auto failure = send(offer, exchange, tried, server)) {
         return Attempt{ .end = *failure };
     }
+    m_server = server;
     Attempt attempt = followGeneration(writer, server, exchange);
+    noteHealth(server, attempt);
     if (const auto *failure = std::get_if<Failure>(&attempt.end); failure != nullptr && failure->crash != 0) {
         m_services.links.suspects().crashed(offer.fingerprint, failure->crash, Clock::now());
     }
@@ -298,8 +311,15 @@
 {
     std::optional<Clock::time_point> brokenSince;
     Clock::time_point nextProbe = Clock::now() + popInterval;
+    Clock::time_point lastEvent = Clock::now();
     while (true) {
         const std::vector<ExchangeEvent> events = exchange->popAll(popInterval);
+        if (!events.empty()) {
+            lastEvent = Clock::now();
+        } else if (Clock::now() - lastEvent > quietBeforeProbe) {
+            lastEvent = Clock::now();
+            m_services.links.probe(server);
+        }
         std::optional<Attempt> end;
         for (const ExchangeEvent &event : events) {
             if (std::holds_alternative<LinkBroken>(event)) {
@@ -392,9 +412,25 @@
 {
     m_services.metrics.tokenGap.record(m_gaps);
     m_services.metrics.tokens += m_gaps.size();
+    m_services.links.health().paced(m_server, static_cast<std::uint32_t>(m_gaps.size()),
+                                    std::accumulate(m_gaps.begin(), m_gaps.end(), std::chrono::microseconds(0)),
+                                    Clock::now());
     m_gaps.clear();
 }
 
+void RequestRunner::noteHealth(const std::string &server, const Attempt &attempt)
+{
+    if (attempt.callerGone) {
+        return;
+    }
+    const auto *failure = std::get_if<Failure>(&attempt.end);
+    if (failure == nullptr) {
+        m_services.links.health().succeeded(server, Clock::now());
+    } else if (isFaultOfServer(failure->code)) {
+        m_services.links.health().failed(server, Clock::now());
+    }
+}
+
 void RequestRunner::runCall()
 {
     const bool mayRepeat = m_route->idempotent || isReadMethod(m_request.method);
@@ -544,7 +580,7 @@
 
 std::optional<std::string> RequestRunner::chooseServer(const std::set<std::string> &tried)
 {
-    std::vector<ServerView> views = m_services.links.views(*m_pool, m_version->configuration);
+    std::vector<ServerView> views = m_services.links.views(m_route->pool, m_version->configuration);
     for (ServerView &view : views) {
         view.usable = view.usable && !tried.contains(view.name);
     }
--- a/tests/standin/enginestandin.cpp
+++ b/tests/standin/enginestandin.cpp
@@ -118,6 +118,12 @@
     m_frozen = frozen;
 }
 
+void EngineStandin::setSlowdown(double factor)
+{
+    const std::lock_guard lock(m_mutex);
+    m_model.setSlowdown(factor);
+}
+
 std::uint64_t EngineStandin::started() const
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/standin/enginestandin.h
+++ b/tests/standin/enginestandin.h
@@ -66,6 +66,9 @@
     /// Puts an event of another running generation before the next event of each of \p count streams.
     void crossStreams(std::uint32_t count);
 
+    /// Makes each step take \p factor times as long.
+    void setSlowdown(double factor);
+
     /// Returns the number of generations that were ever started.
     std::uint64_t started() const;
 
--- a/tests/unit/unit-faults.cpp
+++ b/tests/unit/unit-faults.cpp
@@ -188,6 +188,43 @@
     }
 }
 
+TEST_CASE("a link that is silent one way only")
+{
+    Fleet fleet(1, 1, std::chrono::microseconds(15000));
+    fleet.placeRelays();
+
+    SECTION("is replaced while another stream still keeps it busy the other way")
+    {
+        const std::string busy = "busy [tokens=400]";
+        std::atomic<std::size_t> shown{ 0 };
+        StreamAnswer other;
+        std::thread neighbour([&] {
+            other = streamGeneration(fleet.entryPort(), busy, [&](std::size_t count) {
+                shown = count;
+                return true;
+            });
+        });
+        REQUIRE(eventually([&] {
+            return shown >= 100;
+        }));
+        fleet.relays[0]->setSilence({ .toServer = true });
+        StreamAnswer answer;
+        std::thread late([&] {
+            answer = streamGeneration(fleet.entryPort(), "late [tokens=20]");
+        });
+        CHECK(eventually([&] {
+            return fleet.entries[0]->status().links.silentLinks > 0;
+        }));
+        // Without acknowledgements the neighbour stops at the end of the replay window, after token 300.
+        CHECK(shown < 300);
+        fleet.relays[0]->setSilence({});
+        neighbour.join();
+        late.join();
+        CHECK(tokensAreWhole(other, busy, 400));
+        CHECK(tokensAreWhole(answer, "late [tokens=20]", 20));
+    }
+}
+
 TEST_CASE("a third of the servers down")
 {
     Fleet fleet(3, 1);
