--- a/bench/faults.sh
+++ b/bench/faults.sh
@@ -77,12 +77,20 @@
     kill -STOP "$pid"
     (sleep "$2"; kill -CONT "$pid" 2>/dev/null || true) &
 }
+# free TARGET SECONDS: takes a target for one fault that lasts; false while another one has it.
+declare -A taken
+free() {
+    [ "$(date +%s%N)" -ge "${taken[$1]:-0}" ] || return 1
+    taken[$1]=$(($(date +%s%N) + $2 * 1000000000))
+}
 silence() {
-    note_fault "$1" "$2" 1500
+    free "relay-$2" 3 || return 0
+    note_fault "$1" "$2" 2000
     control "$(fleet_field "relay-$2" control)" "$3"
-    (sleep 1.5; control "$(fleet_field "relay-$2" control)" '{}') &
+    (sleep 2; control "$(fleet_field "relay-$2" control)" '{}') &
 }
 trouble_store() {
+    free store 5 || return 0
     note_fault "$1" store 4000
     control "${store#*:}" "$2"
     (sleep 4; control "${store#*:}" '{}') &
--- a/bench/load/callers.cpp
+++ b/bench/load/callers.cpp
@@ -131,6 +131,16 @@
         return m_plan.targets[(m_number + request) % m_plan.targets.size()];
     }
 
+    void post(Poco::Net::HTTPClientSession &session, HTTPRequest &request, const std::string &body) const
+    {
+        session.setTimeout(Poco::Timespan(silenceSeconds, 0));
+        request.set("Authorization", "Bearer " + m_plan.key);
+        request.setContentLength(static_cast<std::streamsize>(body.size()));
+        std::ostream &out = session.sendRequest(request);
+        session.socket().setNoDelay(true);
+        out << body << std::flush;
+    }
+
     void generate(std::uint32_t number)
     {
         std::string prompt = "caller " + std::to_string(m_number) + " request " + std::to_string(number) + " seed "
@@ -151,14 +161,9 @@
         std::string requestId;
         try {
             Poco::Net::HTTPClientSession session(target(number).address, target(number).port);
-            session.setTimeout(Poco::Timespan(silenceSeconds, 0));
             HTTPRequest request(HTTPRequest::HTTP_POST, "/v1/completions", HTTPRequest::HTTP_1_1);
-            request.set("Authorization", "Bearer " + m_plan.key);
             request.setContentType("application/json");
-            request.setContentLength(static_cast<std::streamsize>(body.size()));
-            std::ostream &out = session.sendRequest(request);
-            session.socket().setNoDelay(true);
-            out << body << std::flush;
+            post(session, request, body);
             HTTPResponse response;
             std::istream &stream = session.receiveResponse(response);
             requestId = response.get("X-Request-Id", "");
@@ -254,14 +259,11 @@
             try {
                 const Endpoint &entry = target(number + attempt);
                 Poco::Net::HTTPClientSession session(entry.address, entry.port);
-                session.setTimeout(Poco::Timespan(silenceSeconds, 0));
                 HTTPRequest request(HTTPRequest::HTTP_POST, m_plan.callPath, HTTPRequest::HTTP_1_1);
-                request.set("Authorization", "Bearer " + m_plan.key);
-                request.setContentLength(static_cast<std::streamsize>(body.size()));
                 if (keyed) {
                     request.set("Idempotency-Key", body);
                 }
-                session.sendRequest(request) << body << std::flush;
+                post(session, request, body);
                 HTTPResponse response;
                 std::string answer;
                 Poco::StreamCopier::copyToString(session.receiveResponse(response), answer);
--- a/bench/load/faultstalls.cpp
+++ b/bench/load/faultstalls.cpp
@@ -48,18 +48,22 @@
         }
         Effect &effect = effects[cause];
         effect.stall = std::max(effect.stall, length);
+        effect.alone = metOthers(stall, *cause) ? effect.alone : std::max(effect.alone, length);
         effect.recovery = std::max(effect.recovery, Microseconds(stall.until - cause->until));
     }
     std::map<std::string, Samples> stalls;
     std::map<std::string, Samples> recoveries;
+    std::map<std::string, Samples> alone;
     for (const auto &[fault, effect] : effects) {
         stalls[fault->kind].add(effect.stall);
         recoveries[fault->kind].add(effect.recovery);
+        alone[fault->kind].add(effect.alone);
     }
     for (auto &[kind, samples] : stalls) {
         figures.add("faults_" + kind, static_cast<double>(samples.count()));
         figures.add("stall_" + kind + "_p50_ms", samples.milliseconds(0.5));
         figures.add("stall_" + kind + "_max_ms", samples.milliseconds(1));
+        figures.add("stall_" + kind + "_alone_max_ms", alone[kind].milliseconds(1));
         figures.add("recovery_" + kind + "_max_ms", recoveries[kind].milliseconds(1));
     }
     figures.add("stall_no_fault_max_ms", static_cast<double>(unexplained.count()) / 1000);
@@ -78,6 +82,19 @@
         + (cause == nullptr ? "with no fault before it" : "after " + cause->kind + " of " + cause->target);
 }
 
+// A fault of the same server, or of an entry, that was under way during a stall adds to it.
+bool FaultStalls::metOthers(const Stall &stall, const Fault &cause) const
+{
+    const auto server = [](const std::string &target) {
+        return target.starts_with("sidecar-") ? target.substr(target.find('-') + 1) : target;
+    };
+    return std::any_of(m_faults.begin(), m_faults.end(), [&](const Fault &fault) {
+        const bool related = server(fault.target) == server(cause.target) || fault.target.starts_with("entry-");
+        return &fault != &cause && related && fault.from <= stall.until
+            && fault.until + beforeFaultMicroseconds >= stall.from;
+    });
+}
+
 const FaultStalls::Fault *FaultStalls::causeOf(const Stall &stall) const
 {
     const Fault *before = nullptr;
--- a/bench/load/faultstalls.h
+++ b/bench/load/faultstalls.h
@@ -48,8 +48,10 @@
     {
         Microseconds stall{ 0 };
         Microseconds recovery{ 0 };
+        Microseconds alone{ 0 }; ///< longest stall that met no other fault
     };
 
+    bool metOthers(const Stall &stall, const Fault &cause) const;
     const Fault *causeOf(const Stall &stall) const;
 
     std::vector<Fault> m_faults;
--- a/include/zinniadock/process/boundedring.h
+++ b/include/zinniadock/process/boundedring.h
@@ -12,7 +12,7 @@
 namespace zinniadock
 {
 
-/// A ring of fixed capacity that joins two duties; a full ring rejects, and an empty one parks its reader.
+/// A ring of fixed capacity that joins two duties; a full ring loses an item, and an empty one parks its reader.
 template <typename Item>
 class BoundedRing
 {
@@ -22,13 +22,13 @@
     {
     }
 
-    /// Appends an item; false if the ring is full or closed. Complexity: constant.
+    /// Appends an item; false, with the item lost, if the ring is full. Complexity: constant.
     bool tryPush(Item item)
     {
         bool wake = false;
         {
             const std::lock_guard lock(m_mutex);
-            if (m_closed || m_items.full()) {
+            if (m_items.full()) {
                 return false;
             }
             m_items.push_back(std::move(item));
@@ -46,7 +46,7 @@
         std::unique_lock lock(m_mutex);
         m_waiting = true;
         m_changed.wait_for(lock, timeout, [this] {
-            return !m_items.empty() || m_closed;
+            return !m_items.empty();
         });
         m_waiting = false;
         std::vector<Item> items(std::make_move_iterator(m_items.begin()), std::make_move_iterator(m_items.end()));
@@ -54,33 +54,10 @@
         return items;
     }
 
-    /// Rejects further items and wakes the reader; items already there can still be taken.
-    void close()
-    {
-        {
-            const std::lock_guard lock(m_mutex);
-            m_closed = true;
-        }
-        m_changed.notify_all();
-    }
-
-    bool closed() const
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_closed;
-    }
-
-    std::size_t size() const
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_items.size();
-    }
-
 private:
-    mutable std::mutex m_mutex;
+    std::mutex m_mutex;
     std::condition_variable m_changed;
     boost::circular_buffer<Item> m_items;
-    bool m_closed = false;
     bool m_waiting = false; ///< a reader is parked, so a push has to wake it
 };
 
--- a/include/zinniadock/process/linkpool.h
+++ b/include/zinniadock/process/linkpool.h
@@ -137,6 +137,7 @@
     void ping(ServerLink &server);
     void maintain();
     void maintainLink(ServerLink &server, Clock::time_point now, std::vector<LinkId> &silent);
+    const ServerLink *forget(const std::string &server, const Exchange &exchange);
     ServerLink *findByLink(LinkId link);
     ServerLink *findByName(const std::string &server);
     void send(const ServerLink &server, const LinkMessage &message);
--- a/include/zinniadock/process/sidecar.h
+++ b/include/zinniadock/process/sidecar.h
@@ -4,10 +4,9 @@
 #include <condition_variable>
 #include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <mutex>
-#include <set>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <thread>
@@ -17,9 +16,9 @@
 
 #include "zinniadock/connection/enginestream.h"
 #include "zinniadock/connection/linkmessage.h"
-#include "zinniadock/connection/linktransport.h"
 #include "zinniadock/process/admission.h"
 #include "zinniadock/process/settings.h"
+#include "zinniadock/process/sidecarlinks.h"
 #include "zinniadock/process/timeline.h"
 #include "zinniadock/request/generationrunner.h"
 #include "zinniadock/request/sidecarsession.h"
@@ -90,10 +89,10 @@
     void handle(LinkId link, Other &message);
 
     void install(const std::shared_ptr<const Version> &version);
+    std::optional<Failure> refusalOf(const Offer &offer) const;
     void offerGeneration(const SessionPointer &session, LinkId link);
     void resumeUnknown(LinkId link, const Resume &message);
     void refuse(LinkId link, const GenerationKey &key, const Failure &failure);
-    void send(LinkId link, const LinkMessage &message);
     void pushConfiguration(LinkId link, std::uint64_t theirRevision);
 
     void startWorker(const SessionPointer &session, std::function<void()> work);
@@ -107,11 +106,9 @@
     void endWithdrawn();
     void reapSessions();
     void reportLoad(bool toAll);
-    void pollBackend();
-    bool pollEngine();
+    void watchBackend();
 
     AdmissionRequest admissionRequest(const Offer &offer) const;
-    std::string versionOfServer() const;
     LoadReport loadReport() const;
     SessionPointer find(const GenerationKey &key) const;
     bool waitUnlessStopping(std::chrono::milliseconds duration);
@@ -129,7 +126,6 @@
     std::unordered_map<GenerationKey, SessionPointer> m_sessions;
     std::unordered_map<GenerationKey, Clock::time_point> m_queuedSince;
     std::unordered_map<GenerationKey, Clock::time_point> m_tombstones;
-    std::map<LinkId, std::string> m_links; ///< the entry instance of each link
     std::uint32_t m_runningCalls = 0;
     bool m_draining = false;
     bool m_stopping = false;
@@ -138,14 +134,12 @@
     std::deque<CrashNotice> m_crashes; ///< the newest, for entries that link later
     SidecarStatus m_counters;
 
-    std::mutex m_owedMutex; ///< innermost lock: sessions send while they hold theirs
-    std::set<LinkId> m_reportOwed; ///< links that carried an answer since their last load report
-
+    std::string m_servedVersion; ///< of the model, by the configuration in force
+    SidecarLinks m_links;
     GenerationRunner m_runner;
     std::unique_ptr<Poco::ThreadPool> m_workers;
-    std::unique_ptr<LinkTransport> m_transport;
     std::thread m_housekeeper;
-    std::thread m_poller;
+    std::thread m_watcher;
 };
 
 } // namespace zinniadock
--- /dev/null
+++ b/include/zinniadock/request/callattempts.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <set>
+#include <string>
+#include <variant>
+
+#include "zinniadock/request/requestcontext.h"
+
+namespace zinniadock
+{
+
+/// Runs one call of a plain service, under a claim where the caller gave an idempotency key.
+class CallAttempts
+{
+public:
+    explicit CallAttempts(RequestContext &context);
+
+    /// Answers the request, whole or with a failure.
+    void run();
+
+private:
+    using Clock = RequestContext::Clock;
+
+    void runKeyed();
+    std::variant<Reply, Failure> call(bool mayRepeat);
+    std::variant<Reply, Failure> attemptCall(GenerationId generation, std::set<std::string> &tried);
+    void sendReply(std::uint32_t status, const std::string &contentType, const std::string &body, bool replayed);
+
+    RequestContext &m_context;
+};
+
+} // namespace zinniadock
--- a/include/zinniadock/request/exchange.h
+++ b/include/zinniadock/request/exchange.h
@@ -60,9 +60,7 @@
     /// thread ask for the tokens again.
     void push(ExchangeEvent event)
     {
-        if (!m_events.tryPush(std::move(event))) {
-            ++m_lost;
-        }
+        m_events.tryPush(std::move(event));
     }
 
     /// Takes all events that have arrived, waiting up to \p timeout for one.
@@ -71,11 +69,6 @@
         return m_events.popAll(timeout);
     }
 
-    std::uint64_t lostEvents() const
-    {
-        return m_lost;
-    }
-
 private:
     // Room for a whole replay window twice, since a resumed link repeats what may still be in the ring.
     static constexpr std::size_t capacity = 2 * SidecarSession::replayWindow + 64;
@@ -83,7 +76,6 @@
     const Resume m_description;
     std::atomic<SequenceNumber> m_next{ 0 };
     std::atomic<std::uint64_t> m_offeredTo{ 0 };
-    std::atomic<std::uint64_t> m_lost{ 0 };
     BoundedRing<ExchangeEvent> m_events;
 };
 
--- /dev/null
+++ b/include/zinniadock/request/generationattempts.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "zinniadock/request/answerwriter.h"
+#include "zinniadock/request/requestcontext.h"
+#include "zinniadock/request/tokenorder.h"
+
+namespace zinniadock
+{
+
+/// Brings one generation to its caller, over several servers if need be. Only one of them ever shows a token.
+class GenerationAttempts
+{
+public:
+    GenerationAttempts(RequestContext &context, const GenerationRequest &generation);
+
+    /// Answers the request, whole or with a failure.
+    void run();
+
+private:
+    using Clock = RequestContext::Clock;
+
+    /// How one attempt ended.
+    struct Attempt
+    {
+        std::variant<Finished, Failure> end;
+        bool callerGone = false;
+    };
+
+    template <AnswerWriter Writer>
+    void generate(Writer &writer);
+    template <AnswerWriter Writer>
+    Attempt attemptGeneration(Writer &writer, GenerationId generation, std::set<std::string> &tried);
+    template <AnswerWriter Writer>
+    Attempt followGeneration(Writer &writer, const std::string &server, const std::shared_ptr<Exchange> &exchange);
+    std::optional<Attempt> giveUp(const std::optional<Clock::time_point> &brokenSince) const;
+    template <AnswerWriter Writer>
+    std::optional<Attempt> takeEvent(Writer &writer, const std::string &server, Exchange &exchange,
+                                     const ExchangeEvent &event);
+    template <AnswerWriter Writer>
+    void takeToken(Writer &writer, const std::string &server, Exchange &exchange, const Token &token);
+    void recordGaps();
+    void noteHealth(const std::string &server, const Attempt &attempt);
+
+    RequestContext &m_context;
+    const GenerationRequest &m_generation;
+    TokenOrder m_order;
+    Clock::time_point m_lastToken;
+    std::chrono::microseconds m_longestStall{ 0 };
+    std::vector<std::chrono::microseconds> m_gaps; ///< not yet recorded
+    std::string m_server; ///< of the present attempt
+};
+
+} // namespace zinniadock
--- a/include/zinniadock/version/version.h
+++ b/include/zinniadock/version/version.h
@@ -36,6 +36,9 @@
     /// Finds the longest path route that a request path starts with; its name goes to \p name.
     const Route *routeOfPath(const std::string &path, std::string &name) const;
 
+    /// Returns the model version that a backend server serves; empty for none. Complexity: linear in the servers.
+    std::string versionOfServer(const std::string &server) const;
+
     /// Returns the policy in force: `[policy default]`, or the defaults.
     Policy policy() const;
 };
--- a/src/connection/callerconnection.cpp
+++ b/src/connection/callerconnection.cpp
@@ -13,6 +13,7 @@
 
 #include "zinniadock/detail/httptime.h"
 #include "zinniadock/process/log.h"
+#include "zinniadock/request/answerwriter.h"
 #include "zinniadock/request/requestrunner.h"
 
 namespace zinniadock
--- a/src/process/linkpool.cpp
+++ b/src/process/linkpool.cpp
@@ -192,12 +192,7 @@
 void LinkPool::finish(const std::string &server, const Exchange &exchange, SequenceNumber next)
 {
     const std::lock_guard lock(m_mutex);
-    ServerLink *link = findByName(server);
-    if (link == nullptr) {
-        return;
-    }
-    link->exchanges.erase(exchange.key().request);
-    if (link->state == State::Open) {
+    if (const ServerLink *link = forget(server, exchange)) {
         send(*link,
              Ack{ .request = exchange.key().request,
                   .generation = exchange.key().generation,
@@ -209,14 +204,19 @@
 void LinkPool::cancel(const std::string &server, const Exchange &exchange)
 {
     const std::lock_guard lock(m_mutex);
+    if (const ServerLink *link = forget(server, exchange)) {
+        send(*link, Cancel{ .request = exchange.key().request, .generation = exchange.key().generation });
+    }
+}
+
+const LinkPool::ServerLink *LinkPool::forget(const std::string &server, const Exchange &exchange)
+{
     ServerLink *link = findByName(server);
     if (link == nullptr) {
-        return;
+        return nullptr;
     }
     link->exchanges.erase(exchange.key().request);
-    if (link->state == State::Open) {
-        send(*link, Cancel{ .request = exchange.key().request, .generation = exchange.key().generation });
-    }
+    return link->state == State::Open ? link : nullptr;
 }
 
 std::uint32_t LinkPool::entryCount() const
--- /dev/null
+++ b/src/process/sidecarlinks.cpp
@@ -0,0 +1,101 @@
+#include "zinniadock/process/sidecarlinks.h"
+
+#include <utility>
+
+namespace zinniadock
+{
+
+namespace
+{
+
+bool isAnswer(const LinkMessage &message)
+{
+    return std::holds_alternative<Started>(message) || std::holds_alternative<Finished>(message)
+        || std::holds_alternative<Reply>(message) || std::holds_alternative<Failed>(message);
+}
+
+} // namespace
+
+SidecarLinks::SidecarLinks(LinkHandlers handlers, Timeline &timeline)
+    : m_timeline(timeline)
+    , m_transport(std::move(handlers))
+{
+}
+
+std::error_code SidecarLinks::listen(const std::string &address, std::uint16_t port)
+{
+    return m_transport.listen(address, port);
+}
+
+std::uint16_t SidecarLinks::port() const
+{
+    return m_transport.port();
+}
+
+void SidecarLinks::stop()
+{
+    m_transport.stop();
+}
+
+void SidecarLinks::send(LinkId link, const LinkMessage &message)
+{
+    if (!isFrequent(message)) {
+        m_transport.send(link, encode(ClockStamp{ .time = m_timeline.clock().now().value }));
+    }
+    m_transport.send(link, encode(message));
+    if (isAnswer(message)) {
+        const std::lock_guard lock(m_mutex);
+        m_reportOwed.insert(link);
+    }
+}
+
+void SidecarLinks::drop(LinkId link)
+{
+    m_transport.drop(link);
+}
+
+void SidecarLinks::greeted(LinkId link, const std::string &instance)
+{
+    m_timeline.record(EventKind::LinkUp, { .subject = instance });
+    const std::lock_guard lock(m_mutex);
+    m_instances[link] = instance;
+    m_reportOwed.insert(link);
+}
+
+void SidecarLinks::closed(LinkId link)
+{
+    std::string instance;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (const auto node = m_instances.extract(link)) {
+            instance = node.mapped();
+        }
+    }
+    if (!instance.empty()) {
+        m_timeline.record(EventKind::LinkDown, { .subject = instance });
+    }
+}
+
+std::vector<LinkId> SidecarLinks::all() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<LinkId> links;
+    for (const auto &[link, instance] : m_instances) {
+        links.push_back(link);
+    }
+    return links;
+}
+
+std::uint32_t SidecarLinks::count() const
+{
+    const std::lock_guard lock(m_mutex);
+    return static_cast<std::uint32_t>(m_instances.size());
+}
+
+std::set<LinkId> SidecarLinks::takeOwedReports()
+{
+    const std::lock_guard lock(m_mutex);
+    return std::exchange(m_reportOwed, {});
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/process/sidecarrequests.cpp
@@ -0,0 +1,380 @@
+// The part of a sidecar that takes requests from entries and runs them.
+
+#include "zinniadock/process/sidecar.h"
+
+#include <algorithm>
+#include <functional>
+
+#include <Poco/Exception.h>
+#include <Poco/Runnable.h>
+
+#include "zinniadock/connection/servicecall.h"
+#include "zinniadock/process/log.h"
+#include "zinniadock/process/routing.h"
+
+namespace zinniadock
+{
+
+namespace
+{
+
+constexpr Log log{ "sidecar" };
+
+constexpr std::size_t crashesKept = 256;
+constexpr std::chrono::milliseconds retryAfterDown{ 1000 };
+
+// Runs a function once on a pooled thread, and owns itself until then.
+class Task final : public Poco::Runnable
+{
+public:
+    explicit Task(std::function<void()> work)
+        : m_work(std::move(work))
+    {
+    }
+
+    void run() override
+    {
+        const std::unique_ptr<Task> self(this);
+        m_work();
+    }
+
+private:
+    std::function<void()> m_work;
+};
+
+// An engine that can't be reached again after its stream broke has crashed with the request on it.
+bool isCrash(const Failed &failed)
+{
+    return failed.error == static_cast<std::int32_t>(RequestError::EngineLost) && failed.verdict != Verdict::NotRun;
+}
+
+template <typename Message>
+GenerationKey keyOf(const Message &message)
+{
+    return GenerationKey{ .request = message.request, .generation = message.generation };
+}
+
+} // namespace
+
+void Sidecar::handle(LinkId link, Offer &message)
+{
+    const GenerationKey key = keyOf(message);
+    std::optional<Failure> refusal;
+    SessionPointer session;
+    SessionPointer known;
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_counters.offers;
+        const auto position = m_sessions.find(key);
+        if (position != m_sessions.end()) {
+            known = position->second;
+        } else if (!(refusal = refusalOf(message))) {
+            session = std::make_shared<SidecarSession>(std::move(message), link, 0,
+                                                       [this](LinkId to, const LinkMessage &content) {
+                                                           m_links.send(to, content);
+                                                       });
+            m_sessions[key] = session;
+            m_runningCalls += session->offer().kind == RequestKind::Call ? 1 : 0;
+        }
+        m_counters.refusals += refusal ? 1 : 0;
+    }
+    if (known) {
+        known->attach(link, 0);
+    } else if (refusal) {
+        refuse(link, key, *refusal);
+    } else if (session->offer().kind == RequestKind::Call) {
+        startWorker(session, [this, session] {
+            runCall(session);
+        });
+    } else {
+        offerGeneration(session, link);
+    }
+}
+
+// Says why an offer is refused before it reaches the gate; nothing if it may go on.
+std::optional<Failure> Sidecar::refusalOf(const Offer &offer) const
+{
+    const auto notRun = [](RequestError code, const char *message, std::chrono::milliseconds retryAfter) {
+        return Failure{ .code = code, .verdict = Verdict::NotRun, .message = message, .retryAfter = retryAfter };
+    };
+    if (m_tombstones.contains(keyOf(offer))) {
+        return notRun(RequestError::UnknownRequest, "the request was recorded as refused before it arrived", {});
+    }
+    if (m_draining) {
+        return notRun(RequestError::Draining, "the backend server is leaving", {});
+    }
+    if (!m_backendAlive) {
+        return notRun(RequestError::EngineLost, "the backend server is down", retryAfterDown);
+    }
+    if (offer.suspect && suspectRuns()) {
+        return notRun(RequestError::QueueFull, "another request that was in a crash runs here alone", retryAfterDown);
+    }
+    if (offer.kind == RequestKind::Call && m_runningCalls >= m_settings.maxRunning) {
+        return notRun(RequestError::QueueFull, "the service runs as many calls as it may", retryAfterDown);
+    }
+    return std::nullopt;
+}
+
+void Sidecar::handle(LinkId link, Resume &message)
+{
+    const GenerationKey key = keyOf(message);
+    if (const SessionPointer session = find(key)) {
+        {
+            const std::lock_guard lock(m_mutex);
+            ++m_counters.resumed;
+        }
+        if (!session->attach(link, message.next)) {
+            refuse(link, key,
+                   Failure{ .code = RequestError::LinkLost,
+                            .verdict = Verdict::Ran,
+                            .message = "the tokens asked for were already released" });
+        }
+        return;
+    }
+    resumeUnknown(link, message);
+}
+
+void Sidecar::handle(LinkId /*link*/, Cancel &message)
+{
+    const SessionPointer session = find(keyOf(message));
+    if (!session) {
+        return;
+    }
+    session->cancel();
+    bool wasQueued = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        wasQueued = m_queuedSince.erase(session->key()) > 0;
+        if (wasQueued) {
+            m_admission.ended(session->key(), false, Clock::now());
+        }
+    }
+    if (wasQueued) {
+        session->end(failedMessage(session->key(),
+                                   Failure{ .code = RequestError::Cancelled,
+                                            .verdict = Verdict::NotRun,
+                                            .message = "cancelled while it waited" }));
+    }
+}
+
+void Sidecar::handle(LinkId /*link*/, Ack &message)
+{
+    if (const SessionPointer session = find(keyOf(message))) {
+        session->acknowledge(message.next, message.final);
+    }
+}
+
+void Sidecar::offerGeneration(const SessionPointer &session, LinkId link)
+{
+    AdmissionDecision decision;
+    {
+        const std::lock_guard lock(m_mutex);
+        decision = m_admission.offer(admissionRequest(session->offer()), Clock::now());
+        if (decision.outcome == AdmissionOutcome::Queued) {
+            m_queuedSince[session->key()] = Clock::now();
+        } else if (decision.outcome == AdmissionOutcome::Refused) {
+            m_sessions.erase(session->key());
+            ++m_counters.refusals;
+        }
+    }
+    switch (decision.outcome) {
+    case AdmissionOutcome::Admitted:
+        startWorker(session, [this, session] {
+            m_runner.run(session);
+        });
+        break;
+    case AdmissionOutcome::Queued:
+        m_timeline.record(EventKind::Queued,
+                          { .request = session->key().request,
+                            .generation = session->key().generation,
+                            .detail = decision.explanation });
+        break;
+    case AdmissionOutcome::Refused:
+        log.info("refused request " + session->key().text() + ": " + decision.explanation);
+        refuse(link, session->key(),
+               Failure{ .code = decision.reason,
+                        .verdict = Verdict::NotRun,
+                        .message = decision.explanation,
+                        .retryAfter = decision.retryAfter });
+        break;
+    }
+}
+
+// A request that this process has never seen is recorded as refused, so that an offer still on its way is refused when
+// it arrives. That proves "not run" only for an offer made to this incarnation; for an earlier one the engine is asked.
+void Sidecar::resumeUnknown(LinkId link, const Resume &message)
+{
+    const GenerationKey key = keyOf(message);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_tombstones[key] = Clock::now();
+        ++m_counters.tombstones;
+    }
+    if (message.offeredTo == m_incarnation) {
+        refuse(link, key,
+               Failure{ .code = RequestError::UnknownRequest,
+                        .verdict = Verdict::NotRun,
+                        .message = "the request never reached the backend server" });
+        return;
+    }
+    if (message.kind == RequestKind::Call) {
+        refuse(link, key,
+               Failure{ .code = RequestError::LinkLost,
+                        .verdict = Verdict::MayHaveRun,
+                        .message = "the sidecar restarted while the call ran" });
+        return;
+    }
+    Offer offer{ .request = message.request,
+                 .generation = message.generation,
+                 .kind = message.kind,
+                 .account = message.account,
+                 .route = message.route,
+                 .promptTokens = message.promptTokens,
+                 .maxTokens = message.maxTokens };
+    auto session = std::make_shared<SidecarSession>(std::move(offer), link, message.next,
+                                                    [this](LinkId to, const LinkMessage &content) {
+                                                        m_links.send(to, content);
+                                                    });
+    {
+        const std::lock_guard lock(m_mutex);
+        m_sessions[key] = session;
+    }
+    startWorker(session, [this, session] {
+        m_runner.resume(session);
+    });
+}
+
+void Sidecar::refuse(LinkId link, const GenerationKey &key, const Failure &failure)
+{
+    m_timeline.record(failure.verdict == Verdict::NotRun ? EventKind::Refused : EventKind::Failed,
+                      { .request = key.request, .generation = key.generation, .detail = failure.message });
+    m_links.send(link, failedMessage(key, failure));
+}
+
+void Sidecar::startWorker(const SessionPointer &session, std::function<void()> work)
+{
+    auto task = std::make_unique<Task>(std::move(work));
+    try {
+        m_workers->start(*task);
+        static_cast<void>(task.release());
+    } catch (const Poco::NoThreadAvailableException &) {
+        endGeneration(
+            session,
+            failedMessage(
+                session->key(),
+                Failure{ .code = RequestError::QueueFull, .verdict = Verdict::NotRun, .message = "no worker is free" }),
+            false);
+    }
+}
+
+GenerationHooks Sidecar::generationHooks()
+{
+    GenerationHooks hooks;
+    hooks.emitted = [this](const GenerationKey &key) {
+        const std::lock_guard lock(m_mutex);
+        m_admission.emitted(key);
+    };
+    hooks.adopted = [this](const SessionPointer &session) {
+        const std::lock_guard lock(m_mutex);
+        ++m_counters.adopted;
+        m_admission.adopt(admissionRequest(session->offer()), static_cast<std::uint32_t>(session->next()));
+    };
+    hooks.ended = [this](const SessionPointer &session, LinkMessage message, bool whole) {
+        endGeneration(session, std::move(message), whole);
+    };
+    hooks.pause = [this](std::chrono::milliseconds duration) {
+        return waitUnlessStopping(duration);
+    };
+    hooks.stopping = [this] {
+        const std::lock_guard lock(m_mutex);
+        return m_stopping;
+    };
+    return hooks;
+}
+
+void Sidecar::runCall(const SessionPointer &session)
+{
+    const GenerationKey key = session->key();
+    m_timeline.record(EventKind::Admitted, { .request = key.request, .generation = key.generation });
+    std::variant<Reply, Failure> result = callService(m_settings.backend, session->offer(), m_timeouts);
+    {
+        const std::lock_guard lock(m_mutex);
+        --m_runningCalls;
+    }
+    if (auto *reply = std::get_if<Reply>(&result)) {
+        session->end(std::move(*reply));
+    } else {
+        session->end(failedMessage(session->key(), std::get<Failure>(result)));
+    }
+}
+
+void Sidecar::endGeneration(const SessionPointer &session, LinkMessage message, bool whole)
+{
+    CrashNotice notice{ .fingerprint = session->offer().fingerprint };
+    {
+        const std::lock_guard lock(m_mutex);
+        m_admission.ended(session->key(), whole, Clock::now());
+        if (auto *failed = std::get_if<Failed>(&message); failed != nullptr && isCrash(*failed)) {
+            notice.crash = stableHash(m_settings.server + "/" + std::to_string(m_engineIncarnation));
+            failed->crash = notice.crash;
+            m_crashes.push_back(notice);
+            if (m_crashes.size() > crashesKept) {
+                m_crashes.pop_front();
+            }
+        }
+    }
+    if (notice.crash != 0) {
+        m_timeline.record(EventKind::EngineCrash, { .request = session->key().request });
+    }
+    for (const LinkId link : notice.crash != 0 ? m_links.all() : std::vector<LinkId>()) {
+        m_links.send(link, notice);
+    }
+    session->end(std::move(message));
+    admitWaiting();
+}
+
+bool Sidecar::suspectRuns() const
+{
+    return std::any_of(m_sessions.begin(), m_sessions.end(), [](const auto &entry) {
+        return entry.second->offer().suspect && !entry.second->ended();
+    });
+}
+
+void Sidecar::admitWaiting()
+{
+    std::vector<SessionPointer> ready;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const GenerationKey &key : m_admission.admitReady()) {
+            m_queuedSince.erase(key);
+            ready.push_back(m_sessions.at(key));
+        }
+    }
+    for (const SessionPointer &session : ready) {
+        startWorker(session, [this, session] {
+            m_runner.run(session);
+        });
+    }
+}
+
+AdmissionRequest Sidecar::admissionRequest(const Offer &offer) const
+{
+    return AdmissionRequest{ .key = keyOf(offer),
+                             .account = offer.account,
+                             .route = offer.route,
+                             .version = m_servedVersion,
+                             .promptTokens = offer.promptTokens,
+                             .maxTokens = offer.maxTokens,
+                             .priority = offer.priority,
+                             .share = offer.share,
+                             .deadline = Clock::now() + offer.timeLeft };
+}
+
+Sidecar::SessionPointer Sidecar::find(const GenerationKey &key) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto position = m_sessions.find(key);
+    return position == m_sessions.end() ? nullptr : position->second;
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/request/callattempts.cpp
@@ -0,0 +1,181 @@
+#include "zinniadock/request/callattempts.h"
+
+#include "zinniadock/process/log.h"
+#include "zinniadock/request/answerwriter.h"
+
+namespace zinniadock
+{
+
+namespace
+{
+
+constexpr Log log{ "request" };
+
+constexpr std::chrono::milliseconds popInterval{ 200 };
+
+// A claim that takes longer than this is told in the time line.
+constexpr std::chrono::milliseconds longClaim{ 200 };
+
+bool isReadMethod(const std::string &method)
+{
+    return method == "GET" || method == "HEAD";
+}
+
+} // namespace
+
+CallAttempts::CallAttempts(RequestContext &context)
+    : m_context(context)
+{
+}
+
+void CallAttempts::run()
+{
+    const bool mayRepeat = m_context.route->idempotent || isReadMethod(m_context.request.method);
+    if (!m_context.request.idempotencyKey.empty() && !mayRepeat) {
+        runKeyed();
+        return;
+    }
+    m_context.services.retries.requestSent(m_context.version->policy().retryBudget);
+    std::variant<Reply, Failure> result = call(mayRepeat);
+    if (const auto *reply = std::get_if<Reply>(&result)) {
+        sendReply(reply->status, reply->contentType, reply->body, false);
+    } else {
+        m_context.fail(std::get<Failure>(result));
+    }
+}
+
+void CallAttempts::runKeyed()
+{
+    const std::string bodyDigest
+        = sha256(m_context.request.method + "\n" + m_context.request.target + "\n" + m_context.request.body);
+    const auto begin = Clock::now();
+    const ClaimDecision claim = m_context.services.claims.acquire(
+        m_context.accountName, m_context.request.idempotencyKey, m_context.request.id, bodyDigest);
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begin);
+    if (took > longClaim) {
+        m_context.services.timeline.record(EventKind::StoreSlow, { .detail = durationText(took) });
+    }
+    switch (claim.result) {
+    case ClaimResult::Acquired:
+        break;
+    case ClaimResult::Answered:
+        ++m_context.services.metrics.replays;
+        sendReply(claim.record.outcome->status, claim.record.outcome->contentType, claim.record.outcome->body, true);
+        return;
+    case ClaimResult::InUse:
+        m_context.fail(Failure{ .code = RequestError::KeyInUse,
+                                .verdict = Verdict::MayHaveRun,
+                                .message = "request " + claim.record.request
+                                    + " holds the idempotency key and its outcome is not known",
+                                .retryAfter = retryAfterNoServer });
+        return;
+    case ClaimResult::Mismatch:
+        m_context.fail(Failure{ .code = RequestError::KeyMismatch,
+                                .verdict = Verdict::NotRun,
+                                .message = "the idempotency key belongs to another call" });
+        return;
+    case ClaimResult::Unavailable:
+        m_context.fail(Failure{ .code = RequestError::StoreUnavailable,
+                                .verdict = Verdict::NotRun,
+                                .message = "the store does not answer, so the call was not sent",
+                                .retryAfter = retryAfterNoServer });
+        return;
+    }
+    m_context.services.retries.requestSent(m_context.version->policy().retryBudget);
+    std::variant<Reply, Failure> result = call(false);
+    if (const auto *reply = std::get_if<Reply>(&result)) {
+        const ClaimOutcome outcome{ .status = reply->status, .contentType = reply->contentType, .body = reply->body };
+        if (!m_context.services.claims.complete(m_context.accountName, m_context.request.idempotencyKey, claim,
+                                                outcome)) {
+            log.warning("could not record the outcome of request " + m_context.request.id.text());
+        }
+        sendReply(reply->status, reply->contentType, reply->body, false);
+        return;
+    }
+    const Failure &failure = std::get<Failure>(result);
+    if (failure.verdict == Verdict::NotRun) {
+        m_context.services.claims.release(m_context.accountName, m_context.request.idempotencyKey, claim);
+    }
+    m_context.fail(failure);
+}
+
+// A call that may not be repeated goes to another server only where the last one is proven not to have run it.
+std::variant<Reply, Failure> CallAttempts::call(bool mayRepeat)
+{
+    std::set<std::string> tried;
+    Verdict verdict = Verdict::NotRun;
+    std::optional<Failure> refusal;
+    for (GenerationId generation = 1;; ++generation) {
+        std::variant<Reply, Failure> result = attemptCall(generation, tried);
+        if (std::holds_alternative<Reply>(result)) {
+            return result;
+        }
+        Failure failure = std::get<Failure>(result);
+        verdict = raised(verdict, failure.verdict);
+        const bool again
+            = (mayRepeat || failure.verdict == Verdict::NotRun) && m_context.takeRetry(failure, generation);
+        if (!again) {
+            failure = lastWord(failure, refusal);
+            failure.verdict = verdict;
+            return failure;
+        }
+        refusal = failure;
+        ++m_context.services.metrics.retries;
+        m_context.note(EventKind::Retried, generation, failure.message);
+    }
+}
+
+std::variant<Reply, Failure> CallAttempts::attemptCall(GenerationId generation, std::set<std::string> &tried)
+{
+    Offer offer = m_context.makeOffer(generation);
+    offer.kind = RequestKind::Call;
+    offer.contentType = m_context.request.contentType;
+    offer.idempotencyKey = m_context.request.idempotencyKey;
+    offer.body = m_context.request.body;
+    auto exchange = std::make_shared<Exchange>(Resume{ .request = m_context.request.id,
+                                                       .generation = generation,
+                                                       .kind = RequestKind::Call,
+                                                       .account = m_context.accountName,
+                                                       .route = m_context.routeName });
+    std::string server;
+    if (const auto failure = m_context.send(offer, exchange, tried, server)) {
+        return *failure;
+    }
+    const auto giveUp = m_context.deadline + deadlineSlack;
+    while (Clock::now() < giveUp) {
+        for (ExchangeEvent &event : exchange->popAll(popInterval)) {
+            if (auto *reply = std::get_if<Reply>(&event)) {
+                m_context.services.links.finish(server, *exchange, 0);
+                return std::move(*reply);
+            }
+            if (const auto *failed = std::get_if<Failed>(&event)) {
+                m_context.services.links.finish(server, *exchange, 0);
+                return failureOf(*failed);
+            }
+        }
+    }
+    m_context.services.links.finish(server, *exchange, 0);
+    return Failure{ .code = RequestError::DeadlineExceeded,
+                    .verdict = Verdict::MayHaveRun,
+                    .message = "no answer arrived before the deadline" };
+}
+
+void CallAttempts::sendReply(std::uint32_t status, const std::string &contentType, const std::string &body,
+                             bool replayed)
+{
+    ++m_context.services.metrics.completed;
+    m_context.note(EventKind::Finished, 0,
+                   replayed ? "with the recorded outcome of an earlier call" : "the call was answered");
+    m_context.response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    m_context.response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(m_context.response.getStatus()));
+    setAnswerHeaders(m_context.response, m_context.request.id, Verdict::Ran);
+    if (replayed) {
+        m_context.response.set("Idempotent-Replayed", "true");
+    }
+    if (!contentType.empty()) {
+        m_context.response.setContentType(contentType);
+    }
+    m_context.response.sendBuffer(body.data(), body.size());
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/request/generationattempts.cpp
@@ -0,0 +1,280 @@
+#include "zinniadock/request/generationattempts.h"
+
+#include <algorithm>
+#include <numeric>
+
+#include "zinniadock/process/log.h"
+#include "zinniadock/process/routing.h"
+
+namespace zinniadock
+{
+
+namespace
+{
+
+constexpr Log log{ "request" };
+
+constexpr std::chrono::milliseconds popInterval{ 200 };
+constexpr SequenceNumber tokensPerAck = 64;
+
+// A request for which nothing arrives for so long makes its link prove that it works both ways.
+constexpr std::chrono::milliseconds quietBeforeProbe{ 400 };
+
+// A broken link is mended by a new one; a request waits for it so long before it is given up.
+constexpr std::chrono::milliseconds linkPatience{ 15000 };
+
+// Before its first token a generation is cheaper to run elsewhere than to wait for.
+constexpr std::chrono::milliseconds linkPatienceBeforeFirstToken{ 1000 };
+
+Failure linkLost(Verdict verdict)
+{
+    return Failure{ .code = RequestError::LinkLost,
+                    .verdict = verdict,
+                    .message = "the link to the backend server was lost" };
+}
+
+// Errors that tell against the server, and not against the request, the caller or the load.
+bool isFaultOfServer(const std::error_code &code)
+{
+    return code == RequestError::EngineLost || code == RequestError::EngineRefused || code == RequestError::LinkLost
+        || code == RequestError::DeadlineExceeded;
+}
+
+} // namespace
+
+GenerationAttempts::GenerationAttempts(RequestContext &context, const GenerationRequest &generation)
+    : m_context(context)
+    , m_generation(generation)
+    , m_lastToken(context.arrived)
+{
+}
+
+void GenerationAttempts::run()
+{
+    if (m_generation.stream) {
+        StreamWriter writer(m_context.response, m_context.request, m_generation);
+        generate(writer);
+    } else {
+        WholeWriter writer(m_context.response, m_context.request, m_generation);
+        generate(writer);
+    }
+}
+
+// Tries servers until a generation is whole. A new generation is begun only while no token has been shown.
+template <AnswerWriter Writer>
+void GenerationAttempts::generate(Writer &writer)
+{
+    std::set<std::string> tried;
+    Verdict verdict = Verdict::NotRun;
+    std::optional<Failure> refusal;
+    m_context.services.retries.requestSent(m_context.version->policy().retryBudget);
+    for (GenerationId generation = 1;; ++generation) {
+        Attempt attempt = attemptGeneration(writer, generation, tried);
+        if (attempt.callerGone) {
+            ++m_context.services.metrics.cancelled;
+            m_context.note(EventKind::Cancelled, generation, {});
+            writer.fail(Failure{ .code = RequestError::Cancelled,
+                                 .verdict = Verdict::MayHaveRun,
+                                 .message = "the caller closed the connection" });
+            return;
+        }
+        if (const auto *finished = std::get_if<Finished>(&attempt.end)) {
+            writer.finish({ m_context.request.id, generation }, finished->tokens, finished->reason);
+            ++m_context.services.metrics.completed;
+            m_context.services.metrics.longestStall.record(m_longestStall);
+            m_context.note(EventKind::Finished, generation,
+                           std::to_string(finished->tokens) + " tokens, longest wait "
+                               + std::to_string(m_longestStall.count() / 1000) + " ms");
+            return;
+        }
+        Failure failure = std::get<Failure>(attempt.end);
+        verdict = raised(verdict, m_order.next() > 0 ? Verdict::Ran : failure.verdict);
+        const bool again = m_order.next() == 0 && m_context.takeRetry(failure, generation);
+        if (!again) {
+            failure = lastWord(failure, refusal);
+            failure.verdict = verdict;
+            m_context.countFailure(failure);
+            m_context.noteFailure(failure);
+            writer.fail(failure);
+            return;
+        }
+        refusal = failure;
+        ++m_context.services.metrics.retries;
+        log.info("tries request " + m_context.request.id.text() + " again: " + failure.message);
+        m_context.note(EventKind::Retried, generation, failure.message);
+    }
+}
+
+template <AnswerWriter Writer>
+GenerationAttempts::Attempt GenerationAttempts::attemptGeneration(Writer &writer, GenerationId generation,
+                                                                  std::set<std::string> &tried)
+{
+    m_order.follow(generation);
+    Offer offer = m_context.makeOffer(generation);
+    offer.fingerprint = stableHash(m_context.accountName + "\n" + m_context.request.body);
+    const std::size_t crashes = m_context.services.links.suspects().crashes(offer.fingerprint, Clock::now());
+    if (crashes >= SuspectTable::quarantineCrashes) {
+        return Attempt{ .end = Failure{ .code = RequestError::Quarantined,
+                                        .verdict = Verdict::NotRun,
+                                        .message = "the request was running when two engines crashed" } };
+    }
+    offer.suspect = crashes > 0;
+    offer.kind = RequestKind::Generation;
+    offer.promptTokens = m_generation.promptTokens;
+    offer.maxTokens = m_generation.maxTokens;
+    offer.contentType = "application/json";
+    offer.body = engineBody(m_context.request.body, { m_context.request.id, generation }, m_context.route->priority);
+    auto exchange = std::make_shared<Exchange>(Resume{ .request = m_context.request.id,
+                                                       .generation = generation,
+                                                       .kind = RequestKind::Generation,
+                                                       .account = m_context.accountName,
+                                                       .route = m_context.routeName,
+                                                       .maxTokens = offer.maxTokens,
+                                                       .promptTokens = offer.promptTokens });
+    std::string server;
+    if (const auto failure = m_context.send(offer, exchange, tried, server)) {
+        return Attempt{ .end = *failure };
+    }
+    m_server = server;
+    Attempt attempt = followGeneration(writer, server, exchange);
+    noteHealth(server, attempt);
+    if (const auto *failure = std::get_if<Failure>(&attempt.end); failure != nullptr && failure->crash != 0) {
+        m_context.services.links.suspects().crashed(offer.fingerprint, failure->crash, Clock::now());
+    }
+    const bool whole = std::holds_alternative<Finished>(attempt.end) && !attempt.callerGone;
+    if (whole) {
+        m_context.services.links.finish(server, *exchange, m_order.next());
+    } else {
+        m_context.services.links.cancel(server, *exchange);
+    }
+    return attempt;
+}
+
+template <AnswerWriter Writer>
+GenerationAttempts::Attempt GenerationAttempts::followGeneration(Writer &writer, const std::string &server,
+                                                                 const std::shared_ptr<Exchange> &exchange)
+{
+    std::optional<Clock::time_point> brokenSince;
+    Clock::time_point nextProbe = Clock::now() + popInterval;
+    Clock::time_point lastEvent = Clock::now();
+    while (true) {
+        const std::vector<ExchangeEvent> events = exchange->popAll(popInterval);
+        if (!events.empty()) {
+            lastEvent = Clock::now();
+        } else if (Clock::now() - lastEvent > quietBeforeProbe) {
+            lastEvent = Clock::now();
+            m_context.services.links.probe(server);
+        }
+        std::optional<Attempt> end;
+        for (const ExchangeEvent &event : events) {
+            if (std::holds_alternative<LinkBroken>(event)) {
+                brokenSince = brokenSince.value_or(Clock::now());
+            } else if (!end) {
+                brokenSince.reset();
+                end = takeEvent(writer, server, *exchange, event);
+            }
+        }
+        bool callerGone = !writer.flush();
+        if (Clock::now() >= nextProbe) {
+            nextProbe = Clock::now() + popInterval;
+            callerGone = callerGone || (m_context.callerClosed() && !writer.probe());
+        }
+        if (callerGone) {
+            return Attempt{ .end = linkLost(Verdict::MayHaveRun), .callerGone = true };
+        }
+        if (!end) {
+            end = giveUp(brokenSince);
+        }
+        if (end) {
+            recordGaps();
+            return *end;
+        }
+    }
+}
+
+// Says whether nothing more is to be expected of an attempt: its link stays broken, or no token came in time.
+std::optional<GenerationAttempts::Attempt> GenerationAttempts::giveUp(
+    const std::optional<Clock::time_point> &brokenSince) const
+{
+    const auto patience = m_order.next() == 0 ? linkPatienceBeforeFirstToken : linkPatience;
+    if (brokenSince && Clock::now() - *brokenSince > patience) {
+        return Attempt{ .end = linkLost(Verdict::MayHaveRun) };
+    }
+    if (m_order.next() == 0 && m_context.timeLeft() + deadlineSlack < std::chrono::milliseconds(0)) {
+        return Attempt{ .end = Failure{ .code = RequestError::DeadlineExceeded,
+                                        .verdict = Verdict::MayHaveRun,
+                                        .message = "no token arrived before the deadline" } };
+    }
+    return std::nullopt;
+}
+
+template <AnswerWriter Writer>
+std::optional<GenerationAttempts::Attempt> GenerationAttempts::takeEvent(Writer &writer, const std::string &server,
+                                                                         Exchange &exchange, const ExchangeEvent &event)
+{
+    if (const auto *token = std::get_if<Token>(&event)) {
+        takeToken(writer, server, exchange, *token);
+    } else if (const auto *finished = std::get_if<Finished>(&event)) {
+        if (finished->tokens == m_order.next()) {
+            return Attempt{ .end = *finished };
+        }
+        m_context.services.links.resume(server, exchange);
+    } else if (const auto *failed = std::get_if<Failed>(&event)) {
+        return Attempt{ .end = failureOf(*failed) };
+    }
+    return std::nullopt;
+}
+
+template <AnswerWriter Writer>
+void GenerationAttempts::takeToken(Writer &writer, const std::string &server, Exchange &exchange, const Token &token)
+{
+    const TokenAction action = m_order.accept(token.generation, token.sequence);
+    if (action == TokenAction::Gap) {
+        m_context.services.links.resume(server, exchange);
+    }
+    if (action != TokenAction::Deliver) {
+        return;
+    }
+    writer.token(exchange.key(), token.sequence, token.text);
+    const auto now = Clock::now();
+    const auto gap = std::chrono::duration_cast<std::chrono::microseconds>(now - m_lastToken);
+    m_longestStall = std::max(m_longestStall, gap);
+    m_lastToken = now;
+    if (token.sequence == 0) {
+        m_context.services.metrics.firstToken.record(gap);
+        m_context.note(EventKind::FirstToken, token.generation, "after " + std::to_string(gap.count() / 1000) + " ms");
+    } else {
+        m_gaps.push_back(gap);
+    }
+    exchange.setNext(m_order.next());
+    if (m_order.next() % tokensPerAck == 0) {
+        m_context.services.links.acknowledge(server, exchange, m_order.next());
+        recordGaps();
+    }
+}
+
+// The gaps of many tokens go into the process's histogram together, since its lock is shared by all requests.
+void GenerationAttempts::recordGaps()
+{
+    m_context.services.metrics.tokenGap.record(m_gaps);
+    m_context.services.metrics.tokens += m_gaps.size();
+    m_context.services.links.health().paced(m_server, static_cast<std::uint32_t>(m_gaps.size()),
+                                            std::accumulate(m_gaps.begin(), m_gaps.end(), std::chrono::microseconds(0)),
+                                            Clock::now());
+    m_gaps.clear();
+}
+
+void GenerationAttempts::noteHealth(const std::string &server, const Attempt &attempt)
+{
+    if (attempt.callerGone) {
+        return;
+    }
+    const auto *failure = std::get_if<Failure>(&attempt.end);
+    if (failure == nullptr) {
+        m_context.services.links.health().succeeded(server, Clock::now());
+    } else if (isFaultOfServer(failure->code)) {
+        m_context.services.links.health().failed(server, Clock::now());
+    }
+}
+
+} // namespace zinniadock
--- /dev/null
+++ b/src/request/requestcontext.cpp
@@ -0,0 +1,133 @@
+#include "zinniadock/request/requestcontext.h"
+
+#include <algorithm>
+
+#include "zinniadock/process/routing.h"
+#include "zinniadock/request/answerwriter.h"
+
+namespace zinniadock
+{
+
+namespace
+{
+
+constexpr GenerationId mostAttempts = 4;
+constexpr std::chrono::microseconds prefillPerToken{ 100 };
+
+// Errors that another backend server may not have; the others come from the request itself.
+bool worthAnotherServer(const std::error_code &code)
+{
+    return code == RequestError::QueueFull || code == RequestError::Draining || code == RequestError::NoServer
+        || code == RequestError::LinkLost || code == RequestError::EngineLost || code == RequestError::EngineRefused
+        || code == RequestError::UnknownRequest;
+}
+
+} // namespace
+
+Failure failureOf(const Failed &message)
+{
+    return Failure{ .code = static_cast<RequestError>(message.error),
+                    .verdict = message.verdict,
+                    .message = message.message,
+                    .retryAfter = message.retryAfter,
+                    .crash = message.crash };
+}
+
+Failure lastWord(const Failure &failure, const std::optional<Failure> &refusal)
+{
+    return failure.code == RequestError::NoServer && refusal ? *refusal : failure;
+}
+
+RequestContext::RequestContext(EntryServices &entryServices, const CallerRequest &callerRequest,
+                               Poco::Net::HTTPServerResponse &callerResponse, std::function<bool()> callerHasClosed)
+    : services(entryServices)
+    , request(callerRequest)
+    , response(callerResponse)
+    , callerClosed(std::move(callerHasClosed))
+    , arrived(Clock::now())
+{
+}
+
+bool RequestContext::takeRetry(const Failure &failure, GenerationId generation)
+{
+    return worthAnotherServer(failure.code) && generation < mostAttempts && timeLeft().count() > 0
+        && services.retries.takeRetry();
+}
+
+std::optional<std::string> RequestContext::chooseServer(const std::set<std::string> &tried)
+{
+    std::vector<ServerView> views = services.links.views(route->pool, version->configuration);
+    for (ServerView &view : views) {
+        view.usable = view.usable && !tried.contains(view.name);
+    }
+    const auto saving = prefillPerToken * affinity.promptTokens;
+    const auto index = zinniadock::chooseServer(views, affinity.prefixHash, saving, randomNumber());
+    return index ? std::optional(views[*index].name) : std::nullopt;
+}
+
+// Offers a request to the best server. Where the link has just gone, nothing was sent and the next one is taken.
+std::optional<Failure> RequestContext::send(const Offer &offer, const std::shared_ptr<Exchange> &exchange,
+                                            std::set<std::string> &tried, std::string &server)
+{
+    for (std::size_t i = 0; i <= version->configuration.pools.at(route->pool).servers.size(); ++i) {
+        const auto chosen = chooseServer(tried);
+        if (!chosen) {
+            break;
+        }
+        tried.insert(*chosen);
+        // Noted before it is sent, so that no event at the sidecar is earlier.
+        services.timeline.record(EventKind::Offered,
+                                 { .request = request.id, .generation = offer.generation, .subject = *chosen });
+        if (services.links.offer(*chosen, offer, exchange)) {
+            server = *chosen;
+            return std::nullopt;
+        }
+    }
+    return Failure{ .code = RequestError::NoServer,
+                    .verdict = Verdict::NotRun,
+                    .message = "no backend server of pool " + route->pool + " can take the request",
+                    .retryAfter = retryAfterNoServer };
+}
+
+Offer RequestContext::makeOffer(GenerationId generation) const
+{
+    return Offer{ .request = request.id,
+                  .generation = generation,
+                  .account = accountName,
+                  .route = routeName,
+                  .method = request.method,
+                  .path = request.target,
+                  .timeLeft = std::max(timeLeft(), std::chrono::milliseconds(1)),
+                  .priority = route->priority,
+                  .share = account->share };
+}
+
+std::chrono::milliseconds RequestContext::timeLeft() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - Clock::now());
+}
+
+void RequestContext::fail(const Failure &failure)
+{
+    countFailure(failure);
+    noteFailure(failure);
+    sendFailure(response, request.id, failure);
+}
+
+void RequestContext::note(EventKind kind, GenerationId generation, const std::string &detail)
+{
+    services.timeline.record(kind, { .request = request.id, .generation = generation, .detail = detail });
+}
+
+void RequestContext::noteFailure(const Failure &failure)
+{
+    note(failure.verdict == Verdict::NotRun ? EventKind::Refused : EventKind::Failed, 0,
+         failure.message + " (" + std::string(toString(failure.verdict)) + ")");
+}
+
+void RequestContext::countFailure(const Failure &failure)
+{
+    ++(failure.verdict == Verdict::NotRun ? services.metrics.refused : services.metrics.failed);
+}
+
+} // namespace zinniadock
--- a/src/version/version.cpp
+++ b/src/version/version.cpp
@@ -1,5 +1,7 @@
 #include "zinniadock/version/version.h"
 
+#include <algorithm>
+
 namespace zinniadock
 {
 
@@ -27,6 +29,16 @@
     return best;
 }
 
+std::string Version::versionOfServer(const std::string &server) const
+{
+    for (const auto &[name, pool] : configuration.pools) {
+        if (std::find(pool.servers.begin(), pool.servers.end(), server) != pool.servers.end()) {
+            return pool.version;
+        }
+    }
+    return {};
+}
+
 Policy Version::policy() const
 {
     const auto position = configuration.policies.find("default");
