Make four tests able to fail

Cause: with the id check, the observed clock stamps, the retry budget or the ejection taken out of the code, their tests still passed: the crossed event had a number that was dropped anyway, clocks were skewed one way only, and too few servers refused for retries to matter. Change: crossed events carry the number that is due; clocks are skewed both ways; all engines refuse in a second round of the retry test.

--- a/bench/load/faultstalls.h
+++ b/bench/load/faultstalls.h
@@ -22,8 +22,8 @@
     /// Takes one event; only `fault` and `answer` matter.
     void add(const nlohmann::json &event);
 
-    /// Adds for each kind of fault how many there were, the median and the longest of the longest stalls of each, and
-    /// the longest recovery.
+    /// Adds for each kind of fault how many there were, the median and the longest of the longest stalls of each,
+    /// the longest recovery, and the longest stall that met no other fault.
     void report(Figures &figures) const;
 
     /// Returns a sentence on the longest stall and its cause; empty without stalls.
--- a/tests/standin/enginestandin.cpp
+++ b/tests/standin/enginestandin.cpp
@@ -124,6 +124,18 @@
     m_model.setSlowdown(factor);
 }
 
+void EngineStandin::setRefusing(bool refusing)
+{
+    const std::lock_guard lock(m_mutex);
+    m_refusing = refusing;
+}
+
+bool EngineStandin::refuses() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_refusing;
+}
+
 std::uint64_t EngineStandin::started() const
 {
     const std::lock_guard lock(m_mutex);
@@ -203,6 +215,10 @@
         sendJson(response, R"({"error":"not a JSON object"})", HTTPServerResponse::HTTP_BAD_REQUEST);
         return;
     }
+    if (refuses()) {
+        sendJson(response, R"({"error":"refused"})", HTTPServerResponse::HTTP_SERVICE_UNAVAILABLE);
+        return;
+    }
     const std::string prompt = promptOf(body, chat);
     const std::int64_t arrived = wallMicroseconds();
     auto generation = std::make_shared<Generation>();
@@ -301,6 +317,7 @@
     {
         const std::lock_guard lock(m_mutex);
         m_frozen = body.value("frozen", m_frozen);
+        m_refusing = body.value("refusing", m_refusing);
         if (body.contains("slowdown")) {
             m_model.setSlowdown(body["slowdown"].get<double>());
         }
@@ -331,7 +348,7 @@
             const bool cut = generation->cancelled || m_streamEpoch != epoch || m_stopping;
             const std::uint64_t emitted = generation->emitted;
             const std::string reason = generation->reason;
-            std::string events = cut ? std::string() : crossedEvent(*generation);
+            std::string events = cut ? std::string() : crossedEvent(*generation, next);
             for (; next < emitted && !cut; ++next) {
                 events += tokenEvent(*generation, next);
             }
@@ -373,15 +390,15 @@
         + std::to_string(index) + "}\n\n";
 }
 
-std::string EngineStandin::crossedEvent(const Generation &generation)
+std::string EngineStandin::crossedEvent(const Generation &generation, std::uint64_t index)
 {
     if (m_crossings == 0) {
         return {};
     }
     for (const auto &[job, other] : m_byJob) {
-        if (other->key != generation.key && other->emitted > 0) {
+        if (other->key != generation.key) {
             --m_crossings;
-            return tokenEvent(*other, other->emitted - 1);
+            return tokenEvent(*other, index);
         }
     }
     return {};
--- a/tests/standin/enginestandin.h
+++ b/tests/standin/enginestandin.h
@@ -69,6 +69,9 @@
     /// Makes each step take \p factor times as long.
     void setSlowdown(double factor);
 
+    /// Refuses each new generation with status 503 while \p refusing, and goes on reporting its load.
+    void setRefusing(bool refusing);
+
     /// Returns the number of generations that were ever started.
     std::uint64_t started() const;
 
@@ -126,7 +129,8 @@
     void stream(const GenerationPointer &generation, std::uint64_t from, HTTPServerResponse &response);
     static std::string tokenText(const Generation &generation, std::uint64_t index);
     static std::string tokenEvent(const Generation &generation, std::uint64_t index);
-    std::string crossedEvent(const Generation &generation);
+    std::string crossedEvent(const Generation &generation, std::uint64_t index);
+    bool refuses() const;
     std::string loadText();
     std::string cacheEventText();
     void run();
@@ -152,6 +156,7 @@
     std::uint64_t m_streamEpoch = 0; ///< streams of an earlier epoch are cut
     std::uint32_t m_crossings = 0; ///< events of other generations still to be put into streams
     bool m_frozen = false;
+    bool m_refusing = false;
     bool m_stopping = false;
     bool m_crashed = false;
     std::thread m_stepper;
--- a/tests/unit/unit-faults.cpp
+++ b/tests/unit/unit-faults.cpp
@@ -229,9 +229,10 @@
 {
     Fleet fleet(3, 1);
 
-    SECTION("makes the entries send at most 1.2 times the work that was asked for")
+    SECTION("or all refusing makes the entries send at most 1.2 times the work that was asked for")
     {
         constexpr int requests = 200;
+        const bool allRefuse = GENERATE(false, true);
         const auto offers = [&] {
             std::uint64_t sum = 0;
             for (std::size_t i = 0; i < fleet.engines.size(); ++i) {
@@ -239,8 +240,14 @@
             }
             return sum;
         };
-        // The sidecar goes on answering for an engine that is gone, so each request may be sent there once in vain.
-        fleet.engines[0]->stop();
+        // The sidecar goes on answering for an engine that is gone, and refusing engines look free by their load.
+        if (allRefuse) {
+            for (const auto &engine : fleet.engines) {
+                engine->setRefusing(true);
+            }
+        } else {
+            fleet.engines[0]->stop();
+        }
         std::vector<std::thread> callers;
         callers.reserve(4);
         for (int caller = 0; caller < 4; ++caller) {
--- a/tests/unit/unit-timeline.cpp
+++ b/tests/unit/unit-timeline.cpp
@@ -161,9 +161,10 @@
 
     SECTION("shows no effect before its cause, though wall clocks differ by seconds")
     {
-        fleet.entries[0]->timeline().clock().setOffset(std::chrono::seconds(5));
-        fleet.sidecars[0]->timeline().clock().setOffset(std::chrono::seconds(-8));
-        fleet.sidecars[1]->timeline().clock().setOffset(std::chrono::seconds(-3));
+        const std::chrono::seconds ahead(GENERATE(5, -5));
+        fleet.entries[0]->timeline().clock().setOffset(ahead);
+        fleet.sidecars[0]->timeline().clock().setOffset(-2 * ahead);
+        fleet.sidecars[1]->timeline().clock().setOffset(-ahead / 2);
         for (int i = 0; i < 10; ++i) {
             REQUIRE(tokensAreWhole(streamGeneration(fleet.entryPort(), "[tokens=5]"), "[tokens=5]", 5));
         }
