Take the configuration from a sidecar while the store is down, check for lost generations

The history checker had no rule for a generation given up while its engine lived. The checker relates answers that ended with an error to the kills of their engines.

--- a/bench/load/historychecker.cpp
+++ b/bench/load/historychecker.cpp
@@ -40,6 +40,8 @@
         m_lengths[field(event, "key")].insert(event.value("tokens", std::uint64_t()));
     } else if (kind == "service_run") {
         m_runs.push_back(event);
+    } else if (kind == "fault" && field(event, "kind") == "kill_engine") {
+        m_engineKills.push_back(event);
     } else if (kind == "leaving") {
         m_leavings.push_back(event);
     } else if (kind == "revision") {
@@ -54,6 +56,7 @@
     checkNotRun(violations);
     checkAtMostOnce(violations);
     checkLeaving(violations);
+    checkLost(violations);
     checkRevisions(violations);
     return violations;
 }
@@ -145,6 +148,32 @@
     }
 }
 
+void HistoryChecker::checkLost(std::vector<Violation> &violations) const
+{
+    const auto time = [](const Json &event) {
+        return event.value("time", std::int64_t());
+    };
+    for (const Json &answer : m_answers) {
+        if (field(answer, "end") != "error" || answer.value("tokens", Json::array()).empty()) {
+            continue;
+        }
+        const std::string request = field(answer, "request");
+        for (const Json &start : m_starts) {
+            if (!field(start, "key").starts_with(request + "-")) {
+                continue;
+            }
+            const bool died = std::any_of(m_engineKills.begin(), m_engineKills.end(), [&](const Json &kill) {
+                return field(kill, "target") == field(start, "server") && time(kill) >= time(start)
+                    && time(kill) <= time(answer);
+            });
+            if (!died) {
+                violations.push_back(
+                    { "lost", request + " was given up, and its engine " + field(start, "server") + " lived" });
+            }
+        }
+    }
+}
+
 void HistoryChecker::checkRevisions(std::vector<Violation> &violations) const
 {
     std::vector<Json> ordered = m_revisions;
--- a/bench/load/historychecker.h
+++ b/bench/load/historychecker.h
@@ -26,6 +26,7 @@
 ///  - not-run: a request answered as not run was started by no engine and no service
 ///  - at-most-once: a call that may not be repeated ran at most once
 ///  - leaving: a server starts nothing more than three seconds after it was told to leave
+///  - lost: a generation whose tokens were shown is not given up while its engine lives
 ///  - revision: the revision that an incarnation of a process reports never goes down
 class HistoryChecker
 {
@@ -43,6 +44,7 @@
     void checkNotRun(std::vector<Violation> &violations) const;
     void checkAtMostOnce(std::vector<Violation> &violations) const;
     void checkLeaving(std::vector<Violation> &violations) const;
+    void checkLost(std::vector<Violation> &violations) const;
     void checkRevisions(std::vector<Violation> &violations) const;
 
     std::size_t m_events = 0;
@@ -52,6 +54,7 @@
     std::map<std::string, std::set<std::uint64_t>> m_lengths; ///< by generation key
     std::vector<nlohmann::json> m_runs; ///< of services
     std::vector<nlohmann::json> m_leavings;
+    std::vector<nlohmann::json> m_engineKills;
     std::vector<nlohmann::json> m_revisions;
 };
 
--- a/include/zinniadock/detail/fieldtable.h
+++ b/include/zinniadock/detail/fieldtable.h
@@ -43,6 +43,7 @@
 bool parseValue(const std::string &text, const Range &range, std::chrono::milliseconds &value);
 bool parseValue(const std::string &text, const Range &range, std::vector<std::string> &value);
 bool parseValue(const std::string &text, const Range &range, Endpoint &value);
+bool parseValue(const std::string &text, const Range &range, std::vector<Endpoint> &value);
 
 std::string formatValue(const std::string &value);
 std::string formatValue(std::uint32_t value);
@@ -51,6 +52,7 @@
 std::string formatValue(std::chrono::milliseconds value);
 std::string formatValue(const std::vector<std::string> &value);
 std::string formatValue(const Endpoint &value);
+std::string formatValue(const std::vector<Endpoint> &value);
 
 /// How one key of a section is read, checked, written and documented.
 template <typename Object>
--- a/include/zinniadock/process/linkpool.h
+++ b/include/zinniadock/process/linkpool.h
@@ -53,6 +53,9 @@
     /// Follows the backend servers of a version: links to new ones, leaves the removed ones once they are quiet.
     void setServers(const Version &version);
 
+    /// Links to sidecars by their addresses alone, until a version names the servers.
+    void setPeers(const std::vector<Endpoint> &peers);
+
     /// Sends newer configuration to every linked sidecar.
     void publish();
 
@@ -125,6 +128,7 @@
         Clock::time_point openedAt;
         std::optional<Clock::time_point> pingedAt; ///< of the ping that has no answer yet
         bool removed = false;
+        bool peer = false; ///< known by its address only
         std::unordered_map<RequestId, std::shared_ptr<Exchange>> exchanges;
     };
 
--- a/include/zinniadock/process/settings.h
+++ b/include/zinniadock/process/settings.h
@@ -35,6 +35,7 @@
 struct EntrySection
 {
     Endpoint listen;
+    std::vector<Endpoint> peers; ///< sidecars to take the configuration from while the store is down
     std::uint32_t maxConnections = 4096;
     std::uint32_t maxBodyBytes = 2U << 20U;
     std::chrono::milliseconds readTimeout{ 15000 }; ///< for a whole request to arrive
--- a/src/process/entry.cpp
+++ b/src/process/entry.cpp
@@ -72,6 +72,9 @@
     } catch (const Poco::Exception &) {
         return std::make_error_code(std::errc::address_in_use);
     }
+    if (!m_versions.current()) {
+        m_links.setPeers(m_settings.entry.peers);
+    }
     log.info("serves callers on port " + std::to_string(port()));
     m_timeline.record(EventKind::ProcessStarted);
     return {};
--- a/src/process/linkpool.cpp
+++ b/src/process/linkpool.cpp
@@ -85,6 +85,19 @@
     m_wake.notify_all();
 }
 
+void LinkPool::setPeers(const std::vector<Endpoint> &peers)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const Endpoint &address : peers) {
+        auto link = std::make_shared<ServerLink>();
+        link->server = "at " + address.text();
+        link->address = address;
+        link->peer = true;
+        m_servers.try_emplace(link->server, link);
+    }
+    m_wake.notify_all();
+}
+
 void LinkPool::publish()
 {
     const std::lock_guard lock(m_mutex);
@@ -370,7 +383,7 @@
     if (server.state != State::Greeting) {
         return;
     }
-    if (hello.instance != server.server) {
+    if (!server.peer && hello.instance != server.server) {
         log.error("the sidecar at " + server.address.text() + " says it is " + hello.instance + ", expected "
                   + server.server);
         m_transport->drop(server.link);
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -48,6 +48,8 @@
 constexpr std::array entryRules{
     fieldRule<&EntrySection::listen>("listen", true, Range{}, "IP:port",
                                      "Where callers connect; port 0 takes a free one."),
+    fieldRule<&EntrySection::peers>("peers", false, Range{ 0, 1000 }, "IP:port of sidecars, with commas",
+                                    "Where to take the configuration from at a start while the store is down."),
     fieldRule<&EntrySection::maxConnections>("max_connections", false, Range{ 1, 65536 },
                                              "a whole number from 1 to 65536",
                                              "Most connections of callers at one time."),
--- a/src/version/fieldtable.cpp
+++ b/src/version/fieldtable.cpp
@@ -1,5 +1,6 @@
 #include "zinniadock/detail/fieldtable.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -104,6 +105,18 @@
     return true;
 }
 
+bool parseValue(const std::string &text, const Range &range, std::vector<Endpoint> &value)
+{
+    std::vector<std::string> texts;
+    if (!parseValue(text, range, texts)) {
+        return false;
+    }
+    value.clear();
+    return std::all_of(texts.begin(), texts.end(), [&](const std::string &one) {
+        return parseValue(one, range, value.emplace_back());
+    });
+}
+
 std::string formatValue(const std::string &value)
 {
     return value;
@@ -139,6 +152,15 @@
     return value.text();
 }
 
+std::string formatValue(const std::vector<Endpoint> &value)
+{
+    std::vector<std::string> texts;
+    for (const Endpoint &endpoint : value) {
+        texts.push_back(endpoint.text());
+    }
+    return formatValue(texts);
+}
+
 } // namespace detail
 
 } // namespace zinniadock
--- a/tests/unit/unit-faults.cpp
+++ b/tests/unit/unit-faults.cpp
@@ -378,7 +378,25 @@
 {
     Fleet fleet(1, 1);
 
-    SECTION("reaches an entry that starts while the store is down")
+    SECTION("is taken from a sidecar by an entry that starts while the store is down")
+    {
+        fleet.store->setFaults({ .down = true });
+        fleet.entries.clear();
+        Settings settings;
+        settings.daemon.instance = "late";
+        settings.daemon.dataCentre = "campina";
+        settings.store.endpoint = Endpoint{ .address = "127.0.0.1", .port = fleet.store->port() };
+        settings.entry.listen = Endpoint{ .address = "127.0.0.1", .port = 0 };
+        settings.entry.peers = { Endpoint{ .address = "127.0.0.1", .port = fleet.sidecars[0]->port() } };
+        Entry late(settings);
+        REQUIRE_FALSE(late.start());
+        REQUIRE(eventually([&] {
+            return late.status().revision == 1 && late.status().links.open == 2 && late.status().links.down == 0;
+        }));
+        CHECK(tokensAreWhole(streamGeneration(late.port(), "[tokens=9]"), "[tokens=9]", 9));
+    }
+
+    SECTION("reaches an entry without peers once the store is back")
     {
         fleet.store->setFaults({ .down = true });
         fleet.entries.clear();
--- a/tests/unit/unit-historychecker.cpp
+++ b/tests/unit/unit-historychecker.cpp
@@ -104,4 +104,19 @@
         CHECK(brokenRules({ revision("1", 5, 2), revision("1", 4, 1) }).empty());
         CHECK(brokenRules({ revision("1", 5, 1), revision("2", 4, 2) }).empty());
     }
+
+    SECTION("finds a generation that was given up while its engine lived")
+    {
+        const Json start{ { "event", "engine_start" }, { "key", request + "-1" }, { "server", "e" }, { "time", 10 } };
+        Json given = answer({ "m:1:0 " }, "error");
+        given["time"] = 50;
+        Json kill{ { "event", "fault" }, { "kind", "kill_engine" }, { "target", "e" }, { "time", 30 } };
+        CHECK(brokenRules({ start, given, kill }).empty());
+        CHECK(brokenRules({ start, given }) == Rules{ "lost" });
+        kill["time"] = 5;
+        CHECK(brokenRules({ start, given, kill }) == Rules{ "lost" });
+        kill["time"] = 30;
+        kill["target"] = "other";
+        CHECK(brokenRules({ start, given, kill }) == Rules{ "lost" });
+    }
 }
