--- a/src/cli/fleetcommands.cpp
+++ b/src/cli/fleetcommands.cpp
@@ -35,7 +35,7 @@
 void printRow(const Json &status)
 {
     const bool isEntry = field(status, "role") == "entry";
-    std::cout << std::left << std::setw(14) << field(status, "instance") << std::setw(9) << field(status, "role")
+    std::cout << std::left << std::setw(24) << field(status, "instance") << std::setw(9) << field(status, "role")
               << std::setw(11) << field(status, "data_centre") << std::setw(9) << field(status, "revision")
               << std::setw(9) << (status.value("draining", false) ? "draining" : "serving");
     if (isEntry) {
