Let the operators of the publish bench ask again after an outage

Cause: while the store was down they ran through their changes without one being accepted, so 10,000 changes gave 1,986. Change: a change that was not accepted is asked for again.

--- a/bench/publish/main.cpp
+++ b/bench/publish/main.cpp
@@ -175,15 +175,18 @@
     OperatorResult result;
     for (int value = 1; value <= changes; ++value) {
         const std::string id = std::to_string(number) + "/" + std::to_string(value);
-        const EditOutcome outcome = editor.change(changeOf(number, value), id, "operator");
+        EditOutcome outcome = editor.change(changeOf(number, value), id, "operator");
+        // Nothing was accepted, so the operator asks again once the store answers.
+        while (outcome.publish.result == PublishResult::Unavailable) {
+            ++result.unavailable;
+            std::this_thread::sleep_for(retryPause);
+            outcome = editor.change(changeOf(number, value), id, "operator");
+        }
         switch (outcome.publish.result) {
         case PublishResult::Accepted:
             spread.accepted(outcome.publish.head.revision);
             result.accepted[id] = outcome.publish.head.revision;
             break;
-        case PublishResult::Unavailable:
-            ++result.unavailable;
-            break;
         case PublishResult::Unknown:
             ++result.unknown;
             break;
