--- a/bench/micro/main.cpp
+++ b/bench/micro/main.cpp
@@ -15,6 +15,7 @@
 #include "zinniadock/process/claims.h"
 #include "zinniadock/process/metrics.h"
 #include "zinniadock/process/routing.h"
+#include "zinniadock/process/serverhealth.h"
 #include "zinniadock/process/timeline.h"
 #include "zinniadock/version/versiondelta.h"
 
@@ -206,6 +207,20 @@
                 nanoseconds(2000, [&](int) {
                     histogram.record(gaps);
                 }) / 64);
+    ServerHealth health;
+    std::vector<std::string> servers;
+    ServerHealth::Time time{ std::chrono::hours(1) };
+    for (int i = 0; i < 1700; ++i) {
+        servers.push_back("engine-campina-" + std::to_string(i));
+        health.paced(servers.back(), 100, std::chrono::milliseconds(4700), time);
+    }
+    figures.add("health_review_ns_at_1700_servers", nanoseconds(20, [&](int) {
+                    time += std::chrono::seconds(1);
+                    health.review("pool", servers, time);
+                }));
+    figures.add("health_shares_ns", nanoseconds(20000, [&](int) {
+                    health.reducedShares(time);
+                }));
     Timeline timeline;
     const RequestId request = RequestId::random();
     figures.add("timeline_record_ns", nanoseconds(20000, [&](int) {
--- a/include/zinniadock/process/serverhealth.h
+++ b/include/zinniadock/process/serverhealth.h
@@ -41,6 +41,9 @@
     /// Returns the share of its usual requests that a server is to get: 0 while it is out, then growing to 1.
     double share(const std::string &server, Time now) const;
 
+    /// Returns the servers whose share is below 1, by name; mostly none. Complexity: linear in them.
+    std::map<std::string, double> reducedShares(Time now);
+
 private:
     /// Sums in which older requests weigh less.
     struct State
@@ -62,6 +65,7 @@
     };
 
     State &fresh(const std::string &server, Time now);
+    static double shareOf(const State &state, Time now);
     static double meanGap(const State &state);
     double usualGap(const std::vector<std::string> &servers) const;
     std::vector<Suspicion> suspicions(const std::vector<std::string> &servers, Time now);
@@ -70,6 +74,7 @@
     mutable std::mutex m_mutex;
     std::map<std::string, State> m_states;
     std::map<std::string, Time> m_reviewed; ///< by pool
+    std::vector<std::string> m_reduced; ///< servers whose share may be below 1
 };
 
 } // namespace zinniadock
--- a/src/process/linkpool.cpp
+++ b/src/process/linkpool.cpp
@@ -113,6 +113,7 @@
     const Pool &pool = configuration.pools.at(poolName);
     reviewHealth(poolName, pool);
     const auto now = Clock::now();
+    const std::map<std::string, double> shares = m_health.reducedShares(now);
     std::vector<ServerView> views;
     views.reserve(pool.servers.size());
     const std::lock_guard lock(m_mutex);
@@ -125,7 +126,8 @@
             const ServerLink &server = *position->second;
             const double total = server.load.totalBlocks;
             const auto age = std::chrono::duration<double>(now - server.openedAt) / slowStart;
-            const double share = m_health.share(name, now);
+            const auto reduced = shares.find(name);
+            const double share = reduced == shares.end() ? 1 : reduced->second;
             view.usable = server.state == State::Open && server.load.backendAlive && !server.load.draining && share > 0;
             view.running = server.load.running;
             view.waiting = server.load.waiting;
--- a/src/process/serverhealth.cpp
+++ b/src/process/serverhealth.cpp
@@ -12,7 +12,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds halfLife{ 10000 };
-constexpr milliseconds reviewInterval{ 200 };
+constexpr milliseconds reviewInterval{ 1000 };
 
 // A server errs if it failed at least half of at least so many recent requests.
 constexpr double fewestRequests = 5;
@@ -79,10 +79,28 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto position = m_states.find(server);
-    if (position == m_states.end() || position->second.ejectedUntil == Time()) {
+    return position == m_states.end() ? 1 : shareOf(position->second, now);
+}
+
+std::map<std::string, double> ServerHealth::reducedShares(Time now)
+{
+    const std::lock_guard lock(m_mutex);
+    std::map<std::string, double> shares;
+    for (const std::string &server : m_reduced) {
+        shares[server] = shareOf(m_states.at(server), now);
+    }
+    std::erase_if(m_reduced, [&shares](const std::string &server) {
+        return shares.at(server) >= 1;
+    });
+    return shares;
+}
+
+double ServerHealth::shareOf(const State &state, Time now)
+{
+    if (state.ejectedUntil == Time()) {
         return 1;
     }
-    const std::chrono::duration<double> back = now - position->second.ejectedUntil;
+    const std::chrono::duration<double> back = now - state.ejectedUntil;
     return std::clamp(back / returnDuration, 0.0, 1.0);
 }
 
@@ -161,6 +179,7 @@
     const milliseconds duration = firstEjection * (1U << std::min(state.ejections, mostDoublings));
     const std::uint32_t ejections = state.ejections + 1;
     // It is judged anew after its return, by what it does then.
+    m_reduced.push_back(suspicion.server);
     state = State{ .updated = now, .ejectedUntil = now + duration, .ejections = ejections };
     return Ejection{ .server = suspicion.server, .reason = suspicion.reason, .duration = duration };
 }
--- a/tests/unit/unit-serverhealth.cpp
+++ b/tests/unit/unit-serverhealth.cpp
@@ -45,6 +45,9 @@
         CHECK(ejections[0].server == servers[2]);
         CHECK(ejections[0].reason == "100% of its requests failed");
         CHECK(health.share(servers[2], now) == 0);
+        CHECK(health.reducedShares(now) == std::map<std::string, double>{ { servers[2], 0.0 } });
+        CHECK(health.reducedShares(now + std::chrono::seconds(11)).at(servers[2]) == 1);
+        CHECK(health.reducedShares(now + std::chrono::seconds(11)).empty());
         CHECK(health.share(servers[3], now) == 1);
     }
 
