--- a/tests/unit/unit-faults.cpp
+++ b/tests/unit/unit-faults.cpp
@@ -199,12 +199,12 @@
 
 TEST_CASE("a link that is silent one way only")
 {
-    Fleet fleet(1, 1, std::chrono::microseconds(15000));
+    Fleet fleet(1, 1, std::chrono::microseconds(25000));
     fleet.placeRelays();
 
     SECTION("is replaced while another stream still keeps it busy the other way")
     {
-        const std::string busy = "busy [tokens=400]";
+        const std::string busy = "busy [tokens=330]";
         std::atomic<std::size_t> shown{ 0 };
         StreamAnswer other;
         std::thread neighbour([&] {
@@ -229,7 +229,7 @@
         fleet.relays[0]->setSilence({});
         neighbour.join();
         late.join();
-        CHECK(tokensAreWhole(other, busy, 400));
+        CHECK(tokensAreWhole(other, busy, 330));
         CHECK(tokensAreWhole(answer, "late [tokens=20]", 20));
     }
 }
