Take out what the change wrote twice, and what nobody reads

Cause: read once more as a whole, the change had the stamped send, the reading of injected faults, the line of a listing, the set-up of a late entry and a staged race twice each; the share of one server, a kind of event, a rule of the bench, an incarnation drawn at random and a time per queued request that nobody used; each server's sums were decayed twice a review; the entry kept a copy of the follower's view of the store to notice its changes. Change: one function for each pair; the dead parts are gone, among them the key incarnation of the /timeline answer; one decay a review; the follower records the store's events where it logs them; events about a generation are made in one place; a failure is counted where its event is recorded.

--- a/bench/load/faultstalls.cpp
+++ b/bench/load/faultstalls.cpp
@@ -17,14 +17,9 @@
 
 void FaultStalls::add(const nlohmann::json &event)
 {
-    const std::string kind = event.value("event", std::string());
-    if (kind == "fault") {
-        const auto from = event.value("time", std::int64_t());
-        m_faults.push_back({ .kind = event.value("kind", std::string()),
-                             .target = event.value("target", std::string()),
-                             .from = from,
-                             .until = event.value("until", from) });
-    } else if (kind == "answer") {
+    if (const auto fault = readFault(event)) {
+        m_faults.push_back(*fault);
+    } else if (event.value("event", std::string()) == "answer") {
         for (const nlohmann::json &stall : event.value("stalls", nlohmann::json::array())) {
             m_stalls.push_back(
                 { .from = stall.value("from", std::int64_t()), .until = stall.value("until", std::int64_t()) });
@@ -34,14 +29,14 @@
 
 void FaultStalls::report(Figures &figures) const
 {
-    std::map<const Fault *, Effect> effects;
-    for (const Fault &fault : m_faults) {
+    std::map<const InjectedFault *, Effect> effects;
+    for (const InjectedFault &fault : m_faults) {
         effects[&fault] = {};
     }
     Microseconds unexplained{ 0 };
     for (const Stall &stall : m_stalls) {
         const Microseconds length(stall.until - stall.from);
-        const Fault *cause = causeOf(stall);
+        const InjectedFault *cause = causeOf(stall);
         if (cause == nullptr) {
             unexplained = std::max(unexplained, length);
             continue;
@@ -77,29 +72,26 @@
     if (stall == m_stalls.end()) {
         return {};
     }
-    const Fault *cause = causeOf(*stall);
+    const InjectedFault *cause = causeOf(*stall);
     return "the longest stall lasted " + std::to_string((stall->until - stall->from) / 1000) + " ms, "
         + (cause == nullptr ? "with no fault before it" : "after " + cause->kind + " of " + cause->target);
 }
 
 // A fault of the same server, or of an entry, that was under way during a stall adds to it.
-bool FaultStalls::metOthers(const Stall &stall, const Fault &cause) const
+bool FaultStalls::metOthers(const Stall &stall, const InjectedFault &cause) const
 {
-    const auto server = [](const std::string &target) {
-        return target.starts_with("sidecar-") ? target.substr(target.find('-') + 1) : target;
-    };
-    return std::any_of(m_faults.begin(), m_faults.end(), [&](const Fault &fault) {
-        const bool related = server(fault.target) == server(cause.target) || fault.target.starts_with("entry-");
+    return std::any_of(m_faults.begin(), m_faults.end(), [&](const InjectedFault &fault) {
+        const bool related = fault.server() == cause.server() || fault.target.starts_with("entry-");
         return &fault != &cause && related && fault.from <= stall.until
             && fault.until + beforeFaultMicroseconds >= stall.from;
     });
 }
 
-const FaultStalls::Fault *FaultStalls::causeOf(const Stall &stall) const
+const InjectedFault *FaultStalls::causeOf(const Stall &stall) const
 {
-    const Fault *before = nullptr;
-    const Fault *during = nullptr;
-    for (const Fault &fault : m_faults) {
+    const InjectedFault *before = nullptr;
+    const InjectedFault *during = nullptr;
+    for (const InjectedFault &fault : m_faults) {
         const bool beganBefore = fault.from <= stall.from + beforeFaultMicroseconds;
         if (beganBefore && fault.until + afterEffectMicroseconds >= stall.from
             && (before == nullptr || fault.from > before->from)) {
--- a/bench/load/faultstalls.h
+++ b/bench/load/faultstalls.h
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "figures.h"
+#include "injectedfault.h"
 
 namespace zinniadock::load
 {
@@ -30,14 +31,6 @@
     std::string longest() const;
 
 private:
-    struct Fault
-    {
-        std::string kind;
-        std::string target;
-        std::int64_t from = 0; ///< microseconds since the epoch
-        std::int64_t until = 0;
-    };
-
     struct Stall
     {
         std::int64_t from = 0; ///< microseconds since the epoch
@@ -51,10 +44,10 @@
         Microseconds alone{ 0 }; ///< longest stall that met no other fault
     };
 
-    bool metOthers(const Stall &stall, const Fault &cause) const;
-    const Fault *causeOf(const Stall &stall) const;
+    bool metOthers(const Stall &stall, const InjectedFault &cause) const;
+    const InjectedFault *causeOf(const Stall &stall) const;
 
-    std::vector<Fault> m_faults;
+    std::vector<InjectedFault> m_faults;
     std::vector<Stall> m_stalls;
 };
 
--- a/bench/load/timelinechecker.cpp
+++ b/bench/load/timelinechecker.cpp
@@ -22,7 +22,7 @@
     std::vector<std::string> kinds; ///< any of these
 };
 
-const std::array<TraceRule, 17> traceRules{ {
+const std::array<TraceRule, 16> traceRules{ {
     { "kill_sidecar", { "link_down", "process_started" } },
     { "kill_entry", { "link_down", "process_started" } },
     { "kill_engine", { "backend_restarted", "backend_down", "engine_crash" } },
@@ -39,7 +39,6 @@
     { "store_loses", { "store_down", "store_slow", "refused" } },
     { "store_slow", { "store_down", "store_slow", "refused" } },
     { "planned_stop", { "draining", "peer_draining" } },
-    { "reclaim", { "draining", "peer_draining" } },
 } };
 
 // Each kind of event of one generation comes after the one before it in this list.
@@ -49,12 +48,8 @@
 
 void TimelineChecker::addHistory(const Json &event)
 {
-    if (event.value("event", std::string()) == "fault") {
-        const auto from = event.value("time", std::int64_t());
-        m_faults.push_back({ .kind = event.value("kind", std::string()),
-                             .target = event.value("target", std::string()),
-                             .from = from,
-                             .until = event.value("until", from) });
+    if (const auto fault = readFault(event)) {
+        m_faults.push_back(*fault);
     }
 }
 
@@ -76,7 +71,7 @@
 {
     std::vector<std::string> findings;
     std::size_t found = 0;
-    for (const Fault &fault : m_faults) {
+    for (const InjectedFault &fault : m_faults) {
         if (hasTrace(fault)) {
             ++found;
         } else {
@@ -95,7 +90,7 @@
 
 // An instance has a trace of a fault if it is the target or the sidecar of the target, or tells of it by name. The
 // store is known to all by one name, and relays stand for the server behind them.
-bool TimelineChecker::hasTrace(const Fault &fault) const
+bool TimelineChecker::hasTrace(const InjectedFault &fault) const
 {
     const auto rule = std::find_if(traceRules.begin(), traceRules.end(), [&fault](const TraceRule &candidate) {
         return fault.kind == candidate.fault;
@@ -103,7 +98,7 @@
     if (rule == traceRules.end()) {
         return false;
     }
-    const std::string server = fault.target.starts_with("sidecar-") ? fault.target.substr(8) : fault.target;
+    const std::string server = fault.server();
     return std::any_of(m_events.begin(), m_events.end(), [&](const auto &entry) {
         const Event &event = entry.second;
         const bool inTime = event.wall >= fault.from && event.wall <= fault.until + traceMicroseconds;
--- a/bench/load/timelinechecker.h
+++ b/bench/load/timelinechecker.h
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "figures.h"
+#include "injectedfault.h"
 
 namespace zinniadock::load
 {
@@ -36,18 +37,10 @@
         std::int64_t wall = 0; ///< microseconds since the epoch
     };
 
-    struct Fault
-    {
-        std::string kind;
-        std::string target;
-        std::int64_t from = 0; ///< microseconds since the epoch
-        std::int64_t until = 0;
-    };
-
-    bool hasTrace(const Fault &fault) const;
+    bool hasTrace(const InjectedFault &fault) const;
     void checkCauses(std::vector<std::string> &findings) const;
 
-    std::vector<Fault> m_faults;
+    std::vector<InjectedFault> m_faults;
     std::map<std::pair<std::uint64_t, std::string>, Event> m_events; ///< by hybrid time and instance
 };
 
--- a/bench/publish/main.cpp
+++ b/bench/publish/main.cpp
@@ -130,7 +130,7 @@
     Follower(const Endpoint &endpoint, const std::string &prefix, Spread &spread, std::size_t place)
         : store(endpoint, storeTimeout)
         , follower(
-              store, prefix, versions,
+              store, prefix, versions, timeline,
               [this, &spread, place] {
                   spread.inForce(place, versions.revision());
               },
@@ -140,6 +140,7 @@
 
     EtcdStore store;
     VersionHolder versions;
+    Timeline timeline;
     ConfigurationFollower<EtcdStore> follower;
 };
 
--- a/include/zinniadock/process/configurationfollower.h
+++ b/include/zinniadock/process/configurationfollower.h
@@ -13,6 +13,7 @@
 #include "zinniadock/process/log.h"
 #include "zinniadock/process/publisher.h"
 #include "zinniadock/process/store.h"
+#include "zinniadock/process/timeline.h"
 #include "zinniadock/request/requestid.h"
 #include "zinniadock/version/version.h"
 #include "zinniadock/version/versiondelta.h"
@@ -27,11 +28,12 @@
 public:
     /// \param installed  called after each new version came into force
     /// \param idle  called between watches, at least every \c watchDuration
-    ConfigurationFollower(StoreType &store, std::string prefix, VersionHolder &holder, std::function<void()> installed,
-                          std::function<void()> idle)
+    ConfigurationFollower(StoreType &store, std::string prefix, VersionHolder &holder, Timeline &timeline,
+                          std::function<void()> installed, std::function<void()> idle)
         : m_store(store)
         , m_prefix(std::move(prefix))
         , m_holder(holder)
+        , m_timeline(timeline)
         , m_installed(std::move(installed))
         , m_idle(std::move(idle))
         , m_thread([this] {
@@ -91,6 +93,7 @@
             }
             if (answered != m_storeAnswers) {
                 m_storeAnswers = answered;
+                m_timeline.record(answered ? EventKind::StoreUp : EventKind::StoreDown);
                 if (answered) {
                     log.info("the store answers again");
                 } else {
@@ -195,6 +198,7 @@
     StoreType &m_store;
     std::string m_prefix;
     VersionHolder &m_holder;
+    Timeline &m_timeline;
     std::function<void()> m_installed;
     std::function<void()> m_idle;
     mutable std::mutex m_mutex;
--- a/include/zinniadock/process/entry.h
+++ b/include/zinniadock/process/entry.h
@@ -72,7 +72,6 @@
     const Settings m_settings;
     std::atomic<bool> m_draining{ false };
     std::atomic<bool> m_stopped{ false };
-    bool m_storeAnswered = true; ///< at the last look, by the follower's thread
     VersionHolder m_versions;
     Timeline m_timeline;
     EntryMetrics m_metrics;
--- a/include/zinniadock/process/serverhealth.h
+++ b/include/zinniadock/process/serverhealth.h
@@ -38,10 +38,8 @@
     /// Complexity: linearithmic in the servers.
     std::vector<Ejection> review(const std::string &pool, const std::vector<std::string> &servers, Time now);
 
-    /// Returns the share of its usual requests that a server is to get: 0 while it is out, then growing to 1.
-    double share(const std::string &server, Time now) const;
-
-    /// Returns the servers whose share is below 1, by name; mostly none. Complexity: linear in them.
+    /// Returns the share of its usual requests that a server is to get, for each whose share may be below 1: 0 while it
+    /// is out, then growing to 1. Mostly empty. Complexity: linear in these servers.
     std::map<std::string, double> reducedShares(Time now);
 
 private:
@@ -65,13 +63,12 @@
     };
 
     State &fresh(const std::string &server, Time now);
-    static double shareOf(const State &state, Time now);
     static double meanGap(const State &state);
     double usualGap(const std::vector<std::string> &servers) const;
-    std::vector<Suspicion> suspicions(const std::vector<std::string> &servers, Time now);
+    std::vector<Suspicion> suspicions(const std::vector<std::string> &servers, Time now) const;
     Ejection eject(const Suspicion &suspicion, Time now);
 
-    mutable std::mutex m_mutex;
+    std::mutex m_mutex;
     std::map<std::string, State> m_states;
     std::map<std::string, Time> m_reviewed; ///< by pool
     std::vector<std::string> m_reduced; ///< servers whose share may be below 1
--- a/include/zinniadock/process/sidecar.h
+++ b/include/zinniadock/process/sidecar.h
@@ -11,6 +11,7 @@
 #include <system_error>
 #include <thread>
 #include <unordered_map>
+#include <unordered_set>
 
 #include <Poco/ThreadPool.h>
 
@@ -89,6 +90,7 @@
     void handle(LinkId link, Other &message);
 
     void install(const std::shared_ptr<const Version> &version);
+    SessionPointer newSession(Offer offer, LinkId link, SequenceNumber from);
     std::optional<Failure> refusalOf(const Offer &offer) const;
     void offerGeneration(const SessionPointer &session, LinkId link);
     void resumeUnknown(LinkId link, const Resume &message);
@@ -124,7 +126,7 @@
     std::condition_variable m_wake;
     Admission m_admission;
     std::unordered_map<GenerationKey, SessionPointer> m_sessions;
-    std::unordered_map<GenerationKey, Clock::time_point> m_queuedSince;
+    std::unordered_set<GenerationKey> m_queued; ///< offered to the gate and not yet admitted
     std::unordered_map<GenerationKey, Clock::time_point> m_tombstones;
     std::uint32_t m_runningCalls = 0;
     bool m_draining = false;
--- /dev/null
+++ b/include/zinniadock/process/stampedsend.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "zinniadock/connection/linkmessage.h"
+#include "zinniadock/connection/linktransport.h"
+#include "zinniadock/process/hybridclock.h"
+
+namespace zinniadock
+{
+
+/// Sends a message over a link, after the time where it tells of an event.
+inline void sendStamped(LinkTransport &transport, LinkId link, const LinkMessage &message, HybridClock &clock)
+{
+    if (!isFrequent(message)) {
+        transport.send(link, encode(ClockStamp{ .time = clock.now().value }));
+    }
+    transport.send(link, encode(message));
+}
+
+} // namespace zinniadock
--- a/include/zinniadock/process/timeline.h
+++ b/include/zinniadock/process/timeline.h
@@ -19,7 +19,6 @@
 enum class EventKind : std::uint8_t {
     // Of a process and its surroundings.
     ProcessStarted,
-    ProcessStopped,
     Draining,
     RevisionInForce,
     LinkUp,
@@ -70,6 +69,9 @@
     std::string detail; ///< reason, in words
 };
 
+/// Returns what an event about one generation is about.
+EventContent aboutGeneration(const GenerationKey &key, std::string detail = {});
+
 /// One event of one process.
 struct TimelineEvent
 {
@@ -132,7 +134,6 @@
 {
     std::string instance;
     std::string role;
-    std::uint64_t incarnation = 0;
 };
 
 /// Writes the events that a query asks for as JSON.
--- a/include/zinniadock/process/timelinerecord.h
+++ b/include/zinniadock/process/timelinerecord.h
@@ -18,6 +18,9 @@
 
     /// Returns the instance and what happened to it in words.
     std::string sentence() const;
+
+    /// Returns the time, the sentence and the request, as listings show it.
+    std::string line() const;
 };
 
 /// The events of several processes.
--- a/include/zinniadock/request/generationattempts.h
+++ b/include/zinniadock/request/generationattempts.h
@@ -46,7 +46,7 @@
                                      const ExchangeEvent &event);
     template <AnswerWriter Writer>
     void takeToken(Writer &writer, const std::string &server, Exchange &exchange, const Token &token);
-    void recordGaps();
+    void recordGaps(const std::string &server);
     void noteHealth(const std::string &server, const Attempt &attempt);
 
     RequestContext &m_context;
@@ -55,7 +55,6 @@
     Clock::time_point m_lastToken;
     std::chrono::microseconds m_longestStall{ 0 };
     std::vector<std::chrono::microseconds> m_gaps; ///< not yet recorded
-    std::string m_server; ///< of the present attempt
 };
 
 } // namespace zinniadock
--- a/include/zinniadock/request/requestcontext.h
+++ b/include/zinniadock/request/requestcontext.h
@@ -52,8 +52,9 @@
     /// Answers with a failure, before any other answer.
     void fail(const Failure &failure);
 
-    void countFailure(const Failure &failure);
     void note(EventKind kind, GenerationId generation, const std::string &detail);
+
+    /// Counts a failure and records its event.
     void noteFailure(const Failure &failure);
 
     EntryServices &services;
--- a/src/cli/timelinecommands.cpp
+++ b/src/cli/timelinecommands.cpp
@@ -104,9 +104,7 @@
         printJson(timeline);
     } else {
         for (const TimelineRecord &record : timeline.records) {
-            const RequestId &request = record.event.content.request;
-            std::cout << clockText(record.event.time) << "  " << record.sentence()
-                      << (request == RequestId() ? "" : "  [" + request.text() + "]") << "\n";
+            std::cout << record.line() << "\n";
         }
     }
     return codeFor(timeline, options);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -169,9 +169,7 @@
         role.drain();
         return status(query);
     };
-    const TimelineSource source{ .instance = settings.daemon.instance,
-                                 .role = settings.daemon.role,
-                                 .incarnation = randomNumber() };
+    const TimelineSource source{ .instance = settings.daemon.instance, .role = settings.daemon.role };
     const auto timeline = [&](const AdminQuery &query) -> std::optional<std::string> {
         const auto parsed = parseQuery(query);
         return parsed ? std::optional(formatTimeline(role.timeline(), source, *parsed)) : std::nullopt;
--- a/src/process/entry.cpp
+++ b/src/process/entry.cpp
@@ -41,7 +41,7 @@
                   .timeline = m_timeline,
                   .draining = m_draining }
     , m_follower(
-          m_store, m_settings.store.prefix, m_versions,
+          m_store, m_settings.store.prefix, m_versions, m_timeline,
           [this] {
               installed();
           },
@@ -163,10 +163,6 @@
 
 void Entry::idle()
 {
-    if (m_follower.storeAnswers() != m_storeAnswered) {
-        m_storeAnswered = !m_storeAnswered;
-        m_timeline.record(m_storeAnswered ? EventKind::StoreUp : EventKind::StoreDown);
-    }
     m_limiter.setEntries(m_links.entryCount());
     m_claims.releaseAbandoned();
 }
--- a/src/process/linkpool.cpp
+++ b/src/process/linkpool.cpp
@@ -4,6 +4,7 @@
 
 #include "zinniadock/process/log.h"
 #include "zinniadock/process/pausewatch.h"
+#include "zinniadock/process/stampedsend.h"
 
 namespace zinniadock
 {
@@ -510,10 +511,7 @@
 
 void LinkPool::send(const ServerLink &server, const LinkMessage &message)
 {
-    if (!isFrequent(message)) {
-        m_transport->send(server.link, encode(ClockStamp{ .time = m_timeline.clock().now().value }));
-    }
-    m_transport->send(server.link, encode(message));
+    sendStamped(*m_transport, server.link, message, m_timeline.clock());
 }
 
 void LinkPool::pushVersion(ServerLink &server)
--- a/src/process/serverhealth.cpp
+++ b/src/process/serverhealth.cpp
@@ -61,9 +61,10 @@
         return {};
     }
     reviewed = now;
-    const auto out = static_cast<std::size_t>(std::count_if(servers.begin(), servers.end(), [&](const auto &server) {
-        return fresh(server, now).ejectedUntil > now;
-    }));
+    std::size_t out = 0;
+    for (const std::string &server : servers) {
+        out += fresh(server, now).ejectedUntil > now ? 1 : 0;
+    }
     const std::size_t most = std::max<std::size_t>(1, servers.size() / ejectedAtMostOneIn);
     std::vector<Ejection> ejections;
     for (const Suspicion &suspicion : suspicions(servers, now)) {
@@ -75,19 +76,13 @@
     return ejections;
 }
 
-double ServerHealth::share(const std::string &server, Time now) const
-{
-    const std::lock_guard lock(m_mutex);
-    const auto position = m_states.find(server);
-    return position == m_states.end() ? 1 : shareOf(position->second, now);
-}
-
 std::map<std::string, double> ServerHealth::reducedShares(Time now)
 {
     const std::lock_guard lock(m_mutex);
     std::map<std::string, double> shares;
     for (const std::string &server : m_reduced) {
-        shares[server] = shareOf(m_states.at(server), now);
+        const std::chrono::duration<double> back = now - m_states.at(server).ejectedUntil;
+        shares[server] = std::clamp(back / returnDuration, 0.0, 1.0);
     }
     std::erase_if(m_reduced, [&shares](const std::string &server) {
         return shares.at(server) >= 1;
@@ -95,15 +90,6 @@
     return shares;
 }
 
-double ServerHealth::shareOf(const State &state, Time now)
-{
-    if (state.ejectedUntil == Time()) {
-        return 1;
-    }
-    const std::chrono::duration<double> back = now - state.ejectedUntil;
-    return std::clamp(back / returnDuration, 0.0, 1.0);
-}
-
 ServerHealth::State &ServerHealth::fresh(const std::string &server, Time now)
 {
     State &state = m_states[server];
@@ -128,9 +114,7 @@
 {
     std::vector<double> gaps;
     for (const std::string &server : servers) {
-        const auto position = m_states.find(server);
-        const double gap = position == m_states.end() ? 0 : meanGap(position->second);
-        if (gap > 0) {
+        if (const double gap = meanGap(m_states.at(server)); gap > 0) {
             gaps.push_back(gap);
         }
     }
@@ -141,12 +125,12 @@
     return gaps[(gaps.size() - 1) / 2];
 }
 
-std::vector<ServerHealth::Suspicion> ServerHealth::suspicions(const std::vector<std::string> &servers, Time now)
+std::vector<ServerHealth::Suspicion> ServerHealth::suspicions(const std::vector<std::string> &servers, Time now) const
 {
     const double usual = usualGap(servers);
     std::vector<Suspicion> found;
     for (const std::string &server : servers) {
-        const State &state = fresh(server, now);
+        const State &state = m_states.at(server);
         if (state.ejectedUntil > now) {
             continue;
         }
--- a/src/process/sidecar.cpp
+++ b/src/process/sidecar.cpp
@@ -308,7 +308,7 @@
     {
         const std::lock_guard lock(m_mutex);
         for (const Withdrawal &withdrawal : m_admission.withdraw(Clock::now())) {
-            m_queuedSince.erase(withdrawal.key);
+            m_queued.erase(withdrawal.key);
             const auto position = m_sessions.find(withdrawal.key);
             if (position != m_sessions.end()) {
                 ended.emplace_back(position->second, withdrawal);
@@ -323,9 +323,7 @@
                                .message = expired ? "the deadline passed while the request waited"
                                                   : "a request of a client account that was served less took the place",
                                .retryAfter = withdrawal.retryAfter };
-        m_timeline.record(
-            EventKind::Withdrawn,
-            { .request = session->key().request, .generation = session->key().generation, .detail = failure.message });
+        m_timeline.record(EventKind::Withdrawn, aboutGeneration(session->key(), failure.message));
         session->end(failedMessage(session->key(), failure));
     }
 }
--- a/src/process/sidecarlinks.cpp
+++ b/src/process/sidecarlinks.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "zinniadock/process/stampedsend.h"
+
 namespace zinniadock
 {
 
@@ -39,10 +41,7 @@
 
 void SidecarLinks::send(LinkId link, const LinkMessage &message)
 {
-    if (!isFrequent(message)) {
-        m_transport.send(link, encode(ClockStamp{ .time = m_timeline.clock().now().value }));
-    }
-    m_transport.send(link, encode(message));
+    sendStamped(m_transport, link, message, m_timeline.clock());
     if (isAnswer(message)) {
         const std::lock_guard lock(m_mutex);
         m_reportOwed.insert(link);
--- a/src/process/sidecarrequests.cpp
+++ b/src/process/sidecarrequests.cpp
@@ -69,10 +69,7 @@
         if (position != m_sessions.end()) {
             known = position->second;
         } else if (!(refusal = refusalOf(message))) {
-            session = std::make_shared<SidecarSession>(std::move(message), link, 0,
-                                                       [this](LinkId to, const LinkMessage &content) {
-                                                           m_links.send(to, content);
-                                                       });
+            session = newSession(std::move(message), link, 0);
             m_sessions[key] = session;
             m_runningCalls += session->offer().kind == RequestKind::Call ? 1 : 0;
         }
@@ -91,6 +88,14 @@
     }
 }
 
+Sidecar::SessionPointer Sidecar::newSession(Offer offer, LinkId link, SequenceNumber from)
+{
+    return std::make_shared<SidecarSession>(std::move(offer), link, from,
+                                            [this](LinkId to, const LinkMessage &message) {
+                                                m_links.send(to, message);
+                                            });
+}
+
 // Says why an offer is refused before it reaches the gate; nothing if it may go on.
 std::optional<Failure> Sidecar::refusalOf(const Offer &offer) const
 {
@@ -144,7 +149,7 @@
     bool wasQueued = false;
     {
         const std::lock_guard lock(m_mutex);
-        wasQueued = m_queuedSince.erase(session->key()) > 0;
+        wasQueued = m_queued.erase(session->key()) > 0;
         if (wasQueued) {
             m_admission.ended(session->key(), false, Clock::now());
         }
@@ -171,7 +176,7 @@
         const std::lock_guard lock(m_mutex);
         decision = m_admission.offer(admissionRequest(session->offer()), Clock::now());
         if (decision.outcome == AdmissionOutcome::Queued) {
-            m_queuedSince[session->key()] = Clock::now();
+            m_queued.insert(session->key());
         } else if (decision.outcome == AdmissionOutcome::Refused) {
             m_sessions.erase(session->key());
             ++m_counters.refusals;
@@ -184,10 +189,7 @@
         });
         break;
     case AdmissionOutcome::Queued:
-        m_timeline.record(EventKind::Queued,
-                          { .request = session->key().request,
-                            .generation = session->key().generation,
-                            .detail = decision.explanation });
+        m_timeline.record(EventKind::Queued, aboutGeneration(session->key(), decision.explanation));
         break;
     case AdmissionOutcome::Refused:
         log.info("refused request " + session->key().text() + ": " + decision.explanation);
@@ -231,10 +233,7 @@
                  .route = message.route,
                  .promptTokens = message.promptTokens,
                  .maxTokens = message.maxTokens };
-    auto session = std::make_shared<SidecarSession>(std::move(offer), link, message.next,
-                                                    [this](LinkId to, const LinkMessage &content) {
-                                                        m_links.send(to, content);
-                                                    });
+    const SessionPointer session = newSession(std::move(offer), link, message.next);
     {
         const std::lock_guard lock(m_mutex);
         m_sessions[key] = session;
@@ -247,7 +246,7 @@
 void Sidecar::refuse(LinkId link, const GenerationKey &key, const Failure &failure)
 {
     m_timeline.record(failure.verdict == Verdict::NotRun ? EventKind::Refused : EventKind::Failed,
-                      { .request = key.request, .generation = key.generation, .detail = failure.message });
+                      aboutGeneration(key, failure.message));
     m_links.send(link, failedMessage(key, failure));
 }
 
@@ -294,8 +293,7 @@
 
 void Sidecar::runCall(const SessionPointer &session)
 {
-    const GenerationKey key = session->key();
-    m_timeline.record(EventKind::Admitted, { .request = key.request, .generation = key.generation });
+    m_timeline.record(EventKind::Admitted, aboutGeneration(session->key()));
     std::variant<Reply, Failure> result = callService(m_settings.backend, session->offer(), m_timeouts);
     {
         const std::lock_guard lock(m_mutex);
@@ -346,7 +344,7 @@
     {
         const std::lock_guard lock(m_mutex);
         for (const GenerationKey &key : m_admission.admitReady()) {
-            m_queuedSince.erase(key);
+            m_queued.erase(key);
             ready.push_back(m_sessions.at(key));
         }
     }
--- a/src/process/timeline.cpp
+++ b/src/process/timeline.cpp
@@ -19,9 +19,8 @@
     std::string_view phrase; ///< %s stands for the subject, %g for the generation
 };
 
-constexpr std::array<KindEntry, 32> kinds{ {
+constexpr std::array<KindEntry, 31> kinds{ {
     { "process_started", EventClass::Process, "started" },
-    { "process_stopped", EventClass::Process, "stopped" },
     { "draining", EventClass::Process, "began to drain and refuses new requests" },
     { "revision_in_force", EventClass::Process, "put configuration revision %s in force" },
     { "link_up", EventClass::Process, "opened a link with %s" },
@@ -99,6 +98,11 @@
     return content.detail.empty() ? phrase : phrase + ": " + content.detail;
 }
 
+EventContent aboutGeneration(const GenerationKey &key, std::string detail)
+{
+    return EventContent{ .request = key.request, .generation = key.generation, .detail = std::move(detail) };
+}
+
 std::string durationText(std::chrono::milliseconds duration)
 {
     return std::to_string(duration.count()) + " ms";
@@ -160,7 +164,6 @@
     }
     const Json document{ { "instance", source.instance },
                          { "role", source.role },
-                         { "incarnation", source.incarnation },
                          { "dropped", timeline.dropped() },
                          { "events", std::move(events) } };
     return document.dump(-1, ' ', false, Json::error_handler_t::replace);
--- a/src/process/timelinepage.cpp
+++ b/src/process/timelinepage.cpp
@@ -108,11 +108,7 @@
     }
     page += plot(timeline) + "<pre>\n";
     for (const TimelineRecord &record : timeline.records) {
-        page += escaped(clockText(record.event.time) + "  " + record.sentence());
-        if (record.event.content.request != RequestId()) {
-            page += "  [" + record.event.content.request.text() + "]";
-        }
-        page += "\n";
+        page += escaped(record.line()) + "\n";
     }
     return page + "</pre>\n</body></html>\n";
 }
--- a/src/process/timelinerecord.cpp
+++ b/src/process/timelinerecord.cpp
@@ -50,6 +50,12 @@
     return instance + " " + phraseOf(event.kind, event.content);
 }
 
+std::string TimelineRecord::line() const
+{
+    const RequestId &request = event.content.request;
+    return clockText(event.time) + "  " + sentence() + (request == RequestId() ? "" : "  [" + request.text() + "]");
+}
+
 std::optional<MergedTimeline> parseTimeline(const std::string &text)
 {
     const Json document = Json::parse(text, nullptr, false);
--- a/src/request/generationattempts.cpp
+++ b/src/request/generationattempts.cpp
@@ -84,7 +84,7 @@
             m_context.services.metrics.longestStall.record(m_longestStall);
             m_context.note(EventKind::Finished, generation,
                            std::to_string(finished->tokens) + " tokens, longest wait "
-                               + std::to_string(m_longestStall.count() / 1000) + " ms");
+                               + durationText(std::chrono::duration_cast<std::chrono::milliseconds>(m_longestStall)));
             return;
         }
         Failure failure = std::get<Failure>(attempt.end);
@@ -93,7 +93,6 @@
         if (!again) {
             failure = lastWord(failure, refusal);
             failure.verdict = verdict;
-            m_context.countFailure(failure);
             m_context.noteFailure(failure);
             writer.fail(failure);
             return;
@@ -135,7 +134,6 @@
     if (const auto failure = m_context.send(offer, exchange, tried, server)) {
         return Attempt{ .end = *failure };
     }
-    m_server = server;
     Attempt attempt = followGeneration(writer, server, exchange);
     noteHealth(server, attempt);
     if (const auto *failure = std::get_if<Failure>(&attempt.end); failure != nullptr && failure->crash != 0) {
@@ -186,7 +184,7 @@
             end = giveUp(brokenSince);
         }
         if (end) {
-            recordGaps();
+            recordGaps(server);
             return *end;
         }
     }
@@ -242,23 +240,24 @@
     m_lastToken = now;
     if (token.sequence == 0) {
         m_context.services.metrics.firstToken.record(gap);
-        m_context.note(EventKind::FirstToken, token.generation, "after " + std::to_string(gap.count() / 1000) + " ms");
+        m_context.note(EventKind::FirstToken, token.generation,
+                       "after " + durationText(std::chrono::duration_cast<std::chrono::milliseconds>(gap)));
     } else {
         m_gaps.push_back(gap);
     }
     exchange.setNext(m_order.next());
     if (m_order.next() % tokensPerAck == 0) {
         m_context.services.links.acknowledge(server, exchange, m_order.next());
-        recordGaps();
+        recordGaps(server);
     }
 }
 
 // The gaps of many tokens go into the process's histogram together, since its lock is shared by all requests.
-void GenerationAttempts::recordGaps()
+void GenerationAttempts::recordGaps(const std::string &server)
 {
     m_context.services.metrics.tokenGap.record(m_gaps);
     m_context.services.metrics.tokens += m_gaps.size();
-    m_context.services.links.health().paced(m_server, static_cast<std::uint32_t>(m_gaps.size()),
+    m_context.services.links.health().paced(server, static_cast<std::uint32_t>(m_gaps.size()),
                                             std::accumulate(m_gaps.begin(), m_gaps.end(), std::chrono::microseconds(0)),
                                             Clock::now());
     m_gaps.clear();
--- a/src/request/requestcontext.cpp
+++ b/src/request/requestcontext.cpp
@@ -109,7 +109,6 @@
 
 void RequestContext::fail(const Failure &failure)
 {
-    countFailure(failure);
     noteFailure(failure);
     sendFailure(response, request.id, failure);
 }
@@ -121,13 +120,10 @@
 
 void RequestContext::noteFailure(const Failure &failure)
 {
-    note(failure.verdict == Verdict::NotRun ? EventKind::Refused : EventKind::Failed, 0,
+    const bool refused = failure.verdict == Verdict::NotRun;
+    ++(refused ? services.metrics.refused : services.metrics.failed);
+    note(refused ? EventKind::Refused : EventKind::Failed, 0,
          failure.message + " (" + std::string(toString(failure.verdict)) + ")");
 }
 
-void RequestContext::countFailure(const Failure &failure)
-{
-    ++(failure.verdict == Verdict::NotRun ? services.metrics.refused : services.metrics.failed);
-}
-
 } // namespace zinniadock
--- a/tests/unit/unit-faults.cpp
+++ b/tests/unit/unit-faults.cpp
@@ -377,16 +377,16 @@
 TEST_CASE("configuration without the store")
 {
     Fleet fleet(1, 1);
+    fleet.store->setFaults({ .down = true });
+    fleet.entries.clear();
+    Settings settings;
+    settings.daemon.instance = "late";
+    settings.daemon.dataCentre = "campina";
+    settings.store.endpoint = Endpoint{ .address = "127.0.0.1", .port = fleet.store->port() };
+    settings.entry.listen = Endpoint{ .address = "127.0.0.1", .port = 0 };
 
     SECTION("is taken from a sidecar by an entry that starts while the store is down")
     {
-        fleet.store->setFaults({ .down = true });
-        fleet.entries.clear();
-        Settings settings;
-        settings.daemon.instance = "late";
-        settings.daemon.dataCentre = "campina";
-        settings.store.endpoint = Endpoint{ .address = "127.0.0.1", .port = fleet.store->port() };
-        settings.entry.listen = Endpoint{ .address = "127.0.0.1", .port = 0 };
         settings.entry.peers = { Endpoint{ .address = "127.0.0.1", .port = fleet.sidecars[0]->port() } };
         Entry late(settings);
         REQUIRE_FALSE(late.start());
@@ -398,13 +398,6 @@
 
     SECTION("reaches an entry without peers once the store is back")
     {
-        fleet.store->setFaults({ .down = true });
-        fleet.entries.clear();
-        Settings settings;
-        settings.daemon.instance = "late";
-        settings.daemon.dataCentre = "campina";
-        settings.store.endpoint = Endpoint{ .address = "127.0.0.1", .port = fleet.store->port() };
-        settings.entry.listen = Endpoint{ .address = "127.0.0.1", .port = 0 };
         Entry late(settings);
         REQUIRE_FALSE(late.start());
         const HttpAnswer answer = send(late.port(), { .method = "GET", .path = "/health" });
--- a/tests/unit/unit-publisher.cpp
+++ b/tests/unit/unit-publisher.cpp
@@ -18,6 +18,18 @@
                       .removed = {} };
 }
 
+// Lets another operator in between the first one's reading and its swap, once.
+void raceBeforeSwap(FakeStore &store, const ChangeSet &change)
+{
+    store.beforeWrite = [&store, change, raced = false](const std::string &key) mutable {
+        if (key == headKey("test") && !raced) {
+            raced = true;
+            ConfigurationEditor<FakeStore> other(store, "test");
+            REQUIRE(other.change(change, "second", "bo").publish.result == PublishResult::Accepted);
+        }
+    };
+}
+
 // Records every head in the order in which the store took it, and checks the chain as it grows.
 class HeadHistory
 {
@@ -159,15 +171,7 @@
         FakeStore store;
         ConfigurationEditor<FakeStore> editor(store, "test");
         editor.replace("[model m0]\nmax_tokens = 1\n", "base", "ana");
-        // The other operator gets in between the first one's reading and its swap.
-        bool raced = false;
-        store.beforeWrite = [&](const std::string &key) {
-            if (key == headKey("test") && !raced) {
-                raced = true;
-                ConfigurationEditor<FakeStore> other(store, "test");
-                REQUIRE(other.change(modelChange(0, 3), "second", "bo").publish.result == PublishResult::Accepted);
-            }
-        };
+        raceBeforeSwap(store, modelChange(0, 3));
         const EditOutcome outcome = editor.change(modelChange(0, 2), "first", "ana");
         CHECK(outcome.publish.result == PublishResult::Conflict);
         REQUIRE(outcome.conflicts.size() == 1);
@@ -180,14 +184,7 @@
         FakeStore store;
         ConfigurationEditor<FakeStore> editor(store, "test");
         editor.replace("[model m0]\nmax_tokens = 1\n", "base", "ana");
-        bool raced = false;
-        store.beforeWrite = [&](const std::string &key) {
-            if (key == headKey("test") && !raced) {
-                raced = true;
-                ConfigurationEditor<FakeStore> other(store, "test");
-                other.change(modelChange(1, 3), "second", "bo");
-            }
-        };
+        raceBeforeSwap(store, modelChange(1, 3));
         const EditOutcome outcome = editor.change(modelChange(0, 2), "first", "ana");
         CHECK(outcome.publish.result == PublishResult::Accepted);
         CHECK(outcome.publish.head.revision == 3);
--- a/tests/unit/unit-serverhealth.cpp
+++ b/tests/unit/unit-serverhealth.cpp
@@ -25,6 +25,14 @@
     return servers;
 }
 
+/// Returns the share of its usual requests that a server is to get.
+double shareOf(ServerHealth &health, const std::string &server, ServerHealth::Time now)
+{
+    const auto shares = health.reducedShares(now);
+    const auto position = shares.find(server);
+    return position == shares.end() ? 1 : position->second;
+}
+
 } // namespace
 
 TEST_CASE("server health")
@@ -46,11 +54,11 @@
         REQUIRE(ejections.size() == 1);
         CHECK(ejections[0].server == servers[2]);
         CHECK(ejections[0].reason == "100% of its requests failed");
-        CHECK(health.share(servers[2], now) == 0);
+        CHECK(shareOf(health, servers[2], now) == 0);
         CHECK(health.reducedShares(now) == std::map<std::string, double>{ { servers[2], 0.0 } });
         CHECK(health.reducedShares(now + std::chrono::seconds(11)).at(servers[2]) == 1);
         CHECK(health.reducedShares(now + std::chrono::seconds(11)).empty());
-        CHECK(health.share(servers[3], now) == 1);
+        CHECK(shareOf(health, servers[3], now) == 1);
     }
 
     SECTION("leaves one with few failures alone")
@@ -103,11 +111,11 @@
         const auto first = ejectOnce();
         CHECK(first == std::chrono::seconds(5));
         now += first;
-        CHECK(health.share(servers[0], now) == 0);
+        CHECK(shareOf(health, servers[0], now) == 0);
         now += std::chrono::milliseconds(2500);
-        CHECK(health.share(servers[0], now) == Approx(0.5));
+        CHECK(shareOf(health, servers[0], now) == Approx(0.5));
         now += std::chrono::seconds(10);
-        CHECK(health.share(servers[0], now) == 1);
+        CHECK(shareOf(health, servers[0], now) == 1);
         CHECK(ejectOnce() == 2 * first);
     }
 
@@ -132,7 +140,7 @@
                 table.review("p", pool, time);
                 const auto out
                     = static_cast<std::size_t>(std::count_if(pool.begin(), pool.end(), [&](const auto &name) {
-                          return table.share(name, time) == 0;
+                          return shareOf(table, name, time) == 0;
                       }));
                 RC_ASSERT(out <= std::max<std::size_t>(1, pool.size() / 3));
                 RC_ASSERT(out < pool.size());
