Pass over records of dead incarnations; refuse what outlasts a stopping entry

Change: of the records at one address only the latest birth gets work, a 421 or a report of a later birth shows the same, a refused connection keeps a server out at once. A stopping entry refuses generations that would outlast it, with a short Retry-After, and closes idle connections.

--- a/include/zinniadock/connection/httplistener.h
+++ b/include/zinniadock/connection/httplistener.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <system_error>
+#include <vector>
 
 #include "zinniadock/connection/asynctypes.h"
 
@@ -49,6 +50,9 @@
     /// Ends the connection, so that an answer in progress looks broken off.
     void abort();
 
+    /// Ends the connection if no request is in progress on it.
+    void closeIfIdle();
+
     /// Says whether the caller has closed the connection.
     bool callerLeft() const;
 
@@ -67,6 +71,7 @@
     const LimitSource m_limits;
     const std::shared_ptr<const bool> m_closing;
     std::function<void()> m_onLeft;
+    bool m_idle = true; ///< no byte of a request has arrived since the last answer
     bool m_left = false;
     bool m_keepAlive = true;
     bool m_headOnly = false;
@@ -87,6 +92,9 @@
     /// From now on each answer asks the caller to close its connection.
     void askToClose();
 
+    /// Closes the connections on which no request is in progress.
+    void closeIdle();
+
     /// Accepts no more connections.
     void stop();
 
@@ -98,6 +106,7 @@
     const HttpHandler m_handler;
     const LimitSource m_limits;
     const std::shared_ptr<bool> m_closing;
+    std::vector<std::weak_ptr<HttpConnection>> m_connections;
 };
 
 } // namespace zinniadock
--- a/include/zinniadock/connection/wireform.h
+++ b/include/zinniadock/connection/wireform.h
@@ -55,6 +55,7 @@
     std::string requestId;
     bool isSigned = false; ///< bears the server's proof that it made this answer
     bool notRun = false; ///< the server promises that it did not run the request
+    bool isOfAnotherServer = false; ///< the server that was meant is no longer at this address
     bool isEventStream = false;
     bool closes = false; ///< the connection ends after this answer
     std::optional<std::chrono::milliseconds> idleLimit; ///< how long the server keeps the connection idle
--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -23,8 +23,11 @@
     /// Begins to listen and to follow the store.
     std::error_code start();
 
-    /// Is no longer ready, and asks callers to close their connections.
-    void drain();
+    /// Is no longer ready, and asks callers to close their connections, as the process ends soon.
+    void drain(std::chrono::milliseconds within);
+
+    /// Closes the connections on which no request is in progress.
+    void turnAway();
 
     /// Says whether no request is in progress.
     bool idle() const;
--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -56,7 +56,7 @@
     std::map<std::string, RetryWindow> retryWindows; ///< by pool
     std::set<std::string> peers; ///< where the other entries listen for this one
     std::map<std::string, std::set<GenerationForward *>> generations; ///< running streams by server
-    bool draining = false;
+    std::optional<SteadyTime> stopsAt; ///< when this process ends, once it was asked to stop
 
 private:
     std::minstd_rand m_random;
--- a/include/zinniadock/process/serverdirectory.h
+++ b/include/zinniadock/process/serverdirectory.h
@@ -65,6 +65,7 @@
     EngineLoad load;
     std::optional<SteadyTime> loadAt; ///< when the load was received; nothing before the first report
     std::optional<SteadyTime> missingSince; ///< the platform lists it no longer
+    bool replaced = false; ///< a later incarnation has its address
     SteadyTime listedAt;
     std::map<std::uint64_t, Assignment> assignments;
     std::uint32_t failuresInARow = 0;
@@ -72,7 +73,7 @@
 
     bool leaving() const
     {
-        return record.leaving || load.leaving || missingSince.has_value();
+        return record.leaving || load.leaving || replaced || missingSince.has_value();
     }
 };
 
@@ -91,7 +92,11 @@
     /// Forgets servers that are unlisted for \p age and have no work left.
     std::vector<std::string> forgetMissing(std::chrono::milliseconds age, SteadyTime now);
 
-    /// Takes a report. Returns whether the server has just begun to leave.
+    /// Notes that another incarnation answers at a server's address.
+    void replaced(const std::string &id);
+
+    /// Takes a report. Returns whether the server has just begun to leave. A report of a later incarnation shows that
+    /// this one is gone.
     bool report(const std::string &id, EngineLoad load, SteadyTime now);
 
     std::uint64_t assign(const std::string &id, Assignment assignment);
@@ -104,10 +109,15 @@
     /// Notes a failure that lies with the server; more in a row keep it out for longer.
     void failed(const std::string &id, SteadyTime now);
 
+    /// Notes that a server could not be connected to, which keeps it out at once.
+    void unreachable(const std::string &id, SteadyTime now);
+
     TrackedServer *find(const std::string &id);
     const std::map<std::string, TrackedServer> &servers() const;
 
 private:
+    void keepLatestAt(const Endpoint &address);
+
     std::map<std::string, TrackedServer> m_servers;
     std::uint64_t m_nextAssignment = 1;
 };
--- a/include/zinniadock/process/watchingsidecar.h
+++ b/include/zinniadock/process/watchingsidecar.h
@@ -28,7 +28,8 @@
     /// Says whether no move waits or is in progress.
     bool idle() const;
 
-    void drain();
+    void drain(std::chrono::milliseconds within);
+    void turnAway();
     void reload(Settings settings);
     void stop();
 
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -53,6 +53,8 @@
     Awaitable<void> end(StretchEnd stretch);
     Awaitable<void> refuse();
 
+    bool outlastsProcess() const;
+    MoveOrder moveOrder(const TrackedServer &source) const;
     PlacementNeed need() const;
     void attach(const std::string &server);
     void detach();
--- a/include/zinniadock/version/routetable.h
+++ b/include/zinniadock/version/routetable.h
@@ -48,6 +48,7 @@
     std::uint32_t slots = 0;
     std::uint32_t memoryTokens = 0;
     std::uint32_t bytesPerToken = 0;
+    std::uint32_t tokensPerEvent = 1; ///< of a stream
     double linkMegabitsPerSecond = 0;
     bool movesRuns = false;
     bool keepsBackups = false;
--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -64,6 +64,7 @@
         m_onLeft = nullptr;
         IoError ignored; // the connection may be closed already
         m_stream.socket().cancel(ignored);
+        m_idle = true;
     }
     abort();
 }
@@ -81,6 +82,7 @@
         const std::size_t count = co_await m_stream.async_read_some(m_buffer.prepare(most), into(error));
         m_buffer.commit(count);
     }
+    m_idle = false;
     if (!error) {
         m_stream.expires_after(limits.headerTimeout);
         co_await http::async_read_header(m_stream, m_buffer, parser, into(error));
@@ -206,6 +208,13 @@
     m_stream.socket().close(ignored);
 }
 
+void HttpConnection::closeIfIdle()
+{
+    if (m_idle) {
+        abort();
+    }
+}
+
 bool HttpConnection::callerLeft() const
 {
     return m_left;
@@ -266,6 +275,15 @@
     *m_closing = true;
 }
 
+void HttpListener::closeIdle()
+{
+    for (const auto &weak : m_connections) {
+        if (const auto connection = weak.lock()) {
+            connection->closeIfIdle();
+        }
+    }
+}
+
 void HttpListener::stop()
 {
     IoError ignored; // already closed
@@ -286,6 +304,10 @@
             continue;
         }
         auto connection = std::make_shared<HttpConnection>(std::move(socket), m_handler, m_limits, m_closing);
+        std::erase_if(m_connections, [](const std::weak_ptr<HttpConnection> &other) {
+            return other.expired();
+        });
+        m_connections.push_back(connection);
         asio::co_spawn(
             m_context,
             [connection]() {
--- a/src/daemon/forwarding.cpp
+++ b/src/daemon/forwarding.cpp
@@ -90,10 +90,13 @@
             return std::chrono::steady_clock::now() - began;
         };
         logEvent("daemon", "stopping", { { "role", m_settings.daemon.role } });
-        m_role.drain();
         const auto limit = m_settings.forwarding.stopWithin() - stopMargin;
+        m_role.drain(limit);
         while (elapsed() < limit && (elapsed() < m_settings.entry.lameDuck || !m_role.idle())) {
             co_await sleepFor(idleInterval);
+            if (elapsed() > m_settings.entry.lameDuck) {
+                m_role.turnAway();
+            }
         }
         m_cut = !m_role.idle();
         logEvent("daemon", "stopped", { { "role", m_settings.daemon.role }, { "cut", m_cut ? 1 : 0 } });
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -361,7 +361,7 @@
 
 bool ForwardingEntry::isReady() const
 {
-    return m_services.routes && !m_services.draining;
+    return m_services.routes && !m_services.stopsAt;
 }
 
 Awaitable<void> ForwardingEntry::answerReadiness(std::shared_ptr<HttpConnection> connection, HttpRequest request)
@@ -413,12 +413,17 @@
     return out;
 }
 
-void ForwardingEntry::drain()
+void ForwardingEntry::drain(std::chrono::milliseconds within)
 {
-    m_services.draining = true;
+    m_services.stopsAt = std::chrono::steady_clock::now() + within;
     m_callers->askToClose();
 }
 
+void ForwardingEntry::turnAway()
+{
+    m_callers->closeIdle();
+}
+
 bool ForwardingEntry::idle() const
 {
     return m_services.counts.active == 0;
--- a/src/process/serverdirectory.cpp
+++ b/src/process/serverdirectory.cpp
@@ -27,9 +27,11 @@
         server.failuresInARow = 0;
         server.avoidedUntil = SteadyTime();
         server.listedAt = now;
+        server.replaced = false;
     }
     server.record = record;
     server.missingSince.reset();
+    keepLatestAt(record.address);
     return isNew || (record.leaving && !wasLeaving);
 }
 
@@ -57,10 +59,37 @@
     return forgotten;
 }
 
+// The record of an incarnation that crashed stays listed until it lapses, beside the one of its successor.
+void ServerDirectory::keepLatestAt(const Endpoint &address)
+{
+    std::int64_t latest = 0;
+    for (const auto &[id, server] : m_servers) {
+        if (server.record.address == address) {
+            latest = std::max(latest, server.record.born);
+        }
+    }
+    for (auto &[id, server] : m_servers) {
+        if (server.record.address == address && server.record.born > 0 && server.record.born < latest) {
+            server.replaced = true;
+        }
+    }
+}
+
+void ServerDirectory::replaced(const std::string &id)
+{
+    if (TrackedServer *server = find(id)) {
+        server->replaced = true;
+    }
+}
+
 bool ServerDirectory::report(const std::string &id, EngineLoad load, SteadyTime now)
 {
     TrackedServer *server = find(id);
-    if (!server || (server->record.born > 0 && load.born > 0 && load.born != server->record.born)) {
+    if (!server) {
+        return false;
+    }
+    if (server->record.born > 0 && load.born > 0 && load.born != server->record.born) {
+        server->replaced = server->replaced || load.born > server->record.born;
         return false;
     }
     const bool wasLeaving = server->load.leaving;
@@ -115,6 +144,14 @@
     }
 }
 
+void ServerDirectory::unreachable(const std::string &id, SteadyTime now)
+{
+    if (TrackedServer *server = find(id)) {
+        server->failuresInARow = std::max(server->failuresInARow, failuresBeforeAvoidance);
+        failed(id, now);
+    }
+}
+
 TrackedServer *ServerDirectory::find(const std::string &id)
 {
     const auto found = m_servers.find(id);
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -258,7 +258,12 @@
     return m_moves.empty();
 }
 
-void WatchingSidecar::drain()
+// Entries go on without the sidecar, so that nothing is left to do but to end the moves.
+void WatchingSidecar::drain(std::chrono::milliseconds /*within*/)
+{
+}
+
+void WatchingSidecar::turnAway()
 {
 }
 
--- a/src/request/callforward.cpp
+++ b/src/request/callforward.cpp
@@ -117,6 +117,9 @@
     const HttpRequest request = wire::serverRequest(m_scope->request, m_scope->serverFields(target.record.id));
     IoError error = co_await exchange->send(request, std::min(connectTimeout, m_scope->timeLeft()));
     if (error) {
+        if (exchange->sendState() == SendState::NotSent) {
+            services.directory.unreachable(target.record.id, std::chrono::steady_clock::now());
+        }
         co_return broken(*exchange, "sending: " + error.message());
     }
     wire::AnswerFields fields;
@@ -133,6 +136,9 @@
     if (!fields.closes && !fields.requestId.empty()) {
         exchange->keepConnection(fields.idleLimit.value_or(assumedIdleLimit));
     }
+    if (fields.isOfAnotherServer) {
+        services.directory.replaced(target.record.id);
+    }
     attempt.outcome = fields.notRun ? TryOutcome::NotRun : fields.isSigned ? TryOutcome::Answered : TryOutcome::Broken;
     attempt.reason = "status " + std::to_string(attempt.answer.result_int());
     co_return attempt;
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -33,8 +33,12 @@
 
 constexpr std::size_t mostTargets = 3;
 
-/// Tokens that one event of a stream holds.
-constexpr double tokensPerEvent = 4;
+/// Time that a generation is expected to take, for its prompt and for each token of its output.
+constexpr std::chrono::milliseconds expectedPromptTime{ 600 };
+constexpr std::chrono::milliseconds expectedTokenTime{ 10 };
+
+/// A caller of a stopping entry comes back at once, over another entry.
+constexpr std::chrono::milliseconds retryAfterStopping{ 50 };
 
 /// Time for the result of a move to arrive after the stream has ended.
 constexpr std::chrono::milliseconds moveResultWait{ 2500 };
@@ -93,6 +97,11 @@
 Awaitable<void> GenerationForward::run()
 {
     StretchEnd stretch = StretchEnd::Refused;
+    if (outlastsProcess()) {
+        m_reason = "the entry is stopping";
+        co_await end(stretch);
+        co_return;
+    }
     m_reason = "no engine has room";
     while (stretch == StretchEnd::Refused && m_refusedBy.size() < mostRefusals) {
         const std::optional<std::string> server = co_await place();
@@ -112,6 +121,13 @@
     co_await end(stretch);
 }
 
+bool GenerationForward::outlastsProcess() const
+{
+    const auto output = static_cast<std::int64_t>(m_expectedTokens - m_scope->fields.promptTokens);
+    const auto expectedEnd = std::chrono::steady_clock::now() + expectedPromptTime + output * expectedTokenTime;
+    return m_services.stopsAt && expectedEnd > *m_services.stopsAt;
+}
+
 Awaitable<std::optional<std::string>> GenerationForward::place()
 {
     const auto waitFor
@@ -183,7 +199,7 @@
     IoError error = co_await exchange->send(request, connectTimeout);
     if (error) {
         m_reason = "sending: " + error.message();
-        m_services.directory.failed(server, std::chrono::steady_clock::now());
+        m_services.directory.unreachable(server, std::chrono::steady_clock::now());
         const bool notSent = exchange->sendState() == SendState::NotSent;
         co_return notSent ? StretchEnd::Refused : StretchEnd::Broken;
     }
@@ -201,6 +217,9 @@
         m_reason = "status " + std::to_string(exchange->head().result_int());
         HttpAnswer plain(callerHead(exchange->head()));
         error = co_await exchange->readRest(plain.body(), mostPlainBytes);
+        if (answer.isOfAnotherServer) {
+            m_services.directory.replaced(server);
+        }
         if (answer.notRun) {
             ended = StretchEnd::Refused;
         } else if (!error && answer.isSigned) {
@@ -293,25 +312,32 @@
         asio::detached);
 }
 
-Awaitable<void> GenerationForward::askForMove(std::string server)
+MoveOrder GenerationForward::moveOrder(const TrackedServer &source) const
 {
-    const auto self = shared_from_this();
-    const TrackedServer *source = m_services.directory.find(server);
+    const EngineLimits &limits = *m_scope->pool.engine;
+    const double tokens = m_scope->fields.promptTokens + static_cast<double>(limits.tokensPerEvent * m_events);
     MoveOrder order;
     order.request = m_scope->fields.requestId;
-    order.value = m_expectedTokens
-        - std::min<double>(m_expectedTokens, m_scope->fields.promptTokens + tokensPerEvent * m_events);
+    order.value = std::max(0.0, m_expectedTokens - tokens);
+    order.copyTime = copyTime(tokens, limits);
+    PlacementNeed wanted = need();
+    wanted.dataCentre = source.record.dataCentre;
     const Draw draw = [this] {
         return m_services.draw();
     };
     const auto now = std::chrono::steady_clock::now();
-    PlacementNeed wanted = need();
-    wanted.dataCentre = source ? source->record.dataCentre : wanted.dataCentre;
     for (const std::string &target :
-         moveTargets(m_services.directory, wanted, *m_scope->pool.engine, server, mostTargets, now, draw)) {
+         moveTargets(m_services.directory, wanted, limits, source.record.id, mostTargets, now, draw)) {
         order.targets.push_back(m_services.directory.find(target)->record.address);
     }
-    order.copyTime = copyTime(m_scope->fields.promptTokens + tokensPerEvent * m_events, *m_scope->pool.engine);
+    return order;
+}
+
+Awaitable<void> GenerationForward::askForMove(std::string server)
+{
+    const auto self = shared_from_this();
+    const TrackedServer *source = m_services.directory.find(server);
+    const MoveOrder order = source ? moveOrder(*source) : MoveOrder();
     MoveResult result;
     if (!source || order.targets.empty()) {
         result.reason = "no engine has room";
@@ -426,7 +452,8 @@
     ++m_services.metrics.refused;
     m_scope->logEnd("refused", m_reason, Verdict::NotRun);
     const auto spread = std::chrono::duration_cast<std::chrono::milliseconds>(m_services.draw() * retryAfterSpread);
-    co_await m_scope->connection->answer(m_scope->refusal(m_reason, leastRetryAfter + spread));
+    const auto retryAfter = m_services.stopsAt ? retryAfterStopping : leastRetryAfter + spread;
+    co_await m_scope->connection->answer(m_scope->refusal(m_reason, retryAfter));
 }
 
 } // namespace zinniadock
