--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -23,6 +23,15 @@
     /// Begins to listen and to follow the store.
     std::error_code start();
 
+    /// Returns the port that callers connect to.
+    std::uint16_t port() const;
+
+    /// Returns the port on which the platform asks whether the entry is ready.
+    std::uint16_t readyPort() const;
+
+    /// Returns the port that other entries ask.
+    std::uint16_t peerPort() const;
+
     /// Is no longer ready, and asks callers to close their connections, as the process ends soon.
     void drain(std::chrono::milliseconds within);
 
@@ -52,22 +61,24 @@
     void addServer(const ServerRecord &record);
     void followLoad(const ServerRecord &record);
     void serverGone(const std::string &id);
-    void loadReceived(const std::string &server, const LoadReport &report);
+    void loadReceived(const std::string &server, const EngineLoadReport &report);
     void tellGenerations(const std::string &server);
     void settleRemovals();
     bool isReady() const;
     std::string metricsText() const;
 
     ForwardingServices m_services;
-    std::vector<std::shared_ptr<HttpListener>> m_listeners;
     std::shared_ptr<HttpListener> m_callers;
+    std::shared_ptr<HttpListener> m_readiness;
+    std::shared_ptr<HttpListener> m_peers;
+    std::shared_ptr<HttpListener> m_metrics;
     std::vector<std::shared_ptr<PrefixWatch>> m_watches;
     std::map<std::string, std::shared_ptr<SidecarFeed>> m_feeds; ///< by server
     std::map<std::string, std::string> m_serverTexts; ///< records as the store has them, for other entries
     std::map<std::string, SteadyTime> m_removals; ///< servers that are taken as gone at a time, unless they return
     std::string m_configurationText;
-    bool m_storeAnswers = false;
-    SteadyTime m_storeChangedAt;
+    std::optional<SteadyTime> m_storeLostAt; ///< since when the store does not answer
+    std::optional<SteadyTime> m_storeReturnedAt; ///< when it answered again after an outage
     bool m_stopped = false;
 };
 
--- a/include/zinniadock/process/placement.h
+++ b/include/zinniadock/process/placement.h
@@ -38,7 +38,7 @@
 /// draw breaks near ties, so that entries which read the same reports don't all choose the same server.
 /// Complexity: linear in the servers.
 std::optional<std::string> placeGeneration(const ServerDirectory &directory, const PlacementNeed &need,
-                                           const EngineLimits &limits, const std::set<std::string> &excluded,
+                                           const EngineCapacity &limits, const std::set<std::string> &excluded,
                                            SteadyTime now, const Draw &draw);
 
 /// Chooses the server of a plain service with the least work of this entry per slot, in the entry's data centre if
@@ -48,7 +48,7 @@
 
 /// Returns up to \p count targets for a running generation, best first. \copydetails placeGeneration
 std::vector<std::string> moveTargets(const ServerDirectory &directory, const PlacementNeed &need,
-                                     const EngineLimits &limits, const std::string &source, std::size_t count,
+                                     const EngineCapacity &limits, const std::string &source, std::size_t count,
                                      SteadyTime now, const Draw &draw);
 
 } // namespace zinniadock
--- a/include/zinniadock/process/sidecarfeed.h
+++ b/include/zinniadock/process/sidecarfeed.h
@@ -14,7 +14,7 @@
 class SidecarFeed : public std::enable_shared_from_this<SidecarFeed>
 {
 public:
-    using Received = std::function<void(const std::string &server, const LoadReport &report)>;
+    using Received = std::function<void(const std::string &server, const EngineLoadReport &report)>;
 
     SidecarFeed(ForwardingServices &services, std::string server, Endpoint sidecar, Received received);
 
--- a/include/zinniadock/process/sidecarmessages.h
+++ b/include/zinniadock/process/sidecarmessages.h
@@ -13,7 +13,7 @@
 {
 
 /// An entry's wait for news of the engine beside a sidecar.
-struct LoadQuery
+struct EngineLoadQuery
 {
     std::uint64_t after = 0; ///< the last report that the entry has
     std::chrono::milliseconds spacing{ 100 }; ///< least time between two reports, unless the server begins to leave
@@ -21,7 +21,7 @@
 };
 
 /// What a sidecar tells of the engine beside it.
-struct LoadReport
+struct EngineLoadReport
 {
     std::uint64_t number = 0;
     EngineLoad load;
@@ -46,18 +46,18 @@
     std::string reason; ///< why there is no target
 };
 
-/// Target of LoadQuery and MoveOrder requests at a sidecar.
+/// Target of EngineLoadQuery and MoveOrder requests at a sidecar.
 constexpr const char *loadQueryTarget = "/load";
 constexpr const char *moveOrderTarget = "/move";
 
-std::string encode(const LoadQuery &query);
-std::string encode(const LoadReport &report);
+std::string encode(const EngineLoadQuery &query);
+std::string encode(const EngineLoadReport &report);
 std::string encode(const MoveOrder &order);
 std::string encode(const MoveResult &result);
 
 /// Decode a message; nothing for malformed bytes.
-std::optional<LoadQuery> decodeLoadQuery(const std::string &bytes);
-std::optional<LoadReport> decodeLoadReport(const std::string &bytes);
+std::optional<EngineLoadQuery> decodeEngineLoadQuery(const std::string &bytes);
+std::optional<EngineLoadReport> decodeEngineLoadReport(const std::string &bytes);
 std::optional<MoveOrder> decodeMoveOrder(const std::string &bytes);
 std::optional<MoveResult> decodeMoveResult(const std::string &bytes);
 
--- a/include/zinniadock/process/watchingsidecar.h
+++ b/include/zinniadock/process/watchingsidecar.h
@@ -25,6 +25,9 @@
 
     std::error_code start();
 
+    /// Returns the port that entries connect to.
+    std::uint16_t port() const;
+
     /// Says whether no move waits or is in progress.
     bool idle() const;
 
@@ -45,7 +48,7 @@
     Awaitable<void> readReports();
     Awaitable<void> runMoves();
     Awaitable<void> answer(std::shared_ptr<HttpConnection> connection, HttpRequest request);
-    Awaitable<void> answerLoad(std::shared_ptr<HttpConnection> connection, LoadQuery query);
+    Awaitable<void> answerLoad(std::shared_ptr<HttpConnection> connection, EngineLoadQuery query);
     Awaitable<void> answerMove(std::shared_ptr<HttpConnection> connection, MoveOrder order);
     Awaitable<void> answerMetrics(std::shared_ptr<HttpConnection> connection, HttpRequest request);
     void loadRead(EngineLoad load);
--- a/include/zinniadock/version/routetable.h
+++ b/include/zinniadock/version/routetable.h
@@ -43,7 +43,7 @@
 };
 
 /// Limits of the model engines of a pool.
-struct EngineLimits
+struct EngineCapacity
 {
     std::uint32_t slots = 0;
     std::uint32_t memoryTokens = 0;
@@ -60,7 +60,7 @@
 {
     std::string healthPath;
     std::uint32_t maxConnections = 0; ///< of each server, from all entries
-    std::optional<EngineLimits> engine; ///< nothing for a plain service
+    std::optional<EngineCapacity> engine; ///< nothing for a plain service
 };
 
 /// Bounds on what a caller may send, and how long it may take.
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -59,7 +59,6 @@
 
 ForwardingEntry::ForwardingEntry(asio::io_context &context, Settings settings)
     : m_services(context, std::move(settings))
-    , m_storeChangedAt(std::chrono::steady_clock::now())
 {
 }
 
@@ -82,13 +81,13 @@
         };
     };
     if (!error) {
-        m_listeners.push_back(listen(settings.forwarding.ready, handler(&ForwardingEntry::answerReadiness), error));
+        m_readiness = listen(settings.forwarding.ready, handler(&ForwardingEntry::answerReadiness), error);
     }
     if (!error) {
-        m_listeners.push_back(listen(settings.forwarding.peer, handler(&ForwardingEntry::answerPeer), error));
+        m_peers = listen(settings.forwarding.peer, handler(&ForwardingEntry::answerPeer), error);
     }
     if (!error) {
-        m_listeners.push_back(listen(settings.daemon.admin, handler(&ForwardingEntry::answerMetrics), error));
+        m_metrics = listen(settings.daemon.admin, handler(&ForwardingEntry::answerMetrics), error);
     }
     if (error) {
         return error;
@@ -118,8 +117,11 @@
 void ForwardingEntry::followStore()
 {
     const auto reachable = [this](bool answers) {
-        m_storeAnswers = answers;
-        m_storeChangedAt = std::chrono::steady_clock::now();
+        const auto now = std::chrono::steady_clock::now();
+        if (answers && m_storeLostAt) {
+            m_storeReturnedAt = now;
+        }
+        m_storeLostAt = answers ? std::nullopt : std::optional(m_storeLostAt.value_or(now));
     };
     const Endpoint &store = m_services.settings.store.endpoint;
     const PrefixEvents configuration{ .replaced =
@@ -208,8 +210,8 @@
     const std::string id = idOf(item.key);
     if (!item.value) {
         const auto now = std::chrono::steady_clock::now();
-        const bool settling = now - m_storeChangedAt < returnTime && m_services.routes;
-        m_removals[id] = settling ? m_storeChangedAt + returnTime : now;
+        const bool settling = m_storeReturnedAt && now - *m_storeReturnedAt < returnTime;
+        m_removals[id] = settling ? *m_storeReturnedAt + returnTime : now;
         m_serverTexts.erase(id);
         settleRemovals();
         return;
@@ -253,7 +255,7 @@
     }
     const Endpoint sidecar{ record.address.address, m_services.settings.forwarding.sidecarPort() };
     auto feed = std::make_shared<SidecarFeed>(m_services, record.id, sidecar,
-                                              [this](const std::string &server, const LoadReport &report) {
+                                              [this](const std::string &server, const EngineLoadReport &report) {
                                                   loadReceived(server, report);
                                               });
     m_feeds.emplace(record.id, feed);
@@ -280,7 +282,7 @@
     }
 }
 
-void ForwardingEntry::loadReceived(const std::string &server, const LoadReport &report)
+void ForwardingEntry::loadReceived(const std::string &server, const EngineLoadReport &report)
 {
     const bool leaves = m_services.directory.report(server, report.load, std::chrono::steady_clock::now());
     if (leaves) {
@@ -342,7 +344,7 @@
     std::size_t next = 0;
     while (!m_stopped) {
         co_await sleepFor(peerInterval);
-        const bool away = !m_storeAnswers && std::chrono::steady_clock::now() - m_storeChangedAt > peerPatience;
+        const bool away = m_storeLostAt && std::chrono::steady_clock::now() - *m_storeLostAt > peerPatience;
         std::set<std::string> peers = m_services.peers;
         for (const Endpoint &seed : m_services.settings.forwarding.seeds) {
             peers.insert(seed.text());
@@ -419,13 +421,28 @@
     printValue("zinniadock_refused_reservations_total", m_services.counts.reservationsRefused, out);
     printValue("zinniadock_server_connects_total", m_services.pool.connects(), out);
     printValue("zinniadock_store_calls_total", storeCalls, out);
-    printValue("zinniadock_store_answers", m_storeAnswers ? 1 : 0, out);
+    printValue("zinniadock_store_answers", m_storeLostAt ? 0 : 1, out);
     printValue("zinniadock_servers", m_services.directory.servers().size(), out);
     printValue("zinniadock_configuration_version", m_services.routes ? m_services.routes->version : 0, out);
     printValue("zinniadock_dropped_log_lines_total", droppedLogLines(), out);
     return out;
 }
 
+std::uint16_t ForwardingEntry::port() const
+{
+    return m_callers->port();
+}
+
+std::uint16_t ForwardingEntry::readyPort() const
+{
+    return m_readiness->port();
+}
+
+std::uint16_t ForwardingEntry::peerPort() const
+{
+    return m_peers->port();
+}
+
 void ForwardingEntry::drain(std::chrono::milliseconds within)
 {
     m_services.stopsAt = std::chrono::steady_clock::now() + within;
@@ -450,9 +467,10 @@
 void ForwardingEntry::stop()
 {
     m_stopped = true;
-    m_callers->stop();
-    for (const auto &listener : m_listeners) {
-        listener->stop();
+    for (const auto &listener : { m_callers, m_readiness, m_peers, m_metrics }) {
+        if (listener) {
+            listener->stop();
+        }
     }
     for (const auto &watch : m_watches) {
         watch->stop();
--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -63,7 +63,7 @@
     double load = 0;
 };
 
-std::optional<double> engineLoad(const TrackedServer &server, const PlacementNeed &need, const EngineLimits &limits,
+std::optional<double> engineLoad(const TrackedServer &server, const PlacementNeed &need, const EngineCapacity &limits,
                                  const Comparison &comparison)
 {
     const double total = server.load.totalTokens > 0 ? server.load.totalTokens : limits.memoryTokens;
@@ -78,7 +78,7 @@
 }
 
 std::vector<Candidate> engineCandidates(const ServerDirectory &directory, const PlacementNeed &need,
-                                        const EngineLimits &limits, const std::set<std::string> &excluded,
+                                        const EngineCapacity &limits, const std::set<std::string> &excluded,
                                         const Comparison &comparison, SteadyTime now, const Draw &draw)
 {
     std::vector<Candidate> candidates;
@@ -141,7 +141,7 @@
 }
 
 std::optional<std::string> placeGeneration(const ServerDirectory &directory, const PlacementNeed &need,
-                                           const EngineLimits &limits, const std::set<std::string> &excluded,
+                                           const EngineCapacity &limits, const std::set<std::string> &excluded,
                                            SteadyTime now, const Draw &draw)
 {
     const auto candidates = engineCandidates(directory, need, limits, excluded, forNewWork, now, draw);
@@ -170,7 +170,7 @@
 }
 
 std::vector<std::string> moveTargets(const ServerDirectory &directory, const PlacementNeed &need,
-                                     const EngineLimits &limits, const std::string &source, std::size_t count,
+                                     const EngineCapacity &limits, const std::string &source, std::size_t count,
                                      SteadyTime now, const Draw &draw)
 {
     const auto candidates = engineCandidates(directory, need, limits, { source }, forMoves, now, draw);
--- a/src/process/sidecarfeed.cpp
+++ b/src/process/sidecarfeed.cpp
@@ -51,7 +51,7 @@
 Awaitable<void> SidecarFeed::run()
 {
     const auto self = shared_from_this();
-    LoadQuery query;
+    EngineLoadQuery query;
     query.peer = m_services.settings.forwarding.peer.text();
     while (!m_stopped) {
         const auto servers = static_cast<std::int64_t>(m_services.directory.servers().size());
@@ -60,7 +60,7 @@
         request.body() = encode(query);
         request.prepare_payload();
         const CallResult result = co_await call(m_services.pool, m_sidecar, request, answerTimeout);
-        const auto report = result.succeeded() ? decodeLoadReport(result.body) : std::nullopt;
+        const auto report = result.succeeded() ? decodeEngineLoadReport(result.body) : std::nullopt;
         if (m_answers != report.has_value()) {
             m_answers = report.has_value();
             logEvent("sidecar", m_answers ? "regained" : "lost",
--- a/src/process/sidecarmessages.cpp
+++ b/src/process/sidecarmessages.cpp
@@ -68,12 +68,12 @@
 
 } // namespace
 
-std::string encode(const LoadQuery &query)
+std::string encode(const EngineLoadQuery &query)
 {
     return toBytes({ { "after", query.after }, { "spacing_ms", query.spacing.count() }, { "peer", query.peer } });
 }
 
-std::string encode(const LoadReport &report)
+std::string encode(const EngineLoadReport &report)
 {
     return toBytes({ { "number", report.number }, { "load", toJson(report.load) }, { "peers", report.peers } });
 }
@@ -103,10 +103,10 @@
     return toBytes(document);
 }
 
-std::optional<LoadQuery> decodeLoadQuery(const std::string &bytes)
+std::optional<EngineLoadQuery> decodeEngineLoadQuery(const std::string &bytes)
 {
-    return fromBytes<LoadQuery>(bytes, [](const Json &document) {
-        LoadQuery query;
+    return fromBytes<EngineLoadQuery>(bytes, [](const Json &document) {
+        EngineLoadQuery query;
         query.after = document.at("after").get<std::uint64_t>();
         query.spacing = std::chrono::milliseconds(document.at("spacing_ms").get<std::int64_t>());
         query.peer = document.at("peer").get<std::string>();
@@ -114,10 +114,10 @@
     });
 }
 
-std::optional<LoadReport> decodeLoadReport(const std::string &bytes)
+std::optional<EngineLoadReport> decodeEngineLoadReport(const std::string &bytes)
 {
-    return fromBytes<LoadReport>(bytes, [](const Json &document) {
-        LoadReport report;
+    return fromBytes<EngineLoadReport>(bytes, [](const Json &document) {
+        EngineLoadReport report;
         report.number = document.at("number").get<std::uint64_t>();
         report.load = loadFromJson(document.at("load"));
         report.peers = document.at("peers").get<std::vector<std::string>>();
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -132,7 +132,7 @@
 Awaitable<void> WatchingSidecar::answer(std::shared_ptr<HttpConnection> connection, HttpRequest request)
 {
     if (request.target() == loadQueryTarget) {
-        if (const auto query = decodeLoadQuery(request.body())) {
+        if (const auto query = decodeEngineLoadQuery(request.body())) {
             co_await answerLoad(connection, *query);
             co_return;
         }
@@ -147,7 +147,7 @@
 
 // A report that is news goes out at once if the engine begins to leave, else after the spacing that the entry asked
 // for, so that changes close together cost one message.
-Awaitable<void> WatchingSidecar::answerLoad(std::shared_ptr<HttpConnection> connection, LoadQuery query)
+Awaitable<void> WatchingSidecar::answerLoad(std::shared_ptr<HttpConnection> connection, EngineLoadQuery query)
 {
     const auto began = std::chrono::steady_clock::now();
     m_peers[query.peer] = began;
@@ -164,7 +164,7 @@
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(limit - age());
         co_await m_loadChanged.wait(std::max(left, std::chrono::milliseconds(1)));
     }
-    LoadReport report{ .number = m_number, .load = m_load, .peers = peers() };
+    EngineLoadReport report{ .number = m_number, .load = m_load, .peers = peers() };
     if (report.load.leavesIn) {
         report.load.leavesIn = timeLeft();
     }
@@ -253,6 +253,11 @@
         "text/plain"));
 }
 
+std::uint16_t WatchingSidecar::port() const
+{
+    return m_listener->port();
+}
+
 bool WatchingSidecar::idle() const
 {
     return m_moves.empty();
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -58,7 +58,7 @@
 constexpr std::chrono::milliseconds retryAfterSpread{ 800 };
 
 /// Returns how long a copy of a run's memory takes on an idle link inside a data centre.
-std::chrono::milliseconds copyTime(double tokens, const EngineLimits &limits)
+std::chrono::milliseconds copyTime(double tokens, const EngineCapacity &limits)
 {
     constexpr double bitsPerByte = 8;
     const double bits = tokens * limits.bytesPerToken * bitsPerByte;
@@ -377,7 +377,7 @@
 
 MoveOrder GenerationForward::moveOrder(const TrackedServer &source) const
 {
-    const EngineLimits &limits = *m_scope->pool.engine;
+    const EngineCapacity &limits = *m_scope->pool.engine;
     const double tokens = m_scope->fields.promptTokens + static_cast<double>(limits.tokensPerEvent * m_events);
     MoveOrder order;
     order.request = m_scope->fields.requestId;
--- a/tests/standin/functionserver.h
+++ b/tests/standin/functionserver.h
@@ -26,14 +26,15 @@
     using Function = std::function<void(HTTPServerRequest &, HTTPServerResponse &)>;
 
     /// \param port  0 takes a free one
-    FunctionServer(std::uint16_t port, int threads, Function function)
+    /// \param address  on the loopback interface
+    FunctionServer(std::uint16_t port, int threads, Function function, const std::string &address = "127.0.0.1")
         : m_threads(std::make_unique<Poco::ThreadPool>(2, threads, 60, stackBytes))
     {
         Poco::Net::HTTPServerParams::Ptr parameters(new Poco::Net::HTTPServerParams);
         parameters->setMaxThreads(threads);
         parameters->setMaxQueued(threads);
         parameters->setKeepAliveTimeout(Poco::Timespan(keepAliveSeconds, 0));
-        const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", port), backlog);
+        const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(address, port), backlog);
         m_server
             = std::make_unique<Poco::Net::HTTPServer>(new Factory(std::move(function)), *m_threads, socket, parameters);
         m_server->start();
--- /dev/null
+++ b/tests/standin/platformstandin.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "functionserver.h"
+
+namespace zinniadock::standin
+{
+
+/// A stand-in for the platform's store, in its published form: ranges and watches over keys with one revision.
+class PlatformStore
+{
+public:
+    PlatformStore();
+    ~PlatformStore();
+
+    PlatformStore(const PlatformStore &) = delete;
+    PlatformStore &operator=(const PlatformStore &) = delete;
+
+    std::uint16_t port() const;
+
+    /// Writes a key as its owner would.
+    void put(const std::string &key, const std::string &value);
+    void remove(const std::string &key);
+
+    /// Forgets the history before the current revision.
+    void compact();
+
+    /// Refuses every call with 503 from now on, or answers again.
+    void setDown(bool down);
+
+    std::uint64_t calls() const;
+
+private:
+    struct Change
+    {
+        std::int64_t revision = 0;
+        nlohmann::json event;
+    };
+
+    void answer(HTTPServerRequest &request, HTTPServerResponse &response);
+    nlohmann::json range(const std::string &prefix);
+    nlohmann::json watch(const std::string &prefix, std::int64_t after, std::chrono::milliseconds wait);
+    void record(nlohmann::json event);
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, nlohmann::json> m_items;
+    std::deque<Change> m_history;
+    std::int64_t m_revision = 7;
+    std::int64_t m_compacted = 0;
+    std::atomic<bool> m_down{ false };
+    std::atomic<std::uint64_t> m_calls{ 0 };
+    FunctionServer m_server;
+};
+
+/// What a platform server does with requests.
+enum class ServerMood {
+    Healthy,
+    AnswerLost, ///< runs the request, then closes without an answer
+    Broken, ///< answers 500 with its signature
+    Full, ///< refuses, and says that it has not run the request
+    Foreign, ///< first sends an answer to another request
+    Unsigned, ///< answers 200 without its signature
+    Resets, ///< closes at once
+};
+
+/// A request as a platform server got it.
+struct SeenRequest
+{
+    std::string target;
+    std::string body;
+    std::map<std::string, std::string> fields; ///< names in lower case
+};
+
+/// Memory of a run that engines hand to one another.
+struct CopiedRun
+{
+    std::string request;
+    int events = 0;
+};
+
+/// A stand-in for a server of the platform: a plain service, or a model engine that streams events and moves runs.
+class PlatformServer
+{
+public:
+    /// \param address  on the loopback interface
+    explicit PlatformServer(std::string id, std::string address = "127.0.0.1");
+
+    std::string endpoint() const;
+
+    /// Returns the record that the server writes to the store.
+    std::string record(const std::string &service, const std::string &state = "ready") const;
+
+    void setMood(ServerMood mood);
+
+    /// Time between two events of a stream.
+    void setEventInterval(std::chrono::milliseconds interval);
+
+    /// Reports from now on that the server leaves, and refuses copies.
+    void leave(std::chrono::milliseconds within);
+
+    /// Refuses reservations.
+    void setFull(bool full);
+
+    /// Returns the requests that began to run here.
+    std::vector<SeenRequest> ran();
+    std::uint64_t reservations() const;
+
+    /// Returns the streams that ended because their connection was closed.
+    std::uint64_t cancelled() const;
+
+private:
+    struct Run
+    {
+        int events = 0;
+        bool stopped = false;
+    };
+
+    void answer(HTTPServerRequest &request, HTTPServerResponse &response);
+    void report(HTTPServerResponse &response);
+    void reserve(HTTPServerResponse &response);
+    void move(HTTPServerRequest &request, HTTPServerResponse &response);
+    void serve(HTTPServerRequest &request, HTTPServerResponse &response);
+    void stream(const SeenRequest &seen, HTTPServerRequest &request, HTTPServerResponse &response);
+    bool refusesForCopy(const SeenRequest &seen);
+
+    const std::string m_id;
+    const std::string m_address;
+    std::mutex m_mutex;
+    std::atomic<ServerMood> m_mood{ ServerMood::Healthy };
+    std::atomic<bool> m_full{ false };
+    std::atomic<std::int64_t> m_eventMilliseconds{ 5 };
+    std::atomic<std::int64_t> m_leavesAt{ 0 }; ///< steady milliseconds; 0 if it stays
+    std::map<std::string, Run> m_runs;
+    std::vector<SeenRequest> m_ran;
+    std::atomic<std::uint64_t> m_reservations{ 0 };
+    std::atomic<std::uint64_t> m_cancelled{ 0 };
+    FunctionServer m_server;
+};
+
+/// Number of events of each stream.
+constexpr int streamEvents = 60;
+
+/// Returns the body of a whole stream.
+std::string wholeStream();
+
+} // namespace zinniadock::standin
--- /dev/null
+++ b/tests/unit/unit-eventsplitter.cpp
@@ -0,0 +1,56 @@
+#include <catch2/catch.hpp>
+
+#include <rapidcheck.h>
+
+#include "zinniadock/request/eventsplitter.h"
+
+using namespace zinniadock;
+
+TEST_CASE("event splitter")
+{
+    EventSplitter splitter;
+
+    SECTION("an event is passed on only when it is whole")
+    {
+        CHECK(splitter.push("id: 1\nda").empty());
+        const auto events = splitter.push("ta: x\n\nid: 2\n");
+        REQUIRE(events.size() == 1);
+        CHECK(events[0].bytes == "id: 1\ndata: x\n\n");
+        CHECK(events[0].id == 1);
+        CHECK(splitter.rest() == "id: 2\n");
+    }
+    SECTION("a stream that is taken up elsewhere begins without the half event of the one before")
+    {
+        splitter.push("id: 7\ndata: ha");
+        splitter.reset();
+        const auto events = splitter.push("id: 7\ndata: whole\n\n");
+        REQUIRE(events.size() == 1);
+        CHECK(events[0].bytes == "id: 7\ndata: whole\n\n");
+    }
+    SECTION("events without an id, with a bad one, and with CRLF")
+    {
+        const auto events = splitter.push(": ping\n\nid: x\ndata: a\n\nid:3\r\ndata: b\r\n\r\n");
+        REQUIRE(events.size() == 3);
+        CHECK_FALSE(events[0].id);
+        CHECK_FALSE(events[1].id);
+        CHECK(events[2].id == 3);
+    }
+    SECTION("no byte is lost or added, however the stream is cut")
+    {
+        const bool holds = rc::check([] {
+            const auto pieces = *rc::gen::container<std::vector<std::string>>(
+                rc::gen::container<std::string>(rc::gen::elementOf(std::string("id: 1\r\n\nx"))));
+            EventSplitter cut;
+            std::string in;
+            std::string out;
+            for (const std::string &piece : pieces) {
+                in += piece;
+                for (const StreamEvent &event : cut.push(piece)) {
+                    out += event.bytes;
+                }
+            }
+            RC_ASSERT(out + cut.rest() == in);
+        });
+        CHECK(holds);
+    }
+}
--- /dev/null
+++ b/tests/unit/unit-forwarding.cpp
@@ -0,0 +1,452 @@
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/StreamCopier.h>
+
+#include "fleet.h"
+#include "platformstandin.h"
+#include "zinniadock/process/forwardingentry.h"
+#include "zinniadock/process/watchingsidecar.h"
+
+using namespace zinniadock;
+using namespace zinniadock::standin;
+using zinniadock::test::eventually;
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr const char *readyTarget = "/-/readiness";
+
+Json route(const std::string &prefix, const std::string &kind, const std::string &service, int timeout, int attempts)
+{
+    return { { "name", prefix },          { "host", "a.example" },     { "prefix", prefix }, { "kind", kind },
+             { "timeoutMs", timeout },    { "targetLatencyMs", 1000 }, { "priority", 1 },    { "service", service },
+             { "maxAttempts", attempts }, { "public", false } };
+}
+
+std::string configuration(int version, const std::string &key = "k1")
+{
+    const Json engine{ { "slots", 8 },           { "kvCapacityTokens", 100000 },
+                       { "kvTokenBytes", 1000 }, { "linkMbps", 24000.0 },
+                       { "moves", true },        { "stride", 4 },
+                       { "holdMs", 2000 } };
+    return Json{
+        { "version", version },
+        { "routes",
+          { route("/stream/", "streaming", "engines", 20000, 1), route("/order/", "non_idempotent", "shop", 2000, 1),
+            route("/read/", "idempotent", "shop", 2000, 2) } },
+        { "services",
+          { { { "name", "engines" }, { "healthPath", "/h" }, { "maxConns", 100 }, { "engine", engine } },
+            { { "name", "shop" }, { "healthPath", "/h" }, { "maxConns", 100 } } } },
+        { "limits",
+          { { "maxHeaderBytes", 4096 },
+            { "maxBodyBytes", 20000 },
+            { "headerTimeoutMs", 1000 },
+            { "idleTimeoutMs", 5000 } } },
+        { "tenants", { { { "name", "acc" }, { "apiKeys", { key } } } } }
+    }.dump();
+}
+
+/// Runs one role on a thread of its own.
+template <typename Role>
+class Running
+{
+public:
+    explicit Running(const Settings &settings)
+        : m_role(m_context, settings)
+    {
+        const std::error_code error = m_role.start();
+        REQUIRE_FALSE(error);
+        m_thread = std::thread([this] {
+            m_context.run();
+        });
+    }
+
+    ~Running()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    Running(const Running &) = delete;
+    Running &operator=(const Running &) = delete;
+
+    Role *operator->()
+    {
+        return &m_role;
+    }
+
+private:
+    asio::io_context m_context{ 1 };
+    Role m_role;
+    std::thread m_thread;
+};
+
+Settings entrySettings(std::uint16_t storePort, std::uint16_t sidecarPort, std::vector<Endpoint> seeds = {})
+{
+    Settings settings;
+    settings.daemon.dataCentre = "north";
+    settings.daemon.admin = { "127.0.0.1", 0 };
+    settings.store.endpoint = { "127.0.0.1", storePort };
+    settings.entry.listen = { "127.0.0.1", 0 };
+    settings.forwarding.ready = { "127.0.0.1", 0 };
+    settings.forwarding.peer = { "127.0.0.1", 0 };
+    settings.forwarding.seeds = std::move(seeds);
+    settings.forwarding.port = sidecarPort;
+    return settings;
+}
+
+Settings sidecarSettings(const std::string &address, std::uint16_t port, const std::string &engine)
+{
+    Settings settings;
+    settings.daemon.admin = { address, 0 };
+    settings.sidecar.listen = { address, port };
+    detail::parseValue(engine, detail::Range{}, settings.sidecar.backend);
+    return settings;
+}
+
+struct Answer
+{
+    int status = 0; ///< 0 where the connection broke before an answer
+    std::string signature;
+    double retryAfter = 0; ///< seconds
+    std::string body;
+    bool whole = false;
+};
+
+struct Ask
+{
+    std::string target;
+    std::string method = "POST";
+    std::string id = "id-1";
+    std::string key = "k1";
+    bool generation = false;
+};
+
+Answer ask(std::uint16_t port, const Ask &question)
+{
+    Answer answer;
+    Poco::Net::HTTPClientSession session("127.0.0.1", port);
+    session.setTimeout(Poco::Timespan(20, 0));
+    Poco::Net::HTTPRequest request(question.method, question.target, Poco::Net::HTTPMessage::HTTP_1_1);
+    request.setHost("a.example");
+    request.set("X-Request-Id", question.id);
+    request.set("X-Key", question.key);
+    request.set("X-Deadline-Ms", "15000");
+    if (question.generation) {
+        request.set("X-Token-Count", "1000,240");
+    }
+    const std::string body = question.method == "POST" ? "body of " + question.id : "";
+    request.setContentLength(static_cast<std::streamsize>(body.size()));
+    try {
+        session.sendRequest(request) << body << std::flush;
+        Poco::Net::HTTPResponse response;
+        std::istream &stream = session.receiveResponse(response);
+        answer.status = response.getStatus();
+        answer.signature = response.get("X-Server-Signature", "");
+        answer.retryAfter = std::stod(response.get("Retry-After", "0"));
+        Poco::StreamCopier::copyToString(stream, answer.body);
+        answer.whole = true;
+    } catch (const Poco::Exception &) {
+        answer.whole = false;
+    }
+    return answer;
+}
+
+bool isReady(Running<ForwardingEntry> &entry)
+{
+    return ask(entry->readyPort(), { .target = readyTarget, .method = "GET" }).status == 200;
+}
+
+std::string sentRaw(std::uint16_t port, const std::string &bytes)
+{
+    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", port));
+    socket.setReceiveTimeout(Poco::Timespan(10, 0));
+    socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    std::array<char, 4096> buffer{};
+    const int count = socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+    return { buffer.data(), static_cast<std::size_t>(std::max(count, 0)) };
+}
+
+} // namespace
+
+TEST_CASE("forwarding calls to plain services")
+{
+    PlatformStore store;
+    PlatformServer first("s1");
+    PlatformServer second("s2");
+    store.put("servers/s1", first.record("shop"));
+    store.put("servers/s2", second.record("shop"));
+    Running<ForwardingEntry> entry(entrySettings(store.port(), 1));
+    const auto call = [&entry](const Ask &question) {
+        return ask(entry->port(), question);
+    };
+
+    SECTION("without a configuration an entry is not ready and refuses as not run")
+    {
+        CHECK_FALSE(isReady(entry));
+        const Answer answer = call({ .target = "/order/1" });
+        CHECK(answer.status == 503);
+        CHECK(answer.retryAfter > 0);
+    }
+
+    store.put("op/config", configuration(3));
+    REQUIRE(eventually([&] {
+        return isReady(entry);
+    }));
+
+    SECTION("an answer goes back byte for byte with its signature, and the account in place of the key")
+    {
+        const Answer answer = call({ .target = "/order/1" });
+        CHECK(answer.status == 200);
+        CHECK(answer.signature.rfind("signed-by-s", 0) == 0);
+        CHECK(Json::parse(answer.body).at("body") == "body of id-1");
+        auto seen = first.ran();
+        const auto other = second.ran();
+        seen.insert(seen.end(), other.begin(), other.end());
+        REQUIRE(seen.size() == 1);
+        CHECK(seen[0].fields.at("x-tenant") == "acc");
+        CHECK(seen[0].fields.count("x-key") == 0);
+    }
+    SECTION("unknown keys and routes")
+    {
+        CHECK(call({ .target = "/order/1", .key = "bad" }).status == 401);
+        CHECK(call({ .target = "/none/1" }).status == 404);
+        CHECK(first.ran().size() + second.ran().size() == 0);
+    }
+    SECTION("a call that may not be repeated runs once where its answer is lost, and is not called not run")
+    {
+        first.setMood(ServerMood::AnswerLost);
+        second.setMood(ServerMood::AnswerLost);
+        CHECK(call({ .target = "/order/1" }).status == 502);
+        CHECK(first.ran().size() + second.ran().size() == 1);
+    }
+    SECTION("a call that may be repeated is tried at another server, and no more often than its route allows")
+    {
+        first.setMood(ServerMood::AnswerLost);
+        second.setMood(ServerMood::AnswerLost);
+        CHECK(call({ .target = "/read/1", .method = "GET" }).status == 502);
+        CHECK(first.ran().size() == 1);
+        CHECK(second.ran().size() == 1);
+    }
+    SECTION("a server's own failure is passed on with its signature when no other server does better")
+    {
+        first.setMood(ServerMood::Broken);
+        second.setMood(ServerMood::Broken);
+        const Answer answer = call({ .target = "/read/1", .method = "GET" });
+        CHECK(answer.status == 500);
+        CHECK_FALSE(answer.signature.empty());
+    }
+    SECTION("a refusal that proves that nothing ran is tried elsewhere, also for calls that may not be repeated")
+    {
+        first.setMood(ServerMood::Full);
+        for (int i = 0; i < 4; ++i) {
+            CHECK(call({ .target = "/order/1", .id = "id-" + std::to_string(i) }).status == 200);
+        }
+        CHECK(first.ran().empty());
+        second.setMood(ServerMood::Full);
+        const Answer refused = call({ .target = "/order/1", .id = "id-9" });
+        CHECK(refused.status == 503);
+        CHECK(refused.retryAfter > 0);
+    }
+    SECTION("an answer to another request is passed over")
+    {
+        first.setMood(ServerMood::Foreign);
+        second.setMood(ServerMood::Foreign);
+        const Answer answer = call({ .target = "/order/1" });
+        CHECK(answer.status == 200);
+        CHECK(answer.body != "foreign");
+    }
+    SECTION("a success without the server's signature is no success")
+    {
+        first.setMood(ServerMood::Unsigned);
+        second.setMood(ServerMood::Unsigned);
+        CHECK(call({ .target = "/order/1" }).status == 502);
+    }
+    SECTION("another incarnation at the address gets no work")
+    {
+        PlatformServer reborn("s3");
+        Json record = Json::parse(reborn.record("shop"));
+        store.remove("servers/s1");
+        store.remove("servers/s2");
+        store.put("servers/gone", record.dump());
+        REQUIRE(eventually([&] {
+            return call({ .target = "/order/1" }).status == 503;
+        }));
+        CHECK(reborn.ran().empty());
+    }
+    SECTION("a server that leaves gets no new work")
+    {
+        store.put("servers/s1", first.record("shop", "draining"));
+        REQUIRE(eventually([&] {
+            const std::size_t before = first.ran().size();
+            for (int i = 0; i < 6; ++i) {
+                call({ .target = "/order/1" });
+            }
+            return first.ran().size() == before;
+        }));
+        CHECK(call({ .target = "/order/1" }).status == 200);
+    }
+    SECTION("a version that is in force stays in force over an outage, a lost history and an older version")
+    {
+        store.put("op/config", configuration(5, "k5"));
+        REQUIRE(eventually([&] {
+            return call({ .target = "/order/1", .key = "k5" }).status == 200;
+        }));
+        store.setDown(true);
+        CHECK(call({ .target = "/order/1", .key = "k5" }).status == 200);
+        store.put("op/config", configuration(4, "k4"));
+        store.compact();
+        store.setDown(false);
+        store.put("op/config", configuration(6, "k6"));
+        REQUIRE(eventually([&] {
+            return call({ .target = "/order/1", .key = "k6" }).status == 200;
+        }));
+        CHECK(call({ .target = "/order/1", .key = "k4" }).status == 401);
+    }
+    SECTION("an entry that the store turns away takes the configuration from another entry")
+    {
+        PlatformStore silent;
+        silent.setDown(true);
+        Running<ForwardingEntry> late(entrySettings(silent.port(), 1, { { "127.0.0.1", entry->peerPort() } }));
+        REQUIRE(eventually([&] {
+            return isReady(late);
+        }));
+        CHECK(ask(late->port(), { .target = "/order/1" }).status == 200);
+        store.put("op/config", configuration(9, "k9"));
+        REQUIRE(eventually([&] {
+            return ask(late->port(), { .target = "/order/1", .key = "k9" }).status == 200;
+        }));
+    }
+    SECTION("malformed, oversized and smuggled requests are refused and reach no server")
+    {
+        const std::string head = "POST /order/1 HTTP/1.1\r\nHost: a.example\r\nX-Key: k1\r\nX-Request-Id: x\r\n";
+        CHECK(sentRaw(entry->port(), "nonsense\r\n\r\n").find(" 400 ") != std::string::npos);
+        CHECK(sentRaw(entry->port(), head + "Content-Length: 30000\r\n\r\n").find(" 413 ") != std::string::npos);
+        CHECK(sentRaw(entry->port(), head + "X-Big: " + std::string(9000, 'x') + "\r\n\r\n").find(" 431 ")
+              != std::string::npos);
+        CHECK(sentRaw(entry->port(), head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+                  .find(" 400 ")
+              != std::string::npos);
+        CHECK(first.ran().size() + second.ran().size() == 0);
+        CHECK(call({ .target = "/order/1" }).status == 200);
+    }
+}
+
+TEST_CASE("forwarding generations")
+{
+    PlatformStore store;
+    PlatformServer first("e1", "127.0.0.2");
+    PlatformServer second("e2", "127.0.0.3");
+    Running<WatchingSidecar> firstSidecar(sidecarSettings("127.0.0.2", 0, first.endpoint()));
+    const std::uint16_t sidecarPort = firstSidecar->port();
+    Running<WatchingSidecar> secondSidecar(sidecarSettings("127.0.0.3", sidecarPort, second.endpoint()));
+    store.put("servers/e1", first.record("engines"));
+    store.put("op/config", configuration(3));
+    Running<ForwardingEntry> entry(entrySettings(store.port(), sidecarPort));
+    REQUIRE(eventually([&] {
+        return isReady(entry);
+    }));
+    const Ask generation{ .target = "/stream/1", .generation = true };
+
+    SECTION("each event arrives once and in order, behind a reservation")
+    {
+        const Answer answer = ask(entry->port(), generation);
+        CHECK(answer.status == 200);
+        CHECK(answer.whole);
+        CHECK(answer.body == wholeStream());
+        CHECK(first.reservations() == 1);
+        REQUIRE(first.ran().size() == 1);
+        CHECK(first.ran()[0].fields.count("x-hold") == 1);
+    }
+    SECTION("a generation goes on at another engine when its own leaves, with each event once")
+    {
+        first.setEventInterval(std::chrono::milliseconds(30));
+        auto answer = std::async(std::launch::async, [&] {
+            return ask(entry->port(), generation);
+        });
+        REQUIRE(eventually([&] {
+            return first.ran().size() == 1;
+        }));
+        store.put("servers/e2", second.record("engines"));
+        first.leave(std::chrono::milliseconds(1500));
+        const Answer whole = answer.get();
+        CHECK(whole.status == 200);
+        CHECK(whole.body == wholeStream());
+        REQUIRE(second.ran().size() == 1);
+        CHECK(second.ran()[0].fields.at("kv-from") == first.endpoint() + "/copy-id-1");
+        CHECK(std::stoi(second.ran()[0].fields.at("last-event-id")) > 0);
+        CHECK(first.ran().size() == 1);
+    }
+    SECTION("a deletion from the list is a notice as well")
+    {
+        store.put("servers/e2", second.record("engines"));
+        first.setEventInterval(std::chrono::milliseconds(30));
+        second.setEventInterval(std::chrono::milliseconds(30));
+        auto answer = std::async(std::launch::async, [&] {
+            return ask(entry->port(), generation);
+        });
+        REQUIRE(eventually([&] {
+            return first.ran().size() + second.ran().size() == 1;
+        }));
+        store.remove(first.ran().empty() ? "servers/e2" : "servers/e1");
+        CHECK(answer.get().body == wholeStream());
+        CHECK(first.ran().size() == 1);
+        CHECK(second.ran().size() == 1);
+    }
+    SECTION("with no engine that has room a generation is refused as not run, well before its deadline")
+    {
+        first.setFull(true);
+        const auto began = std::chrono::steady_clock::now();
+        const Answer answer = ask(entry->port(), generation);
+        CHECK(answer.status == 503);
+        CHECK(answer.retryAfter > 0);
+        CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(5));
+        CHECK(first.ran().empty());
+    }
+    SECTION("an engine that breaks off after it may have begun gets no second try elsewhere")
+    {
+        store.put("servers/e2", second.record("engines"));
+        first.setMood(ServerMood::AnswerLost);
+        second.setMood(ServerMood::AnswerLost);
+        CHECK(ask(entry->port(), generation).status == 502);
+        CHECK(first.ran().size() + second.ran().size() == 1);
+    }
+    SECTION("an engine that breaks off sooner than it could begin costs its caller nothing")
+    {
+        store.put("servers/e2", second.record("engines"));
+        first.setMood(ServerMood::Resets);
+        for (int i = 0; i < 4; ++i) {
+            CHECK(
+                ask(entry->port(), { .target = "/stream/1", .id = "id-" + std::to_string(i), .generation = true }).body
+                == wholeStream());
+        }
+        CHECK(first.ran().empty());
+        CHECK(second.ran().size() == 4);
+    }
+    SECTION("a caller that leaves ends its generation")
+    {
+        first.setEventInterval(std::chrono::milliseconds(30));
+        {
+            Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", entry->port()));
+            const std::string request = "POST /stream/1 HTTP/1.1\r\nHost: a.example\r\nX-Key: k1\r\nX-Request-Id: z\r\n"
+                                        "X-Token-Count: 1000,240\r\nContent-Length: 0\r\n\r\n";
+            socket.sendBytes(request.data(), static_cast<int>(request.size()));
+            REQUIRE(eventually([&] {
+                return first.ran().size() == 1;
+            }));
+        }
+        CHECK(eventually([&] {
+            return first.cancelled() == 1;
+        }));
+    }
+}
--- /dev/null
+++ b/tests/unit/unit-placement.cpp
@@ -0,0 +1,193 @@
+#include <catch2/catch.hpp>
+
+#include "zinniadock/process/placement.h"
+
+using namespace zinniadock;
+
+namespace
+{
+
+constexpr SteadyTime now{ std::chrono::hours(1) };
+const EngineCapacity limits{ .slots = 8, .memoryTokens = 30000, .movesRuns = true };
+
+ServerRecord engine(const std::string &id, const std::string &dataCentre = "north")
+{
+    return { .id = id,
+             .pool = "engines",
+             .address = { .address = "10.0.0." + std::to_string(id.back()), .port = 80 },
+             .dataCentre = dataCentre,
+             .slots = 8,
+             .born = 1000 };
+}
+
+EngineLoad load(std::uint32_t used, std::uint32_t running, std::uint32_t queued = 0)
+{
+    EngineLoad result;
+    result.usedTokens = used;
+    result.totalTokens = 30000;
+    result.running = running;
+    result.queued = queued;
+    result.born = 1000;
+    return result;
+}
+
+double noDraw()
+{
+    return 0;
+}
+
+PlacementNeed brief()
+{
+    return { .pool = "engines", .promptTokens = 3000, .expectedTokens = 4000, .dataCentre = "north" };
+}
+
+std::optional<std::string> place(const ServerDirectory &directory, const std::set<std::string> &excluded = {})
+{
+    return placeGeneration(directory, brief(), limits, excluded, now, noDraw);
+}
+
+} // namespace
+
+TEST_CASE("placing a generation")
+{
+    ServerDirectory directory;
+    directory.list(engine("a"), now);
+    directory.list(engine("b"), now);
+
+    SECTION("takes the engine with the most room for what is there and still to come")
+    {
+        directory.report("a", load(12000, 3), now);
+        directory.report("b", load(9000, 2), now);
+        CHECK(place(directory) == "b");
+    }
+    SECTION("counts its own requests that no report shows yet, so that a burst does not pile up on one engine")
+    {
+        std::map<std::string, int> chosen;
+        for (int i = 0; i < 8; ++i) {
+            const auto server = place(directory);
+            REQUIRE(server);
+            ++chosen[*server];
+            directory.assign(*server, { .request = std::to_string(i), .promptTokens = 3000, .expectedTokens = 4000 });
+        }
+        CHECK(chosen["a"] == 4);
+        CHECK(chosen["b"] == 4);
+    }
+    SECTION("finds no place where the whole output would not fit, instead of queueing behind a full memory")
+    {
+        directory.report("a", load(25000, 6), now);
+        directory.report("b", load(26000, 6), now);
+        CHECK_FALSE(place(directory));
+    }
+    SECTION("counts the prompts that wait at an engine from other entries")
+    {
+        directory.report("a", load(15000, 4, 5), now);
+        directory.report("b", load(16000, 4, 0), now);
+        CHECK(place(directory) == "b");
+    }
+    SECTION("finds no place where every slot is taken")
+    {
+        directory.report("a", load(1000, 8), now);
+        directory.report("b", load(1000, 5, 3), now);
+        CHECK_FALSE(place(directory));
+    }
+    SECTION("passes over engines that leave, that had no room just now, or that refused it")
+    {
+        EngineLoad leaving = load(0, 0);
+        leaving.leaving = true;
+        directory.report("a", leaving, now);
+        CHECK(place(directory) == "b");
+        CHECK_FALSE(place(directory, { "b" }));
+        directory.full("b", now);
+        CHECK_FALSE(place(directory));
+    }
+    SECTION("prefers an engine in the entry's data centre, but not at any price")
+    {
+        directory.list(engine("c", "south"), now);
+        directory.report("a", load(3000, 1), now);
+        directory.report("b", load(3000, 1), now);
+        directory.report("c", load(3000, 1), now);
+        CHECK(place(directory) != "c");
+        directory.report("a", load(16000, 4), now);
+        directory.report("b", load(16000, 4), now);
+        CHECK(place(directory) == "c");
+    }
+    SECTION("gives a cold engine work only if no other has room")
+    {
+        ServerRecord cold = engine("c");
+        cold.coldFor = std::chrono::milliseconds(1000);
+        directory.list(cold, now);
+        directory.report("a", load(9000, 2), now);
+        directory.report("b", load(9000, 2), now);
+        CHECK(place(directory) != "c");
+        directory.report("a", load(29000, 2), now);
+        directory.report("b", load(29000, 2), now);
+        CHECK(place(directory) == "c");
+    }
+    SECTION("spreads equal engines by the draw, since many entries see the same reports")
+    {
+        std::map<std::string, int> chosen;
+        double next = 0;
+        for (int i = 0; i < 100; ++i) {
+            const auto server = placeGeneration(directory, brief(), limits, {}, now, [&next] {
+                next += 0.37;
+                next -= static_cast<int>(next);
+                return next;
+            });
+            ++chosen[server.value_or("")];
+        }
+        CHECK(chosen["a"] > 20);
+        CHECK(chosen["b"] > 20);
+    }
+}
+
+TEST_CASE("placing a running generation elsewhere")
+{
+    ServerDirectory directory;
+    for (const char *id : { "a", "b", "c" }) {
+        directory.list(engine(id), now);
+    }
+    directory.list(engine("d", "south"), now);
+
+    SECTION("never names the engine that it leaves, and names near engines first")
+    {
+        const auto targets = moveTargets(directory, brief(), limits, "a", 4, now, noDraw);
+        REQUIRE(targets.size() == 3);
+        CHECK(targets.back() == "d");
+        CHECK(std::find(targets.begin(), targets.end(), "a") == targets.end());
+    }
+    SECTION("uses memory that new work leaves free")
+    {
+        for (const char *id : { "b", "c", "d" }) {
+            directory.report(id, load(25500, 6), now);
+        }
+        CHECK_FALSE(placeGeneration(directory, brief(), limits, { "a" }, now, noDraw));
+        CHECK(moveTargets(directory, brief(), limits, "a", 4, now, noDraw).size() == 3);
+    }
+}
+
+TEST_CASE("placing a call")
+{
+    ServerDirectory directory;
+    directory.list(engine("a"), now);
+    directory.list(engine("b"), now);
+    const PlacementNeed need{ .pool = "engines", .dataCentre = "north" };
+
+    SECTION("takes the server with the least work of this entry")
+    {
+        directory.assign("a", { .request = "1" });
+        CHECK(placeCall(directory, need, {}, now, noDraw) == "b");
+    }
+    SECTION("passes over a server that failed just now, but uses it if there is no other")
+    {
+        directory.unreachable("a", now);
+        directory.assign("b", { .request = "1" });
+        CHECK(placeCall(directory, need, {}, now, noDraw) == "b");
+        CHECK(placeCall(directory, need, { "b" }, now, noDraw) == "a");
+    }
+    SECTION("finds none when all leave")
+    {
+        directory.unlist("a", now);
+        directory.unlist("b", now);
+        CHECK_FALSE(placeCall(directory, need, {}, now, noDraw));
+    }
+}
--- /dev/null
+++ b/tests/unit/unit-routetable.cpp
@@ -0,0 +1,51 @@
+#include <catch2/catch.hpp>
+
+#include "zinniadock/version/routetable.h"
+
+using namespace zinniadock;
+
+TEST_CASE("route table")
+{
+    RouteTable table;
+    const auto add = [&table](const std::string &name, const std::string &host, const std::string &prefix) {
+        ForwardRoute route;
+        route.name = name;
+        route.host = host;
+        route.prefix = prefix;
+        table.routes.push_back(route);
+    };
+    add("short", "a.example", "/x/");
+    add("long", "a.example", "/x/y/");
+    add("other", "b.example", "/x/y/");
+    const auto found = [&table](const std::string &host, const std::string &path) {
+        const ForwardRoute *route = table.find(host, path);
+        return route ? route->name : "none";
+    };
+
+    SECTION("the longest prefix of the host wins")
+    {
+        CHECK(found("a.example", "/x/y/z") == "long");
+        CHECK(found("a.example", "/x/yz") == "short");
+        CHECK(found("b.example", "/x/y/") == "other");
+    }
+    SECTION("a prefix ends at a slash, and a query does not count")
+    {
+        CHECK(found("a.example", "/x") == "none");
+        CHECK(found("a.example", "/xy/") == "none");
+        CHECK(found("a.example", "/?p=/x/") == "none");
+        CHECK(found("c.example", "/x/") == "none");
+    }
+    SECTION("the host is compared without its port and case")
+    {
+        CHECK(found("A.Example:8080", "/x/y/z") == "long");
+    }
+    SECTION("weights split the requests of a route")
+    {
+        ForwardRoute route;
+        route.pools = { { "big", 90 }, { "small", 10 } };
+        CHECK(pickPool(route, 0) == "big");
+        CHECK(pickPool(route, 0.89) == "big");
+        CHECK(pickPool(route, 0.91) == "small");
+        CHECK(pickPool(route, 0.999999) == "small");
+    }
+}
--- /dev/null
+++ b/tests/unit/unit-wireform.cpp
@@ -0,0 +1,226 @@
+#include <catch2/catch.hpp>
+
+#include <rapidcheck.h>
+
+#include "zinniadock/connection/wireform.h"
+#include "zinniadock/process/sidecarmessages.h"
+
+using namespace zinniadock;
+
+namespace
+{
+
+const std::string configuration = R"({"version":7,
+"routes":[
+ {"name":"r1","host":"a.example","prefix":"/s/","kind":"streaming","timeoutMs":39000,"targetLatencyMs":1800,
+  "priority":1,"service":"m","maxAttempts":1,"public":false,"resumable":false,"gapAimMs":180},
+ {"name":"r2","host":"a.example","prefix":"/r/","kind":"idempotent","timeoutMs":1500,"targetLatencyMs":150,
+  "priority":2,"split":[{"service":"m","weight":90},{"service":"n","weight":10}],"maxAttempts":2,"public":true}],
+"services":[{"name":"m","healthPath":"/h","maxConns":252,"engine":{"slots":24,"kvCapacityTokens":34319,
+  "kvTokenBytes":163840,"linkMbps":24000.0,"moves":true,"backups":true,"stride":4,"holdMs":2000.0}},
+ {"name":"n","healthPath":"/h","maxConns":110}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+"tenants":[{"name":"acc","apiKeys":["k1","k2"],"priority":1}]})";
+
+RouteTable routes()
+{
+    return std::get<RouteTable>(wire::parseRoutes(configuration));
+}
+
+std::string problemOf(const std::string &record)
+{
+    const auto parsed = wire::parseServer("i-1", record);
+    const auto *problem = std::get_if<std::string>(&parsed);
+    return problem ? *problem : "";
+}
+
+} // namespace
+
+TEST_CASE("operators' configuration")
+{
+    const RouteTable table = routes();
+    REQUIRE(table.routes.size() == 2);
+    CHECK(table.version == 7);
+    CHECK(table.routes[0].kind == RouteKind::Stream);
+    CHECK(table.routes[0].longestGap == std::chrono::milliseconds(180));
+    CHECK(table.routes[1].kind == RouteKind::Idempotent);
+    CHECK(table.routes[1].isPublic);
+    CHECK(table.routes[1].pools.size() == 2);
+    CHECK(table.pools.at("m").engine->tokensPerEvent == 4);
+    CHECK(table.pools.at("m").engine->longestReservation == std::chrono::milliseconds(2000));
+    CHECK_FALSE(table.pools.at("n").engine);
+    CHECK(table.holder("k2")->account == "acc");
+    CHECK(table.holder("k2")->priority == 1U);
+    CHECK(table.holder("k3") == nullptr);
+    CHECK(table.limits.headerTimeout == std::chrono::milliseconds(3000));
+    CHECK(std::holds_alternative<std::string>(wire::parseRoutes("{")));
+    CHECK(std::holds_alternative<std::string>(wire::parseRoutes(R"({"version":"x","routes":[]})")));
+}
+
+TEST_CASE("records of servers")
+{
+    const std::string good = R"({"service":"m","address":"10.0.0.9:8080","zone":"north","version":"v1","slots":24,)"
+                             R"("state":"draining","coldLeftMs":12,"seq":4,"born":99})";
+    const auto record = std::get<ServerRecord>(wire::parseServer("i-1", good));
+    CHECK(record.id == "i-1");
+    CHECK(record.address.text() == "10.0.0.9:8080");
+    CHECK(record.leaving);
+    CHECK(record.born == 99);
+    CHECK(record.coldFor == std::chrono::milliseconds(12));
+
+    SECTION("a foreign or broken record names no server")
+    {
+        CHECK_FALSE(problemOf("\xff\x00").empty());
+        CHECK_FALSE(problemOf("[]").empty());
+        CHECK_FALSE(problemOf(R"({"service":"m"})").empty());
+        CHECK_FALSE(problemOf(R"({"service":"m","address":5,"zone":"z","slots":1,"state":"ready"})").empty());
+        CHECK_FALSE(problemOf(R"({"service":"m","address":"x","zone":"z","slots":1,"state":"ready"})").empty());
+        CHECK_FALSE(problemOf(R"({"service":"m","address":"10.0.0.9:80","zone":"z","slots":1,"state":"new"})").empty());
+    }
+}
+
+TEST_CASE("a caller's request on its way to a server")
+{
+    HttpRequest request(http::verb::post, "/s/1?q=2", 11);
+    request.set("Host", "a.example");
+    request.set("X-Request-Id", "id1");
+    request.set("X-Key", "k1");
+    request.set("X-Deadline-Ms", "39000");
+    request.set("X-Token-Count", "1460,80");
+    request.set("X-Length-Hint", "33");
+    request.set("X-Tenant", "forged");
+    request.set("X-Hold", "forged");
+    request.set("X-Pin-Ms", "1");
+    request.set("X-Kv-Backup", "1.2.3.4:5");
+    request.set("Kv-From", "1.2.3.4:5/x");
+    request.set("Last-Event-Id", "3");
+    request.set("Connection", "keep-alive, X-Hop");
+    request.set("X-Hop", "1");
+    request.set("X-Other", "kept");
+    request.body() = "body";
+    const wire::CallerFields fields = wire::callerFields(request);
+    CHECK(fields.requestId == "id1");
+    CHECK(fields.key == "k1");
+    CHECK(fields.deadline == std::chrono::milliseconds(39000));
+    CHECK(fields.promptTokens == 1460);
+    CHECK(fields.maxOutputTokens == 80);
+    CHECK(fields.outputHint == 33U);
+
+    wire::ServerFields added;
+    added.server = "i-1";
+    added.account = "acc";
+    added.deadline = std::chrono::milliseconds(500);
+    added.priority = 12;
+    const HttpRequest out = wire::serverRequest(request, added);
+    CHECK(out.target() == "/s/1?q=2");
+    CHECK(out.body() == "body");
+    CHECK(out["X-Tenant"] == "acc");
+    CHECK(out["X-Deadline-Ms"] == "500");
+    CHECK(out["X-Expected-Instance"] == "i-1");
+    CHECK(out["X-Request-Priority"] == "9");
+    CHECK(out["X-Other"] == "kept");
+    CHECK(out["X-Token-Count"] == "1460,80");
+    for (const char *name : { "X-Key", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "Last-Event-Id", "X-Hop" }) {
+        CHECK(out.count(name) == 0);
+    }
+
+    SECTION("a generation goes on from a copy after the last event that its caller has")
+    {
+        added.copy = wire::MemoryCopy{ { "10.0.0.1", 80 }, "c1" };
+        added.lastEvent = "17";
+        const HttpRequest resumed = wire::serverRequest(request, added);
+        CHECK(resumed["Kv-From"] == "10.0.0.1:80/c1");
+        CHECK(resumed["Last-Event-Id"] == "17");
+    }
+    SECTION("malformed numbers are taken as absent")
+    {
+        request.set("X-Deadline-Ms", "soon");
+        request.set("X-Token-Count", "12");
+        CHECK_FALSE(wire::callerFields(request).deadline);
+        CHECK(wire::callerFields(request).promptTokens == 0);
+    }
+}
+
+TEST_CASE("a server's answer")
+{
+    http::response_header<> answer;
+    answer.result(503);
+    answer.set("X-Not-Executed", "1");
+    answer.set("Keep-Alive", "timeout=5, max=100");
+    answer.set("Connection", "close");
+    CHECK(wire::answerFields(answer).notRun);
+    CHECK(wire::answerFields(answer).closes);
+    CHECK(wire::answerFields(answer).idleLimit == std::chrono::milliseconds(5000));
+    CHECK_FALSE(wire::answerFields(answer).isSigned);
+    answer.result(421);
+    CHECK(wire::answerFields(answer).isOfAnotherServer);
+}
+
+TEST_CASE("answers of the store and of engines")
+{
+    const auto items = wire::parseItems(
+        R"({"events":[{"key":"a","value":"bm9kZS0x","revision":3},{"key":"b","revision":4,"deleted":true}],"currentRev":9})");
+    REQUIRE(items);
+    CHECK(items->revision == 9);
+    CHECK(items->items[0].value == "node-1");
+    CHECK_FALSE(items->items[1].value);
+    CHECK_FALSE(wire::parseItems("{}"));
+
+    const auto load = wire::parseLoad(
+        R"({"running":1,"queued":2,"kvUsed":30,"kvTotal":40,"born":5,"leaves_ms":1200,"runs":[["r",7,8,5]]})");
+    REQUIRE(load);
+    CHECK(load->leaving);
+    CHECK(load->leavesIn == std::chrono::milliseconds(1200));
+    REQUIRE(load->runs.size() == 1);
+    CHECK(load->runs[0].tokens == 7);
+    CHECK_FALSE(wire::parseLoad("no"));
+    CHECK(wire::parseMove(R"({"handle":12,"created":3})").copy == "12");
+    CHECK(wire::parseMove("").copy.empty());
+
+    SECTION("no bytes from outside end the process")
+    {
+        const bool holds = rc::check([](const std::string &bytes) {
+            static_cast<void>(wire::parseRoutes(bytes));
+            static_cast<void>(wire::parseServer("i", bytes));
+            static_cast<void>(wire::parseItems(bytes));
+            static_cast<void>(wire::parseLoad(bytes));
+            static_cast<void>(wire::parseMove(bytes));
+            static_cast<void>(decodeEngineLoadQuery(bytes));
+            static_cast<void>(decodeEngineLoadReport(bytes));
+            static_cast<void>(decodeMoveOrder(bytes));
+            static_cast<void>(decodeMoveResult(bytes));
+        });
+        CHECK(holds);
+    }
+}
+
+TEST_CASE("messages between entries and sidecars")
+{
+    EngineLoadReport report{ .number = 4, .load = {}, .peers = { "10.0.0.1:1" } };
+    report.load.running = 2;
+    report.load.leaving = true;
+    report.load.leavesIn = std::chrono::milliseconds(70);
+    report.load.runs = { { "r", 5, 6 } };
+    const auto decoded = decodeEngineLoadReport(encode(report));
+    REQUIRE(decoded);
+    CHECK(decoded->number == 4);
+    CHECK(decoded->load.leavesIn == report.load.leavesIn);
+    CHECK(decoded->load.runs[0].events == 6);
+    CHECK(decoded->peers == report.peers);
+
+    const MoveOrder order{
+        .request = "r", .targets = { { "10.0.0.1", 80 } }, .value = 2.5, .copyTime = std::chrono::milliseconds(90)
+    };
+    const auto decodedOrder = decodeMoveOrder(encode(order));
+    REQUIRE(decodedOrder);
+    CHECK(decodedOrder->targets == order.targets);
+    CHECK(decodedOrder->copyTime == order.copyTime);
+
+    MoveResult result{
+        .stopped = true, .copy = wire::MemoryCopy{ { "10.0.0.2", 81 }, "c" }, .target = {}, .reason = "x"
+    };
+    const auto decodedResult = decodeMoveResult(encode(result));
+    REQUIRE(decodedResult);
+    CHECK(decodedResult->copy->name == "c");
+    CHECK_FALSE(decodedResult->target);
+}
