Take no early reset as proof that a request has not run

Change: only a request that was never sent has not run; a server that breaks off stays out for a second and longer.

--- a/include/zinniadock/process/watchingsidecar.h
+++ b/include/zinniadock/process/watchingsidecar.h
@@ -33,7 +33,9 @@
 
     void drain(std::chrono::milliseconds within);
     void turnAway();
-    void reload(Settings settings);
+
+    /// Takes settings that have changed; a sidecar has none that may.
+    void reload(const Settings &settings);
     void stop();
 
 private:
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -54,7 +54,7 @@
     Awaitable<std::optional<Place>> place();
     Awaitable<std::optional<Place>> reserve(std::string server);
     Awaitable<StretchEnd> runStretch(wire::ServerFields fields);
-    StretchEnd endWithoutAnswer(const HttpExchange &exchange, std::chrono::nanoseconds took);
+    StretchEnd endWithoutAnswer(const HttpExchange &exchange);
     Awaitable<StretchEnd> relayEvents(HttpExchange &exchange);
     Awaitable<bool> passOn(const std::vector<StreamEvent> &events, const AnswerHead &head);
     Awaitable<StretchEnd> continueElsewhere();
--- a/src/process/serverdirectory.cpp
+++ b/src/process/serverdirectory.cpp
@@ -9,10 +9,10 @@
 {
 
 constexpr std::chrono::milliseconds firstAvoidance{ 250 };
-constexpr std::chrono::milliseconds longestAvoidance{ 4000 };
+constexpr std::chrono::milliseconds longestAvoidance{ 8000 };
 
 // A server that breaks off without an answer is kept out for at least this long.
-constexpr std::uint32_t failuresWhenUnreachable = 3;
+constexpr std::uint32_t failuresWhenUnreachable = 4;
 
 /// An engine without room is asked again after this time; a step of its batch takes a tenth of it.
 constexpr std::chrono::milliseconds fullTime{ 120 };
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -272,7 +272,7 @@
 {
 }
 
-void WatchingSidecar::reload(Settings /*settings*/)
+void WatchingSidecar::reload(const Settings & /*settings*/)
 {
 }
 
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -19,10 +19,6 @@
 constexpr std::chrono::milliseconds placeInterval{ 40 };
 constexpr std::size_t mostPlainBytes = 8U << 20U;
 
-/// No engine reads a prompt of this length and makes a step of its batch in less time.
-constexpr std::chrono::microseconds leastStepTime{ 4500 };
-constexpr std::uint32_t leastPromptForProof = 500;
-
 /// A reservation is used at once; its lifetime covers the way to the engine and the reading of the prompt.
 constexpr std::chrono::milliseconds reservationTime{ 1000 };
 constexpr std::chrono::milliseconds reservationTimeout{ 400 };
@@ -237,7 +233,6 @@
     const HttpRequest request = wire::serverRequest(m_scope->request, fields);
     const auto exchange = std::make_shared<HttpExchange>(m_services.pool, address, freshness);
     m_scope->setExchange(exchange);
-    const auto began = std::chrono::steady_clock::now();
     wire::AnswerFields answer;
     IoError error = co_await exchange->send(request, connectTimeout);
     if (!error) {
@@ -245,7 +240,7 @@
     }
     if (error) {
         m_reason = "no answer: " + error.message();
-        co_return endWithoutAnswer(*exchange, std::chrono::steady_clock::now() - began);
+        co_return endWithoutAnswer(*exchange);
     }
     StretchEnd ended = StretchEnd::Broken;
     const bool streams = exchange->head().result() == http::status::ok && answer.isSigned && answer.isEventStream;
@@ -271,10 +266,8 @@
     co_return ended;
 }
 
-// An engine starts a run with its first token, which takes a step of its batch and the reading of the prompt. A server
-// that breaks off sooner than any engine could have got there has not run the request.
-GenerationForward::StretchEnd GenerationForward::endWithoutAnswer(const HttpExchange &exchange,
-                                                                  std::chrono::nanoseconds took)
+// However soon a server breaks off, it may have begun to run the request: only one that never got it has not.
+GenerationForward::StretchEnd GenerationForward::endWithoutAnswer(const HttpExchange &exchange)
 {
     if (m_scope->connection->callerLeft()) {
         return StretchEnd::CallerLeft;
@@ -283,16 +276,13 @@
         return StretchEnd::Broken;
     }
     m_services.directory.unreachable(m_server, std::chrono::steady_clock::now());
-    const bool tooSoonToRun
-        = took < leastStepTime && m_scope->fields.promptTokens >= leastPromptForProof && !m_lastEvent;
-    const bool notRun = exchange.sendState() == SendState::NotSent || tooSoonToRun;
+    const bool notRun = exchange.sendState() == SendState::NotSent;
     logEvent("request", "try failed",
              { { "id", m_scope->fields.requestId },
                { "server", m_server },
                { "try", m_scope->tries },
                { "not_run", notRun ? 1 : 0 },
-               { "reason", m_reason },
-               { "us", std::chrono::duration_cast<std::chrono::microseconds>(took).count() } });
+               { "reason", m_reason } });
     return notRun ? StretchEnd::Refused : StretchEnd::Broken;
 }
 
