Count prompts that engines still read; choose among a few engines

Cause: on the grown fleet 188 of 1,190 generations had their first event late though engines were a third full: an engine lists a run only from its first token on, so that prompts in progress were invisible, and all entries chose the engine that looked emptiest. Ruled out: memory (used share 0.34 at the median), waiting at the entry (7 ms at the median). Change: running work beyond the listed runs reads its prompt; an entry draws a few engines and takes the best of them; reports come more often on large fleets; each placing is logged with its inputs.

--- a/include/zinniadock/process/placement.h
+++ b/include/zinniadock/process/placement.h
@@ -19,6 +19,7 @@
     std::string pool;
     std::uint32_t promptTokens = 0; ///< 0 for a call of a plain service
     std::uint32_t expectedTokens = 0; ///< prompt and output together
+    std::size_t choices = 0; ///< servers drawn at random to choose from; 0 for all
     std::string dataCentre; ///< of the entry, or of the engine that a run leaves
 };
 
@@ -34,6 +35,10 @@
 /// Returns the prompt tokens that wait to be read at an engine, as far as known.
 double waitingPromptTokens(const TrackedServer &server);
 
+/// Returns the number of servers that an entry chooses from: the more entries see the same reports, the fewer, since
+/// all would choose the one that looks emptiest (power of two choices). \pre entries > 0
+std::size_t choicesFor(std::size_t servers, std::uint32_t entries);
+
 /// Chooses the server with the most room for a generation; nothing where each one is full, leaving or excluded. The
 /// draw breaks near ties, so that entries which read the same reports don't all choose the same server.
 /// Complexity: linear in the servers.
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -67,6 +67,7 @@
     PlacementNeed need() const;
     void attach(const std::string &server);
     void detach();
+    void logPlaced(const Place &chosen) const;
     void noteEvents();
     std::string streamSummary() const;
 
--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -25,14 +25,18 @@
     double spread = 0; ///< width of the random part
 };
 
-constexpr Comparison forNewWork{ .usable = 0.88, .distance = 0.04, .spread = 0.06 };
+constexpr Comparison forNewWork{ .usable = 0.88, .distance = 0.04, .spread = 0.12 };
 
 // A copy to another data centre takes twice as long, and copies to one target queue on its link: servers often leave
 // two at a time, and each entry chooses by itself.
 constexpr Comparison forMoves{ .usable = 1.0, .distance = 0.6, .spread = 0.4 };
 
-/// Load that waiting prompt tokens are taken for, per token of memory.
-constexpr double promptWeight = 1.5;
+/// Load that waiting prompt tokens are taken for, per token of memory. They count for more, since each prompt that is
+/// read first delays the first event.
+constexpr double promptWeight = 4;
+
+/// Age of a report when it arrives.
+constexpr std::chrono::milliseconds reportDelay{ 60 };
 
 /// Load that a plain service's server in another data centre is taken to have more, in slots.
 constexpr double distantSlots = 0.5;
@@ -51,6 +55,12 @@
     return found == load.runs.end() ? nullptr : &*found;
 }
 
+/// Says whether a server's report is from after it got a request.
+bool isInReport(const TrackedServer &server, const Assignment &assignment)
+{
+    return server.loadAt && assignment.since + reportDelay < *server.loadAt;
+}
+
 bool isCold(const TrackedServer &server, SteadyTime now)
 {
     const auto cold = std::chrono::duration<double, std::milli>(server.record.coldFor) * coldShare;
@@ -92,12 +102,24 @@
             candidates.push_back({ id, *load + cold + comparison.spread * draw() });
         }
     }
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
-        return left.load < right.load;
-    });
     return candidates;
 }
 
+/// Keeps some candidates drawn at random.
+void sample(std::vector<Candidate> &candidates, std::size_t count, const Draw &draw)
+{
+    for (std::size_t i = 0; i < count && i < candidates.size(); ++i) {
+        const double rest = static_cast<double>(candidates.size() - i);
+        std::swap(candidates[i], candidates[i + static_cast<std::size_t>(draw() * rest)]);
+    }
+    candidates.resize(std::min(count, candidates.size()));
+}
+
+bool hasLessLoad(const Candidate &left, const Candidate &right)
+{
+    return left.load < right.load;
+}
+
 } // namespace
 
 double neededTokens(std::uint32_t promptTokens, std::uint32_t expectedTokens)
@@ -108,44 +130,57 @@
 double committedTokens(const TrackedServer &server)
 {
     double tokens = server.load.usedTokens;
-    std::size_t own = 0;
-    std::size_t ownWaiting = 0;
+    std::size_t ownReported = 0;
     for (const auto &[number, assignment] : server.assignments) {
         const EngineRun *run = findRun(server.load, assignment.request);
+        const double expected = assignment.expectedTokens;
         if (run) {
-            ++own;
-            tokens += growthShare * std::max(0.0, static_cast<double>(assignment.expectedTokens) - run->tokens);
+            tokens += growthShare * std::max(0.0, expected - run->tokens);
+        } else if (isInReport(server, assignment)) {
+            tokens += growthShare * (expected - assignment.promptTokens);
         } else {
             tokens += neededTokens(assignment.promptTokens, assignment.expectedTokens);
-            ++ownWaiting;
         }
+        ownReported += run || isInReport(server, assignment) ? 1 : 0;
     }
-    const std::size_t foreign = server.load.runs.size() - std::min(own, server.load.runs.size());
-    const std::size_t foreignWaiting = server.load.queued - std::min<std::size_t>(ownWaiting, server.load.queued);
+    const std::size_t foreign = server.load.running - std::min<std::size_t>(ownReported, server.load.running);
     return tokens + growthShare * expectedGrowth * static_cast<double>(foreign)
-        + foreignPromptTokens * static_cast<double>(foreignWaiting);
+        + foreignPromptTokens * server.load.queued;
 }
 
+// An engine lists a run from its first token on; what it runs beyond those reads its prompt.
 double waitingPromptTokens(const TrackedServer &server)
 {
     double tokens = 0;
-    std::uint32_t own = 0;
+    std::size_t ownReported = 0;
     for (const auto &[number, assignment] : server.assignments) {
         if (!assignment.started && !findRun(server.load, assignment.request)) {
             tokens += assignment.promptTokens;
-            ++own;
+            ownReported += isInReport(server, assignment) ? 1 : 0;
         }
     }
-    const double foreign = server.load.queued > own ? server.load.queued - own : 0;
-    return tokens + foreign * foreignPromptTokens;
+    const std::size_t running = server.load.running;
+    const std::size_t reading = running - std::min(server.load.runs.size(), running) + server.load.queued;
+    const std::size_t foreign = reading - std::min(ownReported, reading);
+    return tokens + foreignPromptTokens * static_cast<double>(foreign);
+}
+
+std::size_t choicesFor(std::size_t servers, std::uint32_t entries)
+{
+    constexpr std::size_t fewest = 2;
+    return std::max(fewest, (servers + entries - 1) / entries);
 }
 
 std::optional<std::string> placeGeneration(const ServerDirectory &directory, const PlacementNeed &need,
                                            const EngineCapacity &limits, const std::set<std::string> &excluded,
                                            SteadyTime now, const Draw &draw)
 {
-    const auto candidates = engineCandidates(directory, need, limits, excluded, forNewWork, now, draw);
-    return candidates.empty() ? std::nullopt : std::optional(candidates.front().id);
+    auto candidates = engineCandidates(directory, need, limits, excluded, forNewWork, now, draw);
+    if (need.choices > 0) {
+        sample(candidates, need.choices, draw);
+    }
+    const auto best = std::min_element(candidates.begin(), candidates.end(), hasLessLoad);
+    return best == candidates.end() ? std::nullopt : std::optional(best->id);
 }
 
 std::optional<std::string> placeCall(const ServerDirectory &directory, const PlacementNeed &need,
@@ -162,10 +197,7 @@
         const double work = static_cast<double>(server.assignments.size()) / slots;
         candidates.push_back({ id, work + distance + avoided + callSpread * draw() });
     }
-    const auto best
-        = std::min_element(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
-              return left.load < right.load;
-          });
+    const auto best = std::min_element(candidates.begin(), candidates.end(), hasLessLoad);
     return best == candidates.end() ? std::nullopt : std::optional(best->id);
 }
 
@@ -173,7 +205,8 @@
                                      const EngineCapacity &limits, const std::string &source, std::size_t count,
                                      SteadyTime now, const Draw &draw)
 {
-    const auto candidates = engineCandidates(directory, need, limits, { source }, forMoves, now, draw);
+    auto candidates = engineCandidates(directory, need, limits, { source }, forMoves, now, draw);
+    std::sort(candidates.begin(), candidates.end(), hasLessLoad);
     std::vector<std::string> targets;
     for (const Candidate &candidate : candidates) {
         if (targets.size() < count) {
--- a/src/process/sidecarfeed.cpp
+++ b/src/process/sidecarfeed.cpp
@@ -20,7 +20,7 @@
 /// Least time between two reports of one sidecar, and the time that one report of all servers may cost: an entry
 /// before many servers reads each of them less often.
 constexpr std::chrono::milliseconds leastSpacing{ 100 };
-constexpr std::chrono::milliseconds spacingPerServer{ 6 };
+constexpr std::chrono::milliseconds spacingPerServer{ 2 };
 
 } // namespace
 
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -95,6 +95,7 @@
     return { .pool = m_scope->poolName,
              .promptTokens = m_scope->fields.promptTokens,
              .expectedTokens = m_expectedTokens,
+             .choices = choicesFor(m_services.directory.servers().size(), m_services.entries()),
              .dataCentre = m_services.settings.daemon.dataCentre };
 }
 
@@ -151,6 +152,7 @@
         if (server) {
             std::optional<Place> reserved = co_await reserve(*server);
             if (reserved) {
+                logPlaced(*reserved);
                 co_return reserved;
             }
             continue;
@@ -189,6 +191,26 @@
     co_return Place{ .server = server, .reservation = wire::parseReservation(result.body) };
 }
 
+void GenerationForward::logPlaced(const Place &chosen) const
+{
+    const TrackedServer *server = m_services.directory.find(chosen.server);
+    if (!server) {
+        return;
+    }
+    const auto age = std::chrono::steady_clock::now() - server->loadAt.value_or(SteadyTime());
+    logEvent("request", "placed",
+             { { "id", m_scope->fields.requestId },
+               { "server", chosen.server },
+               { "need_tokens", neededTokens(m_scope->fields.promptTokens, m_expectedTokens) },
+               { "used_tokens", server->load.usedTokens },
+               { "committed_tokens", committedTokens(*server) },
+               { "waiting_prompt_tokens", waitingPromptTokens(*server) },
+               { "total_tokens", server->load.totalTokens },
+               { "load_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age) },
+               { "reservation", chosen.reservation },
+               { "waited_ms", m_scope->age() } });
+}
+
 void GenerationForward::attach(const std::string &server)
 {
     detach();
--- a/tests/unit/unit-placement.cpp
+++ b/tests/unit/unit-placement.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <random>
+
 #include "zinniadock/process/placement.h"
 
 using namespace zinniadock;
@@ -84,6 +86,24 @@
         directory.report("b", load(16000, 4, 0), now);
         CHECK(place(directory) == "b");
     }
+    SECTION("counts the prompts that an engine is still reading, which it does not list as runs")
+    {
+        directory.report("a", load(9000, 3), now);
+        EngineLoad decoding = load(12000, 3);
+        decoding.runs = { { "r1", 4000, 9 }, { "r2", 4000, 9 }, { "r3", 4000, 9 } };
+        directory.report("b", decoding, now);
+        CHECK(waitingPromptTokens(*directory.find("a")) > 0);
+        CHECK(waitingPromptTokens(*directory.find("b")) == 0);
+        CHECK(place(directory) == "b");
+    }
+    SECTION("does not count its own request twice once a report holds it")
+    {
+        const SteadyTime before = now - std::chrono::seconds(1);
+        directory.assign("a", { .request = "r", .promptTokens = 3000, .expectedTokens = 4000, .since = before });
+        directory.report("a", load(3000, 1), now);
+        CHECK(committedTokens(*directory.find("a")) < 4001);
+        CHECK(waitingPromptTokens(*directory.find("a")) == 3000);
+    }
     SECTION("finds no place where every slot is taken")
     {
         directory.report("a", load(1000, 8), now);
@@ -140,6 +160,51 @@
     }
 }
 
+TEST_CASE("many entries that place by the same reports")
+{
+    constexpr int servers = 48;
+    constexpr std::uint32_t entries = 24;
+    ServerDirectory directory;
+    for (int i = 0; i < servers; ++i) {
+        const std::string id = "e" + std::to_string(i);
+        ServerRecord record = engine(id);
+        record.address.port = static_cast<std::uint16_t>(1000 + i);
+        directory.list(record, now);
+        directory.report(id, load(i == 0 ? 0 : 9000, 2), now);
+    }
+    std::minstd_rand random(1);
+    const Draw draw = [&random] {
+        return std::uniform_real_distribution<>(0, 1)(random);
+    };
+    PlacementNeed need = brief();
+    const auto mostOnOne = [&] {
+        std::map<std::string, int> chosen;
+        for (std::uint32_t entry = 0; entry < entries; ++entry) {
+            ++chosen[placeGeneration(directory, need, limits, {}, now, draw).value_or("")];
+        }
+        int most = 0;
+        for (const auto &[id, count] : chosen) {
+            most = std::max(most, count);
+        }
+        return most;
+    };
+
+    SECTION("all choose the engine that looks emptiest if each looks at all of them")
+    {
+        CHECK(mostOnOne() == entries);
+    }
+    SECTION("spread over the fleet if each looks at a few")
+    {
+        need.choices = choicesFor(servers, entries);
+        CHECK(need.choices == 2);
+        CHECK(mostOnOne() <= 4);
+    }
+    SECTION("a single entry looks at all")
+    {
+        CHECK(choicesFor(servers, 1) == servers);
+    }
+}
+
 TEST_CASE("placing a running generation elsewhere")
 {
     ServerDirectory directory;
