--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -37,9 +37,9 @@
 
 constexpr std::size_t mostTargets = 4;
 
-/// Time that a generation is expected to take, for its prompt and for each token of its output.
-constexpr std::chrono::milliseconds expectedPromptTime{ 600 };
-constexpr std::chrono::milliseconds expectedTokenTime{ 10 };
+/// Time that a generation takes for its prompt and for each token of its output, on a busy engine.
+constexpr std::chrono::milliseconds promptTime{ 1200 };
+constexpr std::chrono::milliseconds tokenTime{ 12 };
 
 /// A caller of a stopping entry comes back at once, over another entry.
 constexpr std::chrono::milliseconds retryAfterStopping{ 50 };
@@ -128,11 +128,12 @@
     co_await end(stretch);
 }
 
+// The longest output counts, since the estimate of a caller is often far off and a planned stop must cut nothing.
 bool GenerationForward::outlastsProcess() const
 {
-    const auto output = static_cast<std::int64_t>(m_expectedTokens - m_scope->fields.promptTokens);
-    const auto expectedEnd = std::chrono::steady_clock::now() + expectedPromptTime + output * expectedTokenTime;
-    return m_services.stopsAt && expectedEnd > *m_services.stopsAt;
+    const std::int64_t output = m_scope->fields.maxOutputTokens;
+    const auto latestEnd = std::chrono::steady_clock::now() + promptTime + output * tokenTime;
+    return m_services.stopsAt && latestEnd > *m_services.stopsAt;
 }
 
 // Entries choose by reports that are a little old, and all of them see the same engine empty. The engine itself has the
--- a/tests/unit/unit-forwarding.cpp
+++ b/tests/unit/unit-forwarding.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include <atomic>
+#include <array>
 #include <future>
 #include <thread>
 
@@ -9,6 +9,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/StreamCopier.h>
+#include <boost/asio/post.hpp>
 
 #include "fleet.h"
 #include "platformstandin.h"
@@ -80,6 +81,12 @@
     Running(const Running &) = delete;
     Running &operator=(const Running &) = delete;
 
+    /// Runs a function on the thread of the role.
+    void post(const std::function<void()> &function)
+    {
+        asio::post(m_context, function);
+    }
+
     Role *operator->()
     {
         return &m_role;
@@ -436,6 +443,20 @@
         CHECK(first.ran().empty());
         CHECK(second.ran().size() == 8 - static_cast<std::size_t>(broken));
     }
+    SECTION("a stopping entry refuses a generation whose longest output would outlast it, and says when to come back")
+    {
+        entry.post([&entry] {
+            entry->drain(std::chrono::seconds(3));
+        });
+        REQUIRE(eventually([&] {
+            return !isReady(entry);
+        }));
+        const Answer answer = ask(entry->port(), generation);
+        CHECK(answer.status == 503);
+        CHECK(answer.retryAfter > 0);
+        CHECK(answer.retryAfter < 1);
+        CHECK(first.ran().empty());
+    }
     SECTION("a caller that leaves ends its generation")
     {
         first.setEventInterval(std::chrono::milliseconds(30));
