Announce engines that start while the store is away

Seen by refused lines 'no engine has room' with store lost before them. Change: a sidecar that no entry asks announces its engine to the entries of its settings; an entry that has lost the store asks the engine's health for its id, lists it and passes it on to other entries.

--- a/include/zinniadock/connection/httpclient.h
+++ b/include/zinniadock/connection/httpclient.h
@@ -127,6 +127,7 @@
 {
     IoError error; ///< set if there is no whole answer
     unsigned status = 0;
+    AnswerHead head;
     std::string body;
 
     bool succeeded() const
--- a/include/zinniadock/connection/wireform.h
+++ b/include/zinniadock/connection/wireform.h
@@ -54,6 +54,7 @@
 struct AnswerFields
 {
     std::string requestId;
+    std::string server; ///< the incarnation that answers, where it says so
     bool isSigned = false; ///< bears the server's proof that it made this answer
     bool notRun = false; ///< the server promises that it did not run the request
     bool isOfAnotherServer = false; ///< the server that was meant is no longer at this address
--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -51,6 +51,7 @@
     Awaitable<void> answerMetrics(std::shared_ptr<HttpConnection> connection, HttpRequest request);
     Awaitable<void> answerPeer(std::shared_ptr<HttpConnection> connection, HttpRequest request);
     Awaitable<void> keepHouse();
+    Awaitable<void> learnServer(ServerAnnouncement announcement);
     Awaitable<void> askPeers();
 
     std::shared_ptr<HttpListener> listen(const Endpoint &address, HttpHandler handler, std::error_code &error);
@@ -60,6 +61,8 @@
     void serverChanged(const wire::StoreItem &item);
     void addServer(const ServerRecord &record);
     void followLoad(const ServerRecord &record);
+    bool isNews(const ServerAnnouncement &announcement) const;
+    void serverAnnounced(const ServerAnnouncement &announcement);
     void serverGone(const std::string &id);
     void loadReceived(const std::string &server, const EngineLoadReport &report);
     void tellGenerations(const std::string &server);
@@ -75,6 +78,7 @@
     std::vector<std::shared_ptr<PrefixWatch>> m_watches;
     std::map<std::string, std::shared_ptr<SidecarFeed>> m_feeds; ///< by server
     std::map<std::string, std::string> m_serverTexts; ///< records as the store has them, for other entries
+    std::map<std::string, std::string> m_announced; ///< encoded announcements by server, until the store lists it
     std::map<std::string, SteadyTime> m_removals; ///< servers that are taken as gone at a time, unless they return
     std::string m_configurationText;
     std::optional<SteadyTime> m_storeLostAt; ///< since when the store does not answer
--- a/include/zinniadock/process/settings.h
+++ b/include/zinniadock/process/settings.h
@@ -65,6 +65,7 @@
     Endpoint ready; ///< where the platform asks whether an entry is ready
     Endpoint peer; ///< where other entries ask for the configuration
     std::vector<Endpoint> seeds; ///< some entries' `peer` addresses
+    std::string pool; ///< of the engine beside a sidecar
     std::uint32_t port = 0; ///< of the sidecars, on the instance of their server
     double retryRatio = 0.2; ///< repeats per request, over all entries
     double retrySlack = 20; ///< repeats beyond the ratio, over all entries
--- a/include/zinniadock/process/sidecarmessages.h
+++ b/include/zinniadock/process/sidecarmessages.h
@@ -46,6 +46,19 @@
     std::string reason; ///< why there is no target
 };
 
+/// A sidecar's word for the engine beside it, for entries that can't learn of it from the store.
+struct ServerAnnouncement
+{
+    std::string id; ///< empty where the sidecar does not know it
+    std::string pool;
+    Endpoint address;
+    std::string dataCentre;
+    std::int64_t born = 0; ///< Unix milliseconds
+};
+
+/// Target of ServerAnnouncement requests at an entry's peer address.
+constexpr const char *announcementTarget = "/announce";
+
 /// Target of EngineLoadQuery and MoveOrder requests at a sidecar.
 constexpr const char *loadQueryTarget = "/load";
 constexpr const char *moveOrderTarget = "/move";
@@ -54,11 +67,13 @@
 std::string encode(const EngineLoadReport &report);
 std::string encode(const MoveOrder &order);
 std::string encode(const MoveResult &result);
+std::string encode(const ServerAnnouncement &announcement);
 
 /// Decode a message; nothing for malformed bytes.
 std::optional<EngineLoadQuery> decodeEngineLoadQuery(const std::string &bytes);
 std::optional<EngineLoadReport> decodeEngineLoadReport(const std::string &bytes);
 std::optional<MoveOrder> decodeMoveOrder(const std::string &bytes);
 std::optional<MoveResult> decodeMoveResult(const std::string &bytes);
+std::optional<ServerAnnouncement> decodeServerAnnouncement(const std::string &bytes);
 
 } // namespace zinniadock
--- a/include/zinniadock/process/watchingsidecar.h
+++ b/include/zinniadock/process/watchingsidecar.h
@@ -49,6 +49,7 @@
 
     Awaitable<void> readReports();
     Awaitable<void> runMoves();
+    Awaitable<void> announceEngine();
     Awaitable<void> answer(std::shared_ptr<HttpConnection> connection, HttpRequest request);
     Awaitable<void> answerLoad(std::shared_ptr<HttpConnection> connection, EngineLoadQuery query);
     Awaitable<void> answerMove(std::shared_ptr<HttpConnection> connection, MoveOrder order);
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -230,6 +230,7 @@
     }
     if (!result.error) {
         result.status = exchange->head().result_int();
+        result.head = exchange->head();
         result.error = co_await exchange->readRest(result.body, maxCallBytes);
     }
     timer->cancel();
--- a/src/daemon/forwarding.cpp
+++ b/src/daemon/forwarding.cpp
@@ -21,7 +21,7 @@
 constexpr std::chrono::milliseconds idleInterval{ 50 };
 
 /// Distance kept to the end of the time that a stopping process has.
-constexpr std::chrono::milliseconds stopMargin{ 300 };
+constexpr std::chrono::milliseconds stopMargin{ 600 };
 
 /// Runs one role on one network thread, from its start over reloads to its stop.
 template <typename Role>
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -34,6 +34,7 @@
 constexpr std::chrono::milliseconds peerPatience{ 400 };
 constexpr std::chrono::milliseconds peerInterval{ 700 };
 constexpr std::chrono::milliseconds peerTimeout{ 500 };
+constexpr std::chrono::milliseconds healthTimeout{ 300 };
 
 /// Idle connections and forgotten servers are cleared so often.
 constexpr std::chrono::milliseconds staleInterval{ 5000 };
@@ -222,9 +223,48 @@
         return;
     }
     m_serverTexts[id] = *item.value;
+    m_announced.erase(id);
     addServer(std::get<ServerRecord>(parsed));
 }
 
+bool ForwardingEntry::isNews(const ServerAnnouncement &announcement) const
+{
+    const auto &servers = m_services.directory.servers();
+    const bool known = std::any_of(servers.begin(), servers.end(), [&announcement](const auto &entry) {
+        const ServerRecord &record = entry.second.record;
+        return record.address == announcement.address && record.born >= announcement.born;
+    });
+    const bool hasPool = m_services.routes && m_services.routes->pools.contains(announcement.pool);
+    return m_storeLostAt && hasPool && !known;
+}
+
+// A sidecar does not know under which id its engine is listed; the engine's health answer says it.
+Awaitable<void> ForwardingEntry::learnServer(ServerAnnouncement announcement)
+{
+    const std::string healthPath = m_services.routes->pools.at(announcement.pool).healthPath;
+    const CallResult result = co_await call(m_services.pool, announcement.address, makeGet(healthPath), healthTimeout);
+    announcement.id = result.succeeded() ? wire::answerFields(result.head).server : "";
+    if (!announcement.id.empty() && isNews(announcement)) {
+        serverAnnounced(announcement);
+    }
+}
+
+void ForwardingEntry::serverAnnounced(const ServerAnnouncement &announcement)
+{
+    const auto pool = m_services.routes->pools.find(announcement.pool);
+    ServerRecord record;
+    record.id = announcement.id;
+    record.pool = announcement.pool;
+    record.address = announcement.address;
+    record.dataCentre = announcement.dataCentre;
+    record.born = announcement.born;
+    record.slots = pool->second.engine ? pool->second.engine->slots : 1;
+    m_announced[record.id] = encode(announcement);
+    logEvent("server", "announced",
+             { { "server", record.id }, { "address", record.address.text() }, { "source", "sidecar" } });
+    addServer(record);
+}
+
 void ForwardingEntry::addServer(const ServerRecord &record)
 {
     m_removals.erase(record.id);
@@ -365,6 +405,12 @@
         if (!configuration.empty()) {
             configurationRead(configuration, text);
         }
+        for (const auto &[id, bytes] : state.value("announced", std::map<std::string, std::string>())) {
+            const auto announcement = decodeServerAnnouncement(bytes);
+            if (announcement && isNews(*announcement)) {
+                serverAnnounced(*announcement);
+            }
+        }
         for (const auto &[id, record] : state.value("servers", std::map<std::string, std::string>())) {
             if (!m_services.directory.find(id)) {
                 serverChanged({ wire::serverPrefix() + id, record, 0 });
@@ -396,11 +442,23 @@
 
 Awaitable<void> ForwardingEntry::answerPeer(std::shared_ptr<HttpConnection> connection, HttpRequest request)
 {
+    if (request.target() == announcementTarget) {
+        const auto announcement = decodeServerAnnouncement(request.body());
+        const bool news = announcement && isNews(*announcement);
+        if (news) {
+            co_await learnServer(*announcement);
+        }
+        co_await connection->answer(
+            makeAnswer(announcement ? http::status::ok : http::status::bad_request, "", "text/plain"));
+        co_return;
+    }
     if (request.target() != peerTarget) {
         co_await connection->answer(makeAnswer(http::status::not_found, "no such page\n", "text/plain"));
         co_return;
     }
-    const Json state{ { "configuration", m_configurationText }, { "servers", m_serverTexts } };
+    const Json state{ { "configuration", m_configurationText },
+                      { "servers", m_serverTexts },
+                      { "announced", m_announced } };
     const std::vector<std::uint8_t> bytes = Json::to_cbor(state);
     co_await connection->answer(
         makeAnswer(http::status::ok, std::string(bytes.begin(), bytes.end()), "application/cbor"));
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -95,8 +95,12 @@
                                          "Where the platform asks whether an entry is ready."),
     fieldRule<&ForwardingSection::peer>("peer", false, Range{}, "IP:port",
                                         "Where other entries ask this one for the configuration."),
-    fieldRule<&ForwardingSection::seeds>("seeds", false, Range{ 0, 1000 }, "IP:port of entries, with commas",
-                                         "Some entries to ask for the configuration while the store is away."),
+    fieldRule<&ForwardingSection::seeds>(
+        "seeds", false, Range{ 0, 1000 }, "IP:port of entries, with commas",
+        "Some entries: other entries ask them for the configuration while the store is away, and sidecars "
+        "announce their engine to them."),
+    fieldRule<&ForwardingSection::pool>("pool", false, optionalText, "the name of a pool",
+                                        "The pool of the engine beside a sidecar."),
     fieldRule<&ForwardingSection::port>("sidecar_port", true, Range{ 1, 65535 }, "a port from 1 to 65535",
                                         "Where sidecars listen, on the instance of their server."),
     fieldRule<&ForwardingSection::retryRatio>("retry_ratio", false, Range{ 0, 10 }, "a number from 0 to 10",
--- a/src/process/sidecarmessages.cpp
+++ b/src/process/sidecarmessages.cpp
@@ -103,6 +103,15 @@
     return toBytes(document);
 }
 
+std::string encode(const ServerAnnouncement &announcement)
+{
+    return toBytes({ { "id", announcement.id },
+                     { "pool", announcement.pool },
+                     { "address", announcement.address.text() },
+                     { "data_centre", announcement.dataCentre },
+                     { "born", announcement.born } });
+}
+
 std::optional<EngineLoadQuery> decodeEngineLoadQuery(const std::string &bytes)
 {
     return fromBytes<EngineLoadQuery>(bytes, [](const Json &document) {
@@ -158,4 +167,19 @@
     });
 }
 
+std::optional<ServerAnnouncement> decodeServerAnnouncement(const std::string &bytes)
+{
+    auto announcement = fromBytes<ServerAnnouncement>(bytes, [](const Json &document) {
+        ServerAnnouncement result;
+        result.id = document.at("id").get<std::string>();
+        result.pool = document.at("pool").get<std::string>();
+        result.address = parseEndpoint(document.at("address").get<std::string>()).value_or(Endpoint());
+        result.dataCentre = document.at("data_centre").get<std::string>();
+        result.born = document.at("born").get<std::int64_t>();
+        return result;
+    });
+    const bool usable = announcement && announcement->address.port > 0;
+    return usable ? announcement : std::nullopt;
+}
+
 } // namespace zinniadock
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -20,6 +20,10 @@
 constexpr std::chrono::milliseconds shortestSpacing{ 20 };
 constexpr std::chrono::milliseconds idleMoveWait{ 1000 };
 
+/// An engine that no entry asks for is announced so often, to one entry at a time.
+constexpr std::chrono::milliseconds announcementInterval{ 700 };
+constexpr std::chrono::milliseconds announcementTimeout{ 400 };
+
 /// An entry that has not asked for so long is taken as gone.
 constexpr std::chrono::milliseconds peerLifetime{ 5000 };
 
@@ -79,6 +83,7 @@
         };
         spawn(&WatchingSidecar::readReports);
         spawn(&WatchingSidecar::runMoves);
+        spawn(&WatchingSidecar::announceEngine);
     }
     return error;
 }
@@ -102,6 +107,31 @@
     }
 }
 
+// While no entry asks, none knows of the engine: it may have started while the store was away.
+Awaitable<void> WatchingSidecar::announceEngine()
+{
+    const std::vector<Endpoint> &seeds = m_settings.forwarding.seeds;
+    std::size_t next = 0;
+    while (!m_stopped && !seeds.empty()) {
+        co_await sleepFor(announcementInterval);
+        if (!m_engineAnswers || m_load.leaving || !peers().empty()) {
+            continue;
+        }
+        const ServerAnnouncement announcement{ .id = "",
+                                               .pool = m_settings.forwarding.pool,
+                                               .address = m_settings.sidecar.backend,
+                                               .dataCentre = m_settings.daemon.dataCentre,
+                                               .born = m_load.born };
+        HttpRequest request(http::verb::post, announcementTarget, 11);
+        request.body() = encode(announcement);
+        request.prepare_payload();
+        const Endpoint entry = seeds[next++ % seeds.size()];
+        const CallResult result = co_await call(m_pool, entry, request, announcementTimeout);
+        logEvent("engine", "announced",
+                 { { "entry", entry.text() }, { "status", result.status }, { "reason", result.error.message() } });
+    }
+}
+
 void WatchingSidecar::loadRead(EngineLoad load)
 {
     const bool leaves = load.leaving && !m_load.leaving;
--- a/tests/standin/platformstandin.cpp
+++ b/tests/standin/platformstandin.cpp
@@ -249,7 +249,10 @@
 void PlatformServer::answer(HTTPServerRequest &request, HTTPServerResponse &response)
 {
     const std::string path = Poco::URI(request.getURI()).getPath();
-    if (path == "/-/report") {
+    if (path == "/h") {
+        response.set("X-Instance-Id", m_id);
+        send(response, 200, Json::object());
+    } else if (path == "/-/report") {
         report(response);
     } else if (path == "/-/hold-take") {
         reserve(response);
--- a/tests/unit/unit-forwarding.cpp
+++ b/tests/unit/unit-forwarding.cpp
@@ -457,6 +457,23 @@
         CHECK(answer.retryAfter < 1);
         CHECK(first.ran().empty());
     }
+    SECTION("an engine that starts while the store is away gets work, by the word of its sidecar")
+    {
+        store.setDown(true);
+        first.setMood(ServerMood::Full);
+        Settings settings = sidecarSettings("127.0.0.4", sidecarPort, "");
+        PlatformServer third("e3", "127.0.0.4");
+        detail::parseValue(third.endpoint(), detail::Range{}, settings.sidecar.backend);
+        settings.daemon.dataCentre = "north";
+        settings.forwarding.pool = "engines";
+        settings.forwarding.seeds = { { "127.0.0.1", entry->peerPort() } };
+        Running<WatchingSidecar> sidecar(settings);
+        REQUIRE(eventually([&] {
+            return ask(entry->port(), generation).body == wholeStream();
+        }));
+        CHECK(third.ran().size() == 1);
+        CHECK(third.ran()[0].fields.at("x-expected-instance") == "e3");
+    }
     SECTION("a caller that leaves ends its generation")
     {
         first.setEventInterval(std::chrono::milliseconds(30));
