--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -67,6 +67,7 @@
     void loadReceived(const std::string &server, const EngineLoadReport &report);
     void tellGenerations(const std::string &server);
     void settleRemovals();
+    bool storeIsQuiet() const;
     bool isReady() const;
     std::string metricsText() const;
 
@@ -75,7 +76,8 @@
     std::shared_ptr<HttpListener> m_readiness;
     std::shared_ptr<HttpListener> m_peers;
     std::shared_ptr<HttpListener> m_metrics;
-    std::vector<std::shared_ptr<PrefixWatch>> m_watches;
+    std::shared_ptr<PrefixWatch> m_configurationWatch;
+    std::shared_ptr<PrefixWatch> m_serverWatch;
     std::map<std::string, std::shared_ptr<SidecarFeed>> m_feeds; ///< by server
     std::map<std::string, std::string> m_serverTexts; ///< records as the store has them, for other entries
     std::map<std::string, std::string> m_announced; ///< encoded announcements by server, until the store lists it
--- a/include/zinniadock/process/prefixwatch.h
+++ b/include/zinniadock/process/prefixwatch.h
@@ -34,6 +34,9 @@
     void start();
     void stop();
 
+    /// Returns when the store last answered; nothing before the first answer.
+    std::optional<std::chrono::steady_clock::time_point> answeredAt() const;
+
     /// Returns the number of calls made.
     std::uint64_t calls() const;
 
@@ -49,6 +52,7 @@
     const std::string m_prefix;
     const PauseSource m_pause;
     const PrefixEvents m_events;
+    std::optional<std::chrono::steady_clock::time_point> m_answeredAt;
     std::int64_t m_revision = 0; ///< 0 before the first whole read
     std::uint32_t m_failures = 0;
     std::uint64_t m_calls = 0;
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -36,6 +36,9 @@
 constexpr std::chrono::milliseconds peerTimeout{ 500 };
 constexpr std::chrono::milliseconds healthTimeout{ 300 };
 
+/// The word of a sidecar counts once the store has not answered for so long.
+constexpr std::chrono::milliseconds quietStore{ 1000 };
+
 /// Idle connections and forgotten servers are cleared so often.
 constexpr std::chrono::milliseconds staleInterval{ 5000 };
 
@@ -149,21 +152,17 @@
                                         serverChanged(item);
                                     },
                                 .reachable = reachable };
-    m_watches.push_back(std::make_shared<PrefixWatch>(
-        m_services.pool, store, wire::configurationPrefix(),
-        [] {
-            return std::chrono::milliseconds(0);
-        },
-        configuration));
-    m_watches.push_back(std::make_shared<PrefixWatch>(
-        m_services.pool, store, wire::serverPrefix(),
-        [this] {
-            return std::min(serverWatchPausePerEntry * m_services.entries(), longestServerWatchPause);
-        },
-        servers));
-    for (const auto &watch : m_watches) {
-        watch->start();
-    }
+    const auto noPause = [] {
+        return std::chrono::milliseconds(0);
+    };
+    const auto sharedPause = [this] {
+        return std::min(serverWatchPausePerEntry * m_services.entries(), longestServerWatchPause);
+    };
+    m_configurationWatch
+        = std::make_shared<PrefixWatch>(m_services.pool, store, wire::configurationPrefix(), noPause, configuration);
+    m_serverWatch = std::make_shared<PrefixWatch>(m_services.pool, store, wire::serverPrefix(), sharedPause, servers);
+    m_configurationWatch->start();
+    m_serverWatch->start();
 }
 
 void ForwardingEntry::configurationRead(const std::string &text, const std::string &source)
@@ -235,7 +234,15 @@
         return record.address == announcement.address && record.born >= announcement.born;
     });
     const bool hasPool = m_services.routes && m_services.routes->pools.contains(announcement.pool);
-    return m_storeLostAt && hasPool && !known;
+    return storeIsQuiet() && hasPool && !known;
+}
+
+// A silent store shows as lost only after the longest wait of a watch; an engine that announces itself meanwhile would
+// have shown in the list if the store answered.
+bool ForwardingEntry::storeIsQuiet() const
+{
+    const auto answered = m_serverWatch->answeredAt();
+    return !answered || std::chrono::steady_clock::now() - *answered > quietStore;
 }
 
 // A sidecar does not know under which id its engine is listed; the engine's health answer says it.
@@ -467,10 +474,7 @@
 std::string ForwardingEntry::metricsText() const
 {
     std::string out = m_services.metrics.print();
-    std::uint64_t storeCalls = 0;
-    for (const auto &watch : m_watches) {
-        storeCalls += watch->calls();
-    }
+    const std::uint64_t storeCalls = m_configurationWatch->calls() + m_serverWatch->calls();
     printValue("zinniadock_active_requests", m_services.counts.active, out);
     printValue("zinniadock_moved_streams_total", m_services.counts.moved, out);
     printValue("zinniadock_failed_moves_total", m_services.counts.movesFailed, out);
@@ -530,8 +534,10 @@
             listener->stop();
         }
     }
-    for (const auto &watch : m_watches) {
-        watch->stop();
+    for (const auto &watch : { m_configurationWatch, m_serverWatch }) {
+        if (watch) {
+            watch->stop();
+        }
     }
     for (const auto &[id, feed] : m_feeds) {
         feed->stop();
--- a/src/process/prefixwatch.cpp
+++ b/src/process/prefixwatch.cpp
@@ -55,6 +55,11 @@
     m_stopped = true;
 }
 
+std::optional<std::chrono::steady_clock::time_point> PrefixWatch::answeredAt() const
+{
+    return m_answeredAt;
+}
+
 std::uint64_t PrefixWatch::calls() const
 {
     return m_calls;
@@ -127,6 +132,7 @@
 void PrefixWatch::setReachable(bool reachable, const CallResult &result)
 {
     m_failures = reachable ? 0 : m_failures + 1;
+    m_answeredAt = reachable ? std::chrono::steady_clock::now() : m_answeredAt;
     if (m_reachable == reachable) {
         return;
     }
