--- a/include/zinniadock/connection/httplistener.h
+++ b/include/zinniadock/connection/httplistener.h
@@ -28,6 +28,9 @@
 /// Returns the limits in force for what a caller may send.
 using LimitSource = std::function<CallerLimits()>;
 
+/// Returns the limits for what the system's own processes and the platform send.
+CallerLimits limitsBetweenProcesses();
+
 /// One connection of a caller: reads requests within bounds of time and size and writes their answers, one at a time.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection>
 {
--- a/include/zinniadock/connection/wireform.h
+++ b/include/zinniadock/connection/wireform.h
@@ -46,7 +46,6 @@
     std::string reservation; ///< of a slot and memory at the server; empty for none
     std::optional<MemoryCopy> copy; ///< goes on from this copy
     std::string lastEvent; ///< the last event that the caller has; empty for none
-    std::optional<Endpoint> backup; ///< sends copies of its memory there while it runs
     bool mayResume = false; ///< passes on the caller's own wish to resume
 };
 
--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -37,6 +37,14 @@
 
 } // namespace
 
+CallerLimits limitsBetweenProcesses()
+{
+    constexpr std::chrono::milliseconds idleTimeout{ 30000 };
+    CallerLimits limits;
+    limits.idleTimeout = idleTimeout;
+    return limits;
+}
+
 HttpConnection::HttpConnection(asio::ip::tcp::socket socket, HttpHandler handler, LimitSource limits,
                                std::shared_ptr<const bool> closing)
     : m_stream(std::move(socket))
--- a/src/process/runmover.cpp
+++ b/src/process/runmover.cpp
@@ -40,6 +40,7 @@
 {
     MoveResult result;
     for (const Endpoint &target : order.targets) {
+        std::string firstCopy;
         if (timeLeft > order.copyTime + lastCopyTime) {
             const CallResult first = co_await copyRun(pool, source, order.request, target, false);
             result.reason = describe(first);
@@ -49,6 +50,7 @@
             if (!first.succeeded()) {
                 continue;
             }
+            firstCopy = wire::parseMove(first.body).copy;
         }
         const CallResult last = co_await copyRun(pool, source, order.request, target, true);
         const wire::MoveAnswer answer = wire::parseMove(last.body);
@@ -59,6 +61,8 @@
         }
         if (last.succeeded()) {
             result.target = target;
+        } else if (!result.stopped && !firstCopy.empty()) {
+            co_await call(pool, source, wire::dropCopyRequest(firstCopy), callTimeout);
         }
         co_return result;
     }
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -30,13 +30,6 @@
 /// Time that an engine is taken to have left where it does not say.
 constexpr std::chrono::milliseconds unknownTimeLeft{ 1500 };
 
-CallerLimits internalLimits()
-{
-    CallerLimits limits;
-    limits.idleTimeout = std::chrono::milliseconds(30000);
-    return limits;
-}
-
 bool sameLoad(const EngineLoad &left, const EngineLoad &right)
 {
     return left.running == right.running && left.queued == right.queued && left.usedTokens == right.usedTokens
@@ -61,13 +54,13 @@
         [this](std::shared_ptr<HttpConnection> connection, HttpRequest request) {
             return answer(std::move(connection), std::move(request));
         },
-        internalLimits);
+        limitsBetweenProcesses);
     m_metricsListener = std::make_shared<HttpListener>(
         m_context,
         [this](std::shared_ptr<HttpConnection> connection, HttpRequest request) {
             return answerMetrics(std::move(connection), std::move(request));
         },
-        internalLimits);
+        limitsBetweenProcesses);
     std::error_code error = m_listener->start(m_settings.sidecar.listen);
     if (!error) {
         error = m_metricsListener->start(m_settings.daemon.admin);
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -2,11 +2,6 @@
 
 #include <algorithm>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
-#include "zinniadock/process/runmover.h"
-
 namespace zinniadock
 {
 
@@ -35,8 +30,6 @@
 /// Times that engines may refuse one generation before it is refused.
 constexpr std::uint32_t mostRefusals = 3;
 
-constexpr std::size_t mostTargets = 4;
-
 /// Time that a generation takes for its prompt and for each token of its output, on a busy engine.
 constexpr std::chrono::milliseconds promptTime{ 1200 };
 constexpr std::chrono::milliseconds tokenTime{ 12 };
@@ -44,34 +37,9 @@
 /// A caller of a stopping entry comes back at once, over another entry.
 constexpr std::chrono::milliseconds retryAfterStopping{ 50 };
 
-/// Time for the result of a move to arrive after the stream has ended.
-constexpr std::chrono::milliseconds moveResultWait{ 2500 };
-
-/// Longest time that a sidecar works on a move, with others before it.
-constexpr std::chrono::milliseconds moveTimeout{ 5000 };
-
 constexpr std::chrono::milliseconds leastRetryAfter{ 400 };
 constexpr std::chrono::milliseconds retryAfterSpread{ 800 };
 
-/// Returns how long a copy of a run's memory takes on an idle link inside a data centre.
-std::chrono::milliseconds copyTime(double tokens, const EngineCapacity &limits)
-{
-    constexpr double bitsPerByte = 8;
-    const double bits = tokens * limits.bytesPerToken * bitsPerByte;
-    const double bitsPerMillisecond = std::max(limits.linkMegabitsPerSecond, 1.0) * 1000;
-    return std::chrono::milliseconds(static_cast<std::int64_t>(bits / bitsPerMillisecond));
-}
-
-std::optional<std::string> findByAddress(const ServerDirectory &directory, const Endpoint &address)
-{
-    for (const auto &[id, server] : directory.servers()) {
-        if (server.record.address == address && !server.missingSince) {
-            return id;
-        }
-    }
-    return std::nullopt;
-}
-
 } // namespace
 
 GenerationForward::GenerationForward(std::shared_ptr<ForwardScope> scope)
@@ -371,112 +339,6 @@
     }
 }
 
-void GenerationForward::serverLeaves()
-{
-    m_leaving = true;
-    const bool started = m_headSent || m_lastEventAt != SteadyTime();
-    if (m_server.empty() || !started || m_moveState != MoveState::None || !m_scope->pool.engine->movesRuns) {
-        return;
-    }
-    m_moveState = MoveState::Asked;
-    const auto self = shared_from_this();
-    asio::co_spawn(
-        m_services.context,
-        [self]() {
-            return self->askForMove(self->m_server);
-        },
-        asio::detached);
-}
-
-MoveOrder GenerationForward::moveOrder(const TrackedServer &source) const
-{
-    const EngineCapacity &limits = *m_scope->pool.engine;
-    const double tokens = m_scope->fields.promptTokens + static_cast<double>(limits.tokensPerEvent * m_events);
-    MoveOrder order;
-    order.request = m_scope->fields.requestId;
-    order.value = std::max(0.0, m_expectedTokens - tokens);
-    order.copyTime = copyTime(tokens, limits);
-    PlacementNeed wanted = need();
-    wanted.dataCentre = source.record.dataCentre;
-    const Draw draw = [this] {
-        return m_services.draw();
-    };
-    const auto now = std::chrono::steady_clock::now();
-    for (const std::string &target :
-         moveTargets(m_services.directory, wanted, limits, source.record.id, mostTargets, now, draw)) {
-        order.targets.push_back(m_services.directory.find(target)->record.address);
-    }
-    return order;
-}
-
-Awaitable<void> GenerationForward::askForMove(std::string server)
-{
-    const auto self = shared_from_this();
-    const TrackedServer *source = m_services.directory.find(server);
-    const MoveOrder order = source ? moveOrder(*source) : MoveOrder();
-    MoveResult result;
-    if (!source || order.targets.empty()) {
-        result.reason = "no engine has room";
-    } else {
-        const Endpoint engine = source->record.address;
-        const Endpoint sidecar{ engine.address, m_services.settings.forwarding.sidecarPort() };
-        const auto leavesIn = source->load.leavesIn.value_or(std::chrono::milliseconds(1000));
-        HttpRequest request(http::verb::post, moveOrderTarget, 11);
-        request.body() = encode(order);
-        request.prepare_payload();
-        const CallResult answer = co_await call(m_services.pool, sidecar, request, moveTimeout);
-        const auto decoded = answer.succeeded() ? decodeMoveResult(answer.body) : std::nullopt;
-        if (decoded) {
-            result = *decoded;
-        } else {
-            result = co_await moveRun(m_services.pool, engine, order, leavesIn);
-        }
-    }
-    m_move = result;
-    m_moveState = result.stopped ? MoveState::Stopped : MoveState::None;
-    m_services.counts.movesFailed += result.stopped ? 0 : 1;
-    logEvent("move", result.stopped ? "run stopped" : "failed",
-             { { "id", order.request },
-               { "source", server },
-               { "target", result.target ? result.target->text() : std::string() },
-               { "candidates", order.targets.size() },
-               { "events", m_events },
-               { "reason", result.reason } });
-    m_moveChanged.notify();
-}
-
-// The run has stopped at its source, or is about to. It goes on at the target, or at its source if the target has not
-// got the whole copy.
-Awaitable<GenerationForward::StretchEnd> GenerationForward::continueElsewhere()
-{
-    if (m_moveState == MoveState::Asked) {
-        co_await m_moveChanged.wait(moveResultWait);
-    }
-    if (m_moveState != MoveState::Stopped) {
-        m_moveState = MoveState::None;
-        co_return StretchEnd::Broken;
-    }
-    m_moveState = MoveState::None;
-    const std::string source = m_server;
-    const auto target = m_move.target ? findByAddress(m_services.directory, *m_move.target) : std::nullopt;
-    StretchEnd stretch = StretchEnd::Refused;
-    if (target) {
-        ++m_moves;
-        ++m_services.counts.moved;
-        wire::ServerFields fields = m_scope->serverFields(*target);
-        fields.copy = m_move.copy;
-        stretch = co_await runStretch(fields);
-    }
-    if (stretch == StretchEnd::Refused) {
-        logEvent("move", "goes on at the source",
-                 { { "id", m_scope->fields.requestId }, { "source", source }, { "reason", m_reason } });
-        wire::ServerFields fields = m_scope->serverFields(source);
-        fields.copy = m_move.copy;
-        stretch = co_await runStretch(fields);
-    }
-    co_return stretch == StretchEnd::Refused ? StretchEnd::Broken : stretch;
-}
-
 Awaitable<void> GenerationForward::end(StretchEnd stretch)
 {
     const auto self = shared_from_this();
