Read the configuration item in one place; drop a flag that nobody reads

Cause: the same check stood in both callbacks of the configuration watch, and PooledConnection::reused was written only. Change: one function for both; the flag is gone. Behaviour is as before. Measured: unit-forwarding passes, 156 checks; the whole suite was not rerun.

--- a/include/zinniadock/connection/httpclient.h
+++ b/include/zinniadock/connection/httpclient.h
@@ -35,7 +35,6 @@
     Endpoint peer;
     std::chrono::steady_clock::time_point idleSince;
     std::chrono::milliseconds idleLimit{ 0 };
-    bool reused = false;
 };
 
 /// Keeps idle connections by their peer. Used on the network thread only.
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -53,7 +53,6 @@
         const auto idle = now - connection->idleSince;
         if (idle < std::min(freshness, connection->idleLimit) && connection->buffer.size() == 0
             && isQuiet(connection->stream.socket())) {
-            connection->reused = true;
             return connection;
         }
         closeSocket(connection->stream);
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -108,20 +108,18 @@
         m_storeLostAt = answers ? std::nullopt : std::optional(m_storeLostAt.value_or(now));
     };
     const Endpoint &store = m_services.settings.store.endpoint;
+    const auto configurationChanged = [this](const wire::StoreItem &item) {
+        if (item.key == wire::configurationKey() && item.value) {
+            configurationRead(*item.value, "store");
+        }
+    };
     const PrefixEvents configuration{ .replaced =
-                                          [this](const std::vector<wire::StoreItem> &items) {
+                                          [configurationChanged](const std::vector<wire::StoreItem> &items) {
                                               for (const wire::StoreItem &item : items) {
-                                                  if (item.key == wire::configurationKey() && item.value) {
-                                                      configurationRead(*item.value, "store");
-                                                  }
-                                              }
-                                          },
-                                      .changed =
-                                          [this](const wire::StoreItem &item) {
-                                              if (item.key == wire::configurationKey() && item.value) {
-                                                  configurationRead(*item.value, "store");
+                                                  configurationChanged(item);
                                               }
                                           },
+                                      .changed = configurationChanged,
                                       .reachable = reachable };
     const PrefixEvents servers{ .replaced =
                                     [this](const std::vector<wire::StoreItem> &items) {
