Serve the metrics page without a double free; take no request whose connection is closed; a fault soak

Metrics: an entry that was asked for its metrics page crashed (double free in answerMetrics, seen by gdb): GCC 12 destroys a temporary of a conditional operator twice if it stands in an operand of co_await. The test asks the page 20 times and crashed before.

bench/soak: entries and sidecars as processes on loopback, stand-ins and relays before them, seeded kills, freezes, planned stops, reloads, departures, crashes, silent, slow and cut links, store outages, configurations; promises checked by what callers and back ends see.

--- /dev/null
+++ b/bench/soak.sh
@@ -0,0 +1,18 @@
+# Entries and sidecars as processes under seeded faults, with the promises checked by what callers and back ends see.
+# Options: --seed N, or --seeds "A B ..." for several one after another; --minutes M (default a third of one each);
+# --quick for eight seconds. Logs of a seed with a violation stay under soak-logs/.
+source bench/common.inc
+seconds=$((quick ? 8 : ${minutes:+minutes * 60} + 0))
+[ "$seconds" -gt 0 ] || seconds=20
+failed=0
+for each in ${seeds:-$seed}; do
+    log="$work/soak-$each"
+    if ! "$bin/zinniadock-soak" --daemon "$bin/zinniadockd" --directory "$log" --seed "$each" --seconds "$seconds"; then
+        failed=$((failed + 1))
+        mkdir -p soak-logs
+        rm -rf "soak-logs/$each"
+        mv "$log" "soak-logs/$each"
+    fi
+done
+echo "seeds with violations: $failed"
+[ "$failed" -eq 0 ]
--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -32,6 +32,9 @@
     /// Returns the port that other entries ask.
     std::uint16_t peerPort() const;
 
+    /// Returns the port of the metrics page.
+    std::uint16_t metricsPort() const;
+
     /// Is no longer ready, and asks callers to close their connections, as the process ends soon.
     void drain(std::chrono::milliseconds within);
 
--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -91,6 +91,9 @@
         m_buffer.commit(count);
     }
     m_idle = false;
+    if (!m_stream.socket().is_open()) {
+        co_return false; // closed as idle between the arrival of the bytes and now
+    }
     if (!error) {
         m_stream.expires_after(limits.headerTimeout);
         co_await http::async_read_header(m_stream, m_buffer, parser, into(error));
@@ -218,7 +221,9 @@
 
 void HttpConnection::closeIfIdle()
 {
-    if (m_idle) {
+    char byte = 0;
+    const bool hasArrived = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    if (m_idle && !hasArrived) {
         abort();
     }
 }
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -385,6 +385,11 @@
     return m_peers->port();
 }
 
+std::uint16_t ForwardingEntry::metricsPort() const
+{
+    return m_metrics->port();
+}
+
 void ForwardingEntry::drain(std::chrono::milliseconds within)
 {
     m_services.stopsAt = std::chrono::steady_clock::now() + within;
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -29,14 +29,17 @@
     const http::status status = !asked ? http::status::not_found
         : isReady()                    ? http::status::ok
                                        : http::status::service_unavailable;
-    co_await connection->answer(makeAnswer(status, isReady() ? "ready\n" : "not ready\n", "text/plain"));
+    const std::string text = isReady() ? "ready\n" : "not ready\n";
+    co_await connection->answer(makeAnswer(status, text, "text/plain"));
 }
 
 Awaitable<void> ForwardingEntry::answerMetrics(std::shared_ptr<HttpConnection> connection, HttpRequest request)
 {
+    // GCC 12 destroys a temporary of a conditional operator twice if it stands in an operand of co_await.
     const bool asked = request.target() == "/metrics";
-    co_await connection->answer(makeAnswer(asked ? http::status::ok : http::status::not_found,
-                                           asked ? metricsText() : "no such page\n", "text/plain"));
+    const std::string text = asked ? metricsText() : "no such page\n";
+    const http::status status = asked ? http::status::ok : http::status::not_found;
+    co_await connection->answer(makeAnswer(status, text, "text/plain"));
 }
 
 Awaitable<void> ForwardingEntry::answerPeer(std::shared_ptr<HttpConnection> connection, HttpRequest request)
@@ -47,8 +50,8 @@
         if (news) {
             co_await learnServer(*announcement);
         }
-        co_await connection->answer(
-            makeAnswer(announcement ? http::status::ok : http::status::bad_request, "", "text/plain"));
+        const http::status status = announcement ? http::status::ok : http::status::bad_request;
+        co_await connection->answer(makeAnswer(status, "", "text/plain"));
         co_return;
     }
     if (request.target() != peerTarget) {
--- a/tests/standin/linkrelay.cpp
+++ b/tests/standin/linkrelay.cpp
@@ -39,7 +39,7 @@
 
 LinkRelay::LinkRelay(const LinkRelaySettings &settings)
     : m_target(settings.server)
-    , m_socket(Poco::Net::SocketAddress("127.0.0.1", settings.port))
+    , m_socket(Poco::Net::SocketAddress(settings.address, settings.port))
     , m_acceptor([this] {
         accept();
     })
@@ -89,6 +89,11 @@
     m_changed.notify_all();
 }
 
+void LinkRelay::setDelay(std::chrono::milliseconds delay)
+{
+    m_delayMilliseconds = delay.count();
+}
+
 void LinkRelay::cut()
 {
     const std::lock_guard lock(m_mutex);
@@ -143,6 +148,7 @@
                     return m_stopping || !held(toServer);
                 });
             }
+            std::this_thread::sleep_for(std::chrono::milliseconds(m_delayMilliseconds));
             sendAll(to, buffer.data(), size);
         }
     } catch (const Poco::Exception &) {
--- a/tests/standin/linkrelay.h
+++ b/tests/standin/linkrelay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <list>
@@ -30,6 +31,7 @@
     std::uint16_t port = 0;
     std::uint16_t controlPort = 0;
     std::string server; ///< IP:port that connections are passed on to
+    std::string address = "127.0.0.1"; ///< on the loopback interface
 };
 
 /// Passes TCP connections on to a server, and stages what networks do to them.
@@ -49,6 +51,9 @@
 
     void setSilence(Silence silence);
 
+    /// Holds back each piece for a while before it is passed on.
+    void setDelay(std::chrono::milliseconds delay);
+
     /// Closes all connections.
     void cut();
 
@@ -71,6 +76,7 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     Silence m_silence;
+    std::atomic<std::int64_t> m_delayMilliseconds{ 0 };
     bool m_stopping = false;
     std::list<Connection> m_connections; ///< touched by the accepting thread, and under the lock by cut()
     std::thread m_acceptor;
--- a/tests/standin/platformstandin.cpp
+++ b/tests/standin/platformstandin.cpp
@@ -246,6 +246,11 @@
     m_full = full;
 }
 
+void PlatformServer::stop()
+{
+    m_server.stop();
+}
+
 std::vector<SeenRequest> PlatformServer::ran()
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/standin/platformstandin.h
+++ b/tests/standin/platformstandin.h
@@ -122,6 +122,9 @@
     /// Refuses reservations.
     void setFull(bool full);
 
+    /// Cuts every connection and begins nothing more.
+    void stop();
+
     /// Returns the requests that began to run here.
     std::vector<SeenRequest> ran();
     std::uint64_t reservations() const;
--- a/tests/unit/unit-forwarding.cpp
+++ b/tests/unit/unit-forwarding.cpp
@@ -211,6 +211,19 @@
         return isReady(entry);
     }));
 
+    SECTION("the metrics page shows what the entry counts, and another page does not exist")
+    {
+        store.put("op/config", configuration(3));
+        REQUIRE(eventually([&] {
+            return isReady(entry);
+        }));
+        for (int i = 0; i < 20; ++i) {
+            const Answer page = ask(entry->metricsPort(), { .target = "/metrics", .method = "GET" });
+            CHECK(page.status == 200);
+            CHECK(page.body.find("\nzinniadock_configuration_version 3\n") != std::string::npos);
+            CHECK(ask(entry->metricsPort(), { .target = "/other", .method = "GET" }).status == 404);
+        }
+    }
     SECTION("an answer goes back byte for byte with its signature, and the account in place of the key")
     {
         const Answer answer = call({ .target = "/order/1" });
