--- a/bench/soak/main.cpp
+++ b/bench/soak/main.cpp
@@ -34,12 +34,17 @@
 constexpr std::chrono::milliseconds step{ 20 };
 constexpr std::chrono::seconds recoveryLimit{ 15 };
 
+std::string callersAddress(const Entry &entry)
+{
+    return entry.address + ":" + std::to_string(entry.port);
+}
+
 /// Returns the configuration version that an entry reports; 0 if it does not answer.
-std::uint64_t reportedVersion(std::uint16_t metricsPort)
+std::uint64_t reportedVersion(const Entry &entry)
 {
     const std::string name = "\nzinniadock_configuration_version ";
     try {
-        Poco::Net::HTTPClientSession session("127.0.0.1", metricsPort);
+        Poco::Net::HTTPClientSession session(entry.address, entry.metricsPort);
         session.setTimeout(Poco::Timespan(0, 300000));
         Poco::Net::HTTPRequest request("GET", "/metrics", Poco::Net::HTTPMessage::HTTP_1_1);
         session.sendRequest(request);
@@ -62,8 +67,8 @@
         for (const RequestKind kind : { RequestKind::Generation, RequestKind::Order, RequestKind::Read }) {
             bool served = false;
             while (!served && Clock::now() < deadline) {
-                const Outcome outcome = ask(entry.port, "recovery-" + std::to_string(++number), kind);
-                served = outcome.status == 200 && outcome.whole && reportedVersion(entry.metricsPort) == fleet.version;
+                const Outcome outcome = ask(callersAddress(entry), "recovery-" + std::to_string(++number), kind);
+                served = outcome.status == 200 && outcome.whole && reportedVersion(entry) == fleet.version;
             }
             if (!served) {
                 return false;
@@ -86,11 +91,11 @@
         std::cerr << "zinniadock-soak: the fleet did not start\n";
         return 2;
     }
-    std::vector<std::uint16_t> ports;
+    std::vector<std::string> addresses;
     for (const Entry &entry : fleet.entries) {
-        ports.push_back(entry.port);
+        addresses.push_back(callersAddress(entry));
     }
-    SoakCallers callers(ports, static_cast<std::size_t>(absl::GetFlag(FLAGS_callers)), seed);
+    SoakCallers callers(addresses, static_cast<std::size_t>(absl::GetFlag(FLAGS_callers)), seed);
     std::mt19937_64 random(seed);
     const auto end = Clock::now() + std::chrono::seconds(absl::GetFlag(FLAGS_seconds));
     auto next = Clock::now();
@@ -102,7 +107,7 @@
                                                                                         longestPause.count())(random));
             const Entry &entry = fleet.entries[random() % fleet.entries.size()];
             const std::string life = entry.daemon->life();
-            const std::uint64_t version = reportedVersion(entry.metricsPort);
+            const std::uint64_t version = reportedVersion(entry);
             if (version > 0) {
                 checker.version(life, version);
             }
--- a/bench/soak/soakcallers.cpp
+++ b/bench/soak/soakcallers.cpp
@@ -1,11 +1,12 @@
 #include "soakcallers.h"
 
+#include <array>
+#include <memory>
 #include <random>
 
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/StreamCopier.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/String.h>
 
 namespace zinniadock::soak
 {
@@ -22,48 +23,136 @@
     return kind == RequestKind::Generation ? "/stream/1" : kind == RequestKind::Order ? "/order/1" : "/read/1";
 }
 
-Outcome askOn(Poco::Net::HTTPClientSession &session, const std::string &id, RequestKind kind)
+/// A connection to an entry that is kept over requests, and reads answers without any help from the daemons' code.
+class CallerConnection
+{
+public:
+    explicit CallerConnection(const std::string &entry)
+        : m_socket(Poco::Net::SocketAddress(entry))
+    {
+        m_socket.setReceiveTimeout(Poco::Timespan(patienceSeconds, 0));
+        m_socket.setNoDelay(true);
+    }
+
+    void send(const std::string &text)
+    {
+        for (std::size_t sent = 0; sent < text.size();) {
+            sent += static_cast<std::size_t>(
+                m_socket.sendBytes(text.data() + sent, static_cast<int>(text.size() - sent)));
+        }
+    }
+
+    /// Reads up to and with the next end of a line.
+    std::string line()
+    {
+        std::size_t end = 0;
+        while ((end = m_buffer.find("\r\n")) == std::string::npos) {
+            receive();
+        }
+        return take(end + 2).substr(0, end);
+    }
+
+    std::string bytes(std::size_t count)
+    {
+        while (m_buffer.size() < count) {
+            receive();
+        }
+        return take(count);
+    }
+
+private:
+    std::string take(std::size_t count)
+    {
+        const std::string taken = m_buffer.substr(0, count);
+        m_buffer.erase(0, count);
+        return taken;
+    }
+
+    void receive()
+    {
+        std::array<char, 4096> piece{};
+        const int count = m_socket.receiveBytes(piece.data(), static_cast<int>(piece.size()));
+        if (count <= 0) {
+            throw Poco::Net::ConnectionResetException("closed");
+        }
+        m_buffer.append(piece.data(), static_cast<std::size_t>(count));
+    }
+
+    Poco::Net::StreamSocket m_socket;
+    std::string m_buffer;
+};
+
+std::string requestText(const std::string &id, RequestKind kind)
 {
-    Outcome outcome{ .id = id, .kind = kind };
     const bool isRead = kind == RequestKind::Read;
-    Poco::Net::HTTPRequest request(isRead ? "GET" : "POST", targetOf(kind), Poco::Net::HTTPMessage::HTTP_1_1);
-    request.setHost("a.example");
-    request.set("X-Request-Id", id);
-    request.set("X-Deadline-Ms", "8000");
+    const std::string body = isRead ? "" : "body of " + id;
+    std::string text = std::string(isRead ? "GET " : "POST ") + targetOf(kind) + " HTTP/1.1\r\nHost: a.example\r\n"
+        + "X-Request-Id: " + id + "\r\nX-Deadline-Ms: 8000\r\n";
     if (kind == RequestKind::Generation) {
-        request.set("X-Token-Count", "1000,240");
-        request.set("X-Length-Hint", "200");
+        text += "X-Token-Count: 1000,240\r\nX-Length-Hint: 200\r\n";
     }
-    const std::string body = isRead ? "" : "body of " + id;
-    request.setContentLength(static_cast<std::streamsize>(body.size()));
+    return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+void readBody(CallerConnection &connection, bool chunked, std::size_t length, std::string &body)
+{
+    if (!chunked) {
+        body = connection.bytes(length);
+        return;
+    }
+    constexpr int hexadecimal = 16;
+    std::size_t size = 1;
+    while (size > 0) {
+        size = std::stoul(connection.line(), nullptr, hexadecimal);
+        body += connection.bytes(size);
+        connection.bytes(2);
+    }
+}
+
+Outcome askOn(std::unique_ptr<CallerConnection> &connection, const std::string &entry, const std::string &id,
+              RequestKind kind)
+{
+    Outcome outcome{ .id = id, .kind = kind };
+    bool closes = true;
     try {
-        session.sendRequest(request) << body << std::flush;
-        Poco::Net::HTTPResponse response;
-        std::istream &stream = session.receiveResponse(response);
-        outcome.status = response.getStatus();
-        outcome.isSigned = response.has("X-Server-Signature");
-        Poco::StreamCopier::copyToString(stream, outcome.body);
-        // A body that ends early shows as an error of the stream, or as fewer bytes than were announced.
-        outcome.whole = !stream.bad() && session.networkException() == nullptr
-            && (!response.hasContentLength()
-                || response.getContentLength() == static_cast<std::streamsize>(outcome.body.size()));
+        if (!connection) {
+            connection = std::make_unique<CallerConnection>(entry);
+        }
+        connection->send(requestText(id, kind));
+        const std::string status = connection->line();
+        bool chunked = false;
+        std::size_t length = 0;
+        closes = false;
+        for (std::string field = connection->line(); !field.empty(); field = connection->line()) {
+            const std::string name = Poco::toLower(field.substr(0, field.find(':')));
+            const std::string value = Poco::trim(field.substr(field.find(':') + 1));
+            outcome.isSigned = outcome.isSigned || name == "x-server-signature";
+            chunked = chunked || (name == "transfer-encoding" && value == "chunked");
+            length = name == "content-length" ? std::stoul(value) : length;
+            closes = closes || (name == "connection" && value == "close");
+        }
+        outcome.status = std::stoi(status.substr(status.find(' ') + 1));
+        readBody(*connection, chunked, length, outcome.body);
+        outcome.whole = true;
     } catch (const Poco::Exception &) {
         outcome.whole = false;
     }
+    if (closes || !outcome.whole) {
+        connection.reset();
+    }
     return outcome;
 }
 
 } // namespace
 
-Outcome ask(std::uint16_t port, const std::string &id, RequestKind kind)
+Outcome ask(const std::string &entry, const std::string &id, RequestKind kind)
 {
-    Poco::Net::HTTPClientSession session("127.0.0.1", port);
-    session.setTimeout(Poco::Timespan(patienceSeconds, 0));
-    return askOn(session, id, kind);
+    std::unique_ptr<CallerConnection> connection;
+    return askOn(connection, entry, id, kind);
 }
 
-SoakCallers::SoakCallers(std::vector<std::uint16_t> ports, std::size_t callers, std::uint64_t seed)
-    : m_ports(std::move(ports))
+SoakCallers::SoakCallers(std::vector<std::string> entries, std::size_t callers, std::uint64_t seed)
+    : m_entries(std::move(entries))
 {
     for (std::size_t i = 0; i < callers; ++i) {
         m_threads.emplace_back([this, i, seed] {
@@ -83,19 +172,14 @@
 void SoakCallers::work(std::size_t caller, std::uint64_t seed)
 {
     std::mt19937_64 random(seed * 1000 + caller);
-    const std::uint16_t port = m_ports[caller % m_ports.size()];
-    auto session = std::make_unique<Poco::Net::HTTPClientSession>("127.0.0.1", port);
+    const std::string &entry = m_entries[caller % m_entries.size()];
+    std::unique_ptr<CallerConnection> connection;
     for (int number = 0; !m_stopping; ++number) {
-        session->setKeepAlive(true);
-        session->setTimeout(Poco::Timespan(patienceSeconds, 0));
         const auto draw = random() % 10;
         const RequestKind kind = draw < 4 ? RequestKind::Generation : draw < 7 ? RequestKind::Order : RequestKind::Read;
         const std::string id
             = "s" + std::to_string(seed) + "-c" + std::to_string(caller) + "-" + std::to_string(number);
-        const Outcome outcome = askOn(*session, id, kind);
-        if (!outcome.whole) {
-            session = std::make_unique<Poco::Net::HTTPClientSession>("127.0.0.1", port);
-        }
+        const Outcome outcome = askOn(connection, entry, id, kind);
         std::this_thread::sleep_for(outcome.whole && outcome.status == 200 ? pause : pauseAfterFailure);
         const std::lock_guard lock(m_mutex);
         m_outcomes.push_back(outcome);
--- a/bench/soak/soakcallers.h
+++ b/bench/soak/soakcallers.h
@@ -12,14 +12,14 @@
 namespace zinniadock::soak
 {
 
-/// Asks one entry on a connection that is kept while it works, and returns what came.
-Outcome ask(std::uint16_t port, const std::string &id, RequestKind kind);
+/// Asks one entry, at an IP:port, on a connection that is kept while it works, and returns what came.
+Outcome ask(const std::string &entry, const std::string &id, RequestKind kind);
 
 /// Callers that ask entries one request after another, on connections that they keep open.
 class SoakCallers
 {
 public:
-    SoakCallers(std::vector<std::uint16_t> ports, std::size_t callers, std::uint64_t seed);
+    SoakCallers(std::vector<std::string> entries, std::size_t callers, std::uint64_t seed);
     ~SoakCallers();
 
     SoakCallers(const SoakCallers &) = delete;
@@ -31,7 +31,7 @@
 private:
     void work(std::size_t caller, std::uint64_t seed);
 
-    const std::vector<std::uint16_t> m_ports;
+    const std::vector<std::string> m_entries; ///< IP:port
     std::atomic<bool> m_stopping{ false };
     std::mutex m_mutex;
     std::vector<Outcome> m_outcomes;
--- a/bench/soak/soakfleet.cpp
+++ b/bench/soak/soakfleet.cpp
@@ -3,11 +3,11 @@
 #include <csignal>
 #include <fstream>
 
-#include <Poco/Net/ServerSocket.h>
 #include <fcntl.h>
 #include <nlohmann/json.hpp>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 extern char **environ; // NOLINT: the standard's own name
 
@@ -22,20 +22,31 @@
 constexpr std::size_t shopCount = 2;
 constexpr std::chrono::milliseconds eventInterval{ 20 };
 
-std::uint16_t freePort(const std::string &address)
-{
-    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(address, 0));
-    return socket.address().port();
-}
+/// Ports of the daemons, below those that the system gives out.
+constexpr std::uint16_t callerPort = 18740;
+constexpr std::uint16_t peerPort = 18741;
+constexpr std::uint16_t metricsPort = 18742;
+constexpr std::uint16_t readyPort = 18743;
+constexpr std::uint16_t sidecarPort = 18750;
+
+/// What an address on the loopback interface is for.
+enum class Place {
+    Relay = 1, ///< before an engine, and of the sidecar beside it
+    Engine = 2,
+    Entry = 3,
+};
 
-std::string engineAddress(std::size_t index)
+/// Returns an address that no other soak on this machine uses at the same time.
+std::string addressOf(Place place, std::size_t index)
 {
-    return "127.0.1." + std::to_string(index + 1);
+    constexpr int fleets = 250;
+    return "127." + std::to_string(1 + getpid() % fleets) + "." + std::to_string(static_cast<int>(place)) + "."
+        + std::to_string(index + 1);
 }
 
-std::string local(std::uint16_t port)
+std::string at(const std::string &address, std::uint16_t port)
 {
-    return "127.0.0.1:" + std::to_string(port);
+    return address + ":" + std::to_string(port);
 }
 
 Json route(const std::string &prefix, const std::string &kind, const std::string &service, int timeout, int attempts)
@@ -146,7 +157,6 @@
     , entries(entryCount)
     , m_program(std::move(program))
     , m_directory(std::move(directory))
-    , m_sidecarPort(freePort(engineAddress(0)))
 {
     changeConfiguration();
     for (std::size_t i = 0; i < shopCount; ++i) {
@@ -158,10 +168,9 @@
         Entry &entry = entries[i];
         entry.storeRelay = std::make_unique<standin::LinkRelay>(
             standin::LinkRelaySettings{ .server = "127.0.0.1:" + std::to_string(store.port()) });
-        entry.port = freePort("127.0.0.1");
-        entry.peerPort = freePort("127.0.0.1");
-        entry.metricsPort = freePort("127.0.0.1");
-        entry.readyPort = freePort("127.0.0.1");
+        entry.address = addressOf(Place::Entry, i);
+        entry.port = callerPort;
+        entry.metricsPort = metricsPort;
         entry.daemon = std::make_unique<Daemon>(m_program, m_directory + "/entry-" + std::to_string(i));
     }
     for (std::size_t i = 0; i < entryCount; ++i) {
@@ -177,18 +186,18 @@
 {
     Engine &engine = engines[index];
     engine.id = "engine-" + std::to_string(++m_incarnations);
-    engine.server = std::make_unique<standin::PlatformServer>(engine.id, "127.0.2." + std::to_string(index + 1));
+    engine.server = std::make_unique<standin::PlatformServer>(engine.id, addressOf(Place::Engine, index));
     engine.server->setEventInterval(eventInterval);
     engine.relay = std::make_unique<standin::LinkRelay>(
-        standin::LinkRelaySettings{ .server = engine.server->endpoint(), .address = engineAddress(index) });
+        standin::LinkRelaySettings{ .server = engine.server->endpoint(), .address = addressOf(Place::Relay, index) });
     engine.sidecar = std::make_unique<Daemon>(m_program, m_directory + "/sidecar-" + engine.id);
-    const std::string address = engineAddress(index);
+    const std::string address = addressOf(Place::Relay, index);
     engine.sidecar->writeSettings("[daemon]\nrole = sidecar\ninterface = forwarding\ninstance = " + engine.id
                                   + "\ndata_centre = north\nadmin = " + address + ":0\n[sidecar]\nserver = " + engine.id
-                                  + "\nkind = engine\nlisten = " + address + ":" + std::to_string(m_sidecarPort)
+                                  + "\nkind = engine\nlisten = " + address + ":" + std::to_string(sidecarPort)
                                   + "\nbackend = " + engine.server->endpoint()
-                                  + "\n[forwarding]\npool = engines\nsidecar_port = " + std::to_string(m_sidecarPort)
-                                  + "\nseeds = " + local(entries[0].peerPort) + "\n");
+                                  + "\n[forwarding]\npool = engines\nsidecar_port = " + std::to_string(sidecarPort)
+                                  + "\nseeds = " + at(entries[0].address, peerPort) + "\n");
     engine.sidecar->start();
     Json record = Json::parse(engine.server->record("engines"));
     record["address"] = address + ":" + std::to_string(engine.relay->port());
@@ -219,14 +228,14 @@
     const Entry &entry = entries[index];
     std::string seeds;
     for (const Entry &other : entries) {
-        seeds += (seeds.empty() ? "" : ", ") + local(other.peerPort);
+        seeds += (seeds.empty() ? "" : ", ") + at(other.address, peerPort);
     }
     entry.daemon->writeSettings(
         "[daemon]\nrole = entry\ninterface = forwarding\ninstance = entry-" + std::to_string(index)
-        + "\ndata_centre = north\nadmin = " + local(entry.metricsPort)
-        + "\n[store]\nendpoint = " + local(entry.storeRelay->port()) + "\n[entry]\nlisten = " + local(entry.port)
-        + "\nlame_duck_ms = 500\n[forwarding]\nready = " + local(entry.readyPort) + "\npeer = " + local(entry.peerPort)
-        + "\nseeds = " + seeds + "\nsidecar_port = " + std::to_string(m_sidecarPort)
+        + "\ndata_centre = north\nadmin = " + at(entry.address, metricsPort) + "\n[store]\nendpoint = "
+        + at("127.0.0.1", entry.storeRelay->port()) + "\n[entry]\nlisten = " + at(entry.address, callerPort)
+        + "\nlame_duck_ms = 500\n[forwarding]\nready = " + at(entry.address, readyPort) + "\npeer = "
+        + at(entry.address, peerPort) + "\nseeds = " + seeds + "\nsidecar_port = " + std::to_string(sidecarPort)
         + "\nretry_slack = " + std::to_string(100 + ++m_settingsWritten) + "\n");
 }
 
--- a/bench/soak/soakfleet.h
+++ b/bench/soak/soakfleet.h
@@ -64,10 +64,9 @@
 {
     std::unique_ptr<Daemon> daemon;
     std::unique_ptr<standin::LinkRelay> storeRelay;
+    std::string address;
     std::uint16_t port = 0; ///< of callers
-    std::uint16_t peerPort = 0;
     std::uint16_t metricsPort = 0;
-    std::uint16_t readyPort = 0;
 };
 
 /// The whole deployment on loopback: entries and sidecars are processes, the rest are stand-ins in this one.
@@ -102,7 +101,6 @@
 
     const std::string m_program;
     const std::string m_directory;
-    std::uint16_t m_sidecarPort = 0;
     int m_incarnations = 0;
     int m_settingsWritten = 0;
 };
