Look for a lost store with short calls, so that its return shows in time

Ruled out: the peers, which had the version, but the seed that was asked was cut off as well. While the store is lost a watch waits 0.2 s and is given up after 0.7 s, with at most 0.78 s between two.

--- a/src/process/prefixwatch.cpp
+++ b/src/process/prefixwatch.cpp
@@ -18,8 +18,13 @@
 constexpr std::chrono::milliseconds watchWait{ 3000 };
 constexpr std::chrono::milliseconds answerSlack{ 800 };
 constexpr std::chrono::milliseconds readTimeout{ 1500 };
+
+// While the store is lost, so that a call which a silent store swallowed does not hide its return.
+constexpr std::chrono::milliseconds probeWait{ 200 };
+constexpr std::chrono::milliseconds probeTimeout{ 700 };
+
 constexpr std::chrono::milliseconds firstBackoff{ 60 };
-constexpr std::chrono::milliseconds longestBackoff{ 800 };
+constexpr std::chrono::milliseconds longestBackoff{ 600 };
 
 double jitter()
 {
@@ -90,8 +95,8 @@
     while (hasMore) {
         const std::string after = all.empty() ? "" : all.back().key;
         ++m_calls;
-        const CallResult result
-            = co_await call(m_pool, m_store, makeGet(wire::rangeTarget(m_prefix, after)), readTimeout);
+        const std::chrono::milliseconds timeout = m_reachable.value_or(true) ? readTimeout : probeTimeout;
+        const CallResult result = co_await call(m_pool, m_store, makeGet(wire::rangeTarget(m_prefix, after)), timeout);
         const auto page = result.succeeded() ? wire::parseItems(result.body) : std::nullopt;
         setReachable(page.has_value(), result);
         if (!page) {
@@ -110,8 +115,10 @@
 Awaitable<bool> PrefixWatch::waitForChanges()
 {
     ++m_calls;
-    const std::string target = wire::watchTarget(m_prefix, m_revision, watchWait);
-    const CallResult result = co_await call(m_pool, m_store, makeGet(target), watchWait + answerSlack);
+    const std::chrono::milliseconds wait = m_reachable.value_or(true) ? watchWait : probeWait;
+    const std::chrono::milliseconds timeout = m_reachable.value_or(true) ? watchWait + answerSlack : probeTimeout;
+    const std::string target = wire::watchTarget(m_prefix, m_revision, wait);
+    const CallResult result = co_await call(m_pool, m_store, makeGet(target), timeout);
     if (!result.error && wire::isCompacted(static_cast<http::status>(result.status))) {
         logEvent("store", "history lost", { { "prefix", m_prefix }, { "revision", m_revision } });
         m_revision = 0;
--- a/tests/standin/platformstandin.cpp
+++ b/tests/standin/platformstandin.cpp
@@ -91,6 +91,10 @@
 
 PlatformStore::~PlatformStore()
 {
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
     setDown(true);
     m_server.stop();
 }
@@ -135,6 +139,16 @@
     m_changed.notify_all();
 }
 
+void PlatformStore::setSilent(bool silent)
+{
+    m_silent = silent;
+}
+
+std::uint64_t PlatformStore::unanswered() const
+{
+    return m_unanswered;
+}
+
 std::uint64_t PlatformStore::calls() const
 {
     return m_calls;
@@ -144,6 +158,15 @@
 {
     ++m_calls;
     const Poco::URI uri(request.getURI());
+    if (m_silent) {
+        ++m_unanswered;
+        std::unique_lock lock(m_mutex);
+        m_changed.wait(lock, [this] {
+            return m_stopping;
+        });
+        cutConnection(request);
+        return;
+    }
     if (m_down) {
         send(response, 503, Json::object());
         return;
--- a/tests/standin/platformstandin.h
+++ b/tests/standin/platformstandin.h
@@ -40,6 +40,12 @@
     /// Refuses every call with 503 from now on, or answers again.
     void setDown(bool down);
 
+    /// Never answers the calls that arrive from now on, or answers new ones again.
+    void setSilent(bool silent);
+
+    /// Returns the calls that were left without an answer.
+    std::uint64_t unanswered() const;
+
     std::uint64_t calls() const;
 
 private:
@@ -61,6 +67,9 @@
     std::int64_t m_revision = 7;
     std::int64_t m_compacted = 0;
     std::atomic<bool> m_down{ false };
+    std::atomic<bool> m_silent{ false };
+    std::atomic<std::uint64_t> m_unanswered{ 0 };
+    bool m_stopping = false;
     std::atomic<std::uint64_t> m_calls{ 0 };
     FunctionServer m_server;
 };
--- a/tests/unit/unit-forwarding.cpp
+++ b/tests/unit/unit-forwarding.cpp
@@ -342,6 +342,27 @@
         }));
         CHECK(call({ .target = "/order/1", .key = "k4" }).status == 401);
     }
+    SECTION("a store that was silent is heard again within the time that a configuration has to come into force")
+    {
+        store.put("op/config", configuration(3));
+        REQUIRE(eventually([&] {
+            return isReady(entry);
+        }));
+        store.setSilent(true);
+        // The watches are answered by the change; the calls that follow are not, nor the next ones.
+        store.put("op/config", configuration(4));
+        store.put("servers/s3", second.record("shop"));
+        REQUIRE(eventually([&] {
+            return store.unanswered() >= 4;
+        }));
+        store.setSilent(false);
+        store.put("op/config", configuration(5, "k5"));
+        CHECK(eventually(
+            [&] {
+                return call({ .target = "/order/1", .id = "later", .key = "k5" }).status == 200;
+            },
+            std::chrono::milliseconds(2000)));
+    }
     SECTION("an entry that the store turns away takes the configuration from another entry")
     {
         PlatformStore silent;
