--- a/bench/soak/soakcallers.cpp
+++ b/bench/soak/soakcallers.cpp
@@ -63,7 +63,7 @@
 private:
     std::string take(std::size_t count)
     {
-        const std::string taken = m_buffer.substr(0, count);
+        std::string taken = m_buffer.substr(0, count);
         m_buffer.erase(0, count);
         return taken;
     }
--- a/bench/soak/soakfleet.h
+++ b/bench/soak/soakfleet.h
@@ -73,7 +73,7 @@
 class SoakFleet
 {
 public:
-    SoakFleet(std::string program, std::string directory, std::size_t entries, std::size_t engines);
+    SoakFleet(std::string program, std::string directory, std::size_t entryCount, std::size_t engineCount);
 
     /// Starts another incarnation of an engine, with its sidecar, and lists it.
     void startEngine(std::size_t index);
