Log and count the limits that servers state

When a server got more requests than its limit, logs and metrics could not tell why: nothing showed that a server had stated a limit (Server-Limit), nor which requests were sent to it afterwards. The field is now read from the responses of calls, generations and reservations. One log line a change shows the limit and its source; metrics show each limit, its age, and the requests sent to the server by reason (first attempt, retry, move, control). Placement is unchanged.

Invalid values change nothing and are logged once for a server: no decimal number, negative, not finite. Values outside of 0.05 to 1,000,000 are replaced by the bound. Of several values the lowest one counts. A limit ends after two responses without the field.

--- a/include/zinniadock/connection/wireform.h
+++ b/include/zinniadock/connection/wireform.h
@@ -61,6 +61,7 @@
     bool closesConnection = false; ///< the server closes the connection after this response
     bool isDraining = false; ///< the server is about to stop and must not get new requests
     std::optional<std::chrono::milliseconds> retryAfter; ///< pause that the server requests with a refusal
+    std::vector<std::string> limits; ///< values of the fields that limit the requests per second from all callers
     std::optional<std::chrono::milliseconds> idleTimeout; ///< time for which the server keeps an idle connection open
 };
 
--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -10,6 +10,7 @@
 
 #include "zinniadock/connection/httpclient.h"
 #include "zinniadock/process/hintedlength.h"
+#include "zinniadock/process/limitgate.h"
 #include "zinniadock/process/metrics.h"
 #include "zinniadock/process/placement.h"
 #include "zinniadock/process/retrywindow.h"
@@ -54,6 +55,7 @@
     ConnectionPool pool;
     std::shared_ptr<const RouteTable> routes; ///< null before the first configuration
     ServerDirectory directory;
+    LimitGate limitGate;
     AsyncCondition capacityChanged; ///< notified when a server may have gained free capacity
     EntryMetrics metrics;
     ForwardingCounters counters;
--- a/src/request/callforward.cpp
+++ b/src/request/callforward.cpp
@@ -125,6 +125,8 @@
         });
     }
     const HttpRequest request = wire::serverRequest(m_context->request, m_context->serverFields(target.record.id));
+    services.limitGate.recordSent(target.record,
+                                  m_context->attempts > 1 ? SendReason::Retry : SendReason::FirstAttempt);
     IoError error = co_await exchange->send(request, std::min(connectTimeout, m_context->timeLeft()));
     if (error) {
         if (exchange->sendState() == SendState::NotSent) {
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -140,6 +140,10 @@
     if (responseFields.isMisdirected) {
         return;
     }
+    if (const TrackedServer *tracked = services.directory.find(serverId)) {
+        services.limitGate.observe(tracked->record, responseFields.limits, fields.requestId,
+                                   std::chrono::steady_clock::now());
+    }
     if (responseFields.isDraining && services.directory.markDraining(serverId)) {
         logEvent("server", "leaves", { { "server", serverId }, { "source", "answer" }, { "id", fields.requestId } });
         notifyServerDraining(services, serverId);
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -263,6 +263,7 @@
     const double tokens = neededTokens(m_context->fields.promptTokens, m_expectedTokens);
     const Endpoint engine = tracked->record.address;
     const HttpRequest request = wire::reserveRequest(static_cast<std::uint32_t>(tokens), lifetime);
+    m_services.limitGate.recordSent(tracked->record, SendReason::Control);
     const CallResult result = co_await call(m_services.pool, engine, request, reservationTimeout);
     const auto now = std::chrono::steady_clock::now();
     if (result.error) {
@@ -340,6 +341,10 @@
     const Endpoint address = tracked->record.address;
     attach(server);
     ++m_context->attempts;
+    m_services.limitGate.recordSent(tracked->record,
+                                    fields.copy                   ? SendReason::Move
+                                        : m_context->attempts > 1 ? SendReason::Retry
+                                                                  : SendReason::FirstAttempt);
     m_splitter.reset();
     fields.lastEventId = m_lastEventId ? std::to_string(*m_lastEventId) : "";
     const HttpRequest request = wire::serverRequest(m_context->request, fields);
--- a/tests/standin/platformstandin.cpp
+++ b/tests/standin/platformstandin.cpp
@@ -320,6 +320,18 @@
     m_retryAfterSeconds = retryAfterSeconds;
 }
 
+void PlatformServer::setLimits(const std::vector<std::string> &values)
+{
+    const std::lock_guard lock(m_mutex);
+    m_limits = values;
+}
+
+std::vector<std::chrono::steady_clock::time_point> PlatformServer::arrivals()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_arrivals;
+}
+
 std::uint64_t PlatformServer::retryAfterRefusals() const
 {
     return m_retryAfterRefusals;
@@ -391,6 +403,13 @@
     if (m_sendsDrainingHeader) {
         response.set("Server-Leaving", "1");
     }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_arrivals.push_back(std::chrono::steady_clock::now());
+        for (const std::string &value : m_limits) {
+            response.add("Server-Limit", value);
+        }
+    }
     if (path == "/h") {
         response.set("X-Instance-Id", m_id);
         send(response, 200, Json::object());
--- a/tests/standin/platformstandin.h
+++ b/tests/standin/platformstandin.h
@@ -146,6 +146,12 @@
     /// Adds the field `Server-Leaving` to each response while \p enabled is true. Rejects nothing.
     void setDrainingHeader(bool enabled);
 
+    /// Adds a field `Server-Limit` with each of these values to each response. Rejects nothing.
+    void setLimits(const std::vector<std::string> &values);
+
+    /// Returns when each request arrived, of any kind, in order.
+    std::vector<std::chrono::steady_clock::time_point> arrivals();
+
     /// Rejects requests and reservations with status 503 and this `Retry-After`. An empty string rejects none.
     void setRetryAfter(const std::string &retryAfterSeconds);
 
@@ -202,6 +208,8 @@
     std::atomic<bool> m_rejectsReservations{ false };
     std::atomic<bool> m_sendsDrainingHeader{ false };
     std::string m_retryAfterSeconds; ///< empty for none
+    std::vector<std::string> m_limits; ///< values of `Server-Limit`
+    std::vector<std::chrono::steady_clock::time_point> m_arrivals;
     std::atomic<std::uint64_t> m_retryAfterRefusals{ 0 };
     std::atomic<std::uint64_t> m_endlessBytes{ 0 };
     std::atomic<std::int64_t> m_eventMilliseconds{ 5 };
