--- /dev/null
+++ b/tests/unit/unit-limitedservers.cpp
@@ -0,0 +1,116 @@
+#include <algorithm>
+#include <atomic>
+#include <thread>
+
+#include <catch2/catch.hpp>
+
+#include "fleet.h"
+#include "forwardingfixture.h"
+
+using namespace zinniadock;
+using namespace zinniadock::standin;
+using namespace zinniadock::test;
+
+namespace
+{
+
+using Clock = std::chrono::steady_clock;
+
+constexpr double limitPerSecond = 4;
+constexpr std::chrono::seconds window{ 4 };
+
+/// Time after the first response with a limit from which its bound holds.
+constexpr std::chrono::milliseconds reactionTime{ 500 };
+
+/// Max requests in any window: one and a half times the limit, and five more.
+constexpr std::size_t maxInWindow = static_cast<std::size_t>(1.5 * limitPerSecond * window.count()) + 5;
+
+std::size_t busiestWindow(std::vector<Clock::time_point> arrivals, Clock::time_point from)
+{
+    std::erase_if(arrivals, [from](Clock::time_point arrival) {
+        return arrival < from;
+    });
+    std::size_t busiest = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < arrivals.size(); ++last) {
+        while (arrivals[last] - arrivals[first] > window) {
+            ++first;
+        }
+        busiest = std::max(busiest, last - first + 1);
+    }
+    return busiest;
+}
+
+/// What callers have got over a time.
+struct CallerCounts
+{
+    std::atomic<int> served{ 0 };
+    std::atomic<int> refused{ 0 };
+    std::atomic<int> refusedWithTime{ 0 };
+    std::atomic<int> failed{ 0 };
+};
+
+/// Sends requests to each entry for \p duration, one after another, with a pause of \p pause.
+void callEntries(const std::vector<std::uint16_t> &ports, const TestRequest &request, Clock::duration duration,
+                 std::chrono::milliseconds pause, CallerCounts &counts)
+{
+    std::vector<std::thread> callers;
+    const auto end = Clock::now() + duration;
+    for (const std::uint16_t port : ports) {
+        callers.emplace_back([&request, &counts, port, end, pause] {
+            while (Clock::now() < end) {
+                const TestResponse response = sendRequest(port, request);
+                ++(response.status == 200 ? counts.served : response.status == 503 ? counts.refused : counts.failed);
+                counts.refusedWithTime += response.status == 503 && response.retryAfter > 0 ? 1 : 0;
+                std::this_thread::sleep_for(pause);
+            }
+        });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+}
+
+} // namespace
+
+// Guards against entries that ignore the limit of a server, or that each use the whole limit.
+TEST_CASE("a server that states a limit gets no more requests than that from all entries together")
+{
+    PlatformStore store;
+    PlatformServer limited("s1");
+    PlatformServer unlimited("s2");
+    store.put("servers/s1", limited.record("shop"));
+    store.put("op/config", configuration(3));
+    std::vector<std::unique_ptr<RoleThread<ForwardingEntry>>> entries;
+    std::vector<std::uint16_t> ports;
+    for (int i = 0; i < 3; ++i) {
+        entries.push_back(std::make_unique<RoleThread<ForwardingEntry>>(entrySettings(store.port(), 1)));
+        REQUIRE(eventually([&] {
+            return isReady(*entries.back());
+        }));
+        ports.push_back((*entries.back())->port());
+    }
+    limited.setLimits({ "4" });
+    const TestRequest request{ .target = "/order/1" };
+    CallerCounts counts;
+
+    SECTION("callers are refused at once and told when to come back, if no other server is left")
+    {
+        const auto start = Clock::now();
+        callEntries(ports, request, std::chrono::seconds(9), std::chrono::milliseconds(30), counts);
+        CHECK(busiestWindow(limited.arrivals(), start + reactionTime) <= maxInWindow);
+        CHECK(counts.served >= 0.8 * limitPerSecond * 8);
+        CHECK(counts.refused > 0);
+        CHECK(counts.refusedWithTime == counts.refused);
+        CHECK(counts.failed == 0);
+    }
+    SECTION("a server without a limit gets the rest")
+    {
+        store.put("servers/s2", unlimited.record("shop"));
+        const auto start = Clock::now();
+        callEntries(ports, request, std::chrono::seconds(6), std::chrono::milliseconds(30), counts);
+        CHECK(busiestWindow(limited.arrivals(), start + reactionTime) <= maxInWindow);
+        CHECK(counts.refused == 0);
+        CHECK(counts.failed == 0);
+    }
+}
