Share the limits of servers between the entries

What callers saw: nothing; a server that stated a limit of 3.6 requests a second got 47 in 4 s from five entries.

Cause: no entry applied the limit. A limit for each entry alone is no fix, since it multiplies with the number of entries, and an equal part for each entry leaves most of the limit unused where a few entries have most requests, or where the part is less than one request a second.

Change: each entry creates its equal part of a limit as permits. Permits are only moved, upwards along a tree of the entries to its root and from there down to the entries that have requests; they are never copied. So the sum holds however the fleet is divided, and a lost message only loses permits. An entry whose parent does not respond uses the next one, or distributes what its own subtree creates. Nothing goes through the store. A request that no server may get is refused at once with the expected time until a permit is free. Limited engines get no reservations, and their sidecars read reports less often. The decision is in limitgate, limitbudget and limittree, without network, clock or thread.

--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -22,6 +22,7 @@
 {
 
 class GenerationForwarder;
+class LimitExchange;
 
 /// Counters of a forwarding entry, in addition to EntryMetrics.
 struct ForwardingCounters
@@ -56,6 +57,7 @@
     std::shared_ptr<const RouteTable> routes; ///< null before the first configuration
     ServerDirectory directory;
     LimitGate limitGate;
+    std::shared_ptr<LimitExchange> limitExchange; ///< null before the entry starts
     AsyncCondition capacityChanged; ///< notified when a server may have gained free capacity
     EntryMetrics metrics;
     ForwardingCounters counters;
--- a/include/zinniadock/process/limitgate.h
+++ b/include/zinniadock/process/limitgate.h
@@ -1,32 +1,141 @@
 #pragma once
 
+#include <chrono>
+#include <functional>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "zinniadock/process/limitbudget.h"
+#include "zinniadock/process/limitmessages.h"
+#include "zinniadock/process/limittree.h"
 #include "zinniadock/process/serverlimit.h"
 
 namespace zinniadock
 {
 
-/// Keeps the limits that backend servers state, and logs each change. Not thread-safe.
+/// Decides whether this entry may send a request to a backend server that limits its requests per second, and shares
+/// the limits with the other entries. Logs each change of a limit. Has no network, clock or thread of its own; the
+/// messages are exchanged by LimitExchange. Not thread-safe.
 class LimitGate
 {
 public:
+    /// Returns whether this entry knows a server. Limits of other servers are ignored.
+    using ServerFilter = std::function<bool(const ServerIncarnation &)>;
+
+    LimitGate(RandomSource draw, ServerFilter isKnownServer);
+
     /// Applies the limit fields of a response of a server.
     /// \param values  values of the limit fields, empty if the response has none
     /// \param source  ID of the request to which the server responded
     void observe(const ServerRecord &server, const std::vector<std::string> &values, const std::string &source,
                  SteadyTime now);
 
-    /// Records a request that is sent to a server.
-    void recordSent(const ServerRecord &server, SendReason reason);
+    /// Returns whether a server has a limit.
+    bool isLimited(const ServerRecord &server) const;
+
+    /// Returns whether a request may be sent to a server now. Complexity: logarithmic in the limits.
+    bool maySend(const ServerRecord &server, SteadyTime now) const;
+
+    /// Records that a request is sent to a server, and uses a permit if the server has a limit.
+    void recordSent(const ServerRecord &server, SendReason reason, SteadyTime now);
+
+    /// Undoes recordSent() for a request that was not sent after all.
+    void undoSent(const ServerRecord &server, SteadyTime now);
+
+    /// Records a request that could use each limited server of a pool. Complexity: linear in the limits.
+    void recordDemand(const ServerDirectory &directory, const std::string &pool, SteadyTime now);
+
+    /// Records that a request is waiting for a permit of any server of a pool. Complexity: linear in the limits.
+    void recordWaiting(const ServerDirectory &directory, const std::string &pool);
+
+    /// Records that a request was refused because of the limits of a pool. Returns the time after which the caller
+    /// finds a permit, or nothing if no server of the pool has a limit.
+    std::optional<std::chrono::milliseconds> refuse(const ServerDirectory &directory, const std::string &pool,
+                                                    SteadyTime now);
+
+    /// Forgets the limits of a server.
+    void forget(const std::string &serverId);
 
     const KnownLimits &limits() const;
 
+    /// Sets the entries that share the limits.
+    /// \param self  peer address of this entry
+    /// \param minEntries  min number of entries to assume, also if fewer are listed
+    void setFleet(const std::string &self, const std::set<std::string> &peers, std::size_t minEntries, SteadyTime now);
+
+    /// Returns whether there are limits to share or ends of limits to report.
+    bool isActive(SteadyTime now) const;
+
+    /// Returns whether a report to the parent is due although no request waits for a permit. It is due sooner if a
+    /// limited server could have got requests that were sent to other servers.
+    bool isReportDue(SteadyTime now) const;
+
+    /// Returns whether a report may be sent now, and counts it. On average one report per interval() is allowed, and up
+    /// to \c maxReportBurst at once.
+    bool takeReport(SteadyTime now);
+
+    /// Returns the min average time between two reports to the parent.
+    std::chrono::milliseconds interval() const;
+
+    /// Returns the entry to report to; nothing if this entry is the root.
+    std::optional<std::string> parent(SteadyTime now);
+
+    /// Returns the report to a parent. The permits that it gives away are no longer in this entry.
+    LimitReport makeReport(const std::string &parent, SteadyTime now);
+
+    /// Applies the response of the parent, or its absence.
+    void applyReply(const std::string &parent, const std::optional<LimitReply> &reply, SteadyTime now);
+
+    /// Grants permits of this entry's subtree to this entry itself.
+    void grantToSelf(SteadyTime now);
+
+    /// Applies the limits that another entry reports.
+    void applyReport(const LimitReport &report, SteadyTime now);
+
+    /// Returns whether a report asks for permits that this entry does not have, and records that the sender waits for
+    /// them.
+    bool lacksPermits(const LimitReport &report, SteadyTime now);
+
+    /// Takes the permits of a report of a child and returns the response. \pre applyReport() was called with the report
+    LimitReply reply(const LimitReport &report, SteadyTime now);
+
+    /// Returns the children that may not know a limit, since they have not reported. Returns each at most once per
+    /// \c noticeInterval.
+    std::vector<std::string> childrenToNotify(SteadyTime now);
+
+    /// Returns the notice for children.
+    LimitReport makeNotice(SteadyTime now) const;
+
 private:
-    void logChange(LimitChange change, const ServerIncarnation &server, std::optional<double> previous) const;
+    struct Child
+    {
+        std::size_t subtreeSize = 0;
+        SteadyTime reportedAt;
+    };
+
+    void updateBudget(LimitChange change, const ServerIncarnation &server, std::optional<double> previous,
+                      SteadyTime now);
+    void mergeState(const LimitState &state, const std::string &peer, SteadyTime now);
+    void updatePosition(SteadyTime now);
+    std::size_t subtreeSize(SteadyTime now) const;
+    std::vector<LimitState> states(SteadyTime now) const;
+    std::vector<ServerIncarnation> limitedServers(const ServerDirectory &directory, const std::string &pool) const;
 
+    RandomSource m_draw;
+    ServerFilter m_isKnownServer;
     KnownLimits m_limits;
+    LimitBudget m_budget;
+    LimitTree m_tree;
+    std::string m_self;
+    std::map<std::string, Child> m_children; ///< by peer
+    std::map<std::string, SteadyTime> m_notifiedAt; ///< by peer
+    double m_reportCredit = 0; ///< reports that may be sent now
+    SteadyTime m_creditedUntil;
+    SteadyTime m_lastReport;
+    bool m_hasUnmetDemand = false; ///< requests could have used permits since the last report
+    std::optional<SteadyTime> m_lastEnd; ///< when a limit last ended
 };
 
 } // namespace zinniadock
--- a/include/zinniadock/process/serverlimit.h
+++ b/include/zinniadock/process/serverlimit.h
@@ -95,12 +95,12 @@
     /// Returns whether a problem has not been reported yet for this server, and records it as reported.
     bool isNewProblem(const ServerIncarnation &server, const std::string &problem, SteadyTime now);
 
+    /// Removes the limits of a server. Returns its incarnations.
+    std::vector<ServerIncarnation> remove(const std::string &serverId);
+
     void recordSent(const ServerIncarnation &server, SendReason reason);
     void recordWithheld(const ServerIncarnation &server);
 
-    /// Removes limits that were last observed before \p oldest. Complexity: linear in the limits.
-    void removeOlderThan(SteadyTime oldest);
-
     /// Returns all limits, also those that have ended.
     const std::map<ServerIncarnation, KnownLimit> &all() const;
 
@@ -111,6 +111,9 @@
 /// Number of consecutive responses without a limit after which the limit has ended.
 constexpr std::uint32_t responsesUntilEnd = 2;
 
+/// Share of the limit of an engine that the sidecar beside it uses, for load reports and copies.
+constexpr double sidecarLimitShare = 0.05;
+
 /// Appends the metrics of all limits in Prometheus text format.
 void appendLimitMetrics(const KnownLimits &limits, SteadyTime now, std::string &out);
 
--- a/include/zinniadock/process/watchingsidecar.h
+++ b/include/zinniadock/process/watchingsidecar.h
@@ -11,6 +11,7 @@
 #include "zinniadock/connection/httpclient.h"
 #include "zinniadock/connection/httplistener.h"
 #include "zinniadock/process/preemptionwatch.h"
+#include "zinniadock/process/serverlimit.h"
 #include "zinniadock/process/settings.h"
 #include "zinniadock/process/sidecarmessages.h"
 
@@ -60,6 +61,9 @@
     Awaitable<void> handleMoveOrder(std::shared_ptr<HttpConnection> connection, MoveOrder order);
     Awaitable<void> handleMetricsRequest(std::shared_ptr<HttpConnection> connection, HttpRequest request);
     void applyLoad(EngineLoad load);
+    ServerIncarnation limitKey() const;
+    void observeLimit(const ResponseHead &head, const std::string &source);
+    std::chrono::milliseconds pauseBetweenReports() const;
     std::vector<std::string> activePeers();
     std::chrono::milliseconds timeLeft() const;
     std::shared_ptr<PendingMove> nextMove() const;
@@ -82,6 +86,7 @@
     bool m_isMoving = false; ///< a move is in progress
     std::map<std::string, std::chrono::steady_clock::time_point> m_lastQueryByPeer; ///< by peer address of the entry
     EngineAdmission m_admission;
+    KnownLimits m_limits; ///< of the engine
     PreemptionWatch m_preemptionWatch;
     std::uint64_t m_preemptions = 0;
     std::uint64_t m_movesDone = 0;
--- a/include/zinniadock/request/forwardscope.h
+++ b/include/zinniadock/request/forwardscope.h
@@ -65,8 +65,16 @@
 
     /// Returns the retry time for the caller of a refused request. It is short if this entry is stopping, since another
     /// entry can accept the request. Otherwise it is \p baseDelay. If all servers of the pool that are not draining are
-    /// paused, the time until the first of these pauses ends is added.
-    std::chrono::milliseconds retryDelay(std::chrono::milliseconds baseDelay) const;
+    /// paused, the time until the first of these pauses ends is added. If \p isLimited, it is at least the expected
+    /// time until the limits of the pool allow the request.
+    std::chrono::milliseconds retryDelay(std::chrono::milliseconds baseDelay, bool isLimited) const;
+
+    /// Returns a filter of the servers whose limit allows a request now.
+    std::function<bool(const ServerRecord &)> limitFilter() const;
+
+    /// Asks for permits if the limits of the servers leave none for the request. Returns whether the request can't be
+    /// sent because of these limits.
+    Awaitable<bool> isBlockedByLimit() const;
 
     /// Returns a response that states that the request has not run.
     HttpResponse makeRefusal(const std::string &reason, std::chrono::milliseconds retryAfter) const;
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -70,6 +70,7 @@
     Awaitable<std::optional<EnginePlacement>> reserveEngine(std::string server, AdmissionLimits limits);
     Awaitable<std::optional<EnginePlacement>> reserveAtSidecar(std::string server, AdmissionLimits limits);
     Awaitable<std::optional<EnginePlacement>> reserveAtEngine(std::string server);
+    Awaitable<std::optional<EnginePlacement>> reserveLimitedEngine(std::string server, AdmissionLimits limits);
     AdmissionQuery admissionQuery() const;
     Awaitable<SegmentEnd> runSegment(wire::ServerFields fields);
     SegmentEnd handleMissingResponse(const HttpExchange &exchange);
@@ -85,6 +86,7 @@
     PlacementRequest placementRequest() const;
     void attach(const std::string &server);
     void detach();
+    void recordSent(const ServerRecord &server, SendReason reason);
     void logPlacement(const EnginePlacement &chosen) const;
     void recordEvents();
     void recordOutputLength();
@@ -95,6 +97,8 @@
     std::uint32_t m_expectedTokens = 0;
     std::set<std::string> m_refusedBy;
     bool m_hasWaited = false; ///< whether the generation has waited for an engine with free capacity
+    bool m_isLimited = false; ///< the limits of the engines leave no request for the generation
+    std::string m_permitServer; ///< limited engine for which the request is already counted; empty if there is none
     std::string m_server; ///< the engine that runs the generation; empty if there is none
     std::uint64_t m_assignment = 0;
     EventSplitter m_splitter;
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "zinniadock/process/eventlog.h"
+#include "zinniadock/process/limitexchange.h"
 #include "zinniadock/request/engineprobe.h"
 #include "zinniadock/request/forwardscope.h"
 #include "zinniadock/request/generationforward.h"
@@ -100,6 +101,8 @@
     if (error) {
         return error;
     }
+    m_services.limitExchange = std::make_shared<LimitExchange>(m_services);
+    m_services.limitExchange->start();
     m_storeView.start();
     const auto spawn = [this](Awaitable<void> (ForwardingEntry::*task)()) {
         asio::co_spawn(
@@ -191,6 +194,9 @@
     announcement.id = result.succeeded() ? wire::parseResponseFields(result.head).server : "";
     if (!announcement.id.empty() && acceptsAnnouncement(announcement)) {
         addAnnouncedServer(announcement);
+        m_services.limitGate.observe(m_services.directory.find(announcement.id)->record,
+                                     wire::parseResponseFields(result.head).limits, "health check",
+                                     std::chrono::steady_clock::now());
     }
 }
 
@@ -305,6 +311,7 @@
         nextCleanup = now + cleanupInterval;
         m_services.pool.closeStale();
         for (const std::string &id : m_services.directory.removeUnlisted(removedServerRetention, now)) {
+            m_services.limitGate.forget(id);
             const auto feed = m_feeds.find(id);
             if (feed != m_feeds.end()) {
                 feed->second->stop();
@@ -365,6 +372,7 @@
         }
     }
     m_storeView.stop();
+    m_services.limitExchange->stop();
     for (const auto &[id, feed] : m_feeds) {
         feed->stop();
     }
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -1,6 +1,7 @@
 #include "zinniadock/process/forwardingentry.h"
 
 #include "zinniadock/process/eventlog.h"
+#include "zinniadock/process/limitexchange.h"
 
 namespace zinniadock
 {
@@ -38,6 +39,13 @@
         co_await connection->respond(makeResponse(status, "", "text/plain"));
         co_return;
     }
+    if (request.target() == limitReportTarget) {
+        auto report = decodeLimitReport(request.body());
+        if (report) {
+            co_await m_services.limitExchange->handleReport(connection, std::move(*report));
+            co_return;
+        }
+    }
     if (request.target() == relayTarget) {
         const auto query = decodeRelayQuery(request.body());
         if (query) {
--- a/src/process/forwardingservices.cpp
+++ b/src/process/forwardingservices.cpp
@@ -7,6 +7,14 @@
     : context(ioContext)
     , settings(std::move(initialSettings))
     , pool(ioContext)
+    , limitGate(
+          [this] {
+              return randomFraction();
+          },
+          [this](const ServerIncarnation &server) {
+              const TrackedServer *tracked = directory.find(server.id);
+              return tracked && incarnationOf(tracked->record) == server;
+          })
     , capacityChanged(ioContext)
     , m_random(std::random_device{}())
 {
--- /dev/null
+++ b/src/process/limitexchange.cpp
@@ -0,0 +1,142 @@
+#include "zinniadock/process/limitexchange.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "zinniadock/process/eventlog.h"
+
+namespace zinniadock
+{
+
+namespace
+{
+
+/// Timeout of a report. A parent may ask its own parent before it responds.
+constexpr std::chrono::milliseconds reportTimeout{ 200 };
+
+/// Interval at which an entry checks whether it knows a limit.
+constexpr std::chrono::milliseconds idleInterval{ 100 };
+
+} // namespace
+
+LimitExchange::LimitExchange(ForwardingServices &services)
+    : m_services(services)
+    , m_gate(services.limitGate)
+    , m_exchangeEnded(services.context)
+{
+}
+
+void LimitExchange::start()
+{
+    const auto self = shared_from_this();
+    asio::co_spawn(
+        m_services.context,
+        [self]() {
+            return self->run();
+        },
+        asio::detached);
+}
+
+void LimitExchange::stop()
+{
+    m_stopped = true;
+}
+
+void LimitExchange::updateFleet()
+{
+    const std::size_t seeds = m_services.settings.forwarding.seeds.size();
+    m_gate.setFleet(m_services.settings.forwarding.peer.text(), m_services.peerAddresses,
+                    std::max<std::size_t>(seeds, 1), std::chrono::steady_clock::now());
+}
+
+Awaitable<void> LimitExchange::run()
+{
+    const auto self = shared_from_this();
+    while (!m_stopped) {
+        const auto now = std::chrono::steady_clock::now();
+        if (!m_gate.isActive(now)) {
+            co_await sleepFor(idleInterval);
+            continue;
+        }
+        updateFleet();
+        for (const std::string &child : m_gate.childrenToNotify(now)) {
+            asio::co_spawn(
+                m_services.context,
+                [self, child]() {
+                    return self->sendNotice(child);
+                },
+                asio::detached);
+        }
+        if (m_gate.isReportDue(now)) {
+            co_await refresh();
+        }
+        co_await sleepFor(idleInterval);
+    }
+}
+
+Awaitable<void> LimitExchange::refresh()
+{
+    if (m_isAsking) {
+        co_await m_exchangeEnded.wait(reportTimeout);
+        co_return;
+    }
+    if (!m_gate.takeReport(std::chrono::steady_clock::now())) {
+        co_return;
+    }
+    m_isAsking = true;
+    co_await askParent();
+    m_gate.grantToSelf(std::chrono::steady_clock::now());
+    m_isAsking = false;
+    m_exchangeEnded.notify();
+}
+
+Awaitable<void> LimitExchange::askParent()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const std::optional<std::string> parent = m_gate.parent(now);
+    if (!parent) {
+        co_return;
+    }
+    const std::optional<LimitReply> reply = co_await sendReport(*parent, m_gate.makeReport(*parent, now));
+    m_gate.applyReply(*parent, reply, std::chrono::steady_clock::now());
+}
+
+Awaitable<std::optional<LimitReply>> LimitExchange::sendReport(std::string peer, LimitReport report)
+{
+    Endpoint endpoint;
+    detail::parseValue(peer, detail::Range{}, endpoint);
+    HttpRequest request(http::verb::post, limitReportTarget, 11);
+    request.body() = encode(report);
+    request.prepare_payload();
+    const CallResult result = co_await call(m_services.pool, endpoint, request, reportTimeout);
+    auto reply = result.succeeded() ? decodeLimitReply(result.body) : std::nullopt;
+    if (!reply) {
+        logEvent("limit", "report failed",
+                 { { "peer", peer },
+                   { "status", result.status },
+                   { "reason", result.error ? result.error.message() : "unreadable response" } });
+    }
+    co_return reply;
+}
+
+Awaitable<void> LimitExchange::sendNotice(std::string child)
+{
+    const auto self = shared_from_this();
+    co_await sendReport(child, m_gate.makeNotice(std::chrono::steady_clock::now()));
+}
+
+Awaitable<void> LimitExchange::handleReport(std::shared_ptr<HttpConnection> connection, LimitReport report)
+{
+    const auto self = shared_from_this();
+    m_gate.applyReport(report, std::chrono::steady_clock::now());
+    LimitReply reply;
+    if (!report.isNotice) {
+        if (m_gate.lacksPermits(report, std::chrono::steady_clock::now())) {
+            co_await refresh();
+        }
+        reply = m_gate.reply(report, std::chrono::steady_clock::now());
+    }
+    co_await connection->respond(makeResponse(http::status::ok, encode(reply), "application/cbor"));
+}
+
+} // namespace zinniadock
--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -82,6 +82,11 @@
     return sum;
 }
 
+bool mayBeSent(const PlacementRequest &request, const TrackedServer &server)
+{
+    return !request.maySend || request.maySend(server.record);
+}
+
 struct Candidate
 {
     std::string id;
@@ -112,6 +117,7 @@
     for (const auto &[id, server] : directory.servers()) {
         const bool isEligible = server.record.pool == request.pool && !server.isDraining() && !excluded.contains(id);
         if (!isEligible || server.backoffUntil > now || server.fullUntil > now || server.isPaused(now)
+            || !mayBeSent(request, server)
             || (request.maxLoadAge && !hasLoadWithin(server, *request.maxLoadAge, now))) {
             continue;
         }
@@ -246,7 +252,7 @@
     std::vector<Candidate> candidates;
     for (const auto &[id, server] : directory.servers()) {
         const bool isEligible = server.record.pool == request.pool && !server.isDraining() && !excluded.contains(id);
-        if (!isEligible || server.isPaused(now)) {
+        if (!isEligible || server.isPaused(now) || !mayBeSent(request, server)) {
             continue;
         }
         const double slots = std::max(server.record.slots, 1U);
@@ -274,6 +280,22 @@
     return first;
 }
 
+bool isPoolLimited(const ServerDirectory &directory, const std::string &pool,
+                   const std::function<bool(const ServerRecord &)> &maySend, SteadyTime now)
+{
+    bool isLimited = false;
+    for (const auto &[id, server] : directory.servers()) {
+        if (server.record.pool != pool || server.isDraining() || server.isPaused(now)) {
+            continue;
+        }
+        if (maySend(server.record)) {
+            return false;
+        }
+        isLimited = true;
+    }
+    return isLimited;
+}
+
 std::vector<std::string> moveTargets(const ServerDirectory &directory, const PlacementRequest &request,
                                      const EngineCapacity &limits, const std::string &source, std::size_t count,
                                      SteadyTime now, const RandomSource &draw)
--- a/src/process/serverlimit.cpp
+++ b/src/process/serverlimit.cpp
@@ -129,11 +129,17 @@
     }
 }
 
-void KnownLimits::removeOlderThan(SteadyTime oldest)
+std::vector<ServerIncarnation> KnownLimits::remove(const std::string &serverId)
 {
-    std::erase_if(m_limits, [oldest](const auto &entry) {
-        return entry.second.observedAt < oldest;
+    std::vector<ServerIncarnation> removed;
+    std::erase_if(m_limits, [&removed, &serverId](const auto &entry) {
+        const bool isOfServer = entry.first.id == serverId;
+        if (isOfServer) {
+            removed.push_back(entry.first);
+        }
+        return isOfServer;
     });
+    return removed;
 }
 
 const std::map<ServerIncarnation, KnownLimit> &KnownLimits::all() const
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -17,6 +17,10 @@
 
 constexpr std::chrono::milliseconds reportInterval{ 50 };
 constexpr std::chrono::milliseconds reportTimeout{ 400 };
+
+/// Max interval between load reports of an engine that limits its requests. The sidecar uses sidecarLimitShare of the
+/// limit for them.
+constexpr std::chrono::milliseconds maxLimitedReportInterval{ 2000 };
 constexpr std::chrono::milliseconds maxLoadQueryWait{ 1000 };
 constexpr std::chrono::milliseconds minReportInterval{ 20 };
 constexpr std::chrono::milliseconds moveCheckInterval{ 1000 };
@@ -95,13 +99,53 @@
                      { { "engine", m_settings.sidecar.backend.text() },
                        { "reason", result.error ? result.error.message() : std::to_string(result.status) } });
         }
+        m_limits.recordSent(limitKey(), SendReason::Control);
+        if (!result.error) {
+            observeLimit(result.head, "load report");
+        }
         if (load) {
             applyLoad(std::move(*load));
         }
-        co_await sleepFor(reportInterval);
+        co_await sleepFor(pauseBetweenReports());
     }
 }
 
+// The sidecar does not know the ID of its engine. A restarted engine has a new sidecar.
+ServerIncarnation EngineSidecar::limitKey() const
+{
+    return { .id = m_settings.sidecar.backend.text(), .startTimeMs = 0 };
+}
+
+void EngineSidecar::observeLimit(const ResponseHead &head, const std::string &source)
+{
+    const LimitReading reading = readLimit(wire::parseResponseFields(head).limits);
+    const auto now = std::chrono::steady_clock::now();
+    if (!reading.problem.empty() && m_limits.isNewProblem(limitKey(), reading.problem, now)) {
+        logEvent("limit", "invalid value",
+                 { { "server", limitKey().id }, { "source", source }, { "reason", reading.problem } });
+    }
+    const LimitChange change = m_limits.observe(limitKey(), reading, source, now);
+    if (change != LimitChange::None) {
+        logEvent("limit", toString(change),
+                 { { "server", limitKey().id },
+                   { "per_second", m_limits.find(limitKey()).value_or(0) },
+                   { "source", source },
+                   { "report_interval_ms", pauseBetweenReports() } });
+    }
+}
+
+std::chrono::milliseconds EngineSidecar::pauseBetweenReports() const
+{
+    const auto limit = m_limits.find(limitKey());
+    if (!limit) {
+        return reportInterval;
+    }
+    const std::chrono::duration<double> affordable(1 / (sidecarLimitShare * *limit));
+    const std::chrono::duration<double> bounded
+        = std::min<std::chrono::duration<double>>(affordable, maxLimitedReportInterval);
+    return std::max(reportInterval, std::chrono::ceil<std::chrono::milliseconds>(bounded));
+}
+
 // Announces the engine to the seeds while no entry sends load queries. Without queries, no entry knows the engine; it
 // may have started during an outage of the store.
 Awaitable<void> EngineSidecar::announceEngine()
@@ -236,13 +280,19 @@
 
 // If the query asks for a reservation, the engine makes the final decision. Its reservation keeps a slot and memory
 // until the request arrives. The reservation fails if the engine has received work that this sidecar has not admitted.
+// An engine that limits its requests gets no reservation, since it counts as a request.
 Awaitable<void> EngineSidecar::handleAdmissionQuery(std::shared_ptr<HttpConnection> connection, AdmissionQuery query)
 {
     AdmissionResponse response = m_admission.admit(query, std::chrono::steady_clock::now());
-    if (response.admitted && query.reservationDuration.count() > 0) {
+    const bool isLimited = m_limits.find(limitKey()).has_value();
+    if (response.admitted && query.reservationDuration.count() > 0 && !isLimited) {
         const HttpRequest request
             = wire::reserveRequest(static_cast<std::uint32_t>(neededTokens(query)), query.reservationDuration);
         const CallResult result = co_await call(m_pool, m_settings.sidecar.backend, request, reservationTimeout);
+        m_limits.recordSent(limitKey(), SendReason::Control);
+        if (!result.error) {
+            observeLimit(result.head, query.request);
+        }
         response.admitted = result.succeeded();
         response.reservationId = result.succeeded() ? wire::parseReservationId(result.body) : "";
         if (!response.admitted) {
@@ -337,6 +387,7 @@
     appendMetric("zinniadock_failed_moves_total", m_movesFailed, out);
     appendMetric("zinniadock_preempted_runs_total", m_preemptions, out);
     appendMetric("zinniadock_entries", m_lastQueryByPeer.size(), out);
+    appendLimitMetrics(m_limits, std::chrono::steady_clock::now(), out);
     appendMetric("zinniadock_dropped_log_lines_total", droppedLogLines(), out);
     co_await connection->respond(makeResponse(http::status::ok, out, "text/plain"));
 }
--- a/src/request/callforward.cpp
+++ b/src/request/callforward.cpp
@@ -48,8 +48,17 @@
         co_return;
     }
     while (m_context->isActive()) {
+        services.limitGate.recordDemand(services.directory, m_context->poolName, std::chrono::steady_clock::now());
+        const bool isLimited = co_await m_context->isBlockedByLimit();
+        if (isLimited && m_context->attempts == 0) {
+            m_isLimited = true;
+            last.reason
+                = "each server of pool " + m_context->poolName + " has reached its limit of requests per second";
+            break;
+        }
         const auto now = std::chrono::steady_clock::now();
-        const PlacementRequest need{ .pool = m_context->poolName, .dataCentre = services.settings.daemon.dataCentre };
+        PlacementRequest need{ .pool = m_context->poolName, .dataCentre = services.settings.daemon.dataCentre };
+        need.maySend = m_context->limitFilter();
         const auto server = placeCall(services.directory, need, m_triedServers, now, [&services] {
             return services.randomFraction();
         });
@@ -125,8 +134,8 @@
         });
     }
     const HttpRequest request = wire::serverRequest(m_context->request, m_context->serverFields(target.record.id));
-    services.limitGate.recordSent(target.record,
-                                  m_context->attempts > 1 ? SendReason::Retry : SendReason::FirstAttempt);
+    services.limitGate.recordSent(target.record, m_context->attempts > 1 ? SendReason::Retry : SendReason::FirstAttempt,
+                                  std::chrono::steady_clock::now());
     IoError error = co_await exchange->send(request, std::min(connectTimeout, m_context->timeLeft()));
     if (error) {
         if (exchange->sendState() == SendState::NotSent) {
@@ -196,7 +205,7 @@
         ++services.metrics.refused;
         m_context->logOutcome("refused", attempt.reason, Verdict::NotRun);
         co_await m_context->connection->respond(
-            m_context->makeRefusal(attempt.reason, m_context->retryDelay(retryAfterFull)));
+            m_context->makeRefusal(attempt.reason, m_context->retryDelay(retryAfterFull, m_isLimited)));
     } else {
         ++services.metrics.failed;
         m_context->logOutcome("failed", attempt.reason, Verdict::MayHaveRun);
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "zinniadock/process/limitexchange.h"
 #include "zinniadock/request/callforward.h"
 #include "zinniadock/request/generationforward.h"
 
@@ -180,12 +181,37 @@
     return services.stopDeadline && deadline > *services.stopDeadline;
 }
 
-std::chrono::milliseconds ForwardContext::retryDelay(std::chrono::milliseconds baseDelay) const
+std::function<bool(const ServerRecord &)> ForwardContext::limitFilter() const
+{
+    const auto now = std::chrono::steady_clock::now();
+    return [&gate = services.limitGate, now](const ServerRecord &server) {
+        return gate.maySend(server, now);
+    };
+}
+
+Awaitable<bool> ForwardContext::isBlockedByLimit() const
+{
+    const auto isBlocked = [this] {
+        return isPoolLimited(services.directory, poolName, limitFilter(), std::chrono::steady_clock::now());
+    };
+    if (!isBlocked()) {
+        co_return false;
+    }
+    services.limitGate.recordWaiting(services.directory, poolName);
+    co_await services.limitExchange->refresh();
+    co_return isBlocked();
+}
+
+std::chrono::milliseconds ForwardContext::retryDelay(std::chrono::milliseconds baseDelay, bool isLimited) const
 {
     if (services.stopDeadline) {
         return retryAfterStopping;
     }
     const auto now = std::chrono::steady_clock::now();
+    if (isLimited) {
+        const auto wait = services.limitGate.refuse(services.directory, poolName, now);
+        return std::max(baseDelay, wait.value_or(baseDelay));
+    }
     const auto end = earliestPauseEnd(services.directory, poolName, now);
     return baseDelay + std::chrono::ceil<std::chrono::milliseconds>(end.value_or(now) - now);
 }
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -86,7 +86,9 @@
              .promptTokens = m_context->fields.promptTokens,
              .expectedTokens = m_expectedTokens,
              .sampleSize = sampleSizeFor(m_services.directory.servers().size(), m_services.entryCount()),
-             .dataCentre = m_services.settings.daemon.dataCentre };
+             .dataCentre = m_services.settings.daemon.dataCentre,
+             .maxLoadAge = {},
+             .maySend = m_context->limitFilter() };
 }
 
 Awaitable<void> GenerationForwarder::run()
@@ -140,8 +142,14 @@
     };
     std::size_t round = 0;
     std::set<std::string> excluded = m_refusedBy;
+    m_services.limitGate.recordDemand(m_services.directory, m_context->poolName, std::chrono::steady_clock::now());
     co_await refreshLoads(excluded);
     while (m_context->isActive()) {
+        m_isLimited = co_await m_context->isBlockedByLimit();
+        if (m_isLimited) {
+            m_reason = "each engine of pool " + m_context->poolName + " has reached its limit of requests per second";
+            break;
+        }
         const auto now = std::chrono::steady_clock::now();
         const std::optional<std::string> server = chooseEngine(excluded, now, draw);
         const std::size_t enginesTried = excluded.size() - m_refusedBy.size();
@@ -214,13 +222,45 @@
     return query;
 }
 
+// Uses the permit for the request itself before the admission, so that another generation can't use it meanwhile. An
+// engine with a limit gets no reservation, which would be a second request.
+Awaitable<std::optional<GenerationForwarder::EnginePlacement>> GenerationForwarder::reserveLimitedEngine(
+    std::string server, AdmissionLimits limits)
+{
+    const ServerRecord record = m_services.directory.find(server)->record;
+    recordSent(record, SendReason::FirstAttempt);
+    m_permitServer = server;
+    auto placement = co_await reserveAtSidecar(server, limits);
+    if (!placement) {
+        m_permitServer.clear();
+        m_services.limitGate.undoSent(record, std::chrono::steady_clock::now());
+    }
+    co_return placement;
+}
+
+void GenerationForwarder::recordSent(const ServerRecord &server, SendReason reason)
+{
+    if (m_permitServer == server.id) {
+        m_permitServer.clear();
+        return;
+    }
+    const bool isRetry = m_context->attempts > 1 && reason == SendReason::FirstAttempt;
+    m_services.limitGate.recordSent(server, isRetry ? SendReason::Retry : reason, std::chrono::steady_clock::now());
+}
+
 Awaitable<std::optional<GenerationForwarder::EnginePlacement>> GenerationForwarder::reserveEngine(
     std::string server, AdmissionLimits limits)
 {
     const TrackedServer *tracked = m_services.directory.find(server);
     const auto now = std::chrono::steady_clock::now();
+    if (m_services.limitGate.isLimited(tracked->record)) {
+        co_return co_await reserveLimitedEngine(std::move(server), limits);
+    }
     const bool hasRecentReport = now - tracked->loadReceivedAt.value_or(tracked->listedAt) < maxSidecarSilence;
-    return hasRecentReport ? reserveAtSidecar(std::move(server), limits) : reserveAtEngine(std::move(server));
+    if (hasRecentReport) {
+        co_return co_await reserveAtSidecar(std::move(server), limits);
+    }
+    co_return co_await reserveAtEngine(std::move(server));
 }
 
 Awaitable<std::optional<GenerationForwarder::EnginePlacement>> GenerationForwarder::reserveAtSidecar(
@@ -230,6 +270,10 @@
     AdmissionQuery query = admissionQuery();
     query.usableFraction = limits.maxMemoryShare;
     query.maxWaitingTokens = static_cast<std::uint32_t>(limits.maxWaitingTokens);
+    const bool isLimited = m_services.limitGate.isLimited(m_services.directory.find(server)->record);
+    if (isLimited) {
+        query.reservationDuration = std::chrono::milliseconds(0);
+    }
     HttpRequest request(http::verb::post, admissionTarget, 11);
     request.body() = encode(query);
     request.prepare_payload();
@@ -257,13 +301,13 @@
     }
     const std::chrono::milliseconds lifetime
         = std::min(m_context->pool.engine->maxReservationDuration, reservationLifetime);
-    if (lifetime.count() == 0) {
+    if (lifetime.count() == 0 || m_services.limitGate.isLimited(tracked->record)) {
         co_return EnginePlacement{ .server = server, .reservation = "" };
     }
     const double tokens = neededTokens(m_context->fields.promptTokens, m_expectedTokens);
     const Endpoint engine = tracked->record.address;
     const HttpRequest request = wire::reserveRequest(static_cast<std::uint32_t>(tokens), lifetime);
-    m_services.limitGate.recordSent(tracked->record, SendReason::Control);
+    m_services.limitGate.recordSent(tracked->record, SendReason::Control, std::chrono::steady_clock::now());
     const CallResult result = co_await call(m_services.pool, engine, request, reservationTimeout);
     const auto now = std::chrono::steady_clock::now();
     if (result.error) {
@@ -341,10 +385,7 @@
     const Endpoint address = tracked->record.address;
     attach(server);
     ++m_context->attempts;
-    m_services.limitGate.recordSent(tracked->record,
-                                    fields.copy                   ? SendReason::Move
-                                        : m_context->attempts > 1 ? SendReason::Retry
-                                                                  : SendReason::FirstAttempt);
+    recordSent(tracked->record, fields.copy ? SendReason::Move : SendReason::FirstAttempt);
     m_splitter.reset();
     fields.lastEventId = m_lastEventId ? std::to_string(*m_lastEventId) : "";
     const HttpRequest request = wire::serverRequest(m_context->request, fields);
@@ -541,7 +582,7 @@
     m_context->logOutcome("refused", m_reason, Verdict::NotRun);
     const auto jitter
         = std::chrono::duration_cast<std::chrono::milliseconds>(m_services.randomFraction() * retryAfterJitter);
-    const auto retryAfter = m_context->retryDelay(minRetryAfter + jitter);
+    const auto retryAfter = m_context->retryDelay(minRetryAfter + jitter, m_isLimited);
     co_await m_context->connection->respond(m_context->makeRefusal(m_reason, retryAfter));
 }
 
--- a/src/request/generationmoves.cpp
+++ b/src/request/generationmoves.cpp
@@ -100,8 +100,14 @@
     };
     const auto now = std::chrono::steady_clock::now();
     need.maxLoadAge = usesLoadProbing(m_services) ? std::optional(maxProbedLoadAge) : std::nullopt;
-    for (const std::string &target :
-         moveTargets(m_services.directory, need, limits, source.record.id, maxMoveTargets, now, draw)) {
+    std::vector<std::string> targets
+        = moveTargets(m_services.directory, need, limits, source.record.id, maxMoveTargets, now, draw);
+    if (targets.empty()) {
+        // The generation is lost if it is not moved. Its request is deducted from later permits.
+        need.maySend = nullptr;
+        targets = moveTargets(m_services.directory, need, limits, source.record.id, maxMoveTargets, now, draw);
+    }
+    for (const std::string &target : targets) {
         order.targets.push_back(m_services.directory.find(target)->record.address);
     }
     return order;
--- a/tests/unit/unit-limitedservers.cpp
+++ b/tests/unit/unit-limitedservers.cpp
@@ -90,12 +90,12 @@
         }));
         ports.push_back((*entries.back())->port());
     }
-    limited.setLimits({ "4" });
     const TestRequest request{ .target = "/order/1" };
     CallerCounts counts;
 
     SECTION("callers are refused at once and told when to come back, if no other server is left")
     {
+        limited.setLimits({ "4" });
         const auto start = Clock::now();
         callEntries(ports, request, std::chrono::seconds(9), std::chrono::milliseconds(30), counts);
         CHECK(busiestWindow(limited.arrivals(), start + reactionTime) <= maxInWindow);
@@ -107,6 +107,13 @@
     SECTION("a server without a limit gets the rest")
     {
         store.put("servers/s2", unlimited.record("shop"));
+        for (const std::uint16_t port : ports) {
+            const std::size_t before = unlimited.startedRequests().size();
+            REQUIRE(eventually([&] {
+                return sendRequest(port, request).status == 200 && unlimited.startedRequests().size() > before;
+            }));
+        }
+        limited.setLimits({ "4" });
         const auto start = Clock::now();
         callEntries(ports, request, std::chrono::seconds(6), std::chrono::milliseconds(30), counts);
         CHECK(busiestWindow(limited.arrivals(), start + reactionTime) <= maxInWindow);
