--- a/bench/micro/main.cpp
+++ b/bench/micro/main.cpp
@@ -13,6 +13,7 @@
 #include "zinniadock/process/accountlimiter.h"
 #include "zinniadock/process/admission.h"
 #include "zinniadock/process/claims.h"
+#include "zinniadock/process/limitgate.h"
 #include "zinniadock/process/metrics.h"
 #include "zinniadock/process/routing.h"
 #include "zinniadock/process/serverhealth.h"
@@ -106,6 +107,37 @@
     }
 }
 
+/// Measures the decision whether a server with a limit may get a request, and the use of a permit.
+void measureLimits(Figures &figures)
+{
+    constexpr int limitedServers = 64;
+    SteadyTime now{ std::chrono::hours(1) };
+    LimitGate gate(
+        [] {
+            return 0.5;
+        },
+        [](const ServerIncarnation &) {
+            return true;
+        });
+    std::vector<ServerRecord> servers(limitedServers);
+    for (int i = 0; i < limitedServers; ++i) {
+        servers.at(i).id = "i-07a2dad2" + std::to_string(10 + i);
+        servers.at(i).startTimeMs = 1783492258050;
+        gate.observe(servers.at(i), { "400" }, "request", now);
+    }
+    figures.add("limit_decision_ns", minNanoseconds(20000, [&](int i) {
+                    const ServerRecord &server = servers.at(static_cast<std::size_t>(i % limitedServers));
+                    if (gate.maySend(server, now)) {
+                        gate.recordSent(server, SendReason::FirstAttempt, now);
+                    }
+                }));
+    figures.add("limit_use_ns", minNanoseconds(20000, [&](int i) {
+                    now += std::chrono::microseconds(50);
+                    const ServerRecord &server = servers.at(static_cast<std::size_t>(i % limitedServers));
+                    gate.recordSent(server, SendReason::FirstAttempt, now);
+                }));
+}
+
 /// Returns a configuration with 1700 servers and 730 client accounts, scaled by the given number of eighths.
 std::string configurationText(int eighths)
 {
@@ -250,6 +282,7 @@
     zinniadock::load::Figures figures;
     zinniadock::load::measureAdmission(figures, static_cast<std::uint64_t>(absl::GetFlag(FLAGS_seed)));
     zinniadock::load::measureRouting(figures);
+    zinniadock::load::measureLimits(figures);
     zinniadock::load::measureConfiguration(figures);
     zinniadock::load::measureMessages(figures);
     zinniadock::load::measureSingleOperations(figures);
--- a/include/zinniadock/process/serverlimit.h
+++ b/include/zinniadock/process/serverlimit.h
@@ -2,11 +2,11 @@
 
 #include <array>
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "zinniadock/process/serverdirectory.h"
@@ -21,7 +21,15 @@
     std::string id;
     std::int64_t startTimeMs = 0; ///< in Unix milliseconds
 
-    auto operator<=>(const ServerIncarnation &) const = default;
+    friend bool operator==(const ServerIncarnation &left, const ServerIncarnation &right)
+    {
+        return left.startTimeMs == right.startTimeMs && left.id == right.id;
+    }
+
+    friend bool operator<(const ServerIncarnation &left, const ServerIncarnation &right)
+    {
+        return std::tie(left.id, left.startTimeMs) < std::tie(right.id, right.startTimeMs);
+    }
 };
 
 /// Returns the incarnation that a record describes.
--- a/src/process/limitgate.cpp
+++ b/src/process/limitgate.cpp
@@ -236,7 +236,7 @@
 
 std::optional<std::string> LimitGate::parent(SteadyTime now)
 {
-    const auto parent = m_tree.parent(now);
+    auto parent = m_tree.parent(now);
     if (!parent) {
         m_tree.detach();
         updatePosition(now);
--- a/tests/unit/limitfleet.cpp
+++ b/tests/unit/limitfleet.cpp
@@ -186,19 +186,19 @@
     sender.gate->observe(receiver.record, values, "request", m_now);
 }
 
-void LimitFleet::refresh(std::size_t index)
+void LimitFleet::refresh(std::size_t entry)
 {
-    Entry &entry = m_entries[index];
-    if (entry.isAsking || !entry.gate->takeReport(m_now)) {
+    Entry &state = m_entries[entry];
+    if (state.isAsking || !state.gate->takeReport(m_now)) {
         return;
     }
-    entry.isAsking = true;
-    if (const auto parent = entry.gate->parent(m_now)) {
-        const auto reply = report(index, *parent, entry.gate->makeReport(*parent, m_now));
-        entry.gate->applyReply(*parent, reply, m_now);
+    state.isAsking = true;
+    if (const auto parent = state.gate->parent(m_now)) {
+        const auto reply = report(entry, *parent, state.gate->makeReport(*parent, m_now));
+        state.gate->applyReply(*parent, reply, m_now);
     }
-    entry.gate->grantToSelf(m_now);
-    entry.isAsking = false;
+    state.gate->grantToSelf(m_now);
+    state.isAsking = false;
 }
 
 std::optional<LimitReply> LimitFleet::report(std::size_t from, const std::string &to, const LimitReport &report)
@@ -274,7 +274,7 @@
     m_entries[entry].partition = partition;
 }
 
-void LimitFleet::setListed(std::size_t entry, std::set<std::size_t> listed)
+void LimitFleet::setListed(std::size_t entry, const std::set<std::size_t> &listed)
 {
     m_entries[entry].listed.clear();
     for (const std::size_t each : listed) {
--- a/tests/unit/limitfleet.h
+++ b/tests/unit/limitfleet.h
@@ -55,7 +55,7 @@
     void setPartition(std::size_t entry, int partition);
 
     /// Sets which entries an entry finds in the store. All entries at first.
-    void setListed(std::size_t entry, std::set<std::size_t> listed);
+    void setListed(std::size_t entry, const std::set<std::size_t> &listed);
 
     /// Max number of requests that a server got in 4 s, from entries that had passed on a response with its limit half
     /// a second before or earlier, in the time from \p from on.
--- a/tests/unit/unit-limitedservers.cpp
+++ b/tests/unit/unit-limitedservers.cpp
@@ -121,3 +121,50 @@
         CHECK(counts.failed == 0);
     }
 }
+
+// Guards against reservations and load reports that bypass the limit of an engine.
+TEST_CASE("an engine that states a limit gets no more requests than that from entry and sidecar together")
+{
+    PlatformStore store;
+    PlatformServer engine("e1", "127.0.0.2");
+    store.put("servers/e1", engine.record("engines"));
+    store.put("op/config", configuration(3));
+    RoleThread<EngineSidecar> sidecar(sidecarSettings("127.0.0.2", 0, engine.endpoint()));
+    const bool withSidecar = GENERATE(true, false);
+    RoleThread<ForwardingEntry> entry(
+        entrySettings(store.port(), withSidecar ? sidecar->port() : static_cast<std::uint16_t>(1)));
+    const TestRequest generation{ .target = "/stream/1", .isGeneration = true };
+    REQUIRE(eventually([&] {
+        return sendRequest(entry->port(), generation).status == 200;
+    }));
+    engine.setLimits({ "4" });
+    const auto start = Clock::now();
+    CallerCounts counts;
+    callEntries({ entry->port(), entry->port() }, generation, std::chrono::seconds(8), std::chrono::milliseconds(30),
+                counts);
+    CHECK(busiestWindow(engine.arrivals(), start + reactionTime) <= maxInWindow);
+    CHECK(counts.served >= 0.8 * limitPerSecond * 5);
+    CHECK(counts.failed == 0);
+    CHECK(counts.refusedWithTime == counts.refused);
+}
+
+// Guards against limits that are read from some kinds of responses only.
+TEST_CASE("a limit holds whatever kind of response states it")
+{
+    PlatformStore store;
+    PlatformServer server("s1");
+    store.put("servers/s1", server.record("shop"));
+    store.put("op/config", configuration(3));
+    RoleThread<ForwardingEntry> entry(entrySettings(store.port(), 1));
+    REQUIRE(eventually([&] {
+        return isReady(entry);
+    }));
+    server.setBehavior(GENERATE(ServerBehavior::Healthy, ServerBehavior::InternalError, ServerBehavior::Overloaded));
+    server.setLimits({ "4" });
+    const auto start = Clock::now();
+    CallerCounts counts;
+    callEntries({ entry->port() }, { .target = "/order/1" }, std::chrono::seconds(5), std::chrono::milliseconds(10),
+                counts);
+    CHECK(busiestWindow(server.arrivals(), start + reactionTime) <= maxInWindow);
+    CHECK(server.arrivals().size() >= 0.8 * limitPerSecond * 4);
+}
--- a/tests/unit/unit-wireform.cpp
+++ b/tests/unit/unit-wireform.cpp
@@ -3,6 +3,7 @@
 #include <rapidcheck.h>
 
 #include "zinniadock/connection/wireform.h"
+#include "zinniadock/process/limitmessages.h"
 #include "zinniadock/process/sidecarmessages.h"
 
 using namespace zinniadock;
@@ -210,12 +211,43 @@
             static_cast<void>(decodeEngineLoadQuery(bytes));
             static_cast<void>(decodeEngineLoadReport(bytes));
             static_cast<void>(decodeMoveOrder(bytes));
+            static_cast<void>(decodeLimitReport(bytes));
+            static_cast<void>(decodeLimitReply(bytes));
             static_cast<void>(decodeMoveResult(bytes));
         });
         CHECK(passed);
     }
 }
 
+TEST_CASE("messages between entries about limits")
+{
+    LimitReport report{ .sender = "10.0.0.1:80", .isNotice = false, .subtreeSize = 5, .rows = {} };
+    report.rows.push_back(
+        { { { "s1", 1000 }, 3.6, std::chrono::milliseconds(70) }, { .returned = 0.25, .wanted = 3 } });
+    report.rows.push_back({ { { "s2", 1000 }, std::nullopt, std::chrono::milliseconds(0) }, {} });
+    const auto decoded = decodeLimitReport(encode(report));
+    REQUIRE(decoded);
+    REQUIRE(decoded->rows.size() == 2);
+    CHECK(decoded->sender == report.sender);
+    CHECK(decoded->subtreeSize == 5);
+    CHECK(decoded->rows[0].state.server == report.rows[0].state.server);
+    CHECK(decoded->rows[0].state.perSecond == 3.6);
+    CHECK(decoded->rows[0].state.age == std::chrono::milliseconds(70));
+    CHECK(decoded->rows[0].request.returned == 0.25);
+    CHECK(decoded->rows[0].request.wanted == 3);
+    CHECK_FALSE(decoded->rows[1].state.perSecond);
+
+    LimitReply reply;
+    reply.rows.push_back({ { { "s1", 1000 }, 3.6, std::chrono::milliseconds(70) },
+                           { .permits = 2, .wait = std::chrono::milliseconds(300) } });
+    const auto decodedReply = decodeLimitReply(encode(reply));
+    REQUIRE(decodedReply);
+    CHECK(decodedReply->rows[0].grant.permits == 2);
+    CHECK(decodedReply->rows[0].grant.wait == std::chrono::milliseconds(300));
+    CHECK_FALSE(decodeLimitReport("no"));
+    CHECK_FALSE(decodeLimitReply(""));
+}
+
 TEST_CASE("messages between entries and sidecars")
 {
     EngineLoadReport report{ .number = 4, .load = {} };
