Keep an invalid limit of one entry from ending the limit at others

Found by reading: an entry that has seen only an invalid value kept it like a limit that has ended, and reported that to the other entries, which then ended a valid limit. Problems that were logged are now kept apart from the limits. The new test 'an invalid value at one entry does not end the limit at others' guards against it.

Also: reports are sent from the maintenance loop of the entry, which adds no wake-ups while no limit is known; the interval between reports depends on limits in force only; notices to entries that have left are forgotten.

--- a/include/zinniadock/process/limitexchange.h
+++ b/include/zinniadock/process/limitexchange.h
@@ -17,8 +17,8 @@
 public:
     explicit LimitExchange(ForwardingServices &services);
 
-    void start();
-    void stop();
+    /// Sends the reports and notices that are due. Called at intervals of some 100 ms.
+    void maintain();
 
     /// Asks for permits, if another report is allowed (LimitGate::takeReport()). Waits at most \c reportTimeout.
     Awaitable<void> refresh();
@@ -27,7 +27,6 @@
     Awaitable<void> handleReport(std::shared_ptr<HttpConnection> connection, LimitReport report);
 
 private:
-    Awaitable<void> run();
     Awaitable<void> askParent();
     Awaitable<void> sendNotice(std::string child);
     Awaitable<std::optional<LimitReply>> sendReport(std::string peer, LimitReport report);
@@ -37,7 +36,6 @@
     LimitGate &m_gate;
     AsyncCondition m_exchangeEnded;
     bool m_isAsking = false;
-    bool m_stopped = false;
 };
 
 } // namespace zinniadock
--- a/include/zinniadock/process/limitgate.h
+++ b/include/zinniadock/process/limitgate.h
@@ -41,7 +41,7 @@
     /// Records that a request is sent to a server, and uses a permit if the server has a limit.
     void recordSent(const ServerRecord &server, SendReason reason, SteadyTime now);
 
-    /// Undoes recordSent() for a request that was not sent after all.
+    /// Gives back the permit of recordSent() for a request that was not sent after all.
     void undoSent(const ServerRecord &server, SteadyTime now);
 
     /// Records a request that could use each limited server of a pool. Complexity: linear in the limits.
--- a/include/zinniadock/process/serverlimit.h
+++ b/include/zinniadock/process/serverlimit.h
@@ -78,7 +78,6 @@
     SteadyTime observedAt; ///< when the server last stated the limit, or that it has none
     std::string source; ///< ID of the request whose response stated it, or the peer that reported it
     std::uint32_t responsesWithout = 0; ///< consecutive responses without the field
-    std::string reportedProblem; ///< the last problem that was logged
     std::array<std::uint64_t, sendReasonCount> sent{}; ///< requests sent since the limit was named, by SendReason
     std::uint64_t withheld = 0; ///< requests that could not be sent to the server because of the limit
 };
@@ -101,7 +100,7 @@
     std::optional<double> find(const ServerIncarnation &server) const;
 
     /// Returns whether a problem has not been reported yet for this server, and records it as reported.
-    bool isNewProblem(const ServerIncarnation &server, const std::string &problem, SteadyTime now);
+    bool isNewProblem(const ServerIncarnation &server, const std::string &problem);
 
     /// Removes the limits of a server. Returns its incarnations.
     std::vector<ServerIncarnation> remove(const std::string &serverId);
@@ -114,6 +113,7 @@
 
 private:
     std::map<ServerIncarnation, KnownLimit> m_limits;
+    std::map<ServerIncarnation, std::string> m_reportedProblems; ///< the last one of each server
 };
 
 /// Number of consecutive responses without a limit after which the limit has ended.
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -102,7 +102,6 @@
         return error;
     }
     m_services.limitExchange = std::make_shared<LimitExchange>(m_services);
-    m_services.limitExchange->start();
     m_storeView.start();
     const auto spawn = [this](Awaitable<void> (ForwardingEntry::*task)()) {
         asio::co_spawn(
@@ -304,6 +303,7 @@
         co_await sleepFor(maintenanceInterval);
         applyDueRemovals();
         updateLoadFeeds();
+        m_services.limitExchange->maintain();
         const auto now = std::chrono::steady_clock::now();
         if (now < nextCleanup) {
             continue;
@@ -372,7 +372,6 @@
         }
     }
     m_storeView.stop();
-    m_services.limitExchange->stop();
     for (const auto &[id, feed] : m_feeds) {
         feed->stop();
     }
--- a/src/process/limitexchange.cpp
+++ b/src/process/limitexchange.cpp
@@ -14,9 +14,6 @@
 /// Timeout of a report. A parent may ask its own parent before it responds.
 constexpr std::chrono::milliseconds reportTimeout{ 200 };
 
-/// Interval at which an entry checks whether it knows a limit.
-constexpr std::chrono::milliseconds idleInterval{ 100 };
-
 } // namespace
 
 LimitExchange::LimitExchange(ForwardingServices &services)
@@ -26,22 +23,6 @@
 {
 }
 
-void LimitExchange::start()
-{
-    const auto self = shared_from_this();
-    asio::co_spawn(
-        m_services.context,
-        [self]() {
-            return self->run();
-        },
-        asio::detached);
-}
-
-void LimitExchange::stop()
-{
-    m_stopped = true;
-}
-
 void LimitExchange::updateFleet()
 {
     const std::size_t seeds = m_services.settings.forwarding.seeds.size();
@@ -49,33 +30,35 @@
                     std::max<std::size_t>(seeds, 1), std::chrono::steady_clock::now());
 }
 
-Awaitable<void> LimitExchange::run()
+void LimitExchange::maintain()
 {
+    const auto now = std::chrono::steady_clock::now();
+    if (!m_gate.isActive(now)) {
+        return;
+    }
+    updateFleet();
     const auto self = shared_from_this();
-    while (!m_stopped) {
-        const auto now = std::chrono::steady_clock::now();
-        if (!m_gate.isActive(now)) {
-            co_await sleepFor(idleInterval);
-            continue;
-        }
-        updateFleet();
-        for (const std::string &child : m_gate.childrenToNotify(now)) {
-            asio::co_spawn(
-                m_services.context,
-                [self, child]() {
-                    return self->sendNotice(child);
-                },
-                asio::detached);
-        }
-        if (m_gate.isReportDue(now)) {
-            co_await refresh();
-        }
-        co_await sleepFor(idleInterval);
+    for (const std::string &child : m_gate.childrenToNotify(now)) {
+        asio::co_spawn(
+            m_services.context,
+            [self, child]() {
+                return self->sendNotice(child);
+            },
+            asio::detached);
+    }
+    if (!m_isAsking && m_gate.isReportDue(now)) {
+        asio::co_spawn(
+            m_services.context,
+            [self]() {
+                return self->refresh();
+            },
+            asio::detached);
     }
 }
 
 Awaitable<void> LimitExchange::refresh()
 {
+    const auto self = shared_from_this();
     if (m_isAsking) {
         co_await m_exchangeEnded.wait(reportTimeout);
         co_return;
--- a/src/process/limitgate.cpp
+++ b/src/process/limitgate.cpp
@@ -53,7 +53,7 @@
 {
     const ServerIncarnation incarnation = incarnationOf(server);
     const LimitReading reading = readLimit(values);
-    if (!reading.problem.empty() && m_limits.isNewProblem(incarnation, reading.problem, now)) {
+    if (!reading.problem.empty() && m_limits.isNewProblem(incarnation, reading.problem)) {
         logEvent("limit", "invalid value",
                  { { "server", server.id }, { "id", source }, { "reason", reading.problem } });
     }
@@ -228,7 +228,10 @@
     if (m_tree.size() <= maxSmallFleetSize) {
         return smallFleetInterval;
     }
-    const double rows = static_cast<double>(m_limits.all().size());
+    const auto &limits = m_limits.all();
+    const auto rows = static_cast<double>(std::count_if(limits.begin(), limits.end(), [](const auto &limit) {
+        return limit.second.perSecond.has_value();
+    }));
     const double bytes = (maxChildren + 1) * (bytesPerExchange + bytesPerRow * rows);
     const auto affordable = std::chrono::milliseconds(static_cast<std::int64_t>(1000 * bytes / maxBytesPerSecond));
     return std::max(largeFleetInterval, affordable);
@@ -337,6 +340,9 @@
 
 std::vector<std::string> LimitGate::childrenToNotify(SteadyTime now)
 {
+    std::erase_if(m_notifiedAt, [now](const auto &child) {
+        return now - child.second >= noticeInterval;
+    });
     std::vector<std::string> children;
     for (const std::string &child : m_tree.children()) {
         SteadyTime &notifiedAt = m_notifiedAt[child];
--- a/src/process/serverlimit.cpp
+++ b/src/process/serverlimit.cpp
@@ -102,14 +102,13 @@
     return found == m_limits.end() ? std::nullopt : found->second.perSecond;
 }
 
-bool KnownLimits::isNewProblem(const ServerIncarnation &server, const std::string &problem, SteadyTime now)
+bool KnownLimits::isNewProblem(const ServerIncarnation &server, const std::string &problem)
 {
-    KnownLimit &limit = m_limits[server];
-    limit.observedAt = std::max(limit.observedAt, now);
-    if (limit.reportedProblem == problem) {
+    std::string &reported = m_reportedProblems[server];
+    if (reported == problem) {
         return false;
     }
-    limit.reportedProblem = problem;
+    reported = problem;
     return true;
 }
 
@@ -131,6 +130,9 @@
 
 std::vector<ServerIncarnation> KnownLimits::remove(const std::string &serverId)
 {
+    std::erase_if(m_reportedProblems, [&serverId](const auto &entry) {
+        return entry.first.id == serverId;
+    });
     std::vector<ServerIncarnation> removed;
     std::erase_if(m_limits, [&removed, &serverId](const auto &entry) {
         const bool isOfServer = entry.first.id == serverId;
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -120,7 +120,7 @@
 {
     const LimitReading reading = readLimit(wire::parseResponseFields(head).limits);
     const auto now = std::chrono::steady_clock::now();
-    if (!reading.problem.empty() && m_limits.isNewProblem(limitKey(), reading.problem, now)) {
+    if (!reading.problem.empty() && m_limits.isNewProblem(limitKey(), reading.problem)) {
         logEvent("limit", "invalid value",
                  { { "server", limitKey().id }, { "source", source }, { "reason", reading.problem } });
     }
--- a/tests/unit/unit-limitgate.cpp
+++ b/tests/unit/unit-limitgate.cpp
@@ -198,6 +198,27 @@
     CHECK(fleet.neverServed() <= 0.1 * static_cast<double>(fleet.servedLater()));
 }
 
+// Guards against an entry that has seen only an invalid value and reports it to others as the end of the limit.
+TEST_CASE("an invalid value at one entry does not end the limit at others")
+{
+    const SteadyTime now{ std::chrono::hours(1) };
+    const auto draw = [] {
+        return 0.5;
+    };
+    const auto isKnown = [](const ServerIncarnation &) {
+        return true;
+    };
+    LimitGate first(draw, isKnown);
+    LimitGate second(draw, isKnown);
+    ServerRecord server;
+    server.id = "s1";
+    first.observe(server, { "3" }, "r1", now);
+    second.observe(server, { "soon" }, "r2", now + seconds(1));
+    first.applyReport(second.makeNotice(now + seconds(1)), now + seconds(1));
+    CHECK(first.isLimited(server));
+    CHECK_FALSE(second.isLimited(server));
+}
+
 TEST_CASE("no group of callers is starved by a limit")
 {
     LimitFleet fleet({ .entries = 5, .limits = { 8 }, .demand = 60, .skew = 1, .seed = 11 });
--- a/tests/unit/unit-serverlimit.cpp
+++ b/tests/unit/unit-serverlimit.cpp
@@ -49,10 +49,10 @@
     }
     SECTION("a problem is new once for each server")
     {
-        CHECK(limits.isNewProblem(server, "found \"x\"", now));
-        CHECK_FALSE(limits.isNewProblem(server, "found \"x\"", now));
-        CHECK(limits.isNewProblem({ "s2", 1000 }, "found \"x\"", now));
-        CHECK(limits.isNewProblem(server, "found \"y\"", now));
+        CHECK(limits.isNewProblem(server, "found \"x\""));
+        CHECK_FALSE(limits.isNewProblem(server, "found \"x\""));
+        CHECK(limits.isNewProblem({ "s2", 1000 }, "found \"x\""));
+        CHECK(limits.isNewProblem(server, "found \"y\""));
     }
     SECTION("a limit appears, changes, ends and returns")
     {
