--- a/bench/micro/main.cpp
+++ b/bench/micro/main.cpp
@@ -13,10 +13,10 @@
 #include "zinniadock/process/accountlimiter.h"
 #include "zinniadock/process/admission.h"
 #include "zinniadock/process/claims.h"
-#include "zinniadock/process/limitgate.h"
 #include "zinniadock/process/metrics.h"
 #include "zinniadock/process/routing.h"
 #include "zinniadock/process/serverhealth.h"
+#include "zinniadock/process/serverlimiter.h"
 #include "zinniadock/process/timeline.h"
 #include "zinniadock/version/versiondelta.h"
 
@@ -112,7 +112,7 @@
 {
     constexpr int limitedServers = 64;
     SteadyTime now{ std::chrono::hours(1) };
-    LimitGate gate(
+    ServerLimiter limiter(
         [] {
             return 0.5;
         },
@@ -123,18 +123,18 @@
     for (int i = 0; i < limitedServers; ++i) {
         servers.at(i).id = "i-07a2dad2" + std::to_string(10 + i);
         servers.at(i).startTimeMs = 1783492258050;
-        gate.observe(servers.at(i), { "400" }, "request", now);
+        limiter.observe(servers.at(i), { "400" }, "request", now);
     }
     figures.add("limit_decision_ns", minNanoseconds(20000, [&](int i) {
                     const ServerRecord &server = servers.at(static_cast<std::size_t>(i % limitedServers));
-                    if (gate.maySend(server, now)) {
-                        gate.recordSent(server, SendReason::FirstAttempt, now);
+                    if (limiter.maySend(server, now)) {
+                        limiter.recordSent(server, SendReason::FirstAttempt, now);
                     }
                 }));
     figures.add("limit_use_ns", minNanoseconds(20000, [&](int i) {
                     now += std::chrono::microseconds(50);
                     const ServerRecord &server = servers.at(static_cast<std::size_t>(i % limitedServers));
-                    gate.recordSent(server, SendReason::FirstAttempt, now);
+                    limiter.recordSent(server, SendReason::FirstAttempt, now);
                 }));
 }
 
--- a/include/zinniadock/connection/httpmessage.h
+++ b/include/zinniadock/connection/httpmessage.h
@@ -25,6 +25,23 @@
     return HttpRequest(http::verb::get, target, 11);
 }
 
+/// Makes a POST request with a body.
+inline HttpRequest makePost(const std::string &target, std::string body)
+{
+    HttpRequest request(http::verb::post, target, 11);
+    request.body() = std::move(body);
+    request.prepare_payload();
+    return request;
+}
+
+/// Makes a POST request with a body in JSON.
+inline HttpRequest makeJsonPost(const std::string &target, std::string json)
+{
+    HttpRequest request = makePost(target, std::move(json));
+    request.set(http::field::content_type, "application/json");
+    return request;
+}
+
 /// Makes a response with a body.
 inline HttpResponse makeResponse(http::status status, std::string body, const std::string &contentType)
 {
--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -10,11 +10,11 @@
 
 #include "zinniadock/connection/httpclient.h"
 #include "zinniadock/process/hintedlength.h"
-#include "zinniadock/process/limitgate.h"
 #include "zinniadock/process/metrics.h"
 #include "zinniadock/process/placement.h"
 #include "zinniadock/process/retrywindow.h"
 #include "zinniadock/process/serverdirectory.h"
+#include "zinniadock/process/serverlimiter.h"
 #include "zinniadock/process/settings.h"
 #include "zinniadock/version/routetable.h"
 
@@ -56,7 +56,7 @@
     ConnectionPool pool;
     std::shared_ptr<const RouteTable> routes; ///< null before the first configuration
     ServerDirectory directory;
-    LimitGate limitGate;
+    ServerLimiter serverLimiter;
     std::shared_ptr<LimitExchange> limitExchange; ///< null before the entry starts
     AsyncCondition capacityChanged; ///< notified when a server may have gained free capacity
     EntryMetrics metrics;
--- a/include/zinniadock/process/limitbudget.h
+++ b/include/zinniadock/process/limitbudget.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "zinniadock/process/limittree.h"
 #include "zinniadock/process/placement.h"
 #include "zinniadock/process/serverlimit.h"
 
@@ -75,7 +76,7 @@
 
     /// Returns the request to the parent, and removes the permits that it gives away.
     /// \param givesAway  whether the parent is known to respond; otherwise the permits are kept
-    PermitRequest requestToParent(const ServerIncarnation &server, bool givesAway, SteadyTime now);
+    PermitRequest takeRequestForParent(const ServerIncarnation &server, bool givesAway, SteadyTime now);
 
     /// Adds the permits that the parent granted.
     void applyGrant(const ServerIncarnation &server, const PermitGrant &grant, SteadyTime now);
@@ -101,22 +102,23 @@
         SteadyTime reportedAt;
     };
 
+    /// The permits of one server.
     struct Account
     {
         double perSecond = 0;
         SteadyTime createdUntil; ///< permits were created up to this time
-        SteadyTime drawnAt; ///< last draw of a permit of a small subtree
-        double rising = 0; ///< permits on their way to the root
-        double pool = 0; ///< permits to grant
+        SteadyTime drawnAt; ///< when a small subtree last decided at random whether it has a permit
+        double forParent = 0; ///< permits to give to the parent
+        double pool = 0; ///< permits to grant to children and to this entry
         SteadyTime poolFilledAt;
         double held = 0; ///< permits of this entry itself; negative if it owes some
         SteadyTime heldSince;
         double demand = 0; ///< requests since the last grant to this entry
         double recentDemand = 0; ///< requests before, with decreasing weight
         bool isWaiting = false; ///< a request of this entry is waiting for a permit
-        bool isChildWaiting = false;
-        std::map<std::string, ChildDemand> children;
-        std::chrono::milliseconds parentWait{ 0 };
+        bool isChildWaiting = false; ///< a child asks for permits that this entry does not have
+        std::map<std::string, ChildDemand> children; ///< by peer
+        std::chrono::milliseconds parentWait{ 0 }; ///< expected wait that the parent last stated
     };
 
     Account *advancedAccount(const ServerIncarnation &server, SteadyTime now);
--- a/include/zinniadock/process/limitexchange.h
+++ b/include/zinniadock/process/limitexchange.h
@@ -5,13 +5,13 @@
 
 #include "zinniadock/connection/httplistener.h"
 #include "zinniadock/process/forwardingservices.h"
-#include "zinniadock/process/limitgate.h"
+#include "zinniadock/process/serverlimiter.h"
 
 namespace zinniadock
 {
 
-/// Exchanges the messages by which the entries share the limits of backend servers (see LimitGate). Sends nothing while
-/// no limit is known. Used only on the network thread.
+/// Exchanges the messages by which the entries share the limits of backend servers (see ServerLimiter). Sends nothing
+/// while no limit is known. Used only on the network thread.
 class LimitExchange : public std::enable_shared_from_this<LimitExchange>
 {
 public:
@@ -20,7 +20,7 @@
     /// Sends the reports and notices that are due. Called at intervals of some 100 ms.
     void maintain();
 
-    /// Asks for permits, if another report is allowed (LimitGate::takeReport()). Waits at most \c reportTimeout.
+    /// Asks for permits, if another report is allowed (ServerLimiter::takeReport()). Waits at most \c reportTimeout.
     Awaitable<void> refresh();
 
     /// Applies the report of another entry, and responds with permits.
@@ -33,7 +33,7 @@
     void updateFleet();
 
     ForwardingServices &m_services;
-    LimitGate &m_gate;
+    ServerLimiter &m_limiter;
     AsyncCondition m_exchangeEnded;
     bool m_isAsking = false;
 };
--- a/include/zinniadock/process/limittree.h
+++ b/include/zinniadock/process/limittree.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -27,6 +28,9 @@
     /// \param minSize  min number of entries to assume, also if fewer are listed
     void update(const std::string &self, const std::set<std::string> &peers, std::size_t minSize, SteadyTime now);
 
+    /// Returns the peer address of this entry.
+    const std::string &self() const;
+
     /// Returns the number of entries, including this one.
     std::size_t size() const;
 
@@ -67,4 +71,7 @@
 /// Max number of children of an entry. It bounds the messages that one entry exchanges.
 constexpr std::size_t maxChildren = 4;
 
+/// An entry that has not reported for this time is no longer counted as a child.
+constexpr std::chrono::milliseconds childReportTimeout{ 3000 };
+
 } // namespace zinniadock
--- a/include/zinniadock/process/placement.h
+++ b/include/zinniadock/process/placement.h
@@ -13,6 +13,9 @@
 namespace zinniadock
 {
 
+/// Returns whether a server may be used.
+using ServerFilter = std::function<bool(const ServerRecord &)>;
+
 /// Requirements of a request that is placed on a server.
 struct PlacementRequest
 {
@@ -22,8 +25,7 @@
     std::size_t sampleSize = 0; ///< number of candidates drawn at random; 0 for all
     std::string dataCentre; ///< of the entry, or of the engine that a generation moves away from
     std::optional<std::chrono::milliseconds> maxLoadAge; ///< engines with an older load are skipped
-    std::function<bool(const ServerRecord &)>
-        maySend; ///< servers for which it returns false are skipped; empty for none
+    ServerFilter maySend; ///< servers for which it returns false are skipped; empty for none
 };
 
 /// Returns a random number, uniformly distributed in [0, 1).
@@ -78,8 +80,8 @@
 
 /// Returns whether each server of a pool that is not draining is paused or rejected by \p maySend, and at least one is
 /// rejected. Complexity: linear in the servers.
-bool isPoolLimited(const ServerDirectory &directory, const std::string &pool,
-                   const std::function<bool(const ServerRecord &)> &maySend, SteadyTime now);
+bool isPoolLimited(const ServerDirectory &directory, const std::string &pool, const ServerFilter &maySend,
+                   SteadyTime now);
 
 /// Returns up to \p count targets for a running generation, best first. \copydetails placeGeneration
 std::vector<std::string> moveTargets(const ServerDirectory &directory, const PlacementRequest &request,
--- a/include/zinniadock/process/serverlimit.h
+++ b/include/zinniadock/process/serverlimit.h
@@ -66,7 +66,7 @@
     FirstAttempt,
     Retry,
     Move, ///< continues a generation that was moved
-    Control, ///< health check, load report, reservation or copy
+    Control, ///< load report or reservation
 };
 
 constexpr std::size_t sendReasonCount = 4;
@@ -78,7 +78,7 @@
     SteadyTime observedAt; ///< when the server last stated the limit, or that it has none
     std::string source; ///< ID of the request whose response stated it, or the peer that reported it
     std::uint32_t responsesWithout = 0; ///< consecutive responses without the field
-    std::array<std::uint64_t, sendReasonCount> sent{}; ///< requests sent since the limit was named, by SendReason
+    std::array<std::uint64_t, sendReasonCount> sent{}; ///< requests sent while the limit was in force, by SendReason
     std::uint64_t withheld = 0; ///< requests that could not be sent to the server because of the limit
 };
 
@@ -119,9 +119,15 @@
 /// Number of consecutive responses without a limit after which the limit has ended.
 constexpr std::uint32_t responsesUntilEnd = 2;
 
-/// Share of the limit of an engine that the sidecar beside it uses, for load reports and copies.
+/// Share of the limit of an engine that the sidecar beside it uses for load reports.
 constexpr double sidecarLimitShare = 0.05;
 
+/// Reads the limit fields of a response, applies them, and logs invalid values once for each server.
+/// \param values  values of the limit fields, empty if the response has none
+/// \param source  ID of the request, or what the response was to
+LimitChange observeLimit(KnownLimits &limits, const ServerIncarnation &server, const std::vector<std::string> &values,
+                         const std::string &source, SteadyTime now);
+
 /// Appends the metrics of all limits in Prometheus text format.
 void appendLimitMetrics(const KnownLimits &limits, SteadyTime now, std::string &out);
 
--- a/include/zinniadock/process/limitgate.h
+++ b/include/zinniadock/process/serverlimiter.h
@@ -4,12 +4,14 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "zinniadock/process/limitbudget.h"
 #include "zinniadock/process/limitmessages.h"
 #include "zinniadock/process/limittree.h"
+#include "zinniadock/process/reportpacing.h"
 #include "zinniadock/process/serverlimit.h"
 
 namespace zinniadock
@@ -18,13 +20,13 @@
 /// Decides whether this entry may send a request to a backend server that limits its requests per second, and shares
 /// the limits with the other entries. Logs each change of a limit. Has no network, clock or thread of its own; the
 /// messages are exchanged by LimitExchange. Not thread-safe.
-class LimitGate
+class ServerLimiter
 {
 public:
-    /// Returns whether this entry knows a server. Limits of other servers are ignored.
-    using ServerFilter = std::function<bool(const ServerIncarnation &)>;
+    /// Returns whether this entry knows a server. Reported limits of other servers are ignored.
+    using KnownServerCheck = std::function<bool(const ServerIncarnation &)>;
 
-    LimitGate(RandomSource draw, ServerFilter isKnownServer);
+    ServerLimiter(RandomSource draw, KnownServerCheck isKnownServer);
 
     /// Applies the limit fields of a response of a server.
     /// \param values  values of the limit fields, empty if the response has none
@@ -68,19 +70,17 @@
     /// Returns whether there are limits to share or ends of limits to report.
     bool isActive(SteadyTime now) const;
 
-    /// Returns whether a report to the parent is due although no request waits for a permit. It is due sooner if a
-    /// limited server could have got requests that were sent to other servers.
+    /// Returns whether a report to the parent is due although no request waits for a permit (ReportPacing::isDue()).
     bool isReportDue(SteadyTime now) const;
 
-    /// Returns whether a report may be sent now, and counts it. On average one report per interval() is allowed, and up
-    /// to \c maxReportBurst at once.
+    /// Returns whether a report to the parent may be sent now, and counts it (ReportPacing::take()).
     bool takeReport(SteadyTime now);
 
     /// Returns the min average time between two reports to the parent.
     std::chrono::milliseconds interval() const;
 
-    /// Returns the entry to report to; nothing if this entry is the root.
-    std::optional<std::string> parent(SteadyTime now);
+    /// Returns the entry to report to. Returns nothing if there is none; this entry is then the root of its subtree.
+    std::optional<std::string> chooseParent(SteadyTime now);
 
     /// Returns the report to a parent. The permits that it gives away are no longer in this entry.
     LimitReport makeReport(const std::string &parent, SteadyTime now);
@@ -109,33 +109,30 @@
     LimitReport makeNotice(SteadyTime now) const;
 
 private:
+    /// An entry that reports to this one.
     struct Child
     {
         std::size_t subtreeSize = 0;
         SteadyTime reportedAt;
     };
 
-    void updateBudget(LimitChange change, const ServerIncarnation &server, std::optional<double> previous,
-                      SteadyTime now);
+    void applyChange(LimitChange change, const ServerIncarnation &server, std::optional<double> previous,
+                     SteadyTime now);
     void mergeState(const LimitState &state, const std::string &peer, SteadyTime now);
     void updatePosition(SteadyTime now);
+    bool isReporting(const std::string &child, SteadyTime now) const;
     std::size_t subtreeSize(SteadyTime now) const;
-    std::vector<LimitState> states(SteadyTime now) const;
+    std::vector<LimitState> reportedStates(SteadyTime now) const;
     std::vector<ServerIncarnation> limitedServers(const ServerDirectory &directory, const std::string &pool) const;
 
     RandomSource m_draw;
-    ServerFilter m_isKnownServer;
+    KnownServerCheck m_isKnownServer;
     KnownLimits m_limits;
     LimitBudget m_budget;
     LimitTree m_tree;
-    std::string m_self;
-    std::map<std::string, Child> m_children; ///< by peer
-    std::map<std::string, SteadyTime> m_notifiedAt; ///< by peer
-    double m_reportCredit = 0; ///< reports that may be sent now
-    SteadyTime m_creditedUntil;
-    SteadyTime m_lastReport;
-    bool m_hasUnmetDemand = false; ///< requests could have used permits since the last report
-    std::optional<SteadyTime> m_lastEnd; ///< when a limit last ended
+    std::map<std::string, Child> m_children; ///< entries that report to this one, by peer
+    std::map<std::string, SteadyTime> m_notifiedAt; ///< last notice to each child, by peer
+    ReportPacing m_pacing;
 };
 
 } // namespace zinniadock
--- a/include/zinniadock/process/watchingsidecar.h
+++ b/include/zinniadock/process/watchingsidecar.h
@@ -61,8 +61,8 @@
     Awaitable<void> handleMoveOrder(std::shared_ptr<HttpConnection> connection, MoveOrder order);
     Awaitable<void> handleMetricsRequest(std::shared_ptr<HttpConnection> connection, HttpRequest request);
     void applyLoad(EngineLoad load);
-    ServerIncarnation limitKey() const;
-    void observeLimit(const ResponseHead &head, const std::string &source);
+    ServerIncarnation engineIncarnation() const;
+    void observeEngineLimit(const ResponseHead &head, const std::string &source);
     std::chrono::milliseconds pauseBetweenReports() const;
     std::vector<std::string> activePeers();
     std::chrono::milliseconds timeLeft() const;
--- a/include/zinniadock/request/forwardscope.h
+++ b/include/zinniadock/request/forwardscope.h
@@ -70,7 +70,7 @@
     std::chrono::milliseconds retryDelay(std::chrono::milliseconds baseDelay, bool isLimited) const;
 
     /// Returns a filter of the servers whose limit allows a request now.
-    std::function<bool(const ServerRecord &)> limitFilter() const;
+    ServerFilter limitFilter() const;
 
     /// Asks for permits if the limits of the servers leave none for the request. Returns whether the request can't be
     /// sent because of these limits.
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -72,6 +72,7 @@
     Awaitable<std::optional<EnginePlacement>> reserveAtEngine(std::string server);
     Awaitable<std::optional<EnginePlacement>> reserveLimitedEngine(std::string server, AdmissionLimits limits);
     AdmissionQuery admissionQuery() const;
+    std::chrono::milliseconds reservationDuration(const ServerRecord &server) const;
     Awaitable<SegmentEnd> runSegment(wire::ServerFields fields);
     SegmentEnd handleMissingResponse(const HttpExchange &exchange);
     Awaitable<SegmentEnd> relayEvents(HttpExchange &exchange);
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -193,9 +193,9 @@
     announcement.id = result.succeeded() ? wire::parseResponseFields(result.head).server : "";
     if (!announcement.id.empty() && acceptsAnnouncement(announcement)) {
         addAnnouncedServer(announcement);
-        m_services.limitGate.observe(m_services.directory.find(announcement.id)->record,
-                                     wire::parseResponseFields(result.head).limits, "health check",
-                                     std::chrono::steady_clock::now());
+        m_services.serverLimiter.observe(m_services.directory.find(announcement.id)->record,
+                                         wire::parseResponseFields(result.head).limits, "health check",
+                                         std::chrono::steady_clock::now());
     }
 }
 
@@ -311,7 +311,7 @@
         nextCleanup = now + cleanupInterval;
         m_services.pool.closeStale();
         for (const std::string &id : m_services.directory.removeUnlisted(removedServerRetention, now)) {
-            m_services.limitGate.forget(id);
+            m_services.serverLimiter.forget(id);
             const auto feed = m_feeds.find(id);
             if (feed != m_feeds.end()) {
                 feed->second->stop();
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -74,7 +74,7 @@
     appendMetric("zinniadock_known_entries", m_services.entryCount(), out);
     appendMetric("zinniadock_servers", m_services.directory.servers().size(), out);
     appendMetric("zinniadock_configuration_version", m_services.routes ? m_services.routes->version : 0, out);
-    appendLimitMetrics(m_services.limitGate.limits(), std::chrono::steady_clock::now(), out);
+    appendLimitMetrics(m_services.serverLimiter.limits(), std::chrono::steady_clock::now(), out);
     appendMetric("zinniadock_dropped_log_lines_total", droppedLogLines(), out);
     return out;
 }
--- a/src/process/forwardingservices.cpp
+++ b/src/process/forwardingservices.cpp
@@ -7,7 +7,7 @@
     : context(ioContext)
     , settings(std::move(initialSettings))
     , pool(ioContext)
-    , limitGate(
+    , serverLimiter(
           [this] {
               return randomFraction();
           },
--- a/src/process/limitbudget.cpp
+++ b/src/process/limitbudget.cpp
@@ -21,19 +21,20 @@
 /// Max time for which permits are created at once. A process that was paused has lost the rest.
 constexpr Seconds maxCreationTime{ 3.0 };
 
-/// Interval at which a subtree with less than one permit in bufferTime draws whether it gets one.
+/// Interval at which a subtree that gets less than minBuffer permits in bufferTime decides at random whether it gets
+/// one.
 constexpr std::chrono::milliseconds drawInterval{ 1000 };
 
-/// Share of its permits that such a subtree gets. Many of them draw independently, so that their sum varies.
+/// Share of its permits that a subtree gets if it decides at random. Many subtrees decide independently, so that the
+/// sum of their permits varies.
 constexpr double drawnShare = 0.75;
 
-constexpr std::chrono::milliseconds childLifetime{ 3000 };
-
 /// Weight of the earlier demand in the recent demand, and the permits to ask for per recent request. Together they ask
 /// for 1.2 times a steady demand.
 constexpr double demandDecay = 0.5;
 constexpr double wantedPerRecentRequest = 0.6;
 
+/// Max number of permits that an entry owes, after requests that it sent without one.
 constexpr double maxDebt = 20;
 
 } // namespace
@@ -56,7 +57,7 @@
     const double scale = account.perSecond > 0 ? std::min(1.0, perSecond / account.perSecond) : 1;
     account.perSecond = perSecond;
     account.pool *= scale;
-    account.rising *= scale;
+    account.forParent *= scale;
     account.held = account.held > 0 ? std::floor(account.held * scale) : account.held;
 }
 
@@ -114,7 +115,7 @@
     }
 }
 
-PermitRequest LimitBudget::requestToParent(const ServerIncarnation &server, bool givesAway, SteadyTime now)
+PermitRequest LimitBudget::takeRequestForParent(const ServerIncarnation &server, bool givesAway, SteadyTime now)
 {
     Account *account = advancedAccount(server, now);
     if (!account) {
@@ -123,8 +124,8 @@
     const bool isWaiting = account->isWaiting || account->isChildWaiting;
     PermitRequest request{ .returned = 0, .wanted = wantedFor(subtreeDemand(*account, now), isWaiting) };
     if (givesAway) {
-        request.returned = account->rising;
-        account->rising = 0;
+        request.returned = account->forParent;
+        account->forParent = 0;
     }
     return request;
 }
@@ -145,7 +146,7 @@
     if (!account) {
         return {};
     }
-    account->rising = std::min(account->rising + request.returned, account->perSecond * maxCreationTime.count());
+    account->forParent = std::min(account->forParent + request.returned, account->perSecond * maxCreationTime.count());
     createPermits(*account, now);
     ChildDemand &demand = account->children[child];
     demand.recent = demandDecay * demand.recent + request.wanted;
@@ -207,34 +208,35 @@
 {
     const Seconds elapsed = std::min<Seconds>(now - account.createdUntil, maxCreationTime);
     account.createdUntil = now;
-    account.rising += account.perSecond / static_cast<double>(m_position.entries) * std::max(elapsed.count(), 0.0);
+    account.forParent += account.perSecond / static_cast<double>(m_position.entries) * std::max(elapsed.count(), 0.0);
     if (account.held > 0 && now - account.heldSince > permitLifetime) {
-        account.rising += account.held;
+        account.forParent += account.held;
         account.held = 0;
     }
     if (!m_position.isRoot && now - account.poolFilledAt > permitLifetime) {
-        account.rising += account.pool;
+        account.forParent += account.pool;
         account.pool = 0;
     }
-    account.rising = std::min(account.rising, account.perSecond * maxCreationTime.count());
+    account.forParent = std::min(account.forParent, account.perSecond * maxCreationTime.count());
     if (m_position.isRoot) {
         fillRootPool(account, now);
     }
 }
 
-// A subtree that gets less than minBuffer in bufferTime may not keep that many permits, since there may be many of
-// them. It draws at intervals whether it has one, with the probability that corresponds to its rate.
+// There may be many small subtrees at the same time. If each kept up to minBuffer permits, they could send a burst
+// together. A small subtree therefore decides at random each drawInterval whether it has a permit, with the probability
+// that corresponds to its rate.
 void LimitBudget::fillRootPool(Account &account, SteadyTime now) const
 {
     const double buffer = subtreeRate(account) * bufferTime.count();
     const bool isMajority = 2 * m_position.subtree > m_position.entries;
     if (isMajority || buffer >= minBuffer) {
-        account.pool = std::min(account.pool + account.rising, std::max(buffer, minBuffer));
-        account.rising = 0;
+        account.pool = std::min(account.pool + account.forParent, std::max(buffer, minBuffer));
+        account.forParent = 0;
     } else if (now - account.drawnAt >= drawInterval) {
-        const double drawn = drawnShare * account.rising;
+        const double drawn = drawnShare * account.forParent;
         account.pool = std::floor(drawn) + (m_draw() < drawn - std::floor(drawn) ? 1 : 0);
-        account.rising = 0;
+        account.forParent = 0;
         account.drawnAt = now;
     }
 }
@@ -249,7 +251,7 @@
 {
     double demand = std::max(account.recentDemand, account.demand);
     for (const auto &[peer, child] : account.children) {
-        demand += now - child.reportedAt <= childLifetime ? child.recent : 0;
+        demand += now - child.reportedAt <= childReportTimeout ? child.recent : 0;
     }
     return demand;
 }
--- a/src/process/limitexchange.cpp
+++ b/src/process/limitexchange.cpp
@@ -18,7 +18,7 @@
 
 LimitExchange::LimitExchange(ForwardingServices &services)
     : m_services(services)
-    , m_gate(services.limitGate)
+    , m_limiter(services.serverLimiter)
     , m_exchangeEnded(services.context)
 {
 }
@@ -26,19 +26,19 @@
 void LimitExchange::updateFleet()
 {
     const std::size_t seeds = m_services.settings.forwarding.seeds.size();
-    m_gate.setFleet(m_services.settings.forwarding.peer.text(), m_services.peerAddresses,
-                    std::max<std::size_t>(seeds, 1), std::chrono::steady_clock::now());
+    m_limiter.setFleet(m_services.settings.forwarding.peer.text(), m_services.peerAddresses,
+                       std::max<std::size_t>(seeds, 1), std::chrono::steady_clock::now());
 }
 
 void LimitExchange::maintain()
 {
     const auto now = std::chrono::steady_clock::now();
-    if (!m_gate.isActive(now)) {
+    if (!m_limiter.isActive(now)) {
         return;
     }
     updateFleet();
     const auto self = shared_from_this();
-    for (const std::string &child : m_gate.childrenToNotify(now)) {
+    for (const std::string &child : m_limiter.childrenToNotify(now)) {
         asio::co_spawn(
             m_services.context,
             [self, child]() {
@@ -46,7 +46,7 @@
             },
             asio::detached);
     }
-    if (!m_isAsking && m_gate.isReportDue(now)) {
+    if (!m_isAsking && m_limiter.isReportDue(now)) {
         asio::co_spawn(
             m_services.context,
             [self]() {
@@ -63,12 +63,12 @@
         co_await m_exchangeEnded.wait(reportTimeout);
         co_return;
     }
-    if (!m_gate.takeReport(std::chrono::steady_clock::now())) {
+    if (!m_limiter.takeReport(std::chrono::steady_clock::now())) {
         co_return;
     }
     m_isAsking = true;
     co_await askParent();
-    m_gate.grantToSelf(std::chrono::steady_clock::now());
+    m_limiter.grantToSelf(std::chrono::steady_clock::now());
     m_isAsking = false;
     m_exchangeEnded.notify();
 }
@@ -76,21 +76,19 @@
 Awaitable<void> LimitExchange::askParent()
 {
     const auto now = std::chrono::steady_clock::now();
-    const std::optional<std::string> parent = m_gate.parent(now);
+    const std::optional<std::string> parent = m_limiter.chooseParent(now);
     if (!parent) {
         co_return;
     }
-    const std::optional<LimitReply> reply = co_await sendReport(*parent, m_gate.makeReport(*parent, now));
-    m_gate.applyReply(*parent, reply, std::chrono::steady_clock::now());
+    const std::optional<LimitReply> reply = co_await sendReport(*parent, m_limiter.makeReport(*parent, now));
+    m_limiter.applyReply(*parent, reply, std::chrono::steady_clock::now());
 }
 
 Awaitable<std::optional<LimitReply>> LimitExchange::sendReport(std::string peer, LimitReport report)
 {
     Endpoint endpoint;
     detail::parseValue(peer, detail::Range{}, endpoint);
-    HttpRequest request(http::verb::post, limitReportTarget, 11);
-    request.body() = encode(report);
-    request.prepare_payload();
+    const HttpRequest request = makePost(limitReportTarget, encode(report));
     const CallResult result = co_await call(m_services.pool, endpoint, request, reportTimeout);
     auto reply = result.succeeded() ? decodeLimitReply(result.body) : std::nullopt;
     if (!reply) {
@@ -105,19 +103,19 @@
 Awaitable<void> LimitExchange::sendNotice(std::string child)
 {
     const auto self = shared_from_this();
-    co_await sendReport(child, m_gate.makeNotice(std::chrono::steady_clock::now()));
+    co_await sendReport(child, m_limiter.makeNotice(std::chrono::steady_clock::now()));
 }
 
 Awaitable<void> LimitExchange::handleReport(std::shared_ptr<HttpConnection> connection, LimitReport report)
 {
     const auto self = shared_from_this();
-    m_gate.applyReport(report, std::chrono::steady_clock::now());
+    m_limiter.applyReport(report, std::chrono::steady_clock::now());
     LimitReply reply;
     if (!report.isNotice) {
-        if (m_gate.lacksPermits(report, std::chrono::steady_clock::now())) {
+        if (m_limiter.lacksPermits(report, std::chrono::steady_clock::now())) {
             co_await refresh();
         }
-        reply = m_gate.reply(report, std::chrono::steady_clock::now());
+        reply = m_limiter.reply(report, std::chrono::steady_clock::now());
     }
     co_await connection->respond(makeResponse(http::status::ok, encode(reply), "application/cbor"));
 }
--- a/src/process/limittree.cpp
+++ b/src/process/limittree.cpp
@@ -62,6 +62,11 @@
     m_position = static_cast<std::size_t>(std::find(m_order.begin(), m_order.end(), m_self) - m_order.begin());
 }
 
+const std::string &LimitTree::self() const
+{
+    return m_self;
+}
+
 std::size_t LimitTree::size() const
 {
     return std::max(m_order.size(), m_minSize);
--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -82,7 +82,7 @@
     return sum;
 }
 
-bool mayBeSent(const PlacementRequest &request, const TrackedServer &server)
+bool passesFilter(const PlacementRequest &request, const TrackedServer &server)
 {
     return !request.maySend || request.maySend(server.record);
 }
@@ -117,7 +117,7 @@
     for (const auto &[id, server] : directory.servers()) {
         const bool isEligible = server.record.pool == request.pool && !server.isDraining() && !excluded.contains(id);
         if (!isEligible || server.backoffUntil > now || server.fullUntil > now || server.isPaused(now)
-            || !mayBeSent(request, server)
+            || !passesFilter(request, server)
             || (request.maxLoadAge && !hasLoadWithin(server, *request.maxLoadAge, now))) {
             continue;
         }
@@ -252,7 +252,7 @@
     std::vector<Candidate> candidates;
     for (const auto &[id, server] : directory.servers()) {
         const bool isEligible = server.record.pool == request.pool && !server.isDraining() && !excluded.contains(id);
-        if (!isEligible || server.isPaused(now) || !mayBeSent(request, server)) {
+        if (!isEligible || server.isPaused(now) || !passesFilter(request, server)) {
             continue;
         }
         const double slots = std::max(server.record.slots, 1U);
@@ -280,8 +280,8 @@
     return first;
 }
 
-bool isPoolLimited(const ServerDirectory &directory, const std::string &pool,
-                   const std::function<bool(const ServerRecord &)> &maySend, SteadyTime now)
+bool isPoolLimited(const ServerDirectory &directory, const std::string &pool, const ServerFilter &maySend,
+                   SteadyTime now)
 {
     bool isLimited = false;
     for (const auto &[id, server] : directory.servers()) {
--- a/src/process/runmover.cpp
+++ b/src/process/runmover.cpp
@@ -33,9 +33,7 @@
 Awaitable<bool> isAdmitted(ConnectionPool &pool, Endpoint target, const AdmissionQuery &query,
                            std::uint16_t sidecarPort, std::string &reason)
 {
-    HttpRequest request(http::verb::post, admissionTarget, 11);
-    request.body() = encode(query);
-    request.prepare_payload();
+    const HttpRequest request = makePost(admissionTarget, encode(query));
     const Endpoint sidecar{ target.address, sidecarPort };
     const CallResult result = co_await call(pool, sidecar, request, admissionTimeout);
     const auto response = result.succeeded() ? decodeAdmissionResponse(result.body) : std::nullopt;
--- a/src/process/serverlimit.cpp
+++ b/src/process/serverlimit.cpp
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <cmath>
 
-#include "zinniadock/process/metrics.h"
+#include "zinniadock/process/eventlog.h"
 
 namespace zinniadock
 {
@@ -12,6 +12,7 @@
 namespace
 {
 
+/// Labels of the metrics, in the order of SendReason.
 constexpr std::array<const char *, sendReasonCount> sendReasonNames{ "first", "retry", "move", "control" };
 
 /// Parses a decimal number of requests per second. Returns infinity for a number too large for a double, and nothing if
@@ -149,6 +150,17 @@
     return m_limits;
 }
 
+LimitChange observeLimit(KnownLimits &limits, const ServerIncarnation &server, const std::vector<std::string> &values,
+                         const std::string &source, SteadyTime now)
+{
+    const LimitReading reading = readLimit(values);
+    if (!reading.problem.empty() && limits.isNewProblem(server, reading.problem)) {
+        logEvent("limit", "invalid value",
+                 { { "server", server.id }, { "source", source }, { "reason", reading.problem } });
+    }
+    return limits.observe(server, reading, source, now);
+}
+
 void appendLimitMetrics(const KnownLimits &limits, SteadyTime now, std::string &out)
 {
     for (const auto &[server, limit] : limits.all()) {
--- a/src/process/limitgate.cpp
+++ b/src/process/serverlimiter.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/limitgate.h"
+#include "zinniadock/process/serverlimiter.h"
 
 #include <algorithm>
 
@@ -17,19 +17,15 @@
 /// Time for which the end of a limit is reported to other entries.
 constexpr std::chrono::milliseconds endReportTime{ 10000 };
 
-constexpr std::chrono::milliseconds childLifetime{ 3000 };
+/// Min time between two notices to a child that does not report.
 constexpr std::chrono::milliseconds noticeInterval{ 2000 };
 
-/// Time after which a report is due, in intervals, and max number of reports at once.
-constexpr int heartbeatIntervals = 2;
-constexpr double maxReportBurst = 3;
-
 /// Min average interval between reports in a small fleet and in a large one.
 constexpr std::chrono::milliseconds smallFleetInterval{ 250 };
 constexpr std::chrono::milliseconds largeFleetInterval{ 1000 };
 
-/// Estimated bytes of a report and its reply: heads and fixed fields, and each row. With the reports of its children,
-/// an entry exchanges at most maxBytesPerSecond.
+/// Bytes of a report and its reply without rows, and of a row in both. The interval is chosen such that an entry, with
+/// the reports of its children, exchanges at most maxBytesPerSecond.
 constexpr double bytesPerExchange = 230;
 constexpr double bytesPerRow = 70;
 constexpr double maxBytesPerSecond = 1900;
@@ -39,30 +35,31 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::max(now, observedAt) - observedAt);
 }
 
+/// Returns whether a limit is reported to other entries: it is in force, or has ended a short time ago.
+bool isReported(const KnownLimit &limit, SteadyTime now)
+{
+    return limit.perSecond || now - limit.observedAt < endReportTime;
+}
+
 } // namespace
 
-LimitGate::LimitGate(RandomSource draw, ServerFilter isKnownServer)
+ServerLimiter::ServerLimiter(RandomSource draw, KnownServerCheck isKnownServer)
     : m_draw(draw)
     , m_isKnownServer(std::move(isKnownServer))
     , m_budget(std::move(draw))
 {
 }
 
-void LimitGate::observe(const ServerRecord &server, const std::vector<std::string> &values, const std::string &source,
-                        SteadyTime now)
+void ServerLimiter::observe(const ServerRecord &server, const std::vector<std::string> &values,
+                            const std::string &source, SteadyTime now)
 {
     const ServerIncarnation incarnation = incarnationOf(server);
-    const LimitReading reading = readLimit(values);
-    if (!reading.problem.empty() && m_limits.isNewProblem(incarnation, reading.problem)) {
-        logEvent("limit", "invalid value",
-                 { { "server", server.id }, { "id", source }, { "reason", reading.problem } });
-    }
     const auto previous = m_limits.find(incarnation);
-    updateBudget(m_limits.observe(incarnation, reading, source, now), incarnation, previous, now);
+    applyChange(observeLimit(m_limits, incarnation, values, source, now), incarnation, previous, now);
 }
 
-void LimitGate::updateBudget(LimitChange change, const ServerIncarnation &server, std::optional<double> previous,
-                             SteadyTime now)
+void ServerLimiter::applyChange(LimitChange change, const ServerIncarnation &server, std::optional<double> previous,
+                                SteadyTime now)
 {
     if (change == LimitChange::None) {
         return;
@@ -72,7 +69,6 @@
         m_budget.setLimit(server, entryShare * *limit.perSecond, now);
     } else {
         m_budget.removeLimit(server);
-        m_lastEnd = now;
     }
     logEvent("limit", toString(change),
              { { "server", server.id },
@@ -83,12 +79,12 @@
                { "entries", m_tree.size() } });
 }
 
-bool LimitGate::isLimited(const ServerRecord &server) const
+bool ServerLimiter::isLimited(const ServerRecord &server) const
 {
     return m_limits.find(incarnationOf(server)).has_value();
 }
 
-bool LimitGate::maySend(const ServerRecord &server, SteadyTime now) const
+bool ServerLimiter::maySend(const ServerRecord &server, SteadyTime now) const
 {
     if (m_limits.all().empty()) {
         return true;
@@ -97,7 +93,7 @@
     return !m_limits.find(incarnation) || m_budget.hasPermit(incarnation, now);
 }
 
-void LimitGate::recordSent(const ServerRecord &server, SendReason reason, SteadyTime now)
+void ServerLimiter::recordSent(const ServerRecord &server, SendReason reason, SteadyTime now)
 {
     if (m_limits.all().empty()) {
         return;
@@ -107,19 +103,19 @@
     m_budget.takePermit(incarnation, now);
 }
 
-void LimitGate::undoSent(const ServerRecord &server, SteadyTime now)
+void ServerLimiter::undoSent(const ServerRecord &server, SteadyTime now)
 {
     m_budget.returnPermit(incarnationOf(server), now);
 }
 
-std::vector<ServerIncarnation> LimitGate::limitedServers(const ServerDirectory &directory,
-                                                         const std::string &pool) const
+std::vector<ServerIncarnation> ServerLimiter::limitedServers(const ServerDirectory &directory,
+                                                             const std::string &pool) const
 {
     std::vector<ServerIncarnation> servers;
     for (const auto &[incarnation, limit] : m_limits.all()) {
         const auto found = directory.servers().find(incarnation.id);
         const bool isInPool = found != directory.servers().end() && found->second.record.pool == pool
-            && found->second.record.startTimeMs == incarnation.startTimeMs && !found->second.isDraining();
+            && incarnationOf(found->second.record) == incarnation && !found->second.isDraining();
         if (limit.perSecond && isInPool) {
             servers.push_back(incarnation);
         }
@@ -127,15 +123,17 @@
     return servers;
 }
 
-void LimitGate::recordDemand(const ServerDirectory &directory, const std::string &pool, SteadyTime now)
+void ServerLimiter::recordDemand(const ServerDirectory &directory, const std::string &pool, SteadyTime now)
 {
     for (const ServerIncarnation &server : limitedServers(directory, pool)) {
         m_budget.recordDemand(server);
-        m_hasUnmetDemand = m_hasUnmetDemand || !m_budget.hasPermit(server, now);
+        if (!m_budget.hasPermit(server, now)) {
+            m_pacing.recordUnmetDemand();
+        }
     }
 }
 
-void LimitGate::recordWaiting(const ServerDirectory &directory, const std::string &pool)
+void ServerLimiter::recordWaiting(const ServerDirectory &directory, const std::string &pool)
 {
     for (const ServerIncarnation &server : limitedServers(directory, pool)) {
         m_budget.recordWaiting(server);
@@ -143,8 +141,8 @@
 }
 
 // Callers that are refused between two reports get the same expected wait. The random part spreads their returns.
-std::optional<std::chrono::milliseconds> LimitGate::refuse(const ServerDirectory &directory, const std::string &pool,
-                                                           SteadyTime now)
+std::optional<std::chrono::milliseconds> ServerLimiter::refuse(const ServerDirectory &directory,
+                                                               const std::string &pool, SteadyTime now)
 {
     std::optional<std::chrono::milliseconds> wait;
     for (const ServerIncarnation &server : limitedServers(directory, pool)) {
@@ -158,72 +156,67 @@
     return wait;
 }
 
-void LimitGate::forget(const std::string &serverId)
+void ServerLimiter::forget(const std::string &serverId)
 {
     for (const ServerIncarnation &server : m_limits.remove(serverId)) {
         m_budget.removeLimit(server);
     }
 }
 
-const KnownLimits &LimitGate::limits() const
+const KnownLimits &ServerLimiter::limits() const
 {
     return m_limits;
 }
 
-void LimitGate::setFleet(const std::string &self, const std::set<std::string> &peers, std::size_t minEntries,
-                         SteadyTime now)
+void ServerLimiter::setFleet(const std::string &self, const std::set<std::string> &peers, std::size_t minEntries,
+                             SteadyTime now)
 {
-    m_self = self;
     m_tree.update(self, peers, minEntries, now);
     updatePosition(now);
 }
 
-void LimitGate::updatePosition(SteadyTime now)
+void ServerLimiter::updatePosition(SteadyTime now)
 {
     std::erase_if(m_children, [now](const auto &child) {
-        return now - child.second.reportedAt > childLifetime;
+        return now - child.second.reportedAt > childReportTimeout;
     });
     m_budget.setPosition({ .entries = m_tree.size(), .subtree = subtreeSize(now), .isRoot = !m_tree.isAttached() });
 }
 
-std::size_t LimitGate::subtreeSize(SteadyTime now) const
+bool ServerLimiter::isReporting(const std::string &child, SteadyTime now) const
+{
+    const auto found = m_children.find(child);
+    return found != m_children.end() && now - found->second.reportedAt <= childReportTimeout;
+}
+
+std::size_t ServerLimiter::subtreeSize(SteadyTime now) const
 {
     std::size_t size = 1;
     for (const auto &[peer, child] : m_children) {
-        size += now - child.reportedAt <= childLifetime ? child.subtreeSize : 0;
+        size += isReporting(peer, now) ? child.subtreeSize : 0;
     }
     return std::min(size, m_tree.size());
 }
 
-bool LimitGate::isActive(SteadyTime now) const
+bool ServerLimiter::isActive(SteadyTime now) const
 {
     const auto &limits = m_limits.all();
-    const bool hasLimit = std::any_of(limits.begin(), limits.end(), [](const auto &limit) {
-        return limit.second.perSecond.has_value();
+    return std::any_of(limits.begin(), limits.end(), [now](const auto &limit) {
+        return isReported(limit.second, now);
     });
-    return hasLimit || (m_lastEnd && now - *m_lastEnd < endReportTime);
 }
 
-bool LimitGate::isReportDue(SteadyTime now) const
+bool ServerLimiter::isReportDue(SteadyTime now) const
 {
-    return now - m_lastReport >= (m_hasUnmetDemand ? 1 : heartbeatIntervals) * interval();
+    return m_pacing.isDue(interval(), now);
 }
 
-bool LimitGate::takeReport(SteadyTime now)
+bool ServerLimiter::takeReport(SteadyTime now)
 {
-    const double intervals = std::chrono::duration<double>(now - m_creditedUntil) / interval();
-    m_reportCredit = std::min(m_reportCredit + intervals, maxReportBurst);
-    m_creditedUntil = now;
-    if (m_reportCredit < 1) {
-        return false;
-    }
-    m_reportCredit -= 1;
-    m_lastReport = now;
-    m_hasUnmetDemand = false;
-    return true;
+    return m_pacing.take(interval(), now);
 }
 
-std::chrono::milliseconds LimitGate::interval() const
+std::chrono::milliseconds ServerLimiter::interval() const
 {
     if (m_tree.size() <= maxSmallFleetSize) {
         return smallFleetInterval;
@@ -237,7 +230,7 @@
     return std::max(largeFleetInterval, affordable);
 }
 
-std::optional<std::string> LimitGate::parent(SteadyTime now)
+std::optional<std::string> ServerLimiter::chooseParent(SteadyTime now)
 {
     auto parent = m_tree.parent(now);
     if (!parent) {
@@ -247,29 +240,29 @@
     return parent;
 }
 
-std::vector<LimitState> LimitGate::states(SteadyTime now) const
+std::vector<LimitState> ServerLimiter::reportedStates(SteadyTime now) const
 {
     std::vector<LimitState> states;
     for (const auto &[server, limit] : m_limits.all()) {
-        if (limit.perSecond || now - limit.observedAt < endReportTime) {
+        if (isReported(limit, now)) {
             states.push_back({ server, limit.perSecond, ageOf(limit.observedAt, now) });
         }
     }
     return states;
 }
 
-LimitReport LimitGate::makeReport(const std::string &parent, SteadyTime now)
+LimitReport ServerLimiter::makeReport(const std::string &parent, SteadyTime now)
 {
-    LimitReport report{ .sender = m_self, .isNotice = false, .subtreeSize = subtreeSize(now), .rows = {} };
+    LimitReport report{ .sender = m_tree.self(), .isNotice = false, .subtreeSize = subtreeSize(now), .rows = {} };
     const bool givesAway = m_tree.isAttachedTo(parent);
-    for (LimitState &state : states(now)) {
-        const PermitRequest request = m_budget.requestToParent(state.server, givesAway, now);
+    for (LimitState &state : reportedStates(now)) {
+        const PermitRequest request = m_budget.takeRequestForParent(state.server, givesAway, now);
         report.rows.push_back({ std::move(state), request });
     }
     return report;
 }
 
-void LimitGate::applyReply(const std::string &parent, const std::optional<LimitReply> &reply, SteadyTime now)
+void ServerLimiter::applyReply(const std::string &parent, const std::optional<LimitReply> &reply, SteadyTime now)
 {
     if (!reply) {
         m_tree.recordFailure(parent, now);
@@ -284,24 +277,24 @@
     }
 }
 
-void LimitGate::grantToSelf(SteadyTime now)
+void ServerLimiter::grantToSelf(SteadyTime now)
 {
     for (const auto &[server, limit] : m_limits.all()) {
         m_budget.grantToSelf(server, now);
     }
 }
 
-void LimitGate::mergeState(const LimitState &state, const std::string &peer, SteadyTime now)
+void ServerLimiter::mergeState(const LimitState &state, const std::string &peer, SteadyTime now)
 {
     if (!m_isKnownServer(state.server)) {
         return;
     }
     const auto previous = m_limits.find(state.server);
     const LimitChange change = m_limits.merge(state.server, state.perSecond, now - state.age, peer);
-    updateBudget(change, state.server, previous, now);
+    applyChange(change, state.server, previous, now);
 }
 
-void LimitGate::applyReport(const LimitReport &report, SteadyTime now)
+void ServerLimiter::applyReport(const LimitReport &report, SteadyTime now)
 {
     for (const LimitReportRow &row : report.rows) {
         mergeState(row.state, report.sender, now);
@@ -312,7 +305,7 @@
     }
 }
 
-bool LimitGate::lacksPermits(const LimitReport &report, SteadyTime now)
+bool ServerLimiter::lacksPermits(const LimitReport &report, SteadyTime now)
 {
     bool lacks = false;
     for (const LimitReportRow &row : report.rows) {
@@ -324,21 +317,21 @@
     return lacks;
 }
 
-LimitReply LimitGate::reply(const LimitReport &report, SteadyTime now)
+LimitReply ServerLimiter::reply(const LimitReport &report, SteadyTime now)
 {
     std::map<ServerIncarnation, PermitGrant> grants;
     for (const LimitReportRow &row : report.rows) {
         grants[row.state.server] = m_budget.grant(row.state.server, report.sender, row.request, now);
     }
     LimitReply reply;
-    for (LimitState &state : states(now)) {
+    for (LimitState &state : reportedStates(now)) {
         const PermitGrant grant = grants[state.server];
         reply.rows.push_back({ std::move(state), grant });
     }
     return reply;
 }
 
-std::vector<std::string> LimitGate::childrenToNotify(SteadyTime now)
+std::vector<std::string> ServerLimiter::childrenToNotify(SteadyTime now)
 {
     std::erase_if(m_notifiedAt, [now](const auto &child) {
         return now - child.second >= noticeInterval;
@@ -346,9 +339,7 @@
     std::vector<std::string> children;
     for (const std::string &child : m_tree.children()) {
         SteadyTime &notifiedAt = m_notifiedAt[child];
-        const auto found = m_children.find(child);
-        const bool reports = found != m_children.end() && now - found->second.reportedAt <= childLifetime;
-        if (!reports && now - notifiedAt >= noticeInterval) {
+        if (!isReporting(child, now) && now - notifiedAt >= noticeInterval) {
             notifiedAt = now;
             children.push_back(child);
         }
@@ -356,10 +347,10 @@
     return children;
 }
 
-LimitReport LimitGate::makeNotice(SteadyTime now) const
+LimitReport ServerLimiter::makeNotice(SteadyTime now) const
 {
-    LimitReport notice{ .sender = m_self, .isNotice = true, .subtreeSize = subtreeSize(now), .rows = {} };
-    for (LimitState &state : states(now)) {
+    LimitReport notice{ .sender = m_tree.self(), .isNotice = true, .subtreeSize = subtreeSize(now), .rows = {} };
+    for (LimitState &state : reportedStates(now)) {
         notice.rows.push_back({ std::move(state), PermitRequest() });
     }
     return notice;
--- a/src/process/sidecarfeed.cpp
+++ b/src/process/sidecarfeed.cpp
@@ -64,9 +64,7 @@
         query.minInterval = usesLoadProbing(m_services)
             ? reportIntervalInUse
             : std::max(minReportInterval, reportIntervalPerServer * servers);
-        HttpRequest request(http::verb::post, loadQueryTarget, 11);
-        request.body() = encode(query);
-        request.prepare_payload();
+        const HttpRequest request = makePost(loadQueryTarget, encode(query));
         const CallResult result = co_await call(m_services.pool, m_sidecar, request, responseTimeout);
         const auto report = result.succeeded() ? decodeEngineLoadReport(result.body) : std::nullopt;
         if (m_isReachable != report.has_value()) {
--- a/src/process/storeview.cpp
+++ b/src/process/storeview.cpp
@@ -312,9 +312,7 @@
     for (std::size_t part = 0; part < storePartCount; ++part) {
         query.knownRevisions[part] = m_mirrors[part].revision();
     }
-    HttpRequest request(http::verb::post, relayTarget, 11);
-    request.body() = encode(query);
-    request.prepare_payload();
+    const HttpRequest request = makePost(relayTarget, encode(query));
     const auto askedAt = std::chrono::steady_clock::now();
     const CallResult result = co_await call(m_services.pool, endpoint, request, maxRelayWait + relayTimeoutSlack);
     const auto response = result.succeeded() ? decodeRelayResponse(result.body) : std::nullopt;
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -99,9 +99,9 @@
                      { { "engine", m_settings.sidecar.backend.text() },
                        { "reason", result.error ? result.error.message() : std::to_string(result.status) } });
         }
-        m_limits.recordSent(limitKey(), SendReason::Control);
+        m_limits.recordSent(engineIncarnation(), SendReason::Control);
         if (!result.error) {
-            observeLimit(result.head, "load report");
+            observeEngineLimit(result.head, "load report");
         }
         if (load) {
             applyLoad(std::move(*load));
@@ -110,25 +110,21 @@
     }
 }
 
-// The sidecar does not know the ID of its engine. A restarted engine has a new sidecar.
-ServerIncarnation EngineSidecar::limitKey() const
+// The sidecar does not know the ID of its engine. If the engine restarts, its first load reports end the limit.
+ServerIncarnation EngineSidecar::engineIncarnation() const
 {
     return { .id = m_settings.sidecar.backend.text(), .startTimeMs = 0 };
 }
 
-void EngineSidecar::observeLimit(const ResponseHead &head, const std::string &source)
+void EngineSidecar::observeEngineLimit(const ResponseHead &head, const std::string &source)
 {
-    const LimitReading reading = readLimit(wire::parseResponseFields(head).limits);
-    const auto now = std::chrono::steady_clock::now();
-    if (!reading.problem.empty() && m_limits.isNewProblem(limitKey(), reading.problem)) {
-        logEvent("limit", "invalid value",
-                 { { "server", limitKey().id }, { "source", source }, { "reason", reading.problem } });
-    }
-    const LimitChange change = m_limits.observe(limitKey(), reading, source, now);
+    const ServerIncarnation engine = engineIncarnation();
+    const LimitChange change = observeLimit(m_limits, engine, wire::parseResponseFields(head).limits, source,
+                                            std::chrono::steady_clock::now());
     if (change != LimitChange::None) {
         logEvent("limit", toString(change),
-                 { { "server", limitKey().id },
-                   { "per_second", m_limits.find(limitKey()).value_or(0) },
+                 { { "server", engine.id },
+                   { "per_second", m_limits.find(engine).value_or(0) },
                    { "source", source },
                    { "report_interval_ms", pauseBetweenReports() } });
     }
@@ -136,7 +132,7 @@
 
 std::chrono::milliseconds EngineSidecar::pauseBetweenReports() const
 {
-    const auto limit = m_limits.find(limitKey());
+    const auto limit = m_limits.find(engineIncarnation());
     if (!limit) {
         return reportInterval;
     }
@@ -162,9 +158,7 @@
                                                .address = m_settings.sidecar.backend,
                                                .dataCentre = m_settings.daemon.dataCentre,
                                                .startTimeMs = m_load.startTimeMs };
-        HttpRequest request(http::verb::post, announcementTarget, 11);
-        request.body() = encode(announcement);
-        request.prepare_payload();
+        const HttpRequest request = makePost(announcementTarget, encode(announcement));
         const Endpoint entry = seeds[next++ % seeds.size()];
         const CallResult result = co_await call(m_pool, entry, request, announcementTimeout);
         logEvent("engine", "announced",
@@ -284,14 +278,14 @@
 Awaitable<void> EngineSidecar::handleAdmissionQuery(std::shared_ptr<HttpConnection> connection, AdmissionQuery query)
 {
     AdmissionResponse response = m_admission.admit(query, std::chrono::steady_clock::now());
-    const bool isLimited = m_limits.find(limitKey()).has_value();
+    const bool isLimited = m_limits.find(engineIncarnation()).has_value();
     if (response.admitted && query.reservationDuration.count() > 0 && !isLimited) {
         const HttpRequest request
             = wire::reserveRequest(static_cast<std::uint32_t>(neededTokens(query)), query.reservationDuration);
         const CallResult result = co_await call(m_pool, m_settings.sidecar.backend, request, reservationTimeout);
-        m_limits.recordSent(limitKey(), SendReason::Control);
+        m_limits.recordSent(engineIncarnation(), SendReason::Control);
         if (!result.error) {
-            observeLimit(result.head, query.request);
+            observeEngineLimit(result.head, query.request);
         }
         response.admitted = result.succeeded();
         response.reservationId = result.succeeded() ? wire::parseReservationId(result.body) : "";
--- a/src/request/callforward.cpp
+++ b/src/request/callforward.cpp
@@ -48,7 +48,7 @@
         co_return;
     }
     while (m_context->isActive()) {
-        services.limitGate.recordDemand(services.directory, m_context->poolName, std::chrono::steady_clock::now());
+        services.serverLimiter.recordDemand(services.directory, m_context->poolName, std::chrono::steady_clock::now());
         const bool isLimited = co_await m_context->isBlockedByLimit();
         if (isLimited && m_context->attempts == 0) {
             m_isLimited = true;
@@ -134,8 +134,9 @@
         });
     }
     const HttpRequest request = wire::serverRequest(m_context->request, m_context->serverFields(target.record.id));
-    services.limitGate.recordSent(target.record, m_context->attempts > 1 ? SendReason::Retry : SendReason::FirstAttempt,
-                                  std::chrono::steady_clock::now());
+    services.serverLimiter.recordSent(target.record,
+                                      m_context->attempts > 1 ? SendReason::Retry : SendReason::FirstAttempt,
+                                      std::chrono::steady_clock::now());
     IoError error = co_await exchange->send(request, std::min(connectTimeout, m_context->timeLeft()));
     if (error) {
         if (exchange->sendState() == SendState::NotSent) {
--- a/src/request/engineprobe.cpp
+++ b/src/request/engineprobe.cpp
@@ -35,9 +35,7 @@
 {
     EngineLoadQuery query;
     query.peer = services.settings.forwarding.peer.text();
-    HttpRequest request(http::verb::post, loadQueryTarget, 11);
-    request.body() = encode(query);
-    request.prepare_payload();
+    const HttpRequest request = makePost(loadQueryTarget, encode(query));
     const CallResult result = co_await call(services.pool, sidecar, request, probeTimeout);
     const auto report = result.succeeded() ? decodeEngineLoadReport(result.body) : std::nullopt;
     if (report) {
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -142,8 +142,8 @@
         return;
     }
     if (const TrackedServer *tracked = services.directory.find(serverId)) {
-        services.limitGate.observe(tracked->record, responseFields.limits, fields.requestId,
-                                   std::chrono::steady_clock::now());
+        services.serverLimiter.observe(tracked->record, responseFields.limits, fields.requestId,
+                                       std::chrono::steady_clock::now());
     }
     if (responseFields.isDraining && services.directory.markDraining(serverId)) {
         logEvent("server", "leaves", { { "server", serverId }, { "source", "answer" }, { "id", fields.requestId } });
@@ -181,11 +181,11 @@
     return services.stopDeadline && deadline > *services.stopDeadline;
 }
 
-std::function<bool(const ServerRecord &)> ForwardContext::limitFilter() const
+ServerFilter ForwardContext::limitFilter() const
 {
     const auto now = std::chrono::steady_clock::now();
-    return [&gate = services.limitGate, now](const ServerRecord &server) {
-        return gate.maySend(server, now);
+    return [&limiter = services.serverLimiter, now](const ServerRecord &server) {
+        return limiter.maySend(server, now);
     };
 }
 
@@ -197,7 +197,7 @@
     if (!isBlocked()) {
         co_return false;
     }
-    services.limitGate.recordWaiting(services.directory, poolName);
+    services.serverLimiter.recordWaiting(services.directory, poolName);
     co_await services.limitExchange->refresh();
     co_return isBlocked();
 }
@@ -209,7 +209,7 @@
     }
     const auto now = std::chrono::steady_clock::now();
     if (isLimited) {
-        const auto wait = services.limitGate.refuse(services.directory, poolName, now);
+        const auto wait = services.serverLimiter.refuse(services.directory, poolName, now);
         return std::max(baseDelay, wait.value_or(baseDelay));
     }
     const auto end = earliestPauseEnd(services.directory, poolName, now);
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -142,7 +142,7 @@
     };
     std::size_t round = 0;
     std::set<std::string> excluded = m_refusedBy;
-    m_services.limitGate.recordDemand(m_services.directory, m_context->poolName, std::chrono::steady_clock::now());
+    m_services.serverLimiter.recordDemand(m_services.directory, m_context->poolName, std::chrono::steady_clock::now());
     co_await refreshLoads(excluded);
     while (m_context->isActive()) {
         m_isLimited = co_await m_context->isBlockedByLimit();
@@ -222,8 +222,15 @@
     return query;
 }
 
-// Uses the permit for the request itself before the admission, so that another generation can't use it meanwhile. An
-// engine with a limit gets no reservation, which would be a second request.
+// An engine with a limit gets no reservation, which would be a second request.
+std::chrono::milliseconds GenerationForwarder::reservationDuration(const ServerRecord &server) const
+{
+    const bool isLimited = m_services.serverLimiter.isLimited(server);
+    return isLimited ? std::chrono::milliseconds(0)
+                     : std::min(m_context->pool.engine->maxReservationDuration, reservationLifetime);
+}
+
+// Uses the permit for the request itself before the admission, so that another generation can't use it meanwhile.
 Awaitable<std::optional<GenerationForwarder::EnginePlacement>> GenerationForwarder::reserveLimitedEngine(
     std::string server, AdmissionLimits limits)
 {
@@ -233,7 +240,7 @@
     auto placement = co_await reserveAtSidecar(server, limits);
     if (!placement) {
         m_permitServer.clear();
-        m_services.limitGate.undoSent(record, std::chrono::steady_clock::now());
+        m_services.serverLimiter.undoSent(record, std::chrono::steady_clock::now());
     }
     co_return placement;
 }
@@ -245,7 +252,7 @@
         return;
     }
     const bool isRetry = m_context->attempts > 1 && reason == SendReason::FirstAttempt;
-    m_services.limitGate.recordSent(server, isRetry ? SendReason::Retry : reason, std::chrono::steady_clock::now());
+    m_services.serverLimiter.recordSent(server, isRetry ? SendReason::Retry : reason, std::chrono::steady_clock::now());
 }
 
 Awaitable<std::optional<GenerationForwarder::EnginePlacement>> GenerationForwarder::reserveEngine(
@@ -253,14 +260,11 @@
 {
     const TrackedServer *tracked = m_services.directory.find(server);
     const auto now = std::chrono::steady_clock::now();
-    if (m_services.limitGate.isLimited(tracked->record)) {
-        co_return co_await reserveLimitedEngine(std::move(server), limits);
+    if (m_services.serverLimiter.isLimited(tracked->record)) {
+        return reserveLimitedEngine(std::move(server), limits);
     }
     const bool hasRecentReport = now - tracked->loadReceivedAt.value_or(tracked->listedAt) < maxSidecarSilence;
-    if (hasRecentReport) {
-        co_return co_await reserveAtSidecar(std::move(server), limits);
-    }
-    co_return co_await reserveAtEngine(std::move(server));
+    return hasRecentReport ? reserveAtSidecar(std::move(server), limits) : reserveAtEngine(std::move(server));
 }
 
 Awaitable<std::optional<GenerationForwarder::EnginePlacement>> GenerationForwarder::reserveAtSidecar(
@@ -270,13 +274,8 @@
     AdmissionQuery query = admissionQuery();
     query.usableFraction = limits.maxMemoryShare;
     query.maxWaitingTokens = static_cast<std::uint32_t>(limits.maxWaitingTokens);
-    const bool isLimited = m_services.limitGate.isLimited(m_services.directory.find(server)->record);
-    if (isLimited) {
-        query.reservationDuration = std::chrono::milliseconds(0);
-    }
-    HttpRequest request(http::verb::post, admissionTarget, 11);
-    request.body() = encode(query);
-    request.prepare_payload();
+    query.reservationDuration = reservationDuration(m_services.directory.find(server)->record);
+    const HttpRequest request = makePost(admissionTarget, encode(query));
     const Endpoint sidecar{ address, m_services.settings.forwarding.sidecarPort() };
     const CallResult result = co_await call(m_services.pool, sidecar, request, admissionTimeout);
     const auto response = result.succeeded() ? decodeAdmissionResponse(result.body) : std::nullopt;
@@ -299,15 +298,14 @@
     if (!tracked) {
         co_return std::nullopt;
     }
-    const std::chrono::milliseconds lifetime
-        = std::min(m_context->pool.engine->maxReservationDuration, reservationLifetime);
-    if (lifetime.count() == 0 || m_services.limitGate.isLimited(tracked->record)) {
+    const std::chrono::milliseconds lifetime = reservationDuration(tracked->record);
+    if (lifetime.count() == 0) {
         co_return EnginePlacement{ .server = server, .reservation = "" };
     }
     const double tokens = neededTokens(m_context->fields.promptTokens, m_expectedTokens);
     const Endpoint engine = tracked->record.address;
     const HttpRequest request = wire::reserveRequest(static_cast<std::uint32_t>(tokens), lifetime);
-    m_services.limitGate.recordSent(tracked->record, SendReason::Control, std::chrono::steady_clock::now());
+    m_services.serverLimiter.recordSent(tracked->record, SendReason::Control, std::chrono::steady_clock::now());
     const CallResult result = co_await call(m_services.pool, engine, request, reservationTimeout);
     const auto now = std::chrono::steady_clock::now();
     if (result.error) {
--- a/src/request/generationmoves.cpp
+++ b/src/request/generationmoves.cpp
@@ -130,9 +130,7 @@
         const Endpoint engine = source->record.address;
         const Endpoint sidecar{ engine.address, m_services.settings.forwarding.sidecarPort() };
         const auto drainTimeLeft = source->load.drainTimeLeft.value_or(std::chrono::milliseconds(1000));
-        HttpRequest request(http::verb::post, moveOrderTarget, 11);
-        request.body() = encode(order);
-        request.prepare_payload();
+        const HttpRequest request = makePost(moveOrderTarget, encode(order));
         const CallResult callResult = co_await call(m_services.pool, sidecar, request, moveTimeout);
         const auto decoded = callResult.succeeded() ? decodeMoveResult(callResult.body) : std::nullopt;
         if (decoded) {
--- a/tests/unit/forwardingfixture.cpp
+++ b/tests/unit/forwardingfixture.cpp
@@ -8,6 +8,8 @@
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/StreamCopier.h>
 
+#include "fleet.h"
+
 namespace zinniadock::test
 {
 
@@ -106,6 +108,29 @@
     return sendRequest(entry->readyPort(), { .target = readyTarget, .method = "GET" }).status == 200;
 }
 
+SeededStore::SeededStore(const std::string &serverId, const std::string &record)
+{
+    put("servers/" + serverId, record);
+    put("op/config", configuration(3));
+}
+
+ServiceDeployment::ServiceDeployment()
+    : entry(entrySettings(store.port(), 1))
+{
+    REQUIRE(eventually([this] {
+        return isReady(entry);
+    }));
+}
+
+EngineDeployment::EngineDeployment(bool withSidecar)
+    : sidecar(sidecarSettings("127.0.0.2", 0, engine.endpoint()))
+    , entry(entrySettings(store.port(), withSidecar ? sidecar->port() : static_cast<std::uint16_t>(1)))
+{
+    REQUIRE(eventually([this] {
+        return isReady(entry);
+    }));
+}
+
 std::string sendRawBytes(std::uint16_t port, const std::string &bytes)
 {
     Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", port));
--- a/tests/unit/forwardingfixture.h
+++ b/tests/unit/forwardingfixture.h
@@ -87,6 +87,35 @@
 
 bool isReady(RoleThread<ForwardingEntry> &entry);
 
+/// A store that holds the configuration of the forwarding tests and the record of one server.
+class SeededStore : public standin::PlatformStore
+{
+public:
+    SeededStore(const std::string &serverId, const std::string &record);
+};
+
+/// A plain service and an entry that is ready.
+struct ServiceDeployment
+{
+    ServiceDeployment();
+
+    standin::PlatformServer server{ "s1" };
+    SeededStore store{ "s1", server.record("shop") };
+    RoleThread<ForwardingEntry> entry;
+};
+
+/// An engine with its sidecar, and an entry that is ready.
+struct EngineDeployment
+{
+    /// \param withSidecar  whether the entry can reach the sidecar
+    explicit EngineDeployment(bool withSidecar);
+
+    standin::PlatformServer engine{ "e1", "127.0.0.2" };
+    SeededStore store{ "e1", engine.record("engines") };
+    RoleThread<EngineSidecar> sidecar;
+    RoleThread<ForwardingEntry> entry;
+};
+
 /// Sends bytes on a new connection and returns the first bytes that are received.
 std::string sendRawBytes(std::uint16_t port, const std::string &bytes);
 
--- a/tests/unit/limitfleet.cpp
+++ b/tests/unit/limitfleet.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "requestwindow.h"
+
 namespace zinniadock::test
 {
 
@@ -10,8 +12,6 @@
 {
 
 constexpr std::chrono::milliseconds stepTime{ 10 };
-constexpr std::chrono::milliseconds reactionTime{ 500 };
-constexpr std::chrono::seconds window{ 4 };
 constexpr std::size_t groupCount = 4;
 
 /// Bytes of the heads of a request and its response between entries.
@@ -49,14 +49,14 @@
     m_shares = std::discrete_distribution<std::size_t>(shares.begin(), shares.end());
     for (std::size_t i = 0; i < setup.entries; ++i) {
         m_entries[i].listed = peers;
-        startGate(i);
+        startLimiter(i);
     }
 }
 
-void LimitFleet::startGate(std::size_t entry)
+void LimitFleet::startLimiter(std::size_t entry)
 {
     Entry &state = m_entries[entry];
-    state.gate = std::make_unique<LimitGate>(
+    state.limiter = std::make_unique<ServerLimiter>(
         [this] {
             return std::uniform_real_distribution<>(0, 1)(m_random);
         },
@@ -65,7 +65,7 @@
             return tracked && incarnationOf(tracked->record) == server;
         });
     state.toldAt.assign(m_servers.size(), SteadyTime::max());
-    state.nextReport = m_now + std::chrono::milliseconds(m_random() % 1000);
+    state.nextMaintenance = m_now + std::chrono::milliseconds(m_random() % 1000);
     state.isAsking = false;
 }
 
@@ -82,16 +82,16 @@
 {
     for (std::size_t i = 0; i < m_entries.size(); ++i) {
         Entry &entry = m_entries[i];
-        if (entry.isFrozen || !entry.isRunning || entry.nextReport > m_now) {
+        if (entry.isFrozen || !entry.isRunning || entry.nextMaintenance > m_now) {
             continue;
         }
-        entry.gate->setFleet("10.0.0." + std::to_string(i) + ":80", entry.listed, 1, m_now);
-        entry.nextReport = m_now + 10 * stepTime;
-        if (entry.gate->isActive(m_now)) {
-            for (const std::string &child : entry.gate->childrenToNotify(m_now)) {
-                report(i, child, entry.gate->makeNotice(m_now));
+        entry.limiter->setFleet("10.0.0." + std::to_string(i) + ":80", entry.listed, 1, m_now);
+        entry.nextMaintenance = m_now + 10 * stepTime;
+        if (entry.limiter->isActive(m_now)) {
+            for (const std::string &child : entry.limiter->childrenToNotify(m_now)) {
+                report(i, child, entry.limiter->makeNotice(m_now));
             }
-            if (entry.gate->isReportDue(m_now)) {
+            if (entry.limiter->isReportDue(m_now)) {
                 refresh(i);
             }
         }
@@ -119,7 +119,7 @@
     }
 }
 
-// Callers reach only entries that run. A frozen entry loses its callers' requests.
+// Callers reach only entries that run. Requests to a frozen entry are lost.
 std::size_t LimitFleet::randomEntry()
 {
     std::size_t entry = m_shares(m_random);
@@ -134,11 +134,11 @@
     if (m_entries[entry].isFrozen) {
         return;
     }
-    LimitGate &gate = *m_entries[entry].gate;
-    gate.recordDemand(m_directory, "pool", m_now);
+    ServerLimiter &limiter = *m_entries[entry].limiter;
+    limiter.recordDemand(m_directory, "pool", m_now);
     std::optional<std::size_t> server = chooseServer(entry);
     if (!server) {
-        gate.recordWaiting(m_directory, "pool");
+        limiter.recordWaiting(m_directory, "pool");
         refresh(entry);
         server = chooseServer(entry);
     }
@@ -149,7 +149,7 @@
         return;
     }
     ++m_refused;
-    const auto wait = gate.refuse(m_directory, "pool", m_now);
+    const auto wait = limiter.refuse(m_directory, "pool", m_now);
     if (!returns) {
         return;
     }
@@ -164,7 +164,7 @@
 {
     std::vector<std::size_t> servers;
     for (std::size_t i = 0; i < m_servers.size(); ++i) {
-        if (m_entries[entry].gate->maySend(m_servers[i].record, m_now)) {
+        if (m_entries[entry].limiter->maySend(m_servers[i].record, m_now)) {
             servers.push_back(i);
         }
     }
@@ -175,29 +175,30 @@
 {
     Entry &sender = m_entries[entry];
     Server &receiver = m_servers[server];
-    sender.gate->recordSent(receiver.record, SendReason::FirstAttempt, m_now);
-    const bool wasTold = sender.toldAt[server] != SteadyTime::max() && m_now - sender.toldAt[server] >= reactionTime;
+    sender.limiter->recordSent(receiver.record, SendReason::FirstAttempt, m_now);
+    const bool wasTold
+        = sender.toldAt[server] != SteadyTime::max() && m_now - sender.toldAt[server] >= limitReactionTime;
     receiver.arrivals.emplace_back(m_now, wasTold);
     std::vector<std::string> values;
     if (receiver.limit > 0) {
         values.push_back(std::to_string(receiver.limit));
         sender.toldAt[server] = std::min(sender.toldAt[server], m_now);
     }
-    sender.gate->observe(receiver.record, values, "request", m_now);
+    sender.limiter->observe(receiver.record, values, "request", m_now);
 }
 
 void LimitFleet::refresh(std::size_t entry)
 {
     Entry &state = m_entries[entry];
-    if (state.isAsking || !state.gate->takeReport(m_now)) {
+    if (state.isAsking || !state.limiter->takeReport(m_now)) {
         return;
     }
     state.isAsking = true;
-    if (const auto parent = state.gate->parent(m_now)) {
-        const auto reply = report(entry, *parent, state.gate->makeReport(*parent, m_now));
-        state.gate->applyReply(*parent, reply, m_now);
+    if (const auto parent = state.limiter->chooseParent(m_now)) {
+        const auto reply = report(entry, *parent, state.limiter->makeReport(*parent, m_now));
+        state.limiter->applyReply(*parent, reply, m_now);
     }
-    state.gate->grantToSelf(m_now);
+    state.limiter->grantToSelf(m_now);
     state.isAsking = false;
 }
 
@@ -209,15 +210,15 @@
     if (!isReachable(from, target)) {
         return std::nullopt;
     }
-    LimitGate &gate = *m_entries[target].gate;
+    ServerLimiter &limiter = *m_entries[target].limiter;
     const auto received = decodeLimitReport(message);
-    gate.applyReport(*received, m_now);
+    limiter.applyReport(*received, m_now);
     LimitReply reply;
     if (!received->isNotice) {
-        if (gate.lacksPermits(*received, m_now)) {
+        if (limiter.lacksPermits(*received, m_now)) {
             refresh(target);
         }
-        reply = gate.reply(*received, m_now);
+        reply = limiter.reply(*received, m_now);
     }
     const std::string response = encode(reply);
     m_entries[from].bytes += response.size();
@@ -255,7 +256,7 @@
 
 void LimitFleet::restartEntry(std::size_t entry)
 {
-    startGate(entry);
+    startLimiter(entry);
 }
 
 void LimitFleet::setFrozen(std::size_t entry, bool frozen)
@@ -266,7 +267,7 @@
 void LimitFleet::setRunning(std::size_t entry, bool running)
 {
     m_entries[entry].isRunning = running;
-    startGate(entry);
+    startLimiter(entry);
 }
 
 void LimitFleet::setPartition(std::size_t entry, int partition)
@@ -286,19 +287,11 @@
 {
     std::vector<SteadyTime> times;
     for (const auto &[at, counts] : m_servers[server].arrivals) {
-        if (counts && at >= time(from)) {
+        if (counts) {
             times.push_back(at);
         }
     }
-    std::size_t busiest = 0;
-    std::size_t first = 0;
-    for (std::size_t last = 0; last < times.size(); ++last) {
-        while (times[last] - times[first] > window) {
-            ++first;
-        }
-        busiest = std::max(busiest, last - first + 1);
-    }
-    return busiest;
+    return test::busiestWindow(std::move(times), time(from));
 }
 
 std::size_t LimitFleet::sentTo(std::size_t server, std::chrono::milliseconds from) const
--- a/tests/unit/limitfleet.h
+++ b/tests/unit/limitfleet.h
@@ -2,14 +2,14 @@
 
 #include <cstdint>
 #include <deque>
-#include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
-#include "zinniadock/process/limitgate.h"
+#include "zinniadock/process/serverlimiter.h"
 
 namespace zinniadock::test
 {
@@ -38,6 +38,8 @@
     void sendBurst(std::size_t count);
 
     void setDemand(double perSecond);
+
+    /// Sets the limit that a server states, in requests per second; 0 for none.
     void setLimit(std::size_t server, double perSecond);
 
     /// Starts a server again under its ID.
@@ -61,44 +63,48 @@
     /// a second before or earlier, in the time from \p from on.
     std::size_t busiestWindow(std::size_t server, std::chrono::milliseconds from) const;
 
-    /// Number of requests that a server got from \p from on.
+    /// Returns the number of requests that a server got from \p from on.
     std::size_t sentTo(std::size_t server, std::chrono::milliseconds from) const;
 
+    /// Returns the number of attempts that were refused because of the limits.
     std::size_t refused() const;
 
-    /// Number of requests of each caller group that were served. Requests belong to the groups in turn.
+    /// Returns the number of served requests of each caller group. Requests belong to the groups in turn.
     const std::vector<std::size_t> &servedByGroup() const;
 
-    /// Number of requests of sendBurst() that were served at a later attempt, and that were never served.
+    /// Return the number of requests of sendBurst() that were served at a later attempt, and that were never served.
     std::size_t servedLater() const;
     std::size_t neverServed() const;
 
-    /// Max bytes that one entry sent and received a second, on average over the whole run.
+    /// Returns the max bytes per second that one entry sent and received, on average over the whole run.
     double maxBytesPerSecond() const;
 
+    /// Returns the simulated time since the start.
     std::chrono::milliseconds now() const;
 
 private:
     struct Entry
     {
-        std::unique_ptr<LimitGate> gate;
+        std::unique_ptr<ServerLimiter> limiter;
         bool isFrozen = false;
         bool isRunning = true;
         int partition = 0;
         std::set<std::string> listed;
-        SteadyTime nextReport;
+        SteadyTime nextMaintenance;
         bool isAsking = false;
         std::uint64_t bytes = 0;
-        std::vector<SteadyTime> toldAt; ///< by server
+        std::vector<SteadyTime> toldAt; ///< when the entry got the first response with the limit, by server
     };
 
     struct Server
     {
         ServerRecord record;
         double limit = 0;
-        std::vector<std::pair<SteadyTime, bool>> arrivals; ///< and whether the sender was told in time
+        /// When requests arrived, and whether their sender knew the limit for at least limitReactionTime.
+        std::vector<std::pair<SteadyTime, bool>> arrivals;
     };
 
+    /// A caller that was refused and comes back.
     struct Return
     {
         SteadyTime at;
@@ -112,7 +118,7 @@
     void send(std::size_t entry, std::size_t server);
     void refresh(std::size_t entry);
     std::optional<LimitReply> report(std::size_t from, const std::string &to, const LimitReport &report);
-    void startGate(std::size_t entry);
+    void startLimiter(std::size_t entry);
     bool isReachable(std::size_t from, std::size_t to) const;
     std::size_t randomEntry();
     std::size_t indexOf(const std::string &peer) const;
--- a/tests/unit/unit-limitedservers.cpp
+++ b/tests/unit/unit-limitedservers.cpp
@@ -6,6 +6,7 @@
 
 #include "fleet.h"
 #include "forwardingfixture.h"
+#include "requestwindow.h"
 
 using namespace zinniadock;
 using namespace zinniadock::standin;
@@ -17,29 +18,6 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr double limitPerSecond = 4;
-constexpr std::chrono::seconds window{ 4 };
-
-/// Time after the first response with a limit from which its bound holds.
-constexpr std::chrono::milliseconds reactionTime{ 500 };
-
-/// Max requests in any window: one and a half times the limit, and five more.
-constexpr std::size_t maxInWindow = static_cast<std::size_t>(1.5 * limitPerSecond * window.count()) + 5;
-
-std::size_t busiestWindow(std::vector<Clock::time_point> arrivals, Clock::time_point from)
-{
-    std::erase_if(arrivals, [from](Clock::time_point arrival) {
-        return arrival < from;
-    });
-    std::size_t busiest = 0;
-    std::size_t first = 0;
-    for (std::size_t last = 0; last < arrivals.size(); ++last) {
-        while (arrivals[last] - arrivals[first] > window) {
-            ++first;
-        }
-        busiest = std::max(busiest, last - first + 1);
-    }
-    return busiest;
-}
 
 /// What callers have got over a time.
 struct CallerCounts
@@ -98,7 +76,7 @@
         limited.setLimits({ "4" });
         const auto start = Clock::now();
         callEntries(ports, request, std::chrono::seconds(9), std::chrono::milliseconds(30), counts);
-        CHECK(busiestWindow(limited.arrivals(), start + reactionTime) <= maxInWindow);
+        CHECK(busiestWindow(limited.arrivals(), start + limitReactionTime) <= maxRequestsInWindow(limitPerSecond));
         CHECK(counts.served >= 0.8 * limitPerSecond * 8);
         CHECK(counts.refused > 0);
         CHECK(counts.refusedWithTime == counts.refused);
@@ -116,7 +94,7 @@
         limited.setLimits({ "4" });
         const auto start = Clock::now();
         callEntries(ports, request, std::chrono::seconds(6), std::chrono::milliseconds(30), counts);
-        CHECK(busiestWindow(limited.arrivals(), start + reactionTime) <= maxInWindow);
+        CHECK(busiestWindow(limited.arrivals(), start + limitReactionTime) <= maxRequestsInWindow(limitPerSecond));
         CHECK(counts.refused == 0);
         CHECK(counts.failed == 0);
     }
@@ -125,14 +103,9 @@
 // Guards against reservations and load reports that bypass the limit of an engine.
 TEST_CASE("an engine that states a limit gets no more requests than that from entry and sidecar together")
 {
-    PlatformStore store;
-    PlatformServer engine("e1", "127.0.0.2");
-    store.put("servers/e1", engine.record("engines"));
-    store.put("op/config", configuration(3));
-    RoleThread<EngineSidecar> sidecar(sidecarSettings("127.0.0.2", 0, engine.endpoint()));
-    const bool withSidecar = GENERATE(true, false);
-    RoleThread<ForwardingEntry> entry(
-        entrySettings(store.port(), withSidecar ? sidecar->port() : static_cast<std::uint16_t>(1)));
+    EngineDeployment deployment(GENERATE(true, false));
+    PlatformServer &engine = deployment.engine;
+    RoleThread<ForwardingEntry> &entry = deployment.entry;
     const TestRequest generation{ .target = "/stream/1", .isGeneration = true };
     REQUIRE(eventually([&] {
         return sendRequest(entry->port(), generation).status == 200;
@@ -142,7 +115,7 @@
     CallerCounts counts;
     callEntries({ entry->port(), entry->port() }, generation, std::chrono::seconds(8), std::chrono::milliseconds(30),
                 counts);
-    CHECK(busiestWindow(engine.arrivals(), start + reactionTime) <= maxInWindow);
+    CHECK(busiestWindow(engine.arrivals(), start + limitReactionTime) <= maxRequestsInWindow(limitPerSecond));
     CHECK(counts.served >= 0.8 * limitPerSecond * 5);
     CHECK(counts.failed == 0);
     CHECK(counts.refusedWithTime == counts.refused);
@@ -151,20 +124,15 @@
 // Guards against limits that are read from some kinds of responses only.
 TEST_CASE("a limit holds whatever kind of response states it")
 {
-    PlatformStore store;
-    PlatformServer server("s1");
-    store.put("servers/s1", server.record("shop"));
-    store.put("op/config", configuration(3));
-    RoleThread<ForwardingEntry> entry(entrySettings(store.port(), 1));
-    REQUIRE(eventually([&] {
-        return isReady(entry);
-    }));
+    ServiceDeployment deployment;
+    PlatformServer &server = deployment.server;
+    RoleThread<ForwardingEntry> &entry = deployment.entry;
     server.setBehavior(GENERATE(ServerBehavior::Healthy, ServerBehavior::InternalError, ServerBehavior::Overloaded));
     server.setLimits({ "4" });
     const auto start = Clock::now();
     CallerCounts counts;
     callEntries({ entry->port() }, { .target = "/order/1" }, std::chrono::seconds(5), std::chrono::milliseconds(10),
                 counts);
-    CHECK(busiestWindow(server.arrivals(), start + reactionTime) <= maxInWindow);
+    CHECK(busiestWindow(server.arrivals(), start + limitReactionTime) <= maxRequestsInWindow(limitPerSecond));
     CHECK(server.arrivals().size() >= 0.8 * limitPerSecond * 4);
 }
--- a/tests/unit/unit-limitgate.cpp
+++ b/tests/unit/unit-serverlimiter.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "limitfleet.h"
+#include "requestwindow.h"
 
 using namespace zinniadock;
 using namespace zinniadock::test;
@@ -14,12 +15,6 @@
 namespace
 {
 
-/// Max number of requests in 4 s: one and a half times what the limit allows, and five more.
-std::size_t maxInWindow(double limit)
-{
-    return static_cast<std::size_t>(1.5 * 4 * limit) + 5;
-}
-
 /// Min share of a limit that callers get while they ask for more, and while entries come and go.
 constexpr double minUsed = 0.8;
 constexpr double minUsedInChange = 0.6;
@@ -44,7 +39,7 @@
     LimitFleet fleet({ .entries = entries, .limits = { limit }, .demand = 3 * limit + 20, .skew = skew, .seed = 7 });
     fleet.run(settlingTime + seconds(20));
     CAPTURE(entries, limit, skew);
-    CHECK(fleet.busiestWindow(0, seconds(0)) <= maxInWindow(limit));
+    CHECK(fleet.busiestWindow(0, seconds(0)) <= maxRequestsInWindow(limit));
     CHECK(usedShare(fleet, 0, limit, settlingTime) >= minUsed);
     if (entries == 340) {
         CHECK(fleet.maxBytesPerSecond() <= 2048);
@@ -61,7 +56,7 @@
     fleet.setDemand(10 * limit + 100);
     fleet.run(seconds(10));
     CAPTURE(entries, limit);
-    CHECK(fleet.busiestWindow(0, seconds(0)) <= maxInWindow(limit));
+    CHECK(fleet.busiestWindow(0, seconds(0)) <= maxRequestsInWindow(limit));
 }
 
 // Guards against entries that create more than their part of a limit when others restart, freeze, leave or are cut off.
@@ -133,7 +128,7 @@
         }
         fleet.run(seconds(5));
     }
-    CHECK(fleet.busiestWindow(0, seconds(0)) <= maxInWindow(limit));
+    CHECK(fleet.busiestWindow(0, seconds(0)) <= maxRequestsInWindow(limit));
 }
 
 TEST_CASE("limits rise, fall, end and return")
@@ -141,17 +136,17 @@
     const std::size_t entries = GENERATE(5, 103);
     LimitFleet fleet({ .entries = entries, .limits = { 40, 0 }, .demand = 300, .skew = 0, .seed = 5 });
     fleet.run(seconds(15));
-    CHECK(fleet.busiestWindow(0, seconds(0)) <= maxInWindow(40));
+    CHECK(fleet.busiestWindow(0, seconds(0)) <= maxRequestsInWindow(40));
 
     SECTION("a lower limit holds soon, a higher one is used")
     {
         fleet.setLimit(0, 4);
         fleet.run(seconds(15));
-        CHECK(fleet.busiestWindow(0, seconds(15)) <= maxInWindow(4));
+        CHECK(fleet.busiestWindow(0, seconds(15)) <= maxRequestsInWindow(4));
         const milliseconds raised = fleet.now();
         fleet.setLimit(0, 80);
         fleet.run(seconds(30));
-        CHECK(fleet.busiestWindow(0, raised) <= maxInWindow(80));
+        CHECK(fleet.busiestWindow(0, raised) <= maxRequestsInWindow(80));
         CHECK(usedShare(fleet, 0, 80, raised + settlingTime) >= minUsed);
     }
     SECTION("after the end of a limit, the server gets its part of all requests")
@@ -163,7 +158,7 @@
         CHECK(static_cast<double>(fleet.sentTo(0, ended)) >= 0.4 * 300 * 5);
         fleet.setLimit(0, 10);
         fleet.run(seconds(10));
-        CHECK(fleet.busiestWindow(0, ended + seconds(5)) <= maxInWindow(10));
+        CHECK(fleet.busiestWindow(0, ended + seconds(5)) <= maxRequestsInWindow(10));
     }
     SECTION("a restarted server has no limit until it states one")
     {
@@ -174,7 +169,7 @@
         CHECK(static_cast<double>(fleet.sentTo(0, restarted)) >= 0.4 * 300 * 5);
         fleet.setLimit(0, 10);
         fleet.run(seconds(10));
-        CHECK(fleet.busiestWindow(0, restarted) <= maxInWindow(10));
+        CHECK(fleet.busiestWindow(0, restarted) <= maxRequestsInWindow(10));
     }
     SECTION("a server without a limit takes the rest, so that no request is refused")
     {
@@ -208,8 +203,8 @@
     const auto isKnown = [](const ServerIncarnation &) {
         return true;
     };
-    LimitGate first(draw, isKnown);
-    LimitGate second(draw, isKnown);
+    ServerLimiter first(draw, isKnown);
+    ServerLimiter second(draw, isKnown);
     ServerRecord server;
     server.id = "s1";
     first.observe(server, { "3" }, "r1", now);
--- a/tests/unit/unit-servertrouble.cpp
+++ b/tests/unit/unit-servertrouble.cpp
@@ -9,14 +9,10 @@
 
 TEST_CASE("plain services that are draining, request a pause, or send endless responses")
 {
-    PlatformStore store;
-    PlatformServer server("s1");
-    store.put("servers/s1", server.record("shop"));
-    store.put("op/config", configuration(3));
-    RoleThread<ForwardingEntry> entry(entrySettings(store.port(), 1));
-    REQUIRE(eventually([&] {
-        return isReady(entry);
-    }));
+    ServiceDeployment deployment;
+    PlatformStore &store = deployment.store;
+    PlatformServer &server = deployment.server;
+    RoleThread<ForwardingEntry> &entry = deployment.entry;
     const auto call = [&entry](const std::string &target) {
         return sendRequest(entry->port(), { .target = target });
     };
@@ -68,17 +64,10 @@
 
 TEST_CASE("engines that are draining, request a pause, or send endless events")
 {
-    PlatformStore store;
-    PlatformServer engine("e1", "127.0.0.2");
-    store.put("servers/e1", engine.record("engines"));
-    store.put("op/config", configuration(3));
-    RoleThread<EngineSidecar> sidecar(sidecarSettings("127.0.0.2", 0, engine.endpoint()));
-    const bool withSidecar = GENERATE(true, false);
-    RoleThread<ForwardingEntry> entry(
-        entrySettings(store.port(), withSidecar ? sidecar->port() : static_cast<std::uint16_t>(1)));
-    REQUIRE(eventually([&] {
-        return isReady(entry);
-    }));
+    EngineDeployment deployment(GENERATE(true, false));
+    PlatformStore &store = deployment.store;
+    PlatformServer &engine = deployment.engine;
+    RoleThread<ForwardingEntry> &entry = deployment.entry;
     const TestRequest generation{ .target = "/stream/1", .isGeneration = true };
     REQUIRE(eventually([&] {
         return sendRequest(entry->port(), generation).status == 200;
