Reproduce unused limits of many servers in a test that fails

What callers would see: with eleven limited servers, 103 entries use 0.17 to 0.25 of the limits and 340 entries 0.05 to 0.12 (target 0.8); the others are refused. The busiest of 340 entries exchanges 2,269 bytes a second (target 2,048). The bound on the requests to each server holds.

Cause: a report has a row for each limit. The interval between reports grows with its size, beyond the time after which permits that were not used are passed back and beyond the time after which a child counts as silent. Besides, a waiting request asks for a permit of each server.

--- a/tests/unit/unit-serverlimiter.cpp
+++ b/tests/unit/unit-serverlimiter.cpp
@@ -46,6 +46,27 @@
     }
 }
 
+// Guards against reports whose size grows with the number of limits, so that permits expire between two reports.
+TEST_CASE("entries share the limits of many servers")
+{
+    constexpr std::size_t servers = 11;
+    const std::size_t entries = GENERATE(5, 103, 340);
+    const double limit = GENERATE(3.6, 40.0);
+    const std::vector<double> limits(servers, limit);
+    LimitFleet fleet({ .entries = entries, .limits = limits, .demand = 4 * limit * servers, .skew = 0.5, .seed = 9 });
+    fleet.run(settlingTime + seconds(20));
+    CAPTURE(entries, limit);
+    double used = 0;
+    for (std::size_t server = 0; server < servers; ++server) {
+        CHECK(fleet.busiestWindow(server, seconds(0)) <= maxRequestsInWindow(limit));
+        used += usedShare(fleet, server, limit, settlingTime) / servers;
+    }
+    CHECK(used >= minUsed);
+    if (entries == 340) {
+        CHECK(fleet.maxBytesPerSecond() <= 2048);
+    }
+}
+
 // Guards against unused permits that add up to a burst.
 TEST_CASE("a burst after a time with few requests stays within the limit")
 {
