Log which requests were running when a server ended

What operators saw: only broken connections. Logs showed neither that a server had ended nor that the requests on it were the same one that had ended others before.

Change: when the connection of a request breaks before any part of the response, the entry opens one connection to the server. If it is refused and the server was not draining, the crash is logged with the requests and their traits, and counted. One probe for all requests that break together. No decision uses this yet.

--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -21,6 +21,7 @@
 namespace zinniadock
 {
 
+class CrashWatch;
 class GenerationForwarder;
 class LimitExchange;
 
@@ -58,6 +59,7 @@
     ServerDirectory directory;
     ServerLimiter serverLimiter;
     std::shared_ptr<LimitExchange> limitExchange; ///< null before the entry starts
+    std::shared_ptr<CrashWatch> crashWatch; ///< null before the entry starts
     AsyncCondition capacityChanged; ///< notified when a server may have gained free capacity
     EntryMetrics metrics;
     ForwardingCounters counters;
--- a/include/zinniadock/request/forwardscope.h
+++ b/include/zinniadock/request/forwardscope.h
@@ -7,6 +7,7 @@
 
 #include "zinniadock/connection/httplistener.h"
 #include "zinniadock/connection/wireform.h"
+#include "zinniadock/process/crashreport.h"
 #include "zinniadock/process/eventlog.h"
 #include "zinniadock/process/forwardingservices.h"
 #include "zinniadock/request/verdict.h"
@@ -57,6 +58,13 @@
     /// Updates the server's state from the fields of its response: that the server is draining, or requests a pause.
     void updateServerState(const std::string &serverId, const wire::ResponseFields &responseFields) const;
 
+    /// Returns the traits by which the request is recognised when it comes again.
+    const RequestTraits &traits();
+
+    /// Records that the connection to a server broke before any part of the response arrived. Does nothing if the entry
+    /// itself has closed the connection.
+    void recordBrokenRun(const ServerRecord &target, SteadyTime sentAt, const IoError &error);
+
     /// Returns a text response of the entry itself.
     HttpResponse makeEntryResponse(http::status status, const std::string &reason) const;
 
@@ -104,6 +112,7 @@
 private:
     std::shared_ptr<HttpExchange> m_exchange;
     asio::steady_timer m_timer;
+    RequestTraits m_traits; ///< empty until they are needed
 };
 
 /// Reads the head of the response to a request. Skips late responses to earlier requests on the same connection.
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -116,6 +116,7 @@
     MoveResult m_move;
     AsyncCondition m_moveChanged;
     std::optional<HttpResponse> m_plainResponse;
+    IoError m_streamError; ///< why the stream broke
     std::string m_reason;
 };
 
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "zinniadock/process/crashwatch.h"
 #include "zinniadock/process/eventlog.h"
 #include "zinniadock/process/limitexchange.h"
 #include "zinniadock/request/engineprobe.h"
@@ -102,6 +103,7 @@
         return error;
     }
     m_services.limitExchange = std::make_shared<LimitExchange>(m_services);
+    m_services.crashWatch = std::make_shared<CrashWatch>(m_services, [](const CrashReport &) {});
     m_storeView.start();
     const auto spawn = [this](Awaitable<void> (ForwardingEntry::*task)()) {
         asio::co_spawn(
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -1,5 +1,6 @@
 #include "zinniadock/process/forwardingentry.h"
 
+#include "zinniadock/process/crashwatch.h"
 #include "zinniadock/process/eventlog.h"
 #include "zinniadock/process/limitexchange.h"
 
@@ -67,6 +68,7 @@
     appendMetric("zinniadock_late_gaps_total", m_services.counters.lateGaps, out);
     appendMetric("zinniadock_waited_generations_total", m_services.counters.waitedGenerations, out);
     appendMetric("zinniadock_refused_reservations_total", m_services.counters.refusedReservations, out);
+    appendMetric("zinniadock_server_crashes_total", m_services.crashWatch->crashes(), out);
     appendMetric("zinniadock_server_connects_total", m_services.pool.connectCount(), out);
     appendMetric("zinniadock_store_calls_total", m_storeView.storeCalls(), out);
     appendMetric("zinniadock_store_fresh", m_storeView.isFresh() ? 1 : 0, out);
--- a/src/request/callforward.cpp
+++ b/src/request/callforward.cpp
@@ -137,16 +137,20 @@
     services.serverLimiter.recordSent(target.record,
                                       m_context->attempts > 1 ? SendReason::Retry : SendReason::FirstAttempt,
                                       std::chrono::steady_clock::now());
+    const auto sentAt = std::chrono::steady_clock::now();
     IoError error = co_await exchange->send(request, std::min(connectTimeout, m_context->timeLeft()));
     if (error) {
         if (exchange->sendState() == SendState::NotSent) {
             services.directory.recordConnectionFailure(target.record.id, std::chrono::steady_clock::now());
+        } else {
+            m_context->recordBrokenRun(target.record, sentAt, error);
         }
         co_return makeFailedAttempt(*exchange, "sending the request: " + error.message());
     }
     wire::ResponseFields fields;
     error = co_await readMatchingHead(*exchange, m_context->fields.requestId, fields);
     if (error) {
+        m_context->recordBrokenRun(target.record, sentAt, error);
         co_return makeFailedAttempt(*exchange, "waiting for the response: " + error.message());
     }
     m_context->updateServerState(target.record.id, fields);
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "zinniadock/process/crashwatch.h"
 #include "zinniadock/process/limitexchange.h"
+#include "zinniadock/process/routing.h"
 #include "zinniadock/request/callforward.h"
 #include "zinniadock/request/generationforward.h"
 
@@ -162,6 +164,29 @@
     }
 }
 
+// The hash of the body takes long for a large body, so it is computed only when it is needed.
+const RequestTraits &ForwardContext::traits()
+{
+    if (m_traits.empty()) {
+        const std::string host = request[http::field::host].to_string();
+        const std::string method = request.method_string().to_string();
+        const std::string target = request.target().to_string();
+        m_traits.push_back(stableHash(account + "\n" + method + "\n" + host + target + "\n" + request.body()));
+    }
+    return m_traits;
+}
+
+void ForwardContext::recordBrokenRun(const ServerRecord &target, SteadyTime sentAt, const IoError &error)
+{
+    if (!isActive() || error == asio::error::operation_aborted) {
+        return;
+    }
+    const auto duration
+        = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - sentAt);
+    services.crashWatch->recordBrokenRun(target,
+                                         { .requestId = fields.requestId, .duration = duration, .traits = traits() });
+}
+
 HttpResponse ForwardContext::makeEntryResponse(http::status status, const std::string &reason) const
 {
     HttpResponse response = makeResponse(status, reason + "\n", "text/plain");
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -380,15 +380,16 @@
     if (!tracked) {
         co_return SegmentEnd::Refused;
     }
-    const Endpoint address = tracked->record.address;
+    const ServerRecord record = tracked->record;
     attach(server);
     ++m_context->attempts;
-    recordSent(tracked->record, fields.copy ? SendReason::Move : SendReason::FirstAttempt);
+    recordSent(record, fields.copy ? SendReason::Move : SendReason::FirstAttempt);
     m_splitter.reset();
     fields.lastEventId = m_lastEventId ? std::to_string(*m_lastEventId) : "";
     const HttpRequest request = wire::serverRequest(m_context->request, fields);
-    const auto exchange = std::make_shared<HttpExchange>(m_services.pool, address, maxIdle);
+    const auto exchange = std::make_shared<HttpExchange>(m_services.pool, record.address, maxIdle);
     m_context->setExchange(exchange);
+    const auto sentAt = std::chrono::steady_clock::now();
     wire::ResponseFields responseFields;
     IoError error = co_await exchange->send(request, connectTimeout);
     if (!error) {
@@ -396,6 +397,9 @@
     }
     if (error) {
         m_reason = "no response: " + error.message();
+        if (exchange->sendState() == SendState::Sent && !m_lastEventId) {
+            m_context->recordBrokenRun(record, sentAt, error);
+        }
         co_return handleMissingResponse(*exchange);
     }
     m_context->updateServerState(server, responseFields);
@@ -404,6 +408,9 @@
         = exchange->head().result() == http::status::ok && responseFields.isSigned && responseFields.isEventStream;
     if (isStream) {
         segmentEnd = co_await relayEvents(*exchange);
+        if (segmentEnd == SegmentEnd::Broken && m_eventCount == 0) {
+            m_context->recordBrokenRun(record, sentAt, m_streamError);
+        }
     } else {
         m_reason = "status " + std::to_string(exchange->head().result_int());
         HttpResponse plain(makeCallerHead(exchange->head()));
@@ -457,6 +464,7 @@
             co_return SegmentEnd::CallerDisconnected;
         }
         if (error) {
+            m_streamError = error;
             m_reason = "reading the stream: " + error.message();
             co_return SegmentEnd::Broken;
         }
