--- a/tests/standin/functionserver.h
+++ b/tests/standin/functionserver.h
@@ -35,9 +35,9 @@
         parameters->setMaxThreads(threads);
         parameters->setMaxQueued(threads);
         parameters->setKeepAliveTimeout(Poco::Timespan(keepAliveSeconds, 0));
-        const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(address, port), listenBacklog);
-        m_server
-            = std::make_unique<Poco::Net::HTTPServer>(new Factory(std::move(function)), *m_threads, socket, parameters);
+        m_socket = Poco::Net::ServerSocket(Poco::Net::SocketAddress(address, port), listenBacklog);
+        m_server = std::make_unique<Poco::Net::HTTPServer>(new Factory(std::move(function)), *m_threads, m_socket,
+                                                           parameters);
         m_server->start();
     }
 
@@ -54,6 +54,12 @@
         return m_server->port();
     }
 
+    /// Refuses new connections from now on, as the host of a process that has ended does.
+    void refuseConnections()
+    {
+        ::shutdown(m_socket.impl()->sockfd(), SHUT_RDWR);
+    }
+
     /// Closes all connections and stops the server.
     void stop()
     {
@@ -105,6 +111,7 @@
         const Function m_function;
     };
 
+    Poco::Net::ServerSocket m_socket;
     std::unique_ptr<Poco::ThreadPool> m_threads;
     std::unique_ptr<Poco::Net::HTTPServer> m_server;
 };
--- a/tests/standin/platformstandin.cpp
+++ b/tests/standin/platformstandin.cpp
@@ -259,11 +259,11 @@
     return { { "events", events }, { "currentRev", m_revision } };
 }
 
-PlatformServer::PlatformServer(std::string id, std::string address)
+PlatformServer::PlatformServer(std::string id, std::string address, std::uint16_t port)
     : m_id(std::move(id))
     , m_address(std::move(address))
     , m_server(
-          0, serverThreads,
+          port, serverThreads,
           [this](HTTPServerRequest &request, HTTPServerResponse &response) {
               handle(request, response);
           },
@@ -271,6 +271,21 @@
 {
 }
 
+const std::string &PlatformServer::id() const
+{
+    return m_id;
+}
+
+std::uint16_t PlatformServer::port() const
+{
+    return m_server.port();
+}
+
+void PlatformServer::setStartTime(std::int64_t milliseconds)
+{
+    m_startTimeMs = milliseconds;
+}
+
 std::string PlatformServer::endpoint() const
 {
     return m_address + ":" + std::to_string(m_server.port());
@@ -279,8 +294,9 @@
 std::string PlatformServer::record(const std::string &service, const std::string &state) const
 {
     return Json{
-        { "service", service }, { "address", endpoint() }, { "zone", "north" }, { "version", "v1" }, { "slots", 8 },
-        { "state", state },     { "coldLeftMs", 0 },       { "seq", 1 },        { "born", 1000 }
+        { "service", service },   { "address", endpoint() }, { "zone", "north" }, { "version", "v1" },
+        { "slots", 8 },           { "state", state },        { "coldLeftMs", 0 }, { "seq", 1 },
+        { "born", m_startTimeMs }
     }.dump();
 }
 
@@ -289,6 +305,45 @@
     m_behavior = behavior;
 }
 
+void PlatformServer::setCrashMarker(const std::string &marker)
+{
+    const std::lock_guard lock(m_mutex);
+    m_crashMarker = marker;
+}
+
+bool PlatformServer::hasCrashed() const
+{
+    return m_hasCrashed;
+}
+
+bool PlatformServer::crashesOn(const ReceivedRequest &received)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto parts = received.fields.find("x-prompt-prefix");
+    const std::string text
+        = received.target + "\n" + received.body + "\n" + (parts == received.fields.end() ? "" : parts->second);
+    return !m_crashMarker.empty() && text.find(m_crashMarker) != std::string::npos;
+}
+
+void PlatformServer::refuseConnections()
+{
+    m_server.refuseConnections();
+}
+
+bool PlatformServer::isStopped() const
+{
+    return m_isStopping;
+}
+
+void PlatformServer::crash()
+{
+    refuseConnections();
+    m_hasCrashed = true;
+    while (!m_isStopping) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+}
+
 void PlatformServer::setEventInterval(std::chrono::milliseconds interval)
 {
     m_eventMilliseconds = interval.count();
@@ -378,6 +433,7 @@
 
 void PlatformServer::stop()
 {
+    m_isStopping = true;
     m_server.stop();
 }
 
@@ -577,6 +633,11 @@
         stream(received, request, response);
         return;
     }
+    if (crashesOn(received)) {
+        crash();
+        cutConnection(request);
+        return;
+    }
     send(response, behavior == ServerBehavior::InternalError ? 500 : 200,
          { { "server", m_id }, { "body", received.body } });
 }
@@ -589,6 +650,12 @@
     response.setContentType("text/event-stream");
     response.setChunkedTransferEncoding(true);
     std::ostream &out = response.send();
+    if (crashesOn(received)) {
+        out << std::flush;
+        crash();
+        cutConnection(request);
+        return;
+    }
     for (int number = first; number <= streamEvents; ++number) {
         std::this_thread::sleep_for(std::chrono::milliseconds(m_eventMilliseconds));
         {
--- a/tests/standin/platformstandin.h
+++ b/tests/standin/platformstandin.h
@@ -122,7 +122,14 @@
 public:
     /// \param id  instance id of the server
     /// \param address  listening address on the loopback interface
-    explicit PlatformServer(std::string id, std::string address = "127.0.0.1");
+    /// \param port  listening port; 0 for any free one
+    explicit PlatformServer(std::string id, std::string address = "127.0.0.1", std::uint16_t port = 0);
+
+    const std::string &id() const;
+    std::uint16_t port() const;
+
+    /// Sets the start time in record(), in Unix milliseconds.
+    void setStartTime(std::int64_t milliseconds);
 
     std::string endpoint() const;
 
@@ -131,6 +138,13 @@
 
     void setBehavior(ServerBehavior behavior);
 
+    /// Makes the server crash when it runs a request whose target, body or prompt parts contain \p marker: it refuses
+    /// new connections, and no request on it ends. The crash is complete after stop().
+    void setCrashMarker(const std::string &marker);
+
+    /// Returns whether a request has crashed the server.
+    bool hasCrashed() const;
+
     /// Sets the time between two events of a stream.
     void setEventInterval(std::chrono::milliseconds interval);
 
@@ -165,9 +179,15 @@
     /// Rejects reservations with status 503 while \p full is true.
     void setFull(bool full);
 
+    /// Refuses new connections, as the host of a process that has ended does.
+    void refuseConnections();
+
     /// Closes all connections and accepts no more requests.
     void stop();
 
+    /// Returns whether stop() was called.
+    bool isStopped() const;
+
     /// Returns the requests that started to run on this server, in order.
     std::vector<ReceivedRequest> startedRequests();
 
@@ -190,6 +210,10 @@
     void move(HTTPServerRequest &request, HTTPServerResponse &response);
     void serve(HTTPServerRequest &request, HTTPServerResponse &response);
     void stream(const ReceivedRequest &received, HTTPServerRequest &request, HTTPServerResponse &response);
+    bool crashesOn(const ReceivedRequest &received);
+
+    /// Refuses connections, then waits for stop().
+    void crash();
 
     /// Returns whether the request names a GenerationCopy that does not exist or that belongs to another request.
     /// Otherwise removes the named copy, if any.
@@ -203,10 +227,14 @@
 
     const std::string m_id;
     const std::string m_address;
+    std::int64_t m_startTimeMs = 1000;
     std::mutex m_mutex;
     std::atomic<ServerBehavior> m_behavior{ ServerBehavior::Healthy };
     std::atomic<bool> m_rejectsReservations{ false };
     std::atomic<bool> m_sendsDrainingHeader{ false };
+    std::string m_crashMarker; ///< empty if no request crashes the server
+    std::atomic<bool> m_hasCrashed{ false };
+    std::atomic<bool> m_isStopping{ false };
     std::string m_retryAfterSeconds; ///< empty for none
     std::vector<std::string> m_limits; ///< values of `Server-Limit`
     std::vector<std::chrono::steady_clock::time_point> m_arrivals;
--- a/tests/unit/forwardingfixture.cpp
+++ b/tests/unit/forwardingfixture.cpp
@@ -86,7 +86,11 @@
     if (request.isGeneration) {
         httpRequest.set("X-Token-Count", "1000,240");
     }
-    const std::string body = request.method == "POST" ? "body of " + request.id : "";
+    if (!request.promptParts.empty()) {
+        httpRequest.set("X-Prompt-Prefix", request.promptParts);
+    }
+    const std::string defaultBody = request.method == "POST" ? "body of " + request.id : "";
+    const std::string body = request.body.empty() ? defaultBody : request.body;
     httpRequest.setContentLength(static_cast<std::streamsize>(body.size()));
     try {
         session.sendRequest(httpRequest) << body << std::flush;
--- a/tests/unit/forwardingfixture.h
+++ b/tests/unit/forwardingfixture.h
@@ -80,6 +80,8 @@
     std::string id = "id-1";
     std::string key = "k1";
     bool isGeneration = false;
+    std::string body; ///< if empty, a POST request has a body with its ID
+    std::string promptParts; ///< parts of the prompt of a generation; no field if empty
 };
 
 /// Sends one request as a caller and reads its response.
