Log the prompt parts of requests that were running when a server ended

What operators saw: the requests under which engines ended differed in every trait, and logs did not show what they have in common.

Change: the shared parts of a prompt are parsed, and logged with each detected crash; no decision uses them yet.

--- a/include/zinniadock/connection/wireform.h
+++ b/include/zinniadock/connection/wireform.h
@@ -27,6 +27,8 @@
     std::uint32_t promptTokens = 0; ///< 0 if the request is not a generation
     std::uint32_t maxOutputTokens = 0;
     std::optional<std::uint32_t> outputHint; ///< the caller's estimate of the output length, in tokens
+    std::vector<std::string> sharedPromptParts; ///< IDs of the parts of the prompt, in order, without the last one,
+                                                ///< which belongs to the request itself or to its session
 };
 
 /// Location of a copy of a generation's KV cache.
--- a/include/zinniadock/process/crashreport.h
+++ b/include/zinniadock/process/crashreport.h
@@ -22,6 +22,7 @@
     std::string requestId;
     std::chrono::milliseconds duration{ 0 }; ///< from sending the request until the connection broke
     RequestTraits traits;
+    std::string promptParts; ///< IDs of the shared parts of the prompt; only in the log of the entry itself
 };
 
 /// The end of a server that was not planned, as one entry has seen it.
--- a/src/process/crashwatch.cpp
+++ b/src/process/crashwatch.cpp
@@ -30,6 +30,15 @@
     return text;
 }
 
+std::string joinPromptParts(const std::vector<EndedRun> &runs)
+{
+    std::string text;
+    for (const EndedRun &run : runs) {
+        text += (&run == &runs.front() ? "" : ",") + run.promptParts;
+    }
+    return text;
+}
+
 std::string joinTraits(const std::vector<EndedRun> &runs)
 {
     std::string text;
@@ -112,6 +121,7 @@
              { { "server", server },
                { "requests", joinIds(crash.runs) },
                { "traits", joinTraits(crash.runs) },
+               { "prompt_parts", joinPromptParts(crash.runs) },
                { "crash", toText(crash.id) } });
     m_handler(std::move(crash));
 }
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstdio>
 
+#include <boost/algorithm/string/join.hpp>
+
 #include "zinniadock/process/crashwatch.h"
 #include "zinniadock/process/entryexchange.h"
 #include "zinniadock/process/routing.h"
@@ -184,7 +186,10 @@
     const auto duration
         = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - sentAt);
     services.crashWatch->recordBrokenRun(target,
-                                         { .requestId = fields.requestId, .duration = duration, .traits = traits() });
+                                         { .requestId = fields.requestId,
+                                           .duration = duration,
+                                           .traits = traits(),
+                                           .promptParts = boost::algorithm::join(fields.sharedPromptParts, "+") });
 }
 
 std::optional<Quarantine> ForwardContext::findQuarantine()
