Reproduce requests whose prompt part ends engines one after another in a test that fails

What callers saw: requests that have only one part of their prompts in common end engine after engine; here 17 engines later than 3 s after the fifth (bound 3).

--- a/tests/unit/unit-crashingrequests.cpp
+++ b/tests/unit/unit-crashingrequests.cpp
@@ -60,3 +60,50 @@
     }
     CHECK(soundAnswered == 10);
 }
+
+// Guards against requests that have only one part of their prompts in common and end one engine after another, because
+// they are recognised only as a whole.
+TEST_CASE("requests with a prompt part that crashes engines are no longer sent to engines after some crashes")
+{
+    CrashingPool pool("engines", 5, 3);
+    const auto promptOf = [](const std::string &parts, std::size_t number) {
+        return parts + ",own" + std::to_string(number) + ":900";
+    };
+    const std::string deadlyParts = std::string("first:79,") + crashMarker + ":21";
+    std::size_t soundAnswered = 0;
+    std::size_t number = 0;
+    TestResponse last;
+    const auto sendDeadly = [&] {
+        ++number;
+        last = sendRequest(pool.entryPort(number % 3),
+                           { .target = "/stream/1",
+                             .id = "deadly" + std::to_string(number),
+                             .isGeneration = true,
+                             .body = {},
+                             .promptParts = promptOf(deadlyParts, number) });
+    };
+    const auto sendSound = [&](const std::string &parts) {
+        ++number;
+        const TestResponse response = sendRequest(pool.entryPort(number % 3),
+                                                  { .target = "/stream/1",
+                                                    .id = "sound" + std::to_string(number),
+                                                    .isGeneration = true,
+                                                    .body = {},
+                                                    .promptParts = promptOf(parts, number) });
+        return response.status == 200;
+    };
+    const auto end = Clock::now() + 4 * knowledgeTime;
+    while (Clock::now() < end) {
+        sendDeadly();
+        sendSound("first:79");
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    CHECK(lateCrashes(pool.crashes(), 5) <= maxLateRequests);
+    CHECK(last.status == 503);
+    CHECK(last.retryAfter > 0);
+    for (int i = 0; i < 5; ++i) {
+        soundAnswered += sendSound("first:79") ? 1 : 0;
+        soundAnswered += sendSound("first:79,other:21") ? 1 : 0;
+    }
+    CHECK(soundAnswered == 10);
+}
