Break off a stream that ends inside an event

What callers saw: a stream whose engine ended it inside an event, with a proper end of its chunks or with the end of a response that has neither length nor chunks, looked complete to its caller, without the incomplete event.

Cause: the end of the response counted as the end of the stream, whatever bytes were left after the last complete event.

Why the fix works: bytes after the last complete event now end the segment as broken, so that the caller's response is broken off, and counted as such. Evidence: "a stream that ends inside an event is broken off" failed before (both framings). "a response with neither length nor chunks is complete when its connection ends" passed before, for calls and streams; it stays as a guard.

--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -488,6 +488,11 @@
             co_return SegmentEnd::Broken;
         }
     }
+    if (!m_splitter.incompleteEvent().empty()) {
+        m_streamError = make_error_code(boost::system::errc::connection_reset);
+        m_reason = "the stream ended inside an event, after " + std::to_string(m_eventCount) + " events";
+        co_return SegmentEnd::Broken;
+    }
     co_return SegmentEnd::Complete;
 }
 
--- a/tests/standin/platformstandin.cpp
+++ b/tests/standin/platformstandin.cpp
@@ -67,6 +67,29 @@
     socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
 }
 
+/// Sends the response of a behavior whose response has no length. Returns whether the behavior is one of these.
+bool sendUnframed(ServerBehavior behavior, HTTPServerRequest &request, const std::string &signedHead)
+{
+    const std::string streamHead = signedHead + "Content-Type: text/event-stream\r\n";
+    const std::string cutStream = eventText(1) + eventText(2) + "id: 3\ndata: pie";
+    if (behavior == ServerBehavior::UnframedBody) {
+        sendRaw(request, signedHead + "Connection: close\r\n\r\nwhole body");
+    } else if (behavior == ServerBehavior::UnframedStream) {
+        sendRaw(request, streamHead + "Connection: close\r\n\r\n" + completeStreamBody());
+    } else if (behavior == ServerBehavior::UnframedStreamCutInEvent) {
+        sendRaw(request, streamHead + "Connection: close\r\n\r\n" + cutStream);
+    } else if (behavior == ServerBehavior::ChunkedStreamCutInEvent) {
+        std::array<char, 16> size{};
+        std::snprintf(size.data(), size.size(), "%zx", cutStream.size());
+        sendRaw(request,
+                streamHead + "Transfer-Encoding: chunked\r\n\r\n" + size.data() + "\r\n" + cutStream + "\r\n0\r\n\r\n");
+    } else {
+        return false;
+    }
+    cutConnection(request);
+    return true;
+}
+
 /// Copies of the KV caches of generations, by `ENDPOINT/HANDLE`: the endpoint of the engine that made the copy and the
 /// handle that it returned. All engines of a test share the table, so that another engine can resume from a copy.
 struct CopyTable
@@ -622,6 +645,9 @@
         sendEndlessly(request, signedHead + "Content-Type: text/event-stream\r\n\r\n", piece);
         return;
     }
+    if (sendUnframed(behavior, request, signedHead)) {
+        return;
+    }
     if (behavior == ServerBehavior::EndlessBody) {
         sendEndlessly(request, signedHead + "\r\n", piece);
         return;
--- a/tests/standin/platformstandin.h
+++ b/tests/standin/platformstandin.h
@@ -98,6 +98,10 @@
     EndlessChunkLine, ///< sends a chunk size line without end
     EndlessEvent, ///< sends an event without end
     EndlessBody, ///< sends a body without end
+    UnframedBody, ///< sends a complete body without its length, then closes the connection
+    UnframedStream, ///< sends a complete stream with neither a length nor chunks, then closes the connection
+    UnframedStreamCutInEvent, ///< as UnframedStream, but closes the connection inside an event
+    ChunkedStreamCutInEvent, ///< ends a stream in chunks inside an event
 };
 
 /// A request that a PlatformServer received.
--- a/tests/unit/forwardingfixture.cpp
+++ b/tests/unit/forwardingfixture.cpp
@@ -135,6 +135,33 @@
     }));
 }
 
+std::string receiveStream(std::uint16_t port, const std::string &target)
+{
+    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", port));
+    socket.setReceiveTimeout(Poco::Timespan(10, 0));
+    const std::string request = "POST " + target
+        + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: raw\r\nX-Key: k1\r\nX-Deadline-Ms: 15000\r\n"
+          "X-Token-Count: 1000,240\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    socket.sendBytes(request.data(), static_cast<int>(request.size()));
+    std::string response;
+    std::array<char, 4096> buffer{};
+    try {
+        while (const int count = socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()))) {
+            response.append(buffer.data(), static_cast<std::size_t>(count));
+        }
+    } catch (const Poco::Exception &) {
+        response += "\nconnection reset";
+    }
+    return response;
+}
+
+bool hasLastChunk(const std::string &response)
+{
+    const std::string lastChunk = "\r\n0\r\n\r\n";
+    return response.size() >= lastChunk.size()
+        && response.compare(response.size() - lastChunk.size(), lastChunk.size(), lastChunk) == 0;
+}
+
 std::string sendRawBytes(std::uint16_t port, const std::string &bytes)
 {
     Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", port));
--- a/tests/unit/forwardingfixture.h
+++ b/tests/unit/forwardingfixture.h
@@ -118,6 +118,12 @@
     RoleThread<ForwardingEntry> entry;
 };
 
+/// Sends a generation and returns all bytes of the response until the entry closes the connection.
+std::string receiveStream(std::uint16_t port, const std::string &target);
+
+/// Returns whether the bytes of a response in chunks have its end.
+bool hasLastChunk(const std::string &response);
+
 /// Sends bytes on a new connection and returns the first bytes that are received.
 std::string sendRawBytes(std::uint16_t port, const std::string &bytes);
 
--- a/tests/unit/unit-servertrouble.cpp
+++ b/tests/unit/unit-servertrouble.cpp
@@ -62,6 +62,40 @@
     }
 }
 
+// Guards against responses that are cut, or taken as broken, because they end with their connection.
+TEST_CASE("a response with neither length nor chunks is complete when its connection ends")
+{
+    ServiceDeployment deployment;
+    deployment.server.setBehavior(ServerBehavior::UnframedBody);
+    const TestResponse response = sendRequest(deployment.entry->port(), { .target = "/order/1" });
+    CHECK(response.status == 200);
+    CHECK(response.body == "whole body");
+    CHECK(response.isComplete);
+    deployment.server.setBehavior(ServerBehavior::Healthy);
+    CHECK(sendRequest(deployment.entry->port(), { .target = "/order/1" }).status == 200);
+}
+
+// Guards against a stream that looks complete to its caller although its engine has broken it off inside an event.
+TEST_CASE("a stream that ends inside an event is broken off")
+{
+    EngineDeployment deployment(true);
+    const TestRequest generation{ .target = "/stream/1", .isGeneration = true };
+    REQUIRE(eventually([&] {
+        return sendRequest(deployment.entry->port(), generation).status == 200;
+    }));
+
+    const auto stream = [&deployment](ServerBehavior behavior) {
+        deployment.engine.setBehavior(behavior);
+        return receiveStream(deployment.entry->port(), "/stream/1");
+    };
+
+    const std::string complete = stream(ServerBehavior::UnframedStream);
+    CHECK(hasLastChunk(complete));
+    CHECK(complete.find("data: piece " + std::to_string(streamEvents) + "\n") != std::string::npos);
+    CHECK_FALSE(hasLastChunk(stream(ServerBehavior::UnframedStreamCutInEvent)));
+    CHECK_FALSE(hasLastChunk(stream(ServerBehavior::ChunkedStreamCutInEvent)));
+}
+
 TEST_CASE("engines that are draining, request a pause, or send endless events")
 {
     EngineDeployment deployment(GENERATE(true, false));
