Quarantine a prompt part that crashes servers, and send evidence where it matters

Cause: entries recognised a request only as a whole, so that each of these requests had one crash. Class of the fault: the unit of the decision was the request, while the cause is a property that requests have in common.

Why the fix works: each shared part of a prompt is a trait too, the last parts first, since the first ones are the most common. Of the traits that explain the same crashes the table chooses the one that explains most, and a first event with a part clears it, at whichever entry, so that the caller, the first part and the other parts of sound requests are not quarantined.

The stand-in for servers now closes its socket when it is stopped, which two tests of unit-faults need.

--- a/include/zinniadock/process/crashreport.h
+++ b/include/zinniadock/process/crashreport.h
@@ -19,7 +19,7 @@
 /// A request whose connection broke when its server ended, before any part of its response arrived.
 struct EndedRun
 {
-    std::string requestId;
+    std::string requestId; ///< a hash of it in the report of another entry
     std::chrono::milliseconds duration{ 0 }; ///< from sending the request until the connection broke
     RequestTraits traits;
     std::string promptParts; ///< IDs of the shared parts of the prompt; only in the log of the entry itself
--- a/include/zinniadock/process/sharedsuspects.h
+++ b/include/zinniadock/process/sharedsuspects.h
@@ -22,11 +22,11 @@
     std::vector<ClearedTrait> cleared;
 };
 
-/// Evidence for one peer, and up to where it reaches.
+/// Evidence for one peer.
 struct EvidenceBatch
 {
     CrashEvidence evidence;
-    std::uint64_t last = 0; ///< number of the last item; 0 if there is none
+    std::set<std::uint64_t> items; ///< numbers of the items
     std::size_t bytes = 0; ///< about the size of the evidence in a message
 };
 
@@ -47,10 +47,11 @@
     std::optional<SteadyTime> m_creditedUntil;
 };
 
-/// The suspect table of an entry, shared with the other entries along their tree: each entry sends what it learns to
-/// its parent, its children and the entries that it hears from, but not back to where it came from. An item is sent to
-/// a peer until the peer confirms it. An entry that starts introduces itself to one other entry and gets what that one
-/// knows. Logs each change of the quarantines.
+/// The suspect table of an entry, shared with the other entries along their tree. Each entry sends all that it learns
+/// to its parent, so that the crashes that a trait explains are added up on the way to the root. To its children, and
+/// to other entries that it hears from, it sends only crashes with a trait that has several, and that such a trait is
+/// cleared. An item is sent to a peer until the peer confirms it; what can change a decision goes first. An entry that
+/// starts introduces itself to one other entry. Logs each change of the quarantines.
 ///
 /// Has no network, clock or thread of its own; the messages are exchanged by EntryExchange. Not thread-safe.
 class SharedSuspects
@@ -80,7 +81,7 @@
     std::vector<std::string> peersToNotify(SteadyTime now);
 
     /// Returns the next items for a peer.
-    EvidenceBatch nextFor(const std::string &peer);
+    EvidenceBatch nextFor(const std::string &peer, SteadyTime now);
 
     /// Records the result of a message with a batch.
     /// \param peerStart  start of the peer's process, from its response; nothing if it did not respond
@@ -101,14 +102,13 @@
     struct Item
     {
         std::uint64_t number = 0;
-        std::set<std::string> senders; ///< peers that have sent it
+        std::set<std::string> knownBy; ///< peers that have sent or confirmed it
         Content content;
     };
 
     struct Peer
     {
         std::uint64_t start = 0; ///< 0 if not known
-        std::uint64_t confirmed = 0; ///< number of the last confirmed item
         SteadyTime heardAt;
         SteadyTime notifiedAt;
         bool isBusy = false; ///< a message is on its way
@@ -119,7 +119,11 @@
     void applyItem(const ClearedTrait &cleared, const std::string &peer, SteadyTime now);
     void publishChanges(const std::string &source);
     void recordPeerStart(const std::string &peer, std::uint64_t start, SteadyTime now);
-    bool hasNewsFor(const std::string &peer) const;
+    bool hasNewsFor(const std::string &peer, bool isParent) const;
+    bool isRelevant(const Item &item, const std::string &peer) const;
+    bool hasCrashWith(RequestTrait trait, const std::string &peer) const;
+    std::vector<const Item *> newsFor(const std::string &peer, bool isParent) const;
+    std::size_t priority(const Item &item) const;
     SteadyTime notifiedAt(const std::string &peer) const;
     std::vector<std::string> neighbours(SteadyTime now) const;
     bool isHeartbeatDue(SteadyTime now) const;
--- a/include/zinniadock/process/suspecttable.h
+++ b/include/zinniadock/process/suspecttable.h
@@ -138,6 +138,9 @@
     };
 
     std::uint64_t crashOf(const CrashReport &report);
+
+    /// Returns whether a run of a trait has ended after one time and not after another.
+    static bool hasRunBetween(const TraitState &state, SteadyTime after, SteadyTime until);
     void review();
     std::vector<Candidate> candidates(const std::vector<std::uint64_t> &explained) const;
     std::vector<const Run *> openRuns(const TraitState &state, const std::vector<std::uint64_t> &explained) const;
--- a/src/process/entryexchange.cpp
+++ b/src/process/entryexchange.cpp
@@ -76,7 +76,7 @@
 Awaitable<void> EntryExchange::sendNotice(std::string peer)
 {
     const auto self = shared_from_this();
-    EvidenceBatch batch = m_suspects.nextFor(peer);
+    EvidenceBatch batch = m_suspects.nextFor(peer, std::chrono::steady_clock::now());
     EntryReport notice;
     notice.sender = m_services.entryTree.self();
     notice.isNotice = true;
--- a/src/process/entrymessages.cpp
+++ b/src/process/entrymessages.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 
 #include "zinniadock/detail/cbormessage.h"
+#include "zinniadock/process/routing.h"
 
 namespace zinniadock
 {
@@ -39,8 +40,8 @@
     return std::isfinite(permits) ? std::clamp(permits, 0.0, maxRequestLimit) : 0;
 }
 
-// Crashes are arrays of ID, server, age in milliseconds and runs; a run is an array of request ID, duration in
-// milliseconds and traits. Cleared traits are arrays of trait and age.
+// Crashes are arrays of ID, server, age in milliseconds and runs; a run is an array of a hash of the request ID,
+// duration in milliseconds and traits. Cleared traits are arrays of trait and age.
 
 constexpr std::size_t maxRunsPerCrash = 64;
 constexpr std::size_t maxTraitsPerRun = 64;
@@ -60,7 +61,8 @@
 {
     Json runs = Json::array();
     for (const EndedRun &run : report.runs) {
-        runs.push_back(Json::array({ run.requestId, run.duration.count(), run.traits }));
+        const auto request = static_cast<std::uint32_t>(stableHash(run.requestId));
+        runs.push_back(Json::array({ request, run.duration.count(), run.traits }));
     }
     return Json::array({ report.id, report.server, ageOf(report.at, now), std::move(runs) });
 }
@@ -74,7 +76,7 @@
     for (const Json &run : row.at(3)) {
         auto traits = run.at(2).get<RequestTraits>();
         if (report.runs.size() < maxRunsPerCrash && traits.size() <= maxTraitsPerRun) {
-            report.runs.push_back({ .requestId = run.at(0).get<std::string>(),
+            report.runs.push_back({ .requestId = std::to_string(run.at(0).get<std::uint32_t>()),
                                     .duration = durationFromJson(run.at(1)),
                                     .traits = std::move(traits) });
         }
--- a/src/process/sharedsuspects.cpp
+++ b/src/process/sharedsuspects.cpp
@@ -1,6 +1,7 @@
 #include "zinniadock/process/sharedsuspects.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "zinniadock/process/eventlog.h"
 
@@ -19,7 +20,7 @@
 /// Sizes in a message, in bytes.
 constexpr std::size_t noticeBytes = 230; ///< a notice and its response, with the heads, without evidence
 constexpr std::size_t traitBytes = 9;
-constexpr std::size_t runBytes = 22; ///< without traits
+constexpr std::size_t runBytes = 10; ///< without traits
 constexpr std::size_t crashBytes = 32; ///< without runs
 constexpr std::size_t clearedBytes = 14;
 
@@ -108,11 +109,11 @@
 
 void SharedSuspects::add(Content content, const std::string &sender)
 {
-    std::set<std::string> senders;
+    std::set<std::string> knownBy;
     if (!sender.empty()) {
-        senders.insert(sender);
+        knownBy.insert(sender);
     }
-    m_items.push_back({ m_nextNumber++, std::move(senders), std::move(content) });
+    m_items.push_back({ m_nextNumber++, std::move(knownBy), std::move(content) });
     if (m_items.size() > maxItems) {
         m_items.pop_front();
     }
@@ -162,7 +163,7 @@
     for (Item &item : m_items) {
         const auto *known = std::get_if<CrashReport>(&item.content);
         if (known && known->id == report.id) {
-            item.senders.insert(peer);
+            item.knownBy.insert(peer);
         }
     }
 }
@@ -176,7 +177,7 @@
     for (Item &item : m_items) {
         const auto *known = std::get_if<ClearedTrait>(&item.content);
         if (known && known->trait == cleared.trait && known->at <= cleared.at) {
-            item.senders.insert(peer);
+            item.knownBy.insert(peer);
         }
     }
 }
@@ -207,20 +208,67 @@
     }
     if (state.start != 0) {
         for (Item &item : m_items) {
-            item.senders.erase(peer);
+            item.knownBy.erase(peer);
         }
     }
     state.start = start;
-    state.confirmed = 0;
 }
 
-bool SharedSuspects::hasNewsFor(const std::string &peer) const
+bool SharedSuspects::hasNewsFor(const std::string &peer, bool isParent) const
 {
-    const auto found = m_peers.find(peer);
-    const std::uint64_t confirmed = found == m_peers.end() ? 0 : found->second.confirmed;
-    return std::any_of(m_items.rbegin(), m_items.rend(), [&peer, confirmed](const Item &item) {
-        return item.number > confirmed && !item.senders.contains(peer);
+    return std::any_of(m_items.rbegin(), m_items.rend(), [this, &peer, isParent](const Item &item) {
+        return !item.knownBy.contains(peer) && (isParent || isRelevant(item, peer));
+    });
+}
+
+// One crash alone quarantines nothing, and a peer that does not know the crashes of a trait does not suspect it.
+bool SharedSuspects::isRelevant(const Item &item, const std::string &peer) const
+{
+    constexpr std::size_t minRelevantCrashes = 2;
+    const auto *cleared = std::get_if<ClearedTrait>(&item.content);
+    return cleared ? hasCrashWith(cleared->trait, peer) : priority(item) >= minRelevantCrashes;
+}
+
+bool SharedSuspects::hasCrashWith(RequestTrait trait, const std::string &peer) const
+{
+    return std::any_of(m_items.begin(), m_items.end(), [trait, &peer](const Item &item) {
+        const auto *report = std::get_if<CrashReport>(&item.content);
+        return report && item.knownBy.contains(peer)
+            && std::any_of(report->runs.begin(), report->runs.end(), [trait](const EndedRun &run) {
+                   return std::find(run.traits.begin(), run.traits.end(), trait) != run.traits.end();
+               });
+    });
+}
+
+std::size_t SharedSuspects::priority(const Item &item) const
+{
+    const auto *report = std::get_if<CrashReport>(&item.content);
+    if (!report) {
+        return std::numeric_limits<std::size_t>::max();
+    }
+    std::size_t crashes = 0;
+    for (const EndedRun &run : report->runs) {
+        crashes = std::max(crashes, m_table.crashCount(run.traits));
+    }
+    return crashes;
+}
+
+std::vector<const SharedSuspects::Item *> SharedSuspects::newsFor(const std::string &peer, bool isParent) const
+{
+    std::vector<std::pair<std::size_t, const Item *>> news;
+    for (const Item &item : m_items) {
+        if (!item.knownBy.contains(peer) && (isParent || isRelevant(item, peer))) {
+            news.emplace_back(priority(item), &item);
+        }
+    }
+    std::sort(news.begin(), news.end(), [](const auto &left, const auto &right) {
+        return left.first != right.first ? left.first > right.first : left.second->number > right.second->number;
     });
+    std::vector<const Item *> items;
+    for (const auto &[itemPriority, item] : news) {
+        items.push_back(item);
+    }
+    return items;
 }
 
 SteadyTime SharedSuspects::notifiedAt(const std::string &peer) const
@@ -271,9 +319,10 @@
     if (m_items.empty() && !isHeartbeat) {
         return chosen;
     }
+    const auto parent = m_tree.parent(now);
     for (const std::string &peer : neighbours(now)) {
         Peer &state = m_peers[peer];
-        const bool isNeeded = isHeartbeat || hasNewsFor(peer);
+        const bool isNeeded = isHeartbeat || hasNewsFor(peer, parent == peer);
         if (state.isBusy || !isNeeded || !m_budget.hasCredit(bytesPerSecond(), now)) {
             continue;
         }
@@ -289,29 +338,23 @@
     return chosen;
 }
 
-EvidenceBatch SharedSuspects::nextFor(const std::string &peer)
+EvidenceBatch SharedSuspects::nextFor(const std::string &peer, SteadyTime now)
 {
     EvidenceBatch batch;
-    std::size_t bytes = 0;
-    const std::uint64_t confirmed = m_peers[peer].confirmed;
-    for (const Item &item : m_items) {
-        if (item.number <= confirmed || item.senders.contains(peer)) {
-            continue;
-        }
-        const std::size_t itemBytes = messageBytes(item.content);
-        if (bytes + itemBytes > maxBatchBytes && batch.last > 0) {
+    for (const Item *item : newsFor(peer, m_tree.parent(now) == peer)) {
+        const std::size_t itemBytes = messageBytes(item->content);
+        if (batch.bytes + itemBytes > maxBatchBytes && !batch.items.empty()) {
             break;
         }
-        bytes += itemBytes;
-        if (const auto *report = std::get_if<CrashReport>(&item.content)) {
+        if (const auto *report = std::get_if<CrashReport>(&item->content)) {
             batch.evidence.crashes.push_back(*report);
         } else {
-            batch.evidence.cleared.push_back(std::get<ClearedTrait>(item.content));
+            batch.evidence.cleared.push_back(std::get<ClearedTrait>(item->content));
         }
-        batch.last = item.number;
+        batch.items.insert(item->number);
+        batch.bytes += itemBytes;
     }
-    m_budget.spend(bytes);
-    batch.bytes = bytes;
+    m_budget.spend(batch.bytes);
     return batch;
 }
 
@@ -326,8 +369,11 @@
     }
     m_isIntroduced = true;
     recordPeerStart(peer, *peerStart, now);
-    Peer &state = m_peers[peer];
-    state.confirmed = std::max(state.confirmed, batch.last);
+    for (Item &item : m_items) {
+        if (batch.items.contains(item.number)) {
+            item.knownBy.insert(peer);
+        }
+    }
 }
 
 void SharedSuspects::prune(SteadyTime now)
--- a/src/process/suspecttable.cpp
+++ b/src/process/suspecttable.cpp
@@ -110,17 +110,21 @@
         return false;
     }
     TraitState &state = m_traits[cleared.trait];
+    // Others may not have seen the response by which this process has cleared the trait.
+    const bool isNews = !isSuspected || hasRunBetween(state, state.sharedClearedAt, cleared.at);
     state.sharedClearedAt = std::max(state.sharedClearedAt, cleared.at);
-    if (state.clearedAt >= cleared.at) {
-        return false;
-    }
-    const std::size_t openBefore = openRuns(state, {}).size();
-    state.clearedAt = cleared.at;
-    const bool clearsRuns = openRuns(state, {}).size() < openBefore;
-    if (clearsRuns) {
+    if (state.clearedAt < cleared.at) {
+        state.clearedAt = cleared.at;
         review();
     }
-    return clearsRuns || !isSuspected;
+    return isNews;
+}
+
+bool SuspectTable::hasRunBetween(const TraitState &state, SteadyTime after, SteadyTime until)
+{
+    return std::any_of(state.runs.begin(), state.runs.end(), [after, until](const Run &run) {
+        return run.end > after && run.end <= until;
+    });
 }
 
 std::vector<const SuspectTable::Run *> SuspectTable::openRuns(const TraitState &state,
@@ -341,9 +345,7 @@
         const bool hasSeveralCrashes = std::any_of(runs.begin(), runs.end(), [&runs](const Run &run) {
             return run.crash != runs.front().crash;
         });
-        const bool isNew = std::any_of(runs.begin(), runs.end(), [&state = state](const Run &run) {
-            return run.end > state.sharedClearedAt && run.end <= state.clearedAt;
-        });
+        const bool isNew = hasRunBetween(state, state.sharedClearedAt, state.clearedAt);
         if (hasSeveralCrashes && isNew) {
             state.sharedClearedAt = state.clearedAt;
             cleared.push_back({ trait, state.clearedAt });
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -174,6 +174,10 @@
         const std::string method = request.method_string().to_string();
         const std::string target = request.target().to_string();
         m_traits.push_back(stableHash(account + "\n" + method + "\n" + host + target + "\n" + request.body()));
+        // The first parts of a prompt are shared by most requests, so the last ones are the most specific.
+        for (auto part = fields.sharedPromptParts.rbegin(); part != fields.sharedPromptParts.rend(); ++part) {
+            m_traits.push_back(stableHash("prompt part\n" + *part));
+        }
     }
     return m_traits;
 }
@@ -209,8 +213,9 @@
 
 std::string toText(const Quarantine &quarantine)
 {
-    return "quarantined: " + std::to_string(quarantine.crashes) + " servers crashed while they ran requests with trait "
-        + toText(quarantine.trait) + ", the last one was " + quarantine.lastServer;
+    const std::string common = quarantine.position == 0 ? "this request" : "requests with the same prompt part";
+    return "quarantined: " + std::to_string(quarantine.crashes) + " servers crashed while they ran " + common
+        + " (trait " + toText(quarantine.trait) + "), the last one was " + quarantine.lastServer;
 }
 
 HttpResponse ForwardContext::makeEntryResponse(http::status status, const std::string &reason) const
--- a/tests/standin/functionserver.h
+++ b/tests/standin/functionserver.h
@@ -66,6 +66,7 @@
         if (m_threads) {
             m_server->stopAll(true);
             m_server.reset();
+            m_socket.close();
             m_threads->stopAll();
             m_threads.reset();
         }
