--- a/bench/micro/main.cpp
+++ b/bench/micro/main.cpp
@@ -17,6 +17,7 @@
 #include "zinniadock/process/routing.h"
 #include "zinniadock/process/serverhealth.h"
 #include "zinniadock/process/serverlimiter.h"
+#include "zinniadock/process/suspecttable.h"
 #include "zinniadock/process/timeline.h"
 #include "zinniadock/version/versiondelta.h"
 
@@ -140,6 +141,34 @@
                 }));
 }
 
+/// Measures the decision whether a request is quarantined, and the record of a response, with as many crash reports as
+/// are kept.
+void measureQuarantine(Figures &figures)
+{
+    const SteadyTime now{ std::chrono::hours(1) };
+    SuspectTable table;
+    constexpr int crashes = 255;
+    for (int i = 0; i < crashes; ++i) {
+        const auto number = static_cast<std::uint64_t>(i);
+        const SteadyTime at = now + std::chrono::milliseconds(300 * i);
+        CrashReport report{ .id = number + 1, .server = "i-" + std::to_string(i), .at = at, .runs = {} };
+        for (std::uint64_t run = 0; run < 4; ++run) {
+            report.runs.push_back({ .requestId = "r", .traits = { 1000 + 4 * number + run, 1 + run % 2 } });
+        }
+        table.recordCrash(report, at);
+    }
+    const SteadyTime later = now + std::chrono::seconds(80);
+    const RequestTraits sound{ 7, 8, 9 };
+    std::uint64_t refused = 0;
+    figures.add("quarantine_decision_ns", minNanoseconds(20000, [&](int) {
+                    refused += table.findQuarantine(sound, "request", later) ? 1 : 0;
+                }));
+    figures.add("quarantine_response_ns", minNanoseconds(20000, [&](int) {
+                    table.recordResponse(sound, later);
+                }));
+    figures.add("quarantined_traits", static_cast<double>(table.quarantineCount() + refused));
+}
+
 /// Returns a configuration with 1700 servers and 730 client accounts, scaled by the given number of eighths.
 std::string configurationText(int eighths)
 {
@@ -285,6 +314,7 @@
     zinniadock::load::measureAdmission(figures, static_cast<std::uint64_t>(absl::GetFlag(FLAGS_seed)));
     zinniadock::load::measureRouting(figures);
     zinniadock::load::measureLimits(figures);
+    zinniadock::load::measureQuarantine(figures);
     zinniadock::load::measureConfiguration(figures);
     zinniadock::load::measureMessages(figures);
     zinniadock::load::measureSingleOperations(figures);
