Join the texts of runs in one place

Cause: three functions of the log of crashes differed in one expression. Change: one function template; no change of behavior.

--- a/src/process/crashwatch.cpp
+++ b/src/process/crashwatch.cpp
@@ -1,5 +1,6 @@
 #include "zinniadock/process/crashwatch.h"
 
+#include <boost/algorithm/string/join.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -21,36 +22,34 @@
 /// Max number of requests in a report. It bounds the size of messages and of memory.
 constexpr std::size_t maxRuns = 32;
 
-std::string joinIds(const std::vector<EndedRun> &runs)
+/// Returns a text for each run, joined by commas.
+template <typename TextOf>
+std::string join(const std::vector<EndedRun> &runs, TextOf textOf)
 {
-    std::string text;
+    std::vector<std::string> texts;
     for (const EndedRun &run : runs) {
-        text += (text.empty() ? "" : ",") + run.requestId;
+        texts.push_back(textOf(run));
     }
-    return text;
+    return boost::algorithm::join(texts, ",");
 }
 
-std::string joinPromptParts(const std::vector<EndedRun> &runs)
+std::string requestIdOf(const EndedRun &run)
 {
-    std::string text;
-    for (const EndedRun &run : runs) {
-        text += (&run == &runs.front() ? "" : ",") + run.promptParts;
-    }
-    return text;
+    return run.requestId;
 }
 
-std::string joinTraits(const std::vector<EndedRun> &runs)
+std::string promptPartsOf(const EndedRun &run)
 {
-    std::string text;
-    for (const EndedRun &run : runs) {
-        text += text.empty() ? "" : ",";
-        std::string separator;
-        for (const RequestTrait trait : run.traits) {
-            text += separator + toText(trait);
-            separator = "+";
-        }
+    return run.promptParts;
+}
+
+std::string traitsOf(const EndedRun &run)
+{
+    std::vector<std::string> texts;
+    for (const RequestTrait trait : run.traits) {
+        texts.push_back(toText(trait));
     }
-    return text;
+    return boost::algorithm::join(texts, "+");
 }
 
 } // namespace
@@ -107,7 +106,7 @@
     }
     logEvent("crash", "excluded",
              { { "server", server },
-               { "requests", joinIds(suspicion.runs) },
+               { "requests", join(suspicion.runs, requestIdOf) },
                { "reason", error ? error.message() : "the server accepts connections" } });
 }
 
@@ -119,9 +118,9 @@
     crash.id = stableHash(server + source + std::to_string(crash.at.time_since_epoch().count()));
     logEvent("crash", "detected",
              { { "server", server },
-               { "requests", joinIds(crash.runs) },
-               { "traits", joinTraits(crash.runs) },
-               { "prompt_parts", joinPromptParts(crash.runs) },
+               { "requests", join(crash.runs, requestIdOf) },
+               { "traits", join(crash.runs, traitsOf) },
+               { "prompt_parts", join(crash.runs, promptPartsOf) },
                { "crash", toText(crash.id) } });
     m_handler(std::move(crash));
 }
