--- a/include/zinniadock/process/crashreport.h
+++ b/include/zinniadock/process/crashreport.h
@@ -28,7 +28,7 @@
 /// The end of a server that was not planned, as one entry has seen it.
 struct CrashReport
 {
-    std::uint64_t id = 0; ///< random, the same at all entries
+    std::uint64_t id = 0; ///< unique to this report, the same at all entries
     std::string server; ///< server ID
     SteadyTime at; ///< when the connections broke
     std::vector<EndedRun> runs; ///< requests of one entry, not empty
--- a/include/zinniadock/process/entrymessages.h
+++ b/include/zinniadock/process/entrymessages.h
@@ -20,7 +20,7 @@
     std::chrono::milliseconds age{ 0 }; ///< time since the server stated it
 };
 
-/// One server in a EntryReport.
+/// One server in an EntryReport.
 struct LimitReportRow
 {
     LimitState state;
@@ -39,14 +39,14 @@
     CrashEvidence evidence;
 };
 
-/// One server in a EntryReply.
+/// One server in an EntryReply.
 struct LimitReplyRow
 {
     LimitState state;
     PermitGrant grant;
 };
 
-/// The response to a EntryReport.
+/// The response to an EntryReport.
 struct EntryReply
 {
     std::uint64_t start = 0; ///< identifies the start of the process that responds
--- a/src/process/sharedsuspects.cpp
+++ b/src/process/sharedsuspects.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "zinniadock/process/eventlog.h"
+#include "zinniadock/process/readerchoice.h"
 
 namespace zinniadock
 {
@@ -28,7 +29,6 @@
 constexpr double largeFleetBytesPerSecond = 600;
 constexpr double smallFleetBytesPerSecond = 4000;
 constexpr double burstBytes = 6000;
-constexpr std::size_t maxSmallFleet = 8;
 
 /// Interval at which an entry with evidence sends a notice to its parent also without news. By it an entry learns that
 /// its parent has restarted, and a parent learns which entries have chosen it.
@@ -64,6 +64,18 @@
     return bytes;
 }
 
+/// Records that a peer knows the items with a content that satisfies \p matches.
+template <typename Content, typename Items, typename Predicate>
+void markKnown(Items &items, const std::string &peer, Predicate matches)
+{
+    for (auto &item : items) {
+        const auto *known = std::get_if<Content>(&item.content);
+        if (known && matches(*known)) {
+            item.knownBy.insert(peer);
+        }
+    }
+}
+
 /// Returns a number from 0 to 1 that differs between processes.
 double fractionOf(std::uint64_t start)
 {
@@ -160,12 +172,9 @@
         add(report, peer);
         return;
     }
-    for (Item &item : m_items) {
-        const auto *known = std::get_if<CrashReport>(&item.content);
-        if (known && known->id == report.id) {
-            item.knownBy.insert(peer);
-        }
-    }
+    markKnown<CrashReport>(m_items, peer, [&report](const CrashReport &known) {
+        return known.id == report.id;
+    });
 }
 
 void SharedSuspects::applyItem(const ClearedTrait &cleared, const std::string &peer, SteadyTime now)
@@ -174,12 +183,9 @@
         add(cleared, peer);
         return;
     }
-    for (Item &item : m_items) {
-        const auto *known = std::get_if<ClearedTrait>(&item.content);
-        if (known && known->trait == cleared.trait && known->at <= cleared.at) {
-            item.knownBy.insert(peer);
-        }
-    }
+    markKnown<ClearedTrait>(m_items, peer, [&cleared](const ClearedTrait &known) {
+        return known.trait == cleared.trait && known.at <= cleared.at;
+    });
 }
 
 void SharedSuspects::publishChanges(const std::string &source)
@@ -301,7 +307,7 @@
 
 double SharedSuspects::bytesPerSecond() const
 {
-    return m_tree.size() <= maxSmallFleet ? smallFleetBytesPerSecond : largeFleetBytesPerSecond;
+    return m_tree.size() <= maxSmallFleetSize ? smallFleetBytesPerSecond : largeFleetBytesPerSecond;
 }
 
 bool SharedSuspects::isHeartbeatDue(SteadyTime now) const
