Log and count responses of servers that end early or with their connection

Cause: neither the logs nor the metrics show how a response stated its end, nor where it ended. The hypotheses of the incident differ in just that. Change: part `response` of the log, with framing, place and error; zinniadock_broken_responses_total and zinniadock_unframed_responses_total. No decision changes.

--- a/include/zinniadock/connection/httpclient.h
+++ b/include/zinniadock/connection/httpclient.h
@@ -16,6 +16,7 @@
 #include <boost/beast/http/parser.hpp>
 
 #include "zinniadock/connection/httpmessage.h"
+#include "zinniadock/connection/responseend.h"
 
 namespace zinniadock
 {
@@ -104,6 +105,9 @@
 
     const ResponseHead &head() const;
 
+    /// Returns how the server states where the body ends. \pre readHead() succeeded
+    BodyFraming framing() const;
+
     /// Returns whether the whole response was read.
     bool isComplete() const;
 
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -191,6 +191,17 @@
     return m_parser->get().base();
 }
 
+BodyFraming HttpExchange::framing() const
+{
+    if (m_parser->chunked()) {
+        return BodyFraming::Chunks;
+    }
+    if (m_parser->need_eof()) {
+        return BodyFraming::Connection;
+    }
+    return m_isHeadRequest || !m_parser->content_length() ? BodyFraming::NoBody : BodyFraming::Length;
+}
+
 bool HttpExchange::isComplete() const
 {
     return m_parser && m_parser->is_done();
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -65,6 +65,8 @@
     appendMetric("zinniadock_moved_streams_total", m_services.counters.movedStreams, out);
     appendMetric("zinniadock_failed_moves_total", m_services.counters.failedMoves, out);
     appendMetric("zinniadock_broken_streams_total", m_services.counters.brokenStreams, out);
+    appendMetric("zinniadock_broken_responses_total", m_services.counters.brokenResponses, out);
+    appendMetric("zinniadock_unframed_responses_total", m_services.counters.unframedResponses, out);
     appendMetric("zinniadock_late_gaps_total", m_services.counters.lateGaps, out);
     appendMetric("zinniadock_waited_generations_total", m_services.counters.waitedGenerations, out);
     appendMetric("zinniadock_refused_reservations_total", m_services.counters.refusedReservations, out);
--- a/src/request/callforward.cpp
+++ b/src/request/callforward.cpp
@@ -163,6 +163,7 @@
     Attempt attempt;
     attempt.response = HttpResponse(makeCallerHead(exchange->head()));
     error = co_await exchange->readRest(attempt.response.body(), maxResponseBytes);
+    m_context->logResponseEnd(*exchange, std::to_string(attempt.response.body().size()) + " bytes", error);
     if (error) {
         co_return makeFailedAttempt(*exchange, "reading the response body: " + error.message());
     }
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -422,6 +422,9 @@
         = exchange->head().result() == http::status::ok && responseFields.isSigned && responseFields.isEventStream;
     if (isStream) {
         segmentEnd = co_await relayEvents(*exchange);
+        const StreamPlace place = placeInStream(m_eventCount, m_splitter.incompleteEvent().size());
+        const std::string moving = m_moveState == MoveState::None ? "" : ", during a move";
+        m_context->logResponseEnd(*exchange, std::string(toString(place)) + moving, m_streamError);
         if (segmentEnd == SegmentEnd::Broken && m_eventCount == 0) {
             m_context->recordBrokenRun(record, sentAt, m_streamError);
         }
@@ -429,6 +432,7 @@
         m_reason = "status " + std::to_string(exchange->head().result_int());
         HttpResponse plain(makeCallerHead(exchange->head()));
         error = co_await exchange->readRest(plain.body(), maxPlainResponseBytes);
+        m_context->logResponseEnd(*exchange, std::to_string(plain.body().size()) + " bytes", error);
         if (responseFields.isMisdirected) {
             m_services.directory.markReplaced(server);
         }
