Keep the services of an entry alive until its last request has ended

What an operator saw: an entry that ended with a generation in progress aborted with "double free detected" in place of exit code 7. Found while testing that a stream without a length is reset when its entry ends.

Cause: the requests in progress are destroyed with the event loop, after the entry. The destructor of a generation releases its server in the directory, which had been destroyed with the entry.

Why it works: each request shares ownership of the services, so that they are destroyed after the last request.

--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -72,7 +72,8 @@
     bool isReady() const;
     std::string metricsText() const;
 
-    ForwardingServices m_services;
+    const std::shared_ptr<ForwardingServices> m_sharedServices; ///< shared with the requests in progress
+    ForwardingServices &m_services;
     StoreView m_storeView;
     std::shared_ptr<HttpListener> m_callerListener;
     std::shared_ptr<HttpListener> m_readinessListener;
--- a/include/zinniadock/request/forwardscope.h
+++ b/include/zinniadock/request/forwardscope.h
@@ -27,7 +27,9 @@
 class ForwardContext : public std::enable_shared_from_this<ForwardContext>
 {
 public:
-    ForwardContext(ForwardingServices &forwardingServices, std::shared_ptr<HttpConnection> callerConnection,
+    /// \param forwardingServices  kept alive until the request has ended, also if the entry ends before
+    ForwardContext(std::shared_ptr<ForwardingServices> forwardingServices,
+                   std::shared_ptr<HttpConnection> callerConnection,
                    HttpRequest callerRequest);
 
     /// Finds the route, the client account and the pool. Returns the response if the request is rejected.
@@ -122,6 +124,7 @@
     bool timedOut = false;
 
 private:
+    const std::shared_ptr<ForwardingServices> m_sharedServices;
     std::shared_ptr<HttpExchange> m_exchange;
     asio::steady_timer m_timer;
     RequestTraits m_traits; ///< empty until they are needed
@@ -138,7 +141,7 @@
 http::response_header<> makeCallerHead(const ResponseHead &head);
 
 /// Forwards one request of a caller and sends the response.
-Awaitable<void> forwardRequest(ForwardingServices &services, std::shared_ptr<HttpConnection> connection,
+Awaitable<void> forwardRequest(std::shared_ptr<ForwardingServices> services, std::shared_ptr<HttpConnection> connection,
                                HttpRequest request);
 
 } // namespace zinniadock
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -37,7 +37,8 @@
 } // namespace
 
 ForwardingEntry::ForwardingEntry(asio::io_context &context, Settings settings)
-    : m_services(context, std::move(settings))
+    : m_sharedServices(std::make_shared<ForwardingServices>(context, std::move(settings)))
+    , m_services(*m_sharedServices)
     , m_storeView(m_services, makeViewCallbacks())
 {
 }
@@ -75,11 +76,11 @@
     std::error_code error;
     m_callerListener = std::make_shared<HttpListener>(
         m_services.context,
-        [this](std::shared_ptr<HttpConnection> connection, HttpRequest request) {
-            return forwardRequest(m_services, std::move(connection), std::move(request));
+        [services = m_sharedServices](std::shared_ptr<HttpConnection> connection, HttpRequest request) {
+            return forwardRequest(services, std::move(connection), std::move(request));
         },
-        [this] {
-            return m_services.routes ? m_services.routes->limits : CallerLimits();
+        [services = m_sharedServices] {
+            return services->routes ? services->routes->limits : CallerLimits();
         });
     error = m_callerListener->start(settings.entry.listen);
     const auto handler = [this](auto method) {
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -39,13 +39,14 @@
 
 } // namespace
 
-ForwardContext::ForwardContext(ForwardingServices &forwardingServices, std::shared_ptr<HttpConnection> callerConnection,
-                               HttpRequest callerRequest)
-    : services(forwardingServices)
+ForwardContext::ForwardContext(std::shared_ptr<ForwardingServices> forwardingServices,
+                               std::shared_ptr<HttpConnection> callerConnection, HttpRequest callerRequest)
+    : services(*forwardingServices)
     , connection(std::move(callerConnection))
     , request(std::move(callerRequest))
     , fields(wire::parseCallerFields(request))
     , arrived(std::chrono::steady_clock::now())
+    , m_sharedServices(std::move(forwardingServices))
     , m_timer(services.context)
 {
     ++services.counters.activeRequests;
@@ -338,13 +339,13 @@
     return out;
 }
 
-Awaitable<void> forwardRequest(ForwardingServices &services, std::shared_ptr<HttpConnection> connection,
+Awaitable<void> forwardRequest(std::shared_ptr<ForwardingServices> services, std::shared_ptr<HttpConnection> connection,
                                HttpRequest request)
 {
     const auto context = std::make_shared<ForwardContext>(services, connection, std::move(request));
     std::optional<HttpResponse> refused = context->admit();
     if (refused) {
-        ++services.metrics.refused;
+        ++services->metrics.refused;
         context->logOutcome("refused", refused->body(), Verdict::NotRun);
         co_await connection->respond(std::move(*refused));
         context->finish();
