Claim no end of a stream that its engine has not stated

Cause: the end of the engine's connection counted as the end of the stream, and the entry put the caller's response in chunks. So the caller got a stated end that the engine had never stated. FIN looks the same after the last event, after a crash and after a fault of the engine.

Why it works: the end of a response is judged by one function of its framing (responseend). A stream without a length reaches the caller without a length: an end by FIN between events closes the caller's connection by FIN, every other end resets it, also the end of the entry itself. Events are forwarded as before, so the first event is not delayed. If the caller's response is already in chunks, since another engine began the stream, it is broken off after the last event.

--- a/include/zinniadock/connection/httpclient.h
+++ b/include/zinniadock/connection/httpclient.h
@@ -108,9 +108,13 @@
     /// Returns how the server states where the body ends. \pre readHead() succeeded
     BodyFraming framing() const;
 
-    /// Returns whether the whole response was read.
+    /// Returns whether the whole response was read: up to its stated end, or up to the end of the connection if it has
+    /// none.
     bool isComplete() const;
 
+    /// Returns what is known of the response after reading it has ended. \pre readHead() succeeded
+    ResponseEnd end() const;
+
     SendState sendState() const;
 
     /// Returns the connection to the pool if the response is complete and allows keep-alive, and \p idleTimeout is
--- a/include/zinniadock/connection/httplistener.h
+++ b/include/zinniadock/connection/httplistener.h
@@ -15,6 +15,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include "zinniadock/connection/httpmessage.h"
+#include "zinniadock/connection/responseend.h"
 #include "zinniadock/version/routetable.h"
 
 namespace zinniadock
@@ -37,20 +38,26 @@
 public:
     HttpConnection(asio::ip::tcp::socket socket, HttpHandler handler, CallerLimitsProvider limits,
                    std::shared_ptr<const bool> keepAliveDisabled);
+    ~HttpConnection();
+
+    HttpConnection(const HttpConnection &) = delete;
+    HttpConnection &operator=(const HttpConnection &) = delete;
 
     Awaitable<void> serve();
 
     /// Writes a complete response.
     Awaitable<void> respond(HttpResponse response);
 
-    /// Writes the head of a chunked response. The body follows with writeChunk().
-    Awaitable<IoError> startChunkedResponse(http::response_header<> head);
-    Awaitable<IoError> writeChunk(const std::string &chunk);
+    /// Writes the head of a response whose body follows with writePiece().
+    /// \param framing  Connection for a body that ends with the connection; the body is sent in chunks otherwise
+    Awaitable<IoError> startStream(http::response_header<> head, BodyFraming framing);
+    Awaitable<IoError> writePiece(const std::string &piece);
 
-    /// Writes the last chunk, which marks the body as complete.
-    Awaitable<IoError> endChunkedResponse();
+    /// Ends a body that startStream() began: writes the last chunk, or closes the connection without an error.
+    Awaitable<void> endStream();
 
-    /// Closes the connection. A response in progress is truncated.
+    /// Closes the connection. A response in progress is truncated. If its body ends with the connection, the connection
+    /// is reset.
     void abort();
 
     /// Closes the connection if no request is in progress on it.
@@ -61,7 +68,7 @@
     bool hasCallerDisconnected() const;
 
     /// Sets a handler that runs once if, while the request is handled, the caller closes the connection or a write of
-    /// startChunkedResponse() or writeChunk() fails. Runs the handler at once if the caller has already disconnected.
+    /// startStream() or writePiece() fails. Runs the handler at once if the caller has already disconnected.
     void setDisconnectHandler(std::function<void()> handler);
 
 private:
@@ -69,6 +76,8 @@
     Awaitable<void> rejectMalformedRequest(const IoError &error);
     void watchForDisconnect();
     void handleDisconnect();
+    void resetOnClose(bool enabled);
+    Awaitable<void> closeAfterResponse();
 
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
@@ -80,6 +89,7 @@
     bool m_callerDisconnected = false;
     bool m_keepAlive = true;
     bool m_isHeadRequest = false;
+    bool m_resetsOnClose = false; ///< a body is in progress that ends with the connection
     std::uint64_t m_requestCount = 0;
 };
 
--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -33,7 +33,7 @@
     std::uint64_t failedMoves = 0;
     std::uint64_t brokenStreams = 0; ///< generations that failed, also before their first event
     std::uint64_t brokenResponses = 0; ///< responses of servers that ended early, after their head
-    std::uint64_t unframedResponses = 0; ///< responses of servers that ended with their connection
+    std::uint64_t unframedResponses = 0; ///< responses of servers that ended without a stated end, with FIN
     std::uint64_t lateGaps = 0; ///< gaps between events of a stream that exceed the limit of the route
     std::uint64_t waitedGenerations = 0; ///< generations that waited for capacity
     std::uint64_t refusedReservations = 0; ///< admissions refused by a sidecar, and reservations refused by an engine
--- a/include/zinniadock/request/forwardscope.h
+++ b/include/zinniadock/request/forwardscope.h
@@ -98,11 +98,12 @@
     /// Returns the response to a request that failed and may have run: status 504 after the deadline, 502 otherwise.
     HttpResponse makeFailure(const std::string &reason) const;
 
-    /// Logs and counts a response that ended after its head in a way that its length or chunks did not state: it was
-    /// broken off, or it has neither and ended with its connection. Does nothing for any other response.
+    /// Logs and counts a response that has ended after its head. Does nothing if it is complete.
+    /// \param end  what is known of the response; a stream may be broken off although its HTTP response is complete
     /// \param place  where the body ended
     /// \param error  the error with which reading the body ended
-    void logResponseEnd(const HttpExchange &exchange, std::string_view place, const IoError &error) const;
+    void logResponseEnd(const HttpExchange &exchange, ResponseEnd end, std::string_view place,
+                        const IoError &error) const;
 
     /// Logs how the request ended.
     void logOutcome(const std::string &outcome, const std::string &reason, Verdict verdict) const;
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -40,6 +40,7 @@
     /// How one segment of the stream, from one engine, ended.
     enum class SegmentEnd {
         Complete,
+        Unconfirmed, ///< the engine stated no end, and its connection ended between events without an error
         Refused, ///< the engine did not run the request
         PlainResponse, ///< the engine sent a signed response that is not a stream of events
         Broken,
@@ -76,10 +77,16 @@
     Awaitable<SegmentEnd> runSegment(wire::ServerFields fields);
     SegmentEnd handleMissingResponse(const HttpExchange &exchange);
     Awaitable<SegmentEnd> relayEvents(HttpExchange &exchange);
-    Awaitable<bool> forwardEvents(const std::vector<StreamEvent> &events, const ResponseHead &head);
+    Awaitable<bool> forwardEvents(const std::vector<StreamEvent> &events, const ResponseHead &head,
+                                  BodyFraming framing);
+    SegmentEnd judgeSegment(const HttpExchange &exchange);
+    StreamPlace placeInStream() const;
+    void logStreamEnd(const HttpExchange &exchange) const;
     Awaitable<SegmentEnd> continueAfterMove();
     Awaitable<void> requestMove(std::string server);
     Awaitable<void> finish(SegmentEnd segmentEnd);
+    Awaitable<void> finishStream(SegmentEnd segmentEnd);
+    Awaitable<void> finishBroken();
     Awaitable<void> sendRefusal();
 
     bool mayOutliveProcess() const;
@@ -106,6 +113,7 @@
     std::uint64_t m_assignment = 0;
     EventSplitter m_splitter;
     bool m_headSent = false;
+    BodyFraming m_callerFraming = BodyFraming::Chunks; ///< of the caller's response, after the head was sent
     std::optional<std::uint64_t> m_lastEventId;
     std::uint64_t m_eventCount = 0;
     SteadyTime m_lastEventAt;
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -207,6 +207,11 @@
     return m_parser && m_parser->is_done();
 }
 
+ResponseEnd HttpExchange::end() const
+{
+    return judgeResponse(framing(), isComplete());
+}
+
 SendState HttpExchange::sendState() const
 {
     return m_sendState;
--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -1,5 +1,7 @@
 #include "zinniadock/connection/httplistener.h"
 
+#include <array>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
@@ -18,6 +20,9 @@
 
 constexpr std::chrono::milliseconds writeTimeout{ 15000 };
 constexpr std::chrono::milliseconds bodyTimeout{ 15000 };
+
+/// Maximum wait for a caller to close a connection after a response that ended with it.
+constexpr std::chrono::milliseconds closeTimeout{ 200 };
 constexpr std::chrono::milliseconds acceptRetryDelay{ 20 };
 constexpr int acceptBacklog = 1024;
 
@@ -55,6 +60,11 @@
     setSocketOptions(m_stream.socket());
 }
 
+HttpConnection::~HttpConnection()
+{
+    abort();
+}
+
 Awaitable<void> HttpConnection::serve()
 {
     const auto self = shared_from_this();
@@ -177,14 +187,18 @@
     m_callerDisconnected = m_callerDisconnected || error;
 }
 
-Awaitable<IoError> HttpConnection::startChunkedResponse(http::response_header<> head)
+// A body that ends with the connection states no more than the server did. Until endStream(), each end of the
+// connection is a reset, also the end of this process, so that a truncated body does not look complete.
+Awaitable<IoError> HttpConnection::startStream(http::response_header<> head, BodyFraming framing)
 {
-    m_keepAlive = m_keepAlive && !*m_keepAliveDisabled;
+    const bool isUnframed = framing == BodyFraming::Connection;
+    m_keepAlive = m_keepAlive && !isUnframed && !*m_keepAliveDisabled;
     http::response<http::empty_body> response(std::move(head));
     response.version(11);
     response.erase(http::field::content_length);
-    response.chunked(true);
+    response.chunked(!isUnframed);
     response.keep_alive(m_keepAlive);
+    resetOnClose(isUnframed);
     http::response_serializer<http::empty_body> serializer(response);
     IoError error;
     m_stream.expires_after(writeTimeout);
@@ -195,31 +209,62 @@
     co_return error;
 }
 
-Awaitable<IoError> HttpConnection::writeChunk(const std::string &chunk)
+Awaitable<IoError> HttpConnection::writePiece(const std::string &piece)
 {
     IoError error;
     m_stream.expires_after(writeTimeout);
-    co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(chunk)), redirectError(error));
+    if (m_resetsOnClose) {
+        co_await asio::async_write(m_stream, asio::buffer(piece), redirectError(error));
+    } else {
+        co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(piece)), redirectError(error));
+    }
     if (error) {
         handleDisconnect();
     }
     co_return error;
 }
 
-Awaitable<IoError> HttpConnection::endChunkedResponse()
+Awaitable<void> HttpConnection::endStream()
 {
-    IoError error;
+    if (m_resetsOnClose) {
+        co_await closeAfterResponse();
+        co_return;
+    }
+    IoError ignored; // the response is complete, and the caller may have closed the connection
     m_stream.expires_after(writeTimeout);
-    co_await asio::async_write(m_stream, http::make_chunk_last(), redirectError(error));
+    co_await asio::async_write(m_stream, http::make_chunk_last(), redirectError(ignored));
     m_stream.expires_never();
-    co_return error;
+}
+
+void HttpConnection::resetOnClose(bool enabled)
+{
+    m_resetsOnClose = enabled;
+    IoError ignored; // the connection may be closed already
+    m_stream.socket().set_option(asio::socket_base::linger(enabled, 0), ignored);
+}
+
+// Closing a socket with unread bytes resets the connection. So the bytes that the caller has sent meanwhile are read
+// until the caller closes the connection too.
+Awaitable<void> HttpConnection::closeAfterResponse()
+{
+    resetOnClose(false);
+    IoError error; // ends the loop; the response has been written
+    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    m_stream.expires_after(closeTimeout);
+    std::array<char, 1024> unread{};
+    while (!error) {
+        co_await m_stream.async_read_some(asio::buffer(unread), redirectError(error));
+    }
+    abort();
 }
 
 void HttpConnection::abort()
 {
     m_keepAlive = false;
     IoError ignored; // the connection may be closed already
-    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    if (!m_resetsOnClose) {
+        m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    }
     m_stream.socket().close(ignored);
 }
 
--- a/src/connection/responseend.cpp
+++ b/src/connection/responseend.cpp
@@ -3,6 +3,25 @@
 namespace zinniadock
 {
 
+// An end by FIN looks the same whether the server has finished, has crashed or has broken off its response. So it is
+// never reported as complete.
+ResponseEnd judgeResponse(BodyFraming framing, bool isParsed)
+{
+    if (!isParsed) {
+        return ResponseEnd::BrokenOff;
+    }
+    return framing == BodyFraming::Connection ? ResponseEnd::Unconfirmed : ResponseEnd::Complete;
+}
+
+ResponseEnd judgeStream(ResponseEnd response, StreamPlace place)
+{
+    if (place == StreamPlace::InsideEvent) {
+        return ResponseEnd::BrokenOff;
+    }
+    const bool isEmpty = place == StreamPlace::BeforeEvents;
+    return isEmpty && response == ResponseEnd::Unconfirmed ? ResponseEnd::BrokenOff : response;
+}
+
 StreamPlace placeInStream(std::size_t events, std::size_t incompleteBytes)
 {
     if (incompleteBytes > 0) {
@@ -26,6 +45,19 @@
     return "unknown";
 }
 
+std::string_view toString(ResponseEnd end)
+{
+    switch (end) {
+    case ResponseEnd::Complete:
+        return "complete";
+    case ResponseEnd::Unconfirmed:
+        return "unconfirmed";
+    case ResponseEnd::BrokenOff:
+        return "broken off";
+    }
+    return "unknown";
+}
+
 std::string_view toString(StreamPlace place)
 {
     switch (place) {
--- a/src/request/callforward.cpp
+++ b/src/request/callforward.cpp
@@ -163,7 +163,8 @@
     Attempt attempt;
     attempt.response = HttpResponse(makeCallerHead(exchange->head()));
     error = co_await exchange->readRest(attempt.response.body(), maxResponseBytes);
-    m_context->logResponseEnd(*exchange, std::to_string(attempt.response.body().size()) + " bytes", error);
+    const std::string size = std::to_string(attempt.response.body().size()) + " bytes";
+    m_context->logResponseEnd(*exchange, exchange->end(), size, error);
     if (error) {
         co_return makeFailedAttempt(*exchange, "reading the response body: " + error.message());
     }
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -278,19 +278,19 @@
     return makeEntryResponse(timedOut ? http::status::gateway_timeout : http::status::bad_gateway, reason);
 }
 
-void ForwardContext::logResponseEnd(const HttpExchange &exchange, std::string_view place, const IoError &error) const
+void ForwardContext::logResponseEnd(const HttpExchange &exchange, ResponseEnd end, std::string_view place,
+                                    const IoError &error) const
 {
-    const bool isUnframed = exchange.framing() == BodyFraming::Connection;
-    if (exchange.isComplete() && !isUnframed) {
+    if (end == ResponseEnd::Complete) {
         return;
     }
-    ++(exchange.isComplete() ? services.counters.unframedResponses : services.counters.brokenResponses);
-    logEvent("response", exchange.isComplete() ? "ended with its connection" : "broken off",
+    ++(end == ResponseEnd::Unconfirmed ? services.counters.unframedResponses : services.counters.brokenResponses);
+    logEvent("response", toString(end),
              { { "id", fields.requestId },
                { "server", server },
                { "framing", toString(exchange.framing()) },
                { "place", place },
-               { "reason", exchange.isComplete() ? std::string() : error.message() } });
+               { "reason", error ? error.message() : std::string() } });
 }
 
 void ForwardContext::logOutcome(const std::string &outcome, const std::string &reason, Verdict verdict) const
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -422,9 +422,7 @@
         = exchange->head().result() == http::status::ok && responseFields.isSigned && responseFields.isEventStream;
     if (isStream) {
         segmentEnd = co_await relayEvents(*exchange);
-        const StreamPlace place = placeInStream(m_eventCount, m_splitter.incompleteEvent().size());
-        const std::string moving = m_moveState == MoveState::None ? "" : ", during a move";
-        m_context->logResponseEnd(*exchange, std::string(toString(place)) + moving, m_streamError);
+        logStreamEnd(*exchange);
         if (segmentEnd == SegmentEnd::Broken && m_eventCount == 0) {
             m_context->recordBrokenRun(record, sentAt, m_streamError);
         }
@@ -432,7 +430,8 @@
         m_reason = "status " + std::to_string(exchange->head().result_int());
         HttpResponse plain(makeCallerHead(exchange->head()));
         error = co_await exchange->readRest(plain.body(), maxPlainResponseBytes);
-        m_context->logResponseEnd(*exchange, std::to_string(plain.body().size()) + " bytes", error);
+        const std::string size = std::to_string(plain.body().size()) + " bytes";
+        m_context->logResponseEnd(*exchange, exchange->end(), size, error);
         if (responseFields.isMisdirected) {
             m_services.directory.markReplaced(server);
         }
@@ -477,7 +476,7 @@
         std::string bytes;
         const IoError error = co_await exchange.readSome(bytes);
         const std::vector<StreamEvent> events = m_splitter.push(bytes);
-        const bool forwarded = co_await forwardEvents(events, head);
+        const bool forwarded = co_await forwardEvents(events, head, exchange.framing());
         if (!forwarded || m_context->connection->hasCallerDisconnected()) {
             co_return SegmentEnd::CallerDisconnected;
         }
@@ -492,15 +491,41 @@
             co_return SegmentEnd::Broken;
         }
     }
-    if (!m_splitter.incompleteEvent().empty()) {
+    co_return judgeSegment(exchange);
+}
+
+StreamPlace GenerationForwarder::placeInStream() const
+{
+    return zinniadock::placeInStream(m_eventCount, m_splitter.incompleteEvent().size());
+}
+
+void GenerationForwarder::logStreamEnd(const HttpExchange &exchange) const
+{
+    if (m_context->connection->hasCallerDisconnected()) {
+        return;
+    }
+    const std::string moving = m_moveState == MoveState::None ? "" : ", during a move";
+    m_context->logResponseEnd(exchange, judgeStream(exchange.end(), placeInStream()),
+                              std::string(toString(placeInStream())) + moving, m_streamError);
+}
+
+GenerationForwarder::SegmentEnd GenerationForwarder::judgeSegment(const HttpExchange &exchange)
+{
+    const StreamPlace place = placeInStream();
+    const ResponseEnd end = judgeStream(exchange.end(), place);
+    if (end == ResponseEnd::BrokenOff) {
         m_streamError = make_error_code(boost::system::errc::connection_reset);
-        m_reason = "the stream ended inside an event, after " + std::to_string(m_eventCount) + " events";
-        co_return SegmentEnd::Broken;
+        m_reason = "the stream ended " + std::string(toString(place)) + ", after " + std::to_string(m_eventCount)
+            + " events";
+        return SegmentEnd::Broken;
     }
-    co_return SegmentEnd::Complete;
+    return end == ResponseEnd::Complete ? SegmentEnd::Complete : SegmentEnd::Unconfirmed;
 }
 
-Awaitable<bool> GenerationForwarder::forwardEvents(const std::vector<StreamEvent> &events, const ResponseHead &head)
+// The caller's response has the framing of the first engine's response, so that it never states an end that the engine
+// did not state.
+Awaitable<bool> GenerationForwarder::forwardEvents(const std::vector<StreamEvent> &events, const ResponseHead &head,
+                                                   BodyFraming framing)
 {
     std::string piece;
     for (const StreamEvent &event : events) {
@@ -517,12 +542,13 @@
     recordEvents();
     if (!m_headSent) {
         m_headSent = true;
-        const IoError error = co_await m_context->connection->startChunkedResponse(head);
+        m_callerFraming = framing;
+        const IoError error = co_await m_context->connection->startStream(head, framing);
         if (error) {
             co_return false;
         }
     }
-    const IoError error = co_await m_context->connection->writeChunk(piece);
+    const IoError error = co_await m_context->connection->writePiece(piece);
     co_return !error;
 }
 
@@ -558,16 +584,8 @@
     }
     switch (segmentEnd) {
     case SegmentEnd::Complete:
-        ++m_services.metrics.completed;
-        m_services.metrics.maxStall.record(m_maxEventGap);
-        recordOutputLength();
-        m_services.metrics.tokens += m_eventCount;
-        m_context->logOutcome("answered", streamSummary(), Verdict::Ran);
-        if (m_headSent) {
-            co_await m_context->connection->endChunkedResponse();
-        } else {
-            co_await m_context->connection->respond(m_context->makeFailure("the stream had no events"));
-        }
+    case SegmentEnd::Unconfirmed:
+        co_await finishStream(segmentEnd);
         break;
     case SegmentEnd::PlainResponse:
         ++m_services.metrics.completed;
@@ -578,18 +596,47 @@
         co_await sendRefusal();
         break;
     default:
-        ++m_services.metrics.failed;
-        ++m_services.counters.brokenStreams;
-        m_context->logOutcome("failed", m_reason + ", " + streamSummary(), Verdict::MayHaveRun);
-        if (m_headSent) {
-            m_context->connection->abort();
-        } else {
-            co_await m_context->connection->respond(m_context->makeFailure(m_reason));
-        }
+        co_await finishBroken();
         break;
     }
 }
 
+// A response in chunks can't end without stating that it is complete. If the last engine of a moved stream stated no
+// end, such a response is broken off after the last event.
+Awaitable<void> GenerationForwarder::finishStream(SegmentEnd segmentEnd)
+{
+    const bool isConfirmed = segmentEnd == SegmentEnd::Complete;
+    if (!isConfirmed && m_callerFraming != BodyFraming::Connection) {
+        m_reason = "the engine stated no end of the stream";
+        co_await finishBroken();
+        co_return;
+    }
+    ++m_services.metrics.completed;
+    m_services.metrics.maxStall.record(m_maxEventGap);
+    m_services.metrics.tokens += m_eventCount;
+    if (isConfirmed) {
+        recordOutputLength();
+    }
+    m_context->logOutcome("answered", streamSummary() + (isConfirmed ? "" : ", no stated end"), Verdict::Ran);
+    if (m_headSent) {
+        co_await m_context->connection->endStream();
+    } else {
+        co_await m_context->connection->respond(m_context->makeFailure("the stream had no events"));
+    }
+}
+
+Awaitable<void> GenerationForwarder::finishBroken()
+{
+    ++m_services.metrics.failed;
+    ++m_services.counters.brokenStreams;
+    m_context->logOutcome("failed", m_reason + ", " + streamSummary(), Verdict::MayHaveRun);
+    if (m_headSent) {
+        m_context->connection->abort();
+    } else {
+        co_await m_context->connection->respond(m_context->makeFailure(m_reason));
+    }
+}
+
 void GenerationForwarder::recordOutputLength()
 {
     const std::uint32_t hint = m_context->fields.outputHint.value_or(0);
--- a/tests/unit/unit-responseends.cpp
+++ b/tests/unit/unit-responseends.cpp
@@ -8,6 +8,7 @@
 #include "fleet.h"
 #include "forwardingfixture.h"
 #include "rawcaller.h"
+#include "zinniadock/connection/responseend.h"
 
 using namespace zinniadock;
 using namespace zinniadock::standin;
@@ -139,6 +140,43 @@
 
 } // namespace
 
+TEST_CASE("what is known of a response that has ended")
+{
+    CHECK(judgeResponse(BodyFraming::NoBody, true) == ResponseEnd::Complete);
+    CHECK(judgeResponse(BodyFraming::Length, true) == ResponseEnd::Complete);
+    CHECK(judgeResponse(BodyFraming::Chunks, true) == ResponseEnd::Complete);
+    CHECK(judgeResponse(BodyFraming::Connection, true) == ResponseEnd::Unconfirmed);
+    for (const BodyFraming framing :
+         { BodyFraming::NoBody, BodyFraming::Length, BodyFraming::Chunks, BodyFraming::Connection }) {
+        CHECK(judgeResponse(framing, false) == ResponseEnd::BrokenOff);
+    }
+    for (const ResponseEnd end : { ResponseEnd::Complete, ResponseEnd::Unconfirmed, ResponseEnd::BrokenOff }) {
+        CHECK(judgeStream(end, placeInStream(3, 0)) == end);
+        CHECK(judgeStream(end, placeInStream(3, 1)) == ResponseEnd::BrokenOff);
+        CHECK(judgeStream(end, placeInStream(0, 1)) == ResponseEnd::BrokenOff);
+    }
+    CHECK(judgeStream(ResponseEnd::Unconfirmed, placeInStream(0, 0)) == ResponseEnd::BrokenOff);
+}
+
+// Guards against FIN, which looks like the end of the stream, when the operating system closes the sockets of an entry.
+TEST_CASE("a stream without a length is reset if its entry ends")
+{
+    PlatformServer engine("e1", "127.0.0.2");
+    SeededStore store("e1", engine.record("engines"));
+    auto entry = std::make_unique<RoleThread<ForwardingEntry>>(entrySettings(store.port(), 1));
+    waitForCapacity(*entry);
+    engine.setStreams(StreamFraming::Connection);
+    engine.setEventInterval(std::chrono::milliseconds(20));
+    auto response = std::async(std::launch::async, [port = (*entry)->port()] {
+        return requestRaw(port, rawGeneration("ends"));
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    entry.reset();
+    const SeenResponse seen = response.get();
+    CHECK(seen.status == 200);
+    CHECK(seen.end == SeenEnd::BrokenOff);
+}
+
 // Guards against a last chunk after a stream without a length whose engine crashed between two events.
 TEST_CASE("a stream without a length whose engine crashes between events does not reach its caller as complete")
 {
