Continue a stream without a length that was stopped for a move

What callers saw: a stream without a length, whose engine stopped it for a move, ended after the events so far as if it were complete. The target got no request.

Cause: only a stream that broke off was continued after a move. An engine closes the connection of a generation that it stops, and without a length that is an end like any other.

Why it works: an end that the engine has not stated waits for the result of the move. If the generation has stopped, it continues at the target. If the order was sent and its result is unknown, because a response was lost, the stream is broken off. If the engine had ended the generation by itself, the end stays what it was. A final copy and a move order now say which of the three it is.

--- a/include/zinniadock/connection/httpclient.h
+++ b/include/zinniadock/connection/httpclient.h
@@ -142,6 +142,7 @@
 struct CallResult
 {
     IoError error; ///< set if no complete response was received
+    SendState sendState = SendState::NotSent;
     unsigned status = 0;
     ResponseHead head;
     std::string body;
--- a/include/zinniadock/process/sidecarmessages.h
+++ b/include/zinniadock/process/sidecarmessages.h
@@ -44,6 +44,8 @@
 struct MoveResult
 {
     bool stopped = false; ///< the generation has stopped at the source engine
+    /// The generation was ordered to stop, and it is not known whether it has. False if \c stopped is true.
+    bool mayHaveStopped = false;
     std::optional<wire::KvCacheCopy> copy; ///< the copy of the generation's KV cache at the source engine
     std::optional<Endpoint> target; ///< the engine that also has a copy; nothing if the move failed
     std::string reason; ///< why there is no target
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -82,7 +82,8 @@
     SegmentEnd judgeSegment(const HttpExchange &exchange);
     StreamPlace placeInStream() const;
     void logStreamEnd(const HttpExchange &exchange) const;
-    Awaitable<SegmentEnd> continueAfterMove();
+    bool mayContinue(SegmentEnd segmentEnd) const;
+    Awaitable<SegmentEnd> continueAfterMove(SegmentEnd segmentEnd);
     Awaitable<void> requestMove(std::string server);
     Awaitable<void> finish(SegmentEnd segmentEnd);
     Awaitable<void> finishStream(SegmentEnd segmentEnd);
@@ -122,6 +123,7 @@
     bool m_engineDraining = false;
     std::uint32_t m_moveCount = 0;
     MoveState m_moveState = MoveState::None;
+    bool m_mayHaveStopped = false; ///< the engine was ordered to stop the generation, with an unknown result
     SteadyTime m_nextMoveAt; ///< earliest time of the next move request after a failed move
     MoveResult m_move;
     AsyncCondition m_moveChanged;
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -245,6 +245,7 @@
     });
     request.set(http::field::host, peer.text());
     result.error = co_await exchange->send(request, timeout);
+    result.sendState = exchange->sendState();
     if (!result.error) {
         result.error = co_await exchange->readHead();
     }
--- a/src/process/runmover.cpp
+++ b/src/process/runmover.cpp
@@ -43,6 +43,13 @@
     co_return !response || response->admitted;
 }
 
+/// Returns whether a final copy, which stops the generation, may have stopped it without returning the copy's name. The
+/// source engine stops the generation before it responds, unless it does not run it or has another copy in progress.
+bool mayHaveStopped(const CallResult &finalCopy)
+{
+    return finalCopy.error || (finalCopy.status != statusNotRunning && finalCopy.status != statusInProgress);
+}
+
 std::string describe(const CallResult &result)
 {
     if (result.error) {
@@ -80,6 +87,7 @@
         const std::string copy = wire::parseCopyId(last.body);
         result.reason = last.succeeded() ? "" : describe(last);
         result.stopped = !last.error && !copy.empty();
+        result.mayHaveStopped = !result.stopped && mayHaveStopped(last);
         if (result.stopped) {
             result.copy = wire::KvCacheCopy{ source, copy };
         }
--- a/src/process/sidecarmessages.cpp
+++ b/src/process/sidecarmessages.cpp
@@ -131,7 +131,9 @@
 
 std::string encode(const MoveResult &result)
 {
-    Json document{ { "stopped", result.stopped }, { "reason", result.reason } };
+    Json document{ { "stopped", result.stopped },
+                   { "may_have_stopped", result.mayHaveStopped },
+                   { "reason", result.reason } };
     if (result.copy) {
         document["holder"] = result.copy->holder.text();
         document["copy"] = result.copy->name;
@@ -212,6 +214,8 @@
     return fromCbor<MoveResult>(bytes, [](const Json &document) {
         MoveResult result;
         result.stopped = document.at("stopped").get<bool>();
+        // A sidecar of an earlier version does not send the field.
+        result.mayHaveStopped = document.value("may_have_stopped", !result.stopped);
         result.reason = document.at("reason").get<std::string>();
         if (document.contains("copy")) {
             const auto holder = parseEndpoint(document.at("holder").get<std::string>());
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -119,8 +119,12 @@
             m_refusedBy.insert(chosen->server);
         }
     }
-    while (segmentEnd == SegmentEnd::Broken && m_context->isActive() && m_moveState != MoveState::None) {
-        segmentEnd = co_await continueAfterMove();
+    while (mayContinue(segmentEnd)) {
+        segmentEnd = co_await continueAfterMove(segmentEnd);
+    }
+    if (segmentEnd == SegmentEnd::Unconfirmed && m_mayHaveStopped) {
+        m_reason = "the engine may have stopped the generation for a move, and stated no end of the stream";
+        segmentEnd = SegmentEnd::Broken;
     }
     co_await finish(segmentEnd);
 }
@@ -396,6 +400,7 @@
     }
     const ServerRecord record = tracked->record;
     attach(server);
+    m_mayHaveStopped = false;
     ++m_context->attempts;
     recordSent(record, fields.copy ? SendReason::Move : SendReason::FirstAttempt);
     m_splitter.reset();
--- a/src/request/generationmoves.cpp
+++ b/src/request/generationmoves.cpp
@@ -138,9 +138,12 @@
         } else {
             result = co_await moveGeneration(m_services.pool, engine, order, drainTimeLeft,
                                              m_services.settings.forwarding.sidecarPort());
+            const bool sidecarMayHaveStopped = !result.stopped && callResult.sendState == SendState::Sent;
+            result.mayHaveStopped = result.mayHaveStopped || sidecarMayHaveStopped;
         }
     }
     m_move = result;
+    m_mayHaveStopped = m_mayHaveStopped || result.mayHaveStopped;
     m_moveState = result.stopped ? MoveState::Stopped : MoveState::None;
     m_services.counters.failedMoves += result.stopped ? 0 : 1;
     m_nextMoveAt = std::chrono::steady_clock::now() + moveRetryDelay;
@@ -154,22 +157,31 @@
     m_moveChanged.notify();
 }
 
+// A stream without a stated end may have ended because of the move.
+bool GenerationForwarder::mayContinue(SegmentEnd segmentEnd) const
+{
+    const bool mayBeStopped = segmentEnd == SegmentEnd::Broken || segmentEnd == SegmentEnd::Unconfirmed;
+    return mayBeStopped && m_context->isActive() && m_moveState != MoveState::None;
+}
+
 // Continues a generation that has stopped or is stopping at its source. The generation resumes at the target, or at its
-// source if there is no target or the target refuses it. Returns Broken if both refuse the generation, or if the move
-// fails or does not end within moveResultTimeout.
-Awaitable<GenerationForwarder::SegmentEnd> GenerationForwarder::continueAfterMove()
+// source if there is no target or the target refuses it. Returns Broken if both refuse the generation. Returns
+// \p segmentEnd, the end of the stream at the source, if the generation was not stopped or if the move does not end
+// within moveResultTimeout.
+Awaitable<GenerationForwarder::SegmentEnd> GenerationForwarder::continueAfterMove(SegmentEnd segmentEnd)
 {
     if (m_moveState == MoveState::Requested) {
         co_await m_moveChanged.wait(moveResultTimeout);
     }
     if (m_moveState != MoveState::Stopped) {
+        m_mayHaveStopped = m_mayHaveStopped || m_moveState == MoveState::Requested;
         m_moveState = MoveState::None;
-        co_return SegmentEnd::Broken;
+        co_return segmentEnd;
     }
     m_moveState = MoveState::None;
     const std::string source = m_server;
     const auto target = m_move.target ? findByAddress(m_services.directory, *m_move.target) : std::nullopt;
-    SegmentEnd segmentEnd = SegmentEnd::Refused;
+    segmentEnd = SegmentEnd::Refused;
     if (target) {
         ++m_moveCount;
         ++m_services.counters.movedStreams;
--- a/tests/standin/platformstandin.cpp
+++ b/tests/standin/platformstandin.cpp
@@ -421,6 +421,11 @@
     m_copyMilliseconds = time.count();
 }
 
+void PlatformServer::setStopResponseLost(bool lost)
+{
+    m_isStopResponseLost = lost;
+}
+
 std::uint64_t PlatformServer::copiesInProgress() const
 {
     return m_copiesInProgress;
@@ -597,6 +602,10 @@
         const std::lock_guard tableLock(table.mutex);
         table.copies[endpoint() + "/" + handle] = { id, generation->second.events };
     }
+    if (generation->second.stopped && m_isStopResponseLost) {
+        cutConnection(request);
+        return;
+    }
     send(response, 200, { { "handle", handle }, { "created", generation->second.events } });
 }
 
--- a/tests/standin/platformstandin.h
+++ b/tests/standin/platformstandin.h
@@ -185,6 +185,9 @@
     /// Sets the time that each copy of a generation takes.
     void setCopyDuration(std::chrono::milliseconds time);
 
+    /// Makes the server stop a generation for its final copy as ordered, but close the connection without a response.
+    void setStopResponseLost(bool lost);
+
     /// Returns the number of copies of generations in progress.
     std::uint64_t copiesInProgress() const;
 
@@ -283,6 +286,7 @@
     std::atomic<std::int64_t> m_eventMilliseconds{ 5 };
     std::atomic<std::int64_t> m_copyMilliseconds{ 0 };
     std::atomic<std::uint64_t> m_copiesInProgress{ 0 };
+    std::atomic<bool> m_isStopResponseLost{ false };
     std::atomic<std::int64_t> m_drainDeadline{ 0 }; ///< milliseconds of the steady clock; 0 if not draining
     std::map<std::string, Generation> m_generations;
     std::vector<ReceivedRequest> m_startedRequests;
--- a/tests/unit/unit-responseends.cpp
+++ b/tests/unit/unit-responseends.cpp
@@ -205,6 +205,81 @@
     CHECK(seen.end == SeenEnd::Unconfirmed);
 }
 
+// Guards against a stream that looks complete because the response to the order to stop it was lost.
+TEST_CASE("a stream without a length that may have been stopped for a move is broken off")
+{
+    MoveDeployment deployment;
+    deployment.source.setStreams(StreamFraming::Connection);
+    deployment.source.setStopResponseLost(true);
+    const SeenResponse seen = deployment.requestMovedStream();
+    CHECK(seen.status == 200);
+    CHECK(seen.body.size() < completeStreamBody().size());
+    CHECK(seen.end == SeenEnd::BrokenOff);
+}
+
+// Guards against a whole stream that is broken off, since its engine had ended it before it could be stopped.
+TEST_CASE("a stream without a length that ends by itself during a move reaches its caller")
+{
+    MoveDeployment deployment;
+    constexpr int events = 20;
+    deployment.source.setStreams(StreamFraming::Connection, StreamCut{ .afterEvents = events });
+    deployment.source.setCopyDuration(std::chrono::milliseconds(900));
+    const SeenResponse seen = deployment.requestMovedStream();
+    CHECK(deployment.target.startedRequests().empty());
+    CHECK(seen.body == streamBody(1, events));
+    CHECK(seen.end == SeenEnd::Unconfirmed);
+}
+
+TEST_CASE("each framing and end of a moved stream reaches its caller as what its engines have stated")
+{
+    struct Case
+    {
+        StreamFraming source;
+        StreamFraming target;
+        std::optional<StreamCut> cut; ///< how the stream ends at the target; nothing if it is whole
+        SeenEnd expected;
+    };
+    constexpr int cutAtTarget = 50;
+    const StreamCut betweenEvents{ .afterEvents = cutAtTarget };
+    const StreamCut insideEvent{ .afterEvents = cutAtTarget, .insideEvent = true };
+    const StreamCut reset{ .afterEvents = cutAtTarget, .end = ConnectionEnd::Reset };
+    const StreamCut crash{ .afterEvents = cutAtTarget, .end = ConnectionEnd::Crash };
+    constexpr StreamFraming chunks = StreamFraming::Chunks;
+    constexpr StreamFraming length = StreamFraming::Length;
+    constexpr StreamFraming connection = StreamFraming::Connection;
+    const auto each = GENERATE_COPY(values<Case>({
+        { connection, connection, {}, SeenEnd::Unconfirmed },
+        { connection, connection, betweenEvents, SeenEnd::Unconfirmed },
+        { connection, connection, insideEvent, SeenEnd::BrokenOff },
+        { connection, connection, reset, SeenEnd::BrokenOff },
+        { connection, connection, crash, SeenEnd::Unconfirmed },
+        { connection, chunks, {}, SeenEnd::Unconfirmed },
+        { connection, chunks, betweenEvents, SeenEnd::BrokenOff },
+        { connection, length, crash, SeenEnd::BrokenOff },
+        { chunks, chunks, {}, SeenEnd::Complete },
+        { chunks, length, {}, SeenEnd::Complete },
+        { length, chunks, {}, SeenEnd::Complete },
+        { chunks, chunks, betweenEvents, SeenEnd::BrokenOff },
+        { chunks, chunks, reset, SeenEnd::BrokenOff },
+        { length, length, crash, SeenEnd::BrokenOff },
+        // The caller's response is in chunks, and nobody has stated that the stream is complete.
+        { chunks, connection, {}, SeenEnd::BrokenOff },
+        { chunks, connection, betweenEvents, SeenEnd::BrokenOff },
+    }));
+    CAPTURE(toText(each.source), toText(each.target), each.cut.has_value());
+    MoveDeployment deployment;
+    deployment.source.setStreams(each.source);
+    deployment.target.setStreams(each.target, each.cut);
+    const SeenResponse seen = deployment.requestMovedStream();
+    CHECK(deployment.target.startedRequests().size() == 1);
+    CHECK(seen.end == each.expected);
+    const std::string sent = each.cut ? streamBody(1, cutAtTarget) : completeStreamBody();
+    CHECK(sent.rfind(seen.body, 0) == 0);
+    if (each.expected != SeenEnd::BrokenOff || !each.cut) {
+        CHECK(seen.body == sent);
+    }
+}
+
 TEST_CASE("each framing and end and place of a stream reaches its caller as what its engine has stated")
 {
     struct Case
