Break off a stream that goes on with another response

What callers saw: behind a stream without a length, the head of another response of a faulty engine arrived as an event.

Cause: without a length all bytes up to the end of the connection belong to the body, and a head ends with an empty line as an event does.

Why it works: no field of an event begins with "HTTP/1.", so the stream is broken off before such bytes, whatever its framing.

--- a/src/request/eventsplitter.cpp
+++ b/src/request/eventsplitter.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr std::string_view idPrefix = "id:";
+constexpr std::string_view statusLinePrefix = "HTTP/1.";
 
 /// Maximum length of an incomplete event terminator at the end of the received bytes: LF and CR.
 constexpr std::size_t maxPartialTerminatorBytes = 2;
@@ -45,6 +46,11 @@
 
 } // namespace
 
+bool isResponseHead(const StreamEvent &event)
+{
+    return event.bytes.starts_with(statusLinePrefix);
+}
+
 std::vector<StreamEvent> EventSplitter::push(std::string_view bytes)
 {
     m_incompleteEvent += bytes;
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -480,7 +480,10 @@
     while (!exchange.isComplete()) {
         std::string bytes;
         const IoError error = co_await exchange.readSome(bytes);
-        const std::vector<StreamEvent> events = m_splitter.push(bytes);
+        std::vector<StreamEvent> events = m_splitter.push(bytes);
+        const auto foreign = std::find_if(events.begin(), events.end(), isResponseHead);
+        const bool hasForeignBytes = foreign != events.end();
+        events.erase(foreign, events.end());
         const bool forwarded = co_await forwardEvents(events, head, exchange.framing());
         if (!forwarded || m_context->connection->hasCallerDisconnected()) {
             co_return SegmentEnd::CallerDisconnected;
@@ -490,6 +493,11 @@
             m_reason = "reading the stream: " + error.message();
             co_return SegmentEnd::Broken;
         }
+        if (hasForeignBytes) {
+            m_reason = "the stream has the head of another response after " + std::to_string(m_eventCount) + " events";
+            exchange.abort();
+            co_return SegmentEnd::Broken;
+        }
         if (m_splitter.isOversized()) {
             m_reason = "an event of the stream is larger than " + std::to_string(maxStreamEventBytes) + " bytes";
             exchange.abort();
--- a/tests/unit/unit-eventsplitter.cpp
+++ b/tests/unit/unit-eventsplitter.cpp
@@ -35,6 +35,13 @@
         CHECK_FALSE(events[1].id);
         CHECK(events[2].id == 3);
     }
+    SECTION("the head of a response is not an event")
+    {
+        const auto events = splitter.push("data: HTTP/1.1\n\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
+        REQUIRE(events.size() == 2);
+        CHECK_FALSE(isResponseHead(events[0]));
+        CHECK(isResponseHead(events[1]));
+    }
     SECTION("bytes without an end of an event overflow at the maximum event size")
     {
         const std::string piece(16384, 'x');
