Take a broken-off response of a plain service for what it is on the completions interface

What callers saw: on the completions interface, a response that a service sent in chunks and broke off arrived as complete, and so did one without a length that ended with a reset or with silence. Keyed calls stored it as their outcome.

Cause: the sidecar read responses through a stream of the HTTP library that ends in the same way at the last chunk, at FIN, at a reset and at a timeout. Only a length was checked.

Why it works: the sidecar calls services with the client of the forwarding interface, whose parser reports each end, and both interfaces judge responses with the same function. A response without a stated end is passed on as such: over the link (a new field, true if absent), in the stored outcome of a key, and to the caller, whose connection it ends.

--- a/include/zinniadock/connection/httpclient.h
+++ b/include/zinniadock/connection/httpclient.h
@@ -91,6 +91,10 @@
     HttpExchange(const HttpExchange &) = delete;
     HttpExchange &operator=(const HttpExchange &) = delete;
 
+    /// Sets the maximum time in which the server may send no byte while the response is read. Without this call there
+    /// is no limit.
+    void setReadTimeout(std::chrono::milliseconds timeout);
+
     /// Writes the request on a pooled connection, or on a new connection if the pool has none.
     Awaitable<IoError> send(const HttpRequest &request, std::chrono::milliseconds connectTimeout);
 
@@ -128,11 +132,14 @@
 private:
     using Parser = http::response_parser<http::buffer_body>;
 
+    void startReadTimeout();
+
     ConnectionPool &m_pool;
     const Endpoint m_peer;
     const std::chrono::milliseconds m_maxIdleTime;
     std::shared_ptr<PooledConnection> m_connection;
     std::optional<Parser> m_parser;
+    std::optional<std::chrono::milliseconds> m_readTimeout;
     bool m_isHeadRequest = false;
     bool m_aborted = false;
     SendState m_sendState = SendState::NotSent;
--- a/include/zinniadock/connection/linkmessage.h
+++ b/include/zinniadock/connection/linkmessage.h
@@ -200,7 +200,7 @@
     }
 };
 
-/// The complete response of a plain service.
+/// The response of a plain service.
 struct ServiceResponse
 {
     RequestId request;
@@ -208,6 +208,7 @@
     std::uint32_t status = 0;
     std::string contentType;
     std::string body;
+    bool isEndStated = true; ///< the service has stated that the body is complete
 
     template <typename Archive>
     void serialize(Archive &archive)
@@ -217,6 +218,7 @@
         archive("s", status);
         archive("c", contentType);
         archive("b", body);
+        archive("e", isEndStated);
     }
 };
 
--- a/include/zinniadock/connection/servicecall.h
+++ b/include/zinniadock/connection/servicecall.h
@@ -10,7 +10,7 @@
 namespace zinniadock
 {
 
-/// Sends one call to a plain service and waits for the complete response.
+/// Sends one call to a plain service and waits for the response. A response that was broken off is a Failure.
 /// The verdict of a Failure is NotRun only if the service cannot have received the call.
 std::variant<ServiceResponse, Failure> callService(const Endpoint &service, const Offer &offer,
                                                    BackendTimeouts timeouts);
--- a/include/zinniadock/process/claims.h
+++ b/include/zinniadock/process/claims.h
@@ -21,6 +21,7 @@
     std::uint32_t status = 0;
     std::string contentType;
     std::string body;
+    bool isEndStated = true; ///< the service has stated that the body is complete
 };
 
 /// The value that the store holds for an idempotency key.
--- a/include/zinniadock/request/callattempts.h
+++ b/include/zinniadock/request/callattempts.h
@@ -25,7 +25,8 @@
     void runWithIdempotencyKey();
     std::variant<ServiceResponse, Failure> callWithRetries(bool mayRepeat);
     std::variant<ServiceResponse, Failure> attemptCall(GenerationId generation, std::set<std::string> &tried);
-    void sendResponse(std::uint32_t status, const std::string &contentType, const std::string &body, bool replayed);
+    void sendResponse(const ClaimOutcome &outcome, bool replayed);
+    void sendUnframedBody(const std::string &body);
 
     RequestContext &m_context;
 };
--- a/include/zinniadock/request/requestcontext.h
+++ b/include/zinniadock/request/requestcontext.h
@@ -24,6 +24,14 @@
     std::uint32_t promptTokens = 0;
 };
 
+/// What a request needs of the connection of its caller besides the response.
+struct CallerControl
+{
+    std::function<bool()> hasClosedSending; ///< returns whether the caller has closed its sending side
+    /// Sets whether each end of the connection is a reset, also the end of this process.
+    std::function<void(bool)> resetOnClose;
+};
+
 /// State shared by all attempts of one request at an entry: its caller, its route in one configuration version, and the
 /// services of the entry.
 class RequestContext
@@ -31,9 +39,8 @@
 public:
     using Clock = std::chrono::steady_clock;
 
-    /// \param callerHasClosed  returns whether the caller has closed its sending side
     RequestContext(EntryServices &entryServices, const CallerRequest &callerRequest,
-                   Poco::Net::HTTPServerResponse &callerResponse, std::function<bool()> callerHasClosed);
+                   Poco::Net::HTTPServerResponse &callerResponse, CallerControl callerControl);
 
     /// Returns the time until the deadline, which is negative after the deadline.
     std::chrono::milliseconds timeLeft() const;
@@ -66,7 +73,7 @@
     EntryServices &services;
     const CallerRequest &request;
     Poco::Net::HTTPServerResponse &response;
-    const std::function<bool()> callerClosed;
+    const CallerControl caller;
     const Clock::time_point arrived;
     std::shared_ptr<const Version> version;
     const Account *account = nullptr;
--- a/include/zinniadock/request/requestrunner.h
+++ b/include/zinniadock/request/requestrunner.h
@@ -17,9 +17,8 @@
 class RequestRunner
 {
 public:
-    /// \param callerClosed  returns whether the caller has closed its sending side
     RequestRunner(EntryServices &services, const CallerRequest &request, Poco::Net::HTTPServerResponse &response,
-                  std::function<bool()> callerClosed);
+                  CallerControl caller);
 
     /// Runs the request and responds to it in every case.
     void run();
--- a/src/connection/callerconnection.cpp
+++ b/src/connection/callerconnection.cpp
@@ -120,9 +120,15 @@
     if (parsed.path == "/health") {
         respondToHealthCheck(response);
     } else {
-        RequestRunner(m_services, parsed, response, [this] {
-            return hasCallerClosedSending();
-        }).run();
+        const CallerControl control{ .hasClosedSending =
+                                         [this] {
+                                             return hasCallerClosedSending();
+                                         },
+                                     .resetOnClose =
+                                         [this](bool enabled) {
+                                             socket().setLinger(enabled, 0);
+                                         } };
+        RequestRunner(m_services, parsed, response, control).run();
     }
     return response.sent() && response.getKeepAlive();
 }
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -122,6 +122,18 @@
     abort();
 }
 
+void HttpExchange::setReadTimeout(std::chrono::milliseconds timeout)
+{
+    m_readTimeout = timeout;
+}
+
+void HttpExchange::startReadTimeout()
+{
+    if (m_readTimeout) {
+        m_connection->stream.expires_after(*m_readTimeout);
+    }
+}
+
 Awaitable<IoError> HttpExchange::send(const HttpRequest &request, std::chrono::milliseconds connectTimeout)
 {
     IoError error;
@@ -153,6 +165,7 @@
         m_parser->header_limit(maxHeadBytes);
         m_parser->body_limit(unlimitedBodyBytes);
         m_parser->skip(m_isHeadRequest);
+        startReadTimeout();
         co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, redirectError(error));
         isInterim = m_parser->get().result_int() / 100 == 1;
     }
@@ -166,6 +179,7 @@
     m_parser->get().body().data = buffer.data();
     m_parser->get().body().size = buffer.size();
     m_parser->get().body().more = true;
+    startReadTimeout();
     co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, redirectError(error));
     out.append(buffer.data(), buffer.size() - m_parser->get().body().size);
     if (error == http::error::need_buffer) {
@@ -220,6 +234,7 @@
 void HttpExchange::releaseConnection(std::chrono::milliseconds idleTimeout)
 {
     if (m_connection && isComplete() && m_parser->get().keep_alive() && idleTimeout > idleTimeoutMargin) {
+        m_connection->stream.expires_never();
         m_pool.release(std::move(m_connection), idleTimeout - idleTimeoutMargin);
     }
     m_connection.reset();
--- a/src/connection/servicecall.cpp
+++ b/src/connection/servicecall.cpp
@@ -1,14 +1,15 @@
 #include "zinniadock/connection/servicecall.h"
 
-#include <array>
-#include <istream>
-#include <ostream>
+#include <optional>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/core/error.hpp>
+
+#include "zinniadock/connection/httpclient.h"
 #include "zinniadock/detail/httptime.h"
 
 namespace zinniadock
@@ -17,78 +18,98 @@
 namespace
 {
 
+using CallOutcome = std::variant<ServiceResponse, Failure>;
+
 constexpr std::size_t maxResponseBytes = 4U << 20U;
 
-// Stops reading after the limit is exceeded, so that an endless response uses bounded memory.
-std::string readUpToLimit(std::istream &stream)
+HttpRequest makeRequest(const Endpoint &service, const Offer &offer)
 {
-    std::string body;
-    std::array<char, 16384> buffer{};
-    while (body.size() <= maxResponseBytes && stream.read(buffer.data(), buffer.size()).gcount() > 0) {
-        body.append(buffer.data(), static_cast<std::size_t>(stream.gcount()));
+    HttpRequest request;
+    request.version(11);
+    request.method_string(offer.method);
+    request.target(offer.path);
+    request.set(http::field::host, service.text());
+    request.set("X-Request-Id", offer.request.text());
+    if (!offer.contentType.empty()) {
+        request.set(http::field::content_type, offer.contentType);
+    }
+    if (!offer.idempotencyKey.empty()) {
+        request.set("Idempotency-Key", offer.idempotencyKey);
     }
-    return body;
+    request.keep_alive(false);
+    request.body() = offer.body;
+    request.content_length(offer.body.size());
+    return request;
 }
 
-} // namespace
+Failure failureOfSending(const HttpExchange &exchange, const IoError &error)
+{
+    const bool notSent = exchange.sendState() == SendState::NotSent;
+    return Failure{ .code = RequestError::EngineLost,
+                    .verdict = notSent ? Verdict::NotRun : Verdict::MayHaveRun,
+                    .message = "sending the call to the service failed: " + error.message() };
+}
 
-std::variant<ServiceResponse, Failure> callService(const Endpoint &service, const Offer &offer,
-                                                   BackendTimeouts timeouts)
+Failure failureOfReading(const IoError &error, std::size_t bodyBytes, std::chrono::milliseconds receiveTimeout)
 {
-    Poco::Net::HTTPClientSession session(service.address, service.port);
-    const auto receiveTimeout = std::min(timeouts.receive, std::max(offer.timeLeft, std::chrono::milliseconds(1)));
-    session.setTimeout(detail::toTimespan(timeouts.connect), detail::toTimespan(timeouts.connect),
-                       detail::toTimespan(receiveTimeout));
-    try {
-        Poco::Net::HTTPRequest request(offer.method, offer.path, Poco::Net::HTTPMessage::HTTP_1_1);
-        request.setContentLength(static_cast<std::streamsize>(offer.body.size()));
-        request.set("X-Request-Id", offer.request.text());
-        if (!offer.contentType.empty()) {
-            request.setContentType(offer.contentType);
-        }
-        if (!offer.idempotencyKey.empty()) {
-            request.set("Idempotency-Key", offer.idempotencyKey);
-        }
-        session.sendRequest(request) << offer.body << std::flush;
-    } catch (const Poco::Exception &error) {
-        const Verdict verdict = session.connected() ? Verdict::MayHaveRun : Verdict::NotRun;
-        return Failure{ .code = RequestError::EngineLost,
-                        .verdict = verdict,
-                        .message = "sending the call to the service failed: " + error.displayText() };
-    }
-    try {
-        Poco::Net::HTTPResponse response;
-        std::istream &stream = session.receiveResponse(response);
-        ServiceResponse serviceResponse{ .request = offer.request,
-                                         .generation = offer.generation,
-                                         .status = static_cast<std::uint32_t>(response.getStatus()),
-                                         .contentType = response.getContentType(),
-                                         .body = readUpToLimit(stream) };
-        if (serviceResponse.body.size() > maxResponseBytes) {
-            return Failure{ .code = RequestError::ResponseTooLarge,
-                            .verdict = Verdict::Ran,
-                            .message = "the service's response is larger than 4 MiB" };
-        }
-        const bool isComplete = !response.hasContentLength()
-            || serviceResponse.body.size() == static_cast<std::size_t>(response.getContentLength64())
-            || offer.method == Poco::Net::HTTPRequest::HTTP_HEAD;
-        if (!isComplete) {
-            return Failure{ .code = RequestError::EngineLost,
-                            .verdict = Verdict::MayHaveRun,
-                            .message = "the service closed the connection after "
-                                + std::to_string(serviceResponse.body.size()) + " of "
-                                + std::to_string(response.getContentLength64()) + " bytes of its response body" };
-        }
-        return serviceResponse;
-    } catch (const Poco::TimeoutException &) {
+    if (error == boost::beast::error::timeout) {
         return Failure{ .code = RequestError::DeadlineExceeded,
                         .verdict = Verdict::MayHaveRun,
                         .message = "the service sent no data for " + std::to_string(receiveTimeout.count()) + " ms" };
-    } catch (const Poco::Exception &error) {
-        return Failure{ .code = RequestError::EngineLost,
-                        .verdict = Verdict::MayHaveRun,
-                        .message = "reading the response of the service failed: " + error.displayText() };
     }
+    if (error == http::error::body_limit) {
+        return Failure{ .code = RequestError::ResponseTooLarge,
+                        .verdict = Verdict::Ran,
+                        .message = "the service's response is larger than 4 MiB" };
+    }
+    return Failure{ .code = RequestError::EngineLost,
+                    .verdict = Verdict::MayHaveRun,
+                    .message = "reading the response of the service failed after " + std::to_string(bodyBytes)
+                        + " bytes of its body: " + error.message() };
+}
+
+Awaitable<void> exchangeWithService(ConnectionPool &pool, const Endpoint &service, const Offer &offer,
+                                    BackendTimeouts timeouts, std::optional<CallOutcome> &outcome)
+{
+    HttpExchange exchange(pool, service, std::chrono::milliseconds(0));
+    exchange.setReadTimeout(timeouts.receive);
+    const HttpRequest request = makeRequest(service, offer);
+    IoError error = co_await exchange.send(request, timeouts.connect);
+    if (error) {
+        outcome = failureOfSending(exchange, error);
+        co_return;
+    }
+    ServiceResponse response{ .request = offer.request, .generation = offer.generation };
+    error = co_await exchange.readHead();
+    if (!error) {
+        error = co_await exchange.readRest(response.body, maxResponseBytes);
+    }
+    if (error) {
+        outcome = failureOfReading(error, response.body.size(), timeouts.receive);
+        co_return;
+    }
+    response.status = exchange.head().result_int();
+    response.contentType = exchange.head()[http::field::content_type].to_string();
+    response.isEndStated = exchange.end() == ResponseEnd::Complete;
+    outcome = std::move(response);
+}
+
+} // namespace
+
+CallOutcome callService(const Endpoint &service, const Offer &offer, BackendTimeouts timeouts)
+{
+    timeouts.receive = std::min(timeouts.receive, std::max(offer.timeLeft, std::chrono::milliseconds(1)));
+    asio::io_context context{ 1 };
+    ConnectionPool pool(context);
+    std::optional<CallOutcome> outcome;
+    asio::co_spawn(
+        context,
+        [&]() {
+            return exchangeWithService(pool, service, offer, timeouts, outcome);
+        },
+        asio::detached);
+    context.run();
+    return std::move(*outcome);
 }
 
 bool isServiceReachable(const Endpoint &service, BackendTimeouts timeouts)
--- a/src/process/claims.cpp
+++ b/src/process/claims.cpp
@@ -33,6 +33,7 @@
     if (record.outcome) {
         object["outcome"] = { { "status", record.outcome->status },
                               { "type", binary(record.outcome->contentType) },
+                              { "end_stated", record.outcome->isEndStated },
                               { "answer", binary(record.outcome->body) } };
     }
     std::string out;
@@ -54,7 +55,8 @@
         if (const auto outcome = object.find("outcome"); outcome != object.end()) {
             record.outcome = ClaimOutcome{ .status = outcome->at("status").get<std::uint32_t>(),
                                            .contentType = bytesOf(outcome->at("type")),
-                                           .body = bytesOf(outcome->at("answer")) };
+                                           .body = bytesOf(outcome->at("answer")),
+                                           .isEndStated = outcome->value("end_stated", true) };
         }
         return record;
     } catch (const Json::exception &) {
--- a/src/request/callattempts.cpp
+++ b/src/request/callattempts.cpp
@@ -16,6 +16,14 @@
 // If the store takes longer than this to claim an idempotency key, StoreSlow is recorded in the timeline.
 constexpr std::chrono::milliseconds slowClaimThreshold{ 200 };
 
+ClaimOutcome toOutcome(const ServiceResponse &response)
+{
+    return { .status = response.status,
+             .contentType = response.contentType,
+             .body = response.body,
+             .isEndStated = response.isEndStated };
+}
+
 bool isReadMethod(const std::string &method)
 {
     return method == "GET" || method == "HEAD";
@@ -38,7 +46,7 @@
     m_context.services.retries.recordRequest(m_context.version->policy().retryBudget);
     std::variant<ServiceResponse, Failure> result = callWithRetries(mayRepeat);
     if (const auto *serviceResponse = std::get_if<ServiceResponse>(&result)) {
-        sendResponse(serviceResponse->status, serviceResponse->contentType, serviceResponse->body, false);
+        sendResponse(toOutcome(*serviceResponse), false);
     } else {
         m_context.fail(std::get<Failure>(result));
     }
@@ -60,7 +68,7 @@
         break;
     case ClaimResult::Completed:
         ++m_context.services.metrics.replays;
-        sendResponse(claim.record.outcome->status, claim.record.outcome->contentType, claim.record.outcome->body, true);
+        sendResponse(*claim.record.outcome, true);
         return;
     case ClaimResult::InUse:
         m_context.fail(Failure{ .code = RequestError::KeyInUse,
@@ -86,15 +94,13 @@
     m_context.services.retries.recordRequest(m_context.version->policy().retryBudget);
     std::variant<ServiceResponse, Failure> result = callWithRetries(false);
     if (const auto *serviceResponse = std::get_if<ServiceResponse>(&result)) {
-        const ClaimOutcome outcome{ .status = serviceResponse->status,
-                                    .contentType = serviceResponse->contentType,
-                                    .body = serviceResponse->body };
+        const ClaimOutcome outcome = toOutcome(*serviceResponse);
         if (!m_context.services.claims.complete(m_context.accountName, m_context.request.idempotencyKey, claim,
                                                 outcome)) {
             log.warning("could not store the outcome of request " + m_context.request.id.text()
                         + " under its idempotency key");
         }
-        sendResponse(serviceResponse->status, serviceResponse->contentType, serviceResponse->body, false);
+        sendResponse(outcome, false);
         return;
     }
     const Failure &failure = std::get<Failure>(result);
@@ -165,23 +171,37 @@
                     .message = "no response arrived before the deadline" };
 }
 
-void CallAttempts::sendResponse(std::uint32_t status, const std::string &contentType, const std::string &body,
-                                bool replayed)
+void CallAttempts::sendResponse(const ClaimOutcome &outcome, bool replayed)
 {
     ++m_context.services.metrics.completed;
-    m_context.recordEvent(EventKind::Finished, 0,
-                          replayed ? "with the stored outcome of an earlier call"
-                                   : "the service responded to the call");
-    m_context.response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    m_context.recordEvent(
+        EventKind::Finished, 0,
+        std::string(replayed ? "with the stored outcome of an earlier call" : "the service responded to the call")
+            + (outcome.isEndStated ? "" : ", without stating the end of the response"));
+    m_context.response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(outcome.status));
     m_context.response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(m_context.response.getStatus()));
     setResponseHeaders(m_context.response, m_context.request.id, Verdict::Ran);
     if (replayed) {
         m_context.response.set("Idempotent-Replayed", "true");
     }
-    if (!contentType.empty()) {
-        m_context.response.setContentType(contentType);
+    if (!outcome.contentType.empty()) {
+        m_context.response.setContentType(outcome.contentType);
+    }
+    if (outcome.isEndStated) {
+        m_context.response.sendBuffer(outcome.body.data(), outcome.body.size());
+    } else {
+        sendUnframedBody(outcome.body);
     }
-    m_context.response.sendBuffer(body.data(), body.size());
+}
+
+// A body without a stated end is sent without one: it ends with the connection. Until then, each end is a reset, so
+// that a truncated body does not look complete.
+void CallAttempts::sendUnframedBody(const std::string &body)
+{
+    m_context.response.setKeepAlive(false);
+    m_context.caller.resetOnClose(true);
+    m_context.response.send() << body << std::flush;
+    m_context.caller.resetOnClose(false);
 }
 
 } // namespace zinniadock
--- a/src/request/generationattempts.cpp
+++ b/src/request/generationattempts.cpp
@@ -180,7 +180,7 @@
         bool callerDisconnected = !writer.flush();
         if (Clock::now() >= nextProbe) {
             nextProbe = Clock::now() + popInterval;
-            callerDisconnected = callerDisconnected || (m_context.callerClosed() && !writer.probeCaller());
+            callerDisconnected = callerDisconnected || (m_context.caller.hasClosedSending() && !writer.probeCaller());
         }
         if (callerDisconnected) {
             return Attempt{ .end = linkLost(Verdict::MayHaveRun), .callerDisconnected = true };
--- a/src/request/requestcontext.cpp
+++ b/src/request/requestcontext.cpp
@@ -40,11 +40,11 @@
 }
 
 RequestContext::RequestContext(EntryServices &entryServices, const CallerRequest &callerRequest,
-                               Poco::Net::HTTPServerResponse &callerResponse, std::function<bool()> callerHasClosed)
+                               Poco::Net::HTTPServerResponse &callerResponse, CallerControl callerControl)
     : services(entryServices)
     , request(callerRequest)
     , response(callerResponse)
-    , callerClosed(std::move(callerHasClosed))
+    , caller(std::move(callerControl))
     , arrived(Clock::now())
 {
 }
--- a/src/request/requestrunner.cpp
+++ b/src/request/requestrunner.cpp
@@ -19,8 +19,8 @@
 } // namespace
 
 RequestRunner::RequestRunner(EntryServices &services, const CallerRequest &request,
-                             Poco::Net::HTTPServerResponse &response, std::function<bool()> callerClosed)
-    : m_context(services, request, response, std::move(callerClosed))
+                             Poco::Net::HTTPServerResponse &response, CallerControl caller)
+    : m_context(services, request, response, std::move(caller))
 {
 }
 
--- a/tests/standin/servicestandin.cpp
+++ b/tests/standin/servicestandin.cpp
@@ -54,6 +54,12 @@
     m_server->stop();
 }
 
+void ServiceStandin::setScriptedResponse(const ScriptedResponse &response)
+{
+    const std::lock_guard lock(m_mutex);
+    m_script = response;
+}
+
 void ServiceStandin::handle(HTTPServerRequest &request, HTTPServerResponse &response)
 {
     if (request.getURI() == "/control") {
@@ -69,6 +75,7 @@
     const std::string requestId = request.get("X-Request-Id", "");
     std::chrono::milliseconds delay{ 0 };
     bool dropResponses = false;
+    std::optional<ScriptedResponse> script;
     std::uint64_t number = 0;
     {
         const std::lock_guard lock(m_mutex);
@@ -76,6 +83,7 @@
         number = ++m_totalRuns;
         delay = m_delay;
         dropResponses = m_dropResponses;
+        script = m_script;
     }
     m_history.record({ { "event", "service_run" },
                        { "request", requestId },
@@ -88,6 +96,10 @@
         cutConnection(request);
         return;
     }
+    if (script) {
+        sendScripted(request, *script);
+        return;
+    }
     sendJson(response, Json{ { "path", request.getURI() }, { "run", number }, { "body", body } }.dump());
 }
 
--- a/tests/standin/servicestandin.h
+++ b/tests/standin/servicestandin.h
@@ -4,10 +4,12 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "functionserver.h"
 #include "history.h"
+#include "scriptedresponse.h"
 
 namespace zinniadock::standin
 {
@@ -35,6 +37,9 @@
     /// Closes the connection after each call has run, without a response, while \p dropResponses is true.
     void setDropResponses(bool dropResponses);
 
+    /// Makes the service send exactly these bytes in response to each call that it runs.
+    void setScriptedResponse(const ScriptedResponse &response);
+
     void stop();
 
 private:
@@ -47,6 +52,7 @@
     std::uint64_t m_totalRuns = 0;
     std::chrono::milliseconds m_delay{ 0 };
     bool m_dropResponses = false;
+    std::optional<ScriptedResponse> m_script;
     std::unique_ptr<LoopbackHttpServer> m_server;
 };
 
