Reject a signed response without an ID on a kept connection

What a caller would see: the body of another response with the signature of a server, if a faulty server sends a second response without an ID at the point where the next response is expected. Found while testing extra bytes after each framing.

Cause: a response without an ID counted as the response to the request, on a new connection and on a kept one alike.

Evidence: "a signed response without an ID on a kept connection is not forwarded" failed before: 200 with the foreign body.

Why it works: servers return the ID with each response that they sign. On a connection that was used before, a signed response without one can't be told from a late one, so the attempt fails; on a new connection there is nothing to confuse it with.

--- a/include/zinniadock/connection/httpclient.h
+++ b/include/zinniadock/connection/httpclient.h
@@ -121,6 +121,9 @@
 
     SendState sendState() const;
 
+    /// Returns whether the request was sent on a connection that had been used before.
+    bool isConnectionReused() const;
+
     /// Returns the connection to the pool if the response is complete and allows keep-alive, and \p idleTimeout is
     /// longer than the margin in which the pool does not reuse a connection. Closes the connection otherwise.
     /// \param idleTimeout  time for which the server keeps the idle connection open
@@ -141,6 +144,7 @@
     std::optional<Parser> m_parser;
     std::optional<std::chrono::milliseconds> m_readTimeout;
     bool m_isHeadRequest = false;
+    bool m_isConnectionReused = false;
     bool m_aborted = false;
     SendState m_sendState = SendState::NotSent;
 };
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -139,6 +139,7 @@
     IoError error;
     m_isHeadRequest = request.method() == http::verb::head;
     m_connection = m_pool.acquireIdle(m_peer, m_maxIdleTime);
+    m_isConnectionReused = m_connection != nullptr;
     if (!m_connection) {
         m_connection = co_await m_pool.connect(m_peer, connectTimeout, error);
     }
@@ -231,6 +232,11 @@
     return m_sendState;
 }
 
+bool HttpExchange::isConnectionReused() const
+{
+    return m_isConnectionReused;
+}
+
 void HttpExchange::releaseConnection(std::chrono::milliseconds idleTimeout)
 {
     if (m_connection && isComplete() && m_parser->get().keep_alive() && idleTimeout > idleTimeoutMargin) {
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -308,6 +308,8 @@
                { "ms", age() } });
 }
 
+// A server returns the ID of the request with each response that it signs. On a kept connection, a signed response
+// without one may be a late second response to an earlier request. Refusals have no ID and are not signed.
 Awaitable<IoError> readMatchingHead(HttpExchange &exchange, const std::string &requestId, wire::ResponseFields &fields)
 {
     IoError error;
@@ -317,6 +319,10 @@
             co_return error;
         }
         fields = wire::parseResponseFields(exchange.head());
+        if (fields.requestId.empty() && fields.isSigned && exchange.isConnectionReused() && !requestId.empty()) {
+            logEvent("server", "response without an ID", { { "id", requestId } });
+            co_return make_error_code(boost::system::errc::bad_message);
+        }
         if (fields.requestId.empty() || fields.requestId == requestId) {
             co_return error;
         }
--- a/tests/unit/unit-responseends.cpp
+++ b/tests/unit/unit-responseends.cpp
@@ -480,6 +480,24 @@
     }
 }
 
+// Guards against a late second response without an ID that is taken for the response to the next request.
+TEST_CASE("a signed response without an ID on a kept connection is not forwarded")
+{
+    ServiceDeployment deployment;
+    const std::string signedHead = "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\n";
+    const std::string own = signedHead + "X-Request-Id: {id}\r\nContent-Length: 3\r\n\r\nown";
+    const std::string foreign = signedHead + "Content-Length: 7\r\n\r\nforeign";
+    const auto call = [&deployment](const std::string &id) {
+        return requestRaw(deployment.entry->port(), rawRequest("POST", "/order/1", id));
+    };
+    deployment.server.setScriptedResponse({ .parts = { foreign }, .end = ConnectionEnd::StaysOpen });
+    CHECK(call("first on its connection").body == "foreign");
+    deployment.server.setScriptedResponse({ .parts = { own }, .end = ConnectionEnd::StaysOpen });
+    CHECK(call("keeps the connection").body == "own");
+    deployment.server.setScriptedResponse({ .parts = { foreign, own }, .end = ConnectionEnd::StaysOpen });
+    CHECK(call("on the kept connection").status == 502);
+}
+
 TEST_CASE("a call that is cut at any byte reaches its caller as what its server has stated")
 {
     const std::string body = "the whole body";
