Log and count the era of the store

Cause: neither the logs nor the metrics show whether a store has come back from a copy. Change: the header of the store's responses is read, a later era is logged with the revision that the entry holds, and zinniadock_store_era shows it. No decision changes.

--- a/include/zinniadock/connection/wireform.h
+++ b/include/zinniadock/connection/wireform.h
@@ -67,6 +67,10 @@
     std::optional<std::chrono::milliseconds> idleTimeout; ///< time for which the server keeps an idle connection open
 };
 
+/// Number of the times that the store has come back from a copy of itself. Revisions and leases of different eras can't be
+/// compared. 0 if the store does not state it.
+using StoreEra = std::uint64_t;
+
 /// A key of the store with its value, or the deletion of a key.
 struct StoreItem
 {
@@ -128,6 +132,9 @@
 /// Parses the response to a read or a watch. Returns nothing if the response is malformed.
 std::optional<StoreItems> parseItems(std::string_view body);
 
+/// Returns the era that a response of the store belongs to.
+StoreEra parseStoreEra(const http::response_header<> &response);
+
 /// Returns whether a watch failed because the history after the watched revision was compacted.
 bool isCompacted(http::status status);
 
--- a/include/zinniadock/process/prefixwatch.h
+++ b/include/zinniadock/process/prefixwatch.h
@@ -50,6 +50,9 @@
     /// Returns when the store last responded; nothing before its first response.
     std::optional<std::chrono::steady_clock::time_point> lastResponseAt() const;
 
+    /// Returns the latest era that the store has stated; 0 if there is none.
+    wire::StoreEra era() const;
+
     /// Returns the number of calls made.
     std::uint64_t calls() const;
 
@@ -58,6 +61,7 @@
     Awaitable<bool> readSnapshot();
     Awaitable<bool> waitForChanges(std::chrono::milliseconds maxWait);
     void setReachable(bool reachable, const CallResult &result);
+    void observeEra(const CallResult &result);
     std::chrono::milliseconds nextBackoff(std::chrono::milliseconds maxBackoff) const;
 
     ConnectionPool &m_pool;
@@ -68,6 +72,7 @@
     const PrefixWatchCallbacks m_callbacks;
     std::optional<std::chrono::steady_clock::time_point> m_lastResponseAt;
     bool m_isHistoryCompacted = false; ///< the store has compacted changes after the mirror's revision
+    wire::StoreEra m_era = 0;
     std::uint32_t m_failures = 0;
     std::uint64_t m_calls = 0;
     std::optional<bool> m_reachable; ///< nothing before the first call
--- a/include/zinniadock/process/storeview.h
+++ b/include/zinniadock/process/storeview.h
@@ -67,6 +67,9 @@
     /// Returns whether this entry currently reads the store itself.
     bool isReadingStore() const;
 
+    /// Returns the latest era that the store has stated to this entry; 0 if there is none.
+    wire::StoreEra storeEra() const;
+
     /// Returns the number of calls that this entry has made to the store.
     std::uint64_t storeCalls() const;
 
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -77,6 +77,7 @@
     appendMetric("zinniadock_quarantined_requests_total", m_services.counters.quarantinedRequests, out);
     appendMetric("zinniadock_server_connects_total", m_services.pool.connectCount(), out);
     appendMetric("zinniadock_store_calls_total", m_storeView.storeCalls(), out);
+    appendMetric("zinniadock_store_era", m_storeView.storeEra(), out);
     appendMetric("zinniadock_store_fresh", m_storeView.isFresh() ? 1 : 0, out);
     appendMetric("zinniadock_store_reader", m_storeView.isReadingStore() ? 1 : 0, out);
     appendMetric("zinniadock_known_entries", m_services.entryCount(), out);
--- a/src/process/prefixwatch.cpp
+++ b/src/process/prefixwatch.cpp
@@ -67,6 +67,11 @@
     return m_lastResponseAt;
 }
 
+wire::StoreEra PrefixWatch::era() const
+{
+    return m_era;
+}
+
 std::uint64_t PrefixWatch::calls() const
 {
     return m_calls;
@@ -104,6 +109,7 @@
         ++m_calls;
         const std::chrono::milliseconds timeout = m_reachable.value_or(true) ? readTimeout : probeTimeout;
         const CallResult result = co_await call(m_pool, m_store, makeGet(wire::rangeTarget(m_prefix, after)), timeout);
+        observeEra(result);
         const auto page = result.succeeded() ? wire::parseItems(result.body) : std::nullopt;
         setReachable(page.has_value(), result);
         if (!page) {
@@ -128,6 +134,7 @@
     const std::chrono::milliseconds timeout = reachable ? maxWait + responseMargin : probeTimeout;
     const std::string target = wire::watchTarget(m_prefix, m_mirror.revision(), wait);
     const CallResult result = co_await call(m_pool, m_store, makeGet(target), timeout);
+    observeEra(result);
     if (!result.error && wire::isCompacted(static_cast<http::status>(result.status))) {
         logEvent("store", "history compacted", { { "prefix", m_prefix }, { "revision", m_mirror.revision() } });
         m_isHistoryCompacted = true;
@@ -142,6 +149,22 @@
     co_return true;
 }
 
+void PrefixWatch::observeEra(const CallResult &result)
+{
+    const wire::StoreEra era = result.error ? 0 : wire::parseStoreEra(result.head);
+    if (era <= m_era) {
+        return;
+    }
+    if (m_era > 0) {
+        logEvent("store", "came back from a copy",
+                 { { "prefix", m_prefix },
+                   { "era", era },
+                   { "previous_era", m_era },
+                   { "revision", m_mirror.revision() } });
+    }
+    m_era = era;
+}
+
 void PrefixWatch::setReachable(bool reachable, const CallResult &result)
 {
     m_failures = reachable ? 0 : m_failures + 1;
--- a/src/process/storeview.cpp
+++ b/src/process/storeview.cpp
@@ -266,6 +266,15 @@
     return m_isReader || !isFollowing;
 }
 
+wire::StoreEra StoreView::storeEra() const
+{
+    wire::StoreEra era = 0;
+    for (const auto &watch : m_watches) {
+        era = std::max(era, watch->era());
+    }
+    return era;
+}
+
 std::uint64_t StoreView::storeCalls() const
 {
     std::uint64_t calls = 0;
