Reproduce a store that comes back from a copy in tests that fail

What callers saw: later configurations were not in force after a restore of the store (CONFIG, DENIED).

The stand-in of the store can now go back to a copy: revisions and lease numbers are given out again, a watch from a revision that it doesn't have gets 410, a lease that it doesn't have gets 404, and each response has the era.

--- a/tests/standin/platformstandin.cpp
+++ b/tests/standin/platformstandin.cpp
@@ -131,30 +131,58 @@
 void PlatformStore::put(const std::string &key, const std::string &value)
 {
     const std::lock_guard lock(m_mutex);
-    const Json item{ { "key", key }, { "value", base64(value) }, { "revision", m_revision + 1 } };
-    m_itemsByKey[key] = item;
+    const Json item{ { "key", key }, { "value", base64(value) }, { "revision", m_content.revision + 1 } };
+    m_content.itemsByKey[key] = item;
     record(item);
 }
 
 void PlatformStore::remove(const std::string &key)
 {
     const std::lock_guard lock(m_mutex);
-    m_itemsByKey.erase(key);
-    record({ { "key", key }, { "revision", m_revision + 1 }, { "deleted", true } });
+    m_content.itemsByKey.erase(key);
+    record({ { "key", key }, { "revision", m_content.revision + 1 }, { "deleted", true } });
 }
 
 void PlatformStore::record(Json event)
 {
-    ++m_revision;
-    m_history.push_back({ m_revision, std::move(event) });
+    ++m_content.revision;
+    m_content.history.push_back({ m_content.revision, std::move(event) });
     m_changed.notify_all();
 }
 
+PlatformStore::Copy PlatformStore::copy()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_content;
+}
+
+void PlatformStore::restore(const Copy &copy)
+{
+    const std::lock_guard lock(m_mutex);
+    m_content = copy;
+    ++m_era;
+    m_changed.notify_all();
+}
+
+std::int64_t PlatformStore::leaseOf(const std::string &key)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_content.itemsByKey.find(key);
+    return found == m_content.itemsByKey.end() ? 0 : found->second.value("lease", std::int64_t{ 0 });
+}
+
+std::int64_t PlatformStore::grantLease()
+{
+    const std::lock_guard lock(m_mutex);
+    m_content.leases.insert(++m_content.lastLease);
+    return m_content.lastLease;
+}
+
 void PlatformStore::compact()
 {
     const std::lock_guard lock(m_mutex);
-    m_history.clear();
-    m_compactedRevision = m_revision;
+    m_content.history.clear();
+    m_content.compactedRevision = m_content.revision;
 }
 
 void PlatformStore::setDown(bool down)
@@ -182,6 +210,7 @@
 {
     ++m_calls;
     const Poco::URI uri(request.getURI());
+    response.set("Store-Era", std::to_string(m_era));
     if (m_unresponsive) {
         ++m_callsWithoutResponse;
         std::unique_lock lock(m_mutex);
@@ -207,6 +236,7 @@
     const std::int64_t after = std::stoll(parameter(uri, "after"));
     const std::chrono::milliseconds wait(std::stoll(parameter(uri, "waitMs")));
     const Json changes = watch(prefix, after, wait);
+    response.set("Store-Era", std::to_string(m_era));
     send(response, m_down ? 503 : changes.is_null() ? 410 : 200, changes);
 }
 
@@ -214,39 +244,62 @@
 void PlatformStore::handleWrite(HTTPServerRequest &request, HTTPServerResponse &response)
 {
     const std::string path = Poco::URI(request.getURI()).getPath();
+    const std::string keepPath = "/-/kv-keep/";
     const std::string endPath = "/-/kv-lease-end/";
+    int status = 200;
     if (path == "/-/kv-lease") {
-        const std::lock_guard lock(m_mutex);
-        send(response, 200, { { "lease", ++m_lastLease }, { "ttlMs", 60000 } });
+        send(response, 200, { { "lease", grantLease() }, { "ttlMs", 60000 } });
         return;
     }
     if (path == "/-/kv-txn") {
-        write(Json::parse(request.stream()));
+        status = write(Json::parse(request.stream()));
+    } else if (path.rfind(keepPath, 0) == 0) {
+        status = hasLease(std::stoll(path.substr(keepPath.size()))) ? 200 : 404;
     } else if (path.rfind(endPath, 0) == 0) {
         endLease(std::stoll(path.substr(endPath.size())));
     }
-    send(response, 200, { { "revision", 1 } });
+    send(response, status, { { "revision", 1 } });
 }
 
-void PlatformStore::write(const Json &transaction)
+bool PlatformStore::hasLease(std::int64_t lease)
 {
     const std::lock_guard lock(m_mutex);
+    return m_content.leases.count(lease) > 0;
+}
+
+int PlatformStore::write(const Json &transaction)
+{
+    constexpr int noSuchLease = 404;
+    const std::lock_guard lock(m_mutex);
+    for (const Json &item : transaction.at("puts")) {
+        const std::int64_t lease = item.value("lease", std::int64_t{ 0 });
+        if (lease != 0 && m_content.leases.count(lease) == 0) {
+            return noSuchLease;
+        }
+    }
     for (Json item : transaction.at("puts")) {
-        item["revision"] = m_revision + 1;
-        m_itemsByKey[item.at("key")] = item;
+        item["revision"] = m_content.revision + 1;
+        m_content.itemsByKey[item.at("key")] = item;
         record(item);
     }
+    for (const Json &key : transaction.at("remove")) {
+        if (m_content.itemsByKey.erase(key) > 0) {
+            record({ { "key", key }, { "revision", m_content.revision + 1 }, { "deleted", true } });
+        }
+    }
+    return 200;
 }
 
 void PlatformStore::endLease(std::int64_t lease)
 {
     const std::lock_guard lock(m_mutex);
-    for (auto position = m_itemsByKey.begin(); position != m_itemsByKey.end();) {
+    m_content.leases.erase(lease);
+    for (auto position = m_content.itemsByKey.begin(); position != m_content.itemsByKey.end();) {
         const bool belongsToLease = position->second.value("lease", std::int64_t{ 0 }) == lease;
         if (belongsToLease) {
-            record({ { "key", position->first }, { "revision", m_revision + 1 }, { "deleted", true } });
+            record({ { "key", position->first }, { "revision", m_content.revision + 1 }, { "deleted", true } });
         }
-        position = belongsToLease ? m_itemsByKey.erase(position) : std::next(position);
+        position = belongsToLease ? m_content.itemsByKey.erase(position) : std::next(position);
     }
 }
 
@@ -254,32 +307,37 @@
 {
     const std::lock_guard lock(m_mutex);
     Json items = Json::array();
-    for (const auto &[key, item] : m_itemsByKey) {
+    for (const auto &[key, item] : m_content.itemsByKey) {
         if (key.rfind(prefix, 0) == 0) {
             items.push_back(item);
         }
     }
-    return { { "items", items }, { "hasMore", false }, { "currentRev", m_revision } };
+    return { { "items", items }, { "hasMore", false }, { "currentRev", m_content.revision } };
 }
 
+// A watch from a revision that the store doesn't have gets no changes, also if the store goes back while it waits.
 Json PlatformStore::watch(const std::string &prefix, std::int64_t after, std::chrono::milliseconds wait)
 {
     std::unique_lock lock(m_mutex);
     Json events = Json::array();
+    const auto isGone = [&] {
+        return after < m_content.compactedRevision || after > m_content.revision;
+    };
     const auto hasResult = [&] {
-        for (const Change &change : m_history) {
+        events.clear();
+        for (const Change &change : m_content.history) {
             const std::string key = change.event.at("key");
             if (change.revision > after && key.rfind(prefix, 0) == 0) {
                 events.push_back(change.event);
             }
         }
-        return !events.empty() || m_down || after < m_compactedRevision;
+        return !events.empty() || m_down || isGone();
     };
     m_changed.wait_for(lock, wait, hasResult);
-    if (after < m_compactedRevision) {
+    if (isGone()) {
         return nullptr;
     }
-    return { { "events", events }, { "currentRev", m_revision } };
+    return { { "events", events }, { "currentRev", m_content.revision } };
 }
 
 PlatformServer::PlatformServer(std::string id, std::string address, std::uint16_t port)
--- a/tests/standin/platformstandin.h
+++ b/tests/standin/platformstandin.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,7 +24,27 @@
 /// revision, and leases. A lease ends only by a call, never by time.
 class PlatformStore
 {
+    struct Change
+    {
+        std::int64_t revision = 0;
+        nlohmann::json event;
+    };
+
+    /// All that the store holds.
+    struct Content
+    {
+        std::map<std::string, nlohmann::json> itemsByKey;
+        std::deque<Change> history;
+        std::set<std::int64_t> leases;
+        std::int64_t lastLease = 0;
+        std::int64_t revision = 7;
+        std::int64_t compactedRevision = 0;
+    };
+
 public:
+    /// A copy of the content of a store.
+    using Copy = Content;
+
     PlatformStore();
     ~PlatformStore();
 
@@ -38,6 +59,19 @@
     /// Deletes a key.
     void remove(const std::string &key);
 
+    /// Returns a copy of the content of the store.
+    Copy copy();
+
+    /// Replaces the content by a copy: what was written since is gone, revisions and lease numbers are given out again,
+    /// and the era rises by one.
+    void restore(const Copy &copy);
+
+    /// Returns the lease of a key; 0 if the key does not exist or has none.
+    std::int64_t leaseOf(const std::string &key);
+
+    /// Returns the number of a new lease, as another client of the store gets it.
+    std::int64_t grantLease();
+
     /// Discards the change history. A later watch that starts before the current revision gets status 410.
     void compact();
 
@@ -54,27 +88,21 @@
     std::uint64_t calls() const;
 
 private:
-    struct Change
-    {
-        std::int64_t revision = 0;
-        nlohmann::json event;
-    };
-
     void handle(HTTPServerRequest &request, HTTPServerResponse &response);
     void handleWrite(HTTPServerRequest &request, HTTPServerResponse &response);
-    void write(const nlohmann::json &transaction);
+
+    /// Returns the status of a transaction, which is applied if it is 200.
+    int write(const nlohmann::json &transaction);
     void endLease(std::int64_t lease);
+    bool hasLease(std::int64_t lease);
     nlohmann::json range(const std::string &prefix);
     nlohmann::json watch(const std::string &prefix, std::int64_t after, std::chrono::milliseconds wait);
     void record(nlohmann::json event);
 
     std::mutex m_mutex;
     std::condition_variable m_changed;
-    std::map<std::string, nlohmann::json> m_itemsByKey;
-    std::deque<Change> m_history;
-    std::int64_t m_lastLease = 0;
-    std::int64_t m_revision = 7;
-    std::int64_t m_compactedRevision = 0;
+    Content m_content;
+    std::atomic<std::uint64_t> m_era{ 1 };
     std::atomic<bool> m_down{ false };
     std::atomic<bool> m_unresponsive{ false };
     std::atomic<std::uint64_t> m_callsWithoutResponse{ 0 };
