--- a/include/zinniadock/process/storemirror.h
+++ b/include/zinniadock/process/storemirror.h
@@ -43,7 +43,7 @@
 
     std::map<std::string, wire::StoreItem> m_items; ///< by key; a deleted key has no value
     std::int64_t m_revision = 0;
-    std::int64_t m_compactedRevision = 0; ///< deletions up to this revision may have been dropped
+    std::int64_t m_compactedRevision = 0; ///< deletions up to this revision may be unknown
     std::size_t m_deletionCount = 0;
 };
 
--- a/src/process/storemirror.cpp
+++ b/src/process/storemirror.cpp
@@ -49,6 +49,9 @@
     for (const wire::StoreItem &item : changes.items) {
         applyItem(item);
     }
+    if (changes.isSnapshot && changes.revision > m_revision) {
+        m_compactedRevision = changes.revision; // keys that were written and deleted before are not in the snapshot
+    }
     m_revision = std::max(m_revision, changes.revision);
     compactDeletions();
     return changedItems;
--- a/tests/unit/unit-storemirror.cpp
+++ b/tests/unit/unit-storemirror.cpp
@@ -114,6 +114,15 @@
         CHECK_FALSE(recent.isSnapshot);
         CHECK(recent.items.size() == 10);
     }
+    SECTION("a mirror gets a snapshot from one that has read a later snapshot, which does not show all deletions before")
+    {
+        StoreMirror follower;
+        follower.apply({ .isSnapshot = true, .revision = 5, .items = { written("a", 3), written("b", 5) } });
+        mirror.apply({ .isSnapshot = true, .revision = 9, .items = { written("b", 5) } });
+        follower.apply(mirror.changesAfter(follower.revision()));
+        CHECK(follower.revision() == 9);
+        CHECK(same(follower.items(), mirror.items()));
+    }
     SECTION("with random histories and sources no key reverts, and all sources lead to the same content")
     {
         const bool holds = rc::check([] {
