Compare revisions of the store within one era only

What callers saw: after the store came back from a copy, later configurations were not in force and added routes were answered with 404 (CONFIG, DENIED), until the revisions had passed those before the restore.

Cause: the mirror, the watch, the relay between entries and their queries compared revisions alone.

Why it works: a position is an era and a revision, and a later era is later whatever the revision. The first response of a later era ends the watches of the other prefixes, which the store may never answer. Servers that the copy lacks have the grace period of an outage. A second watch in a row without a history waits before the next. Entries of an earlier version state no eras in their queries; they get changes by revision as before.

--- a/include/zinniadock/connection/httpclient.h
+++ b/include/zinniadock/connection/httpclient.h
@@ -164,7 +164,24 @@
     }
 };
 
+/// Ends a call in progress with an error. Does nothing if there is none.
+class CallInterrupter
+{
+public:
+    void interrupt();
+
+private:
+    friend Awaitable<CallResult> call(ConnectionPool &pool, Endpoint peer, HttpRequest request,
+                                      std::chrono::milliseconds timeout, std::shared_ptr<CallInterrupter> interrupter);
+
+    std::weak_ptr<HttpExchange> m_exchange;
+};
+
 /// Sends a request and reads the whole response within \p timeout.
 Awaitable<CallResult> call(ConnectionPool &pool, Endpoint peer, HttpRequest request, std::chrono::milliseconds timeout);
 
+/// Sends a request and reads the whole response within \p timeout, unless \p interrupter ends the call before.
+Awaitable<CallResult> call(ConnectionPool &pool, Endpoint peer, HttpRequest request, std::chrono::milliseconds timeout,
+                           std::shared_ptr<CallInterrupter> interrupter);
+
 } // namespace zinniadock
--- a/include/zinniadock/process/prefixwatch.h
+++ b/include/zinniadock/process/prefixwatch.h
@@ -20,6 +20,7 @@
     std::function<void(const StoreChanges &)> onChanges; ///< called after each valid response, even without changes
     /// Called when the store becomes reachable or unreachable.
     std::function<void(bool reachable)> onReachabilityChanged;
+    std::function<void(wire::StoreEra)> onEra; ///< called with the era of each response that states one
 };
 
 /// Timing of the calls that a prefix watch makes to the store.
@@ -47,22 +48,33 @@
     void start();
     void stop();
 
+    /// Reads the whole prefix again if the mirror has an earlier era. Ends a waiting call in this case, since the store
+    /// may never respond to it.
+    void requireEra(wire::StoreEra era);
+
     /// Returns when the store last responded; nothing before its first response.
     std::optional<std::chrono::steady_clock::time_point> lastResponseAt() const;
 
-    /// Returns the latest era that the store has stated; 0 if there is none.
-    wire::StoreEra era() const;
-
     /// Returns the number of calls made.
     std::uint64_t calls() const;
 
 private:
+    /// How a call to the store ended.
+    enum class CallOutcome {
+        Applied, ///< the response was applied to the mirror
+        HistoryGone, ///< the store does not have the changes after the mirror's position
+        Interrupted, ///< requireEra() ended the call
+        Failed,
+    };
+
     Awaitable<void> run();
-    Awaitable<bool> readSnapshot();
-    Awaitable<bool> waitForChanges(std::chrono::milliseconds maxWait);
+    Awaitable<CallOutcome> readSnapshot();
+    Awaitable<CallOutcome> waitForChanges(std::chrono::milliseconds maxWait);
+    bool needsSnapshot() const;
     void setReachable(bool reachable, const CallResult &result);
-    void observeEra(const CallResult &result);
-    std::chrono::milliseconds nextBackoff(std::chrono::milliseconds maxBackoff) const;
+    wire::StoreEra observeEra(const CallResult &result);
+    std::chrono::milliseconds pauseAfter(CallOutcome outcome, const WatchTiming &timing);
+    static std::chrono::milliseconds backoff(std::uint32_t attempts, std::chrono::milliseconds maxBackoff);
 
     ConnectionPool &m_pool;
     const Endpoint m_store;
@@ -71,9 +83,12 @@
     const WatchTimingSource m_timing;
     const PrefixWatchCallbacks m_callbacks;
     std::optional<std::chrono::steady_clock::time_point> m_lastResponseAt;
-    bool m_isHistoryCompacted = false; ///< the store has compacted changes after the mirror's revision
-    wire::StoreEra m_era = 0;
+    const std::shared_ptr<CallInterrupter> m_interrupter = std::make_shared<CallInterrupter>();
+    bool m_isHistoryGone = false; ///< the store does not have the changes after the mirror's position
+    bool m_isInterrupted = false;
+    wire::StoreEra m_era = 0; ///< latest era of the store that is known
     std::uint32_t m_failures = 0;
+    std::uint32_t m_watchesWithoutHistory = 0; ///< since the last watch that the store could answer
     std::uint64_t m_calls = 0;
     std::optional<bool> m_reachable; ///< nothing before the first call
     bool m_stopped = false;
--- a/include/zinniadock/process/relaymessages.h
+++ b/include/zinniadock/process/relaymessages.h
@@ -28,7 +28,8 @@
 /// A long poll of an entry for changes of the store, sent to another entry.
 struct RelayQuery
 {
-    PerPart<std::int64_t> knownRevisions{}; ///< revision of each part that the querying entry has
+    PerPart<StorePosition> known{}; ///< position of each part that the querying entry has
+    bool hasEras = true; ///< false if the querying entry is of an earlier version and states revisions only
     std::chrono::milliseconds minInterval{ 0 }; ///< minimum time between a query and a response with changes
     std::chrono::milliseconds maxWait{ 0 }; ///< maximum time to wait for changes
 };
--- a/include/zinniadock/process/storeview.h
+++ b/include/zinniadock/process/storeview.h
@@ -67,7 +67,7 @@
     /// Returns whether this entry currently reads the store itself.
     bool isReadingStore() const;
 
-    /// Returns the latest era that the store has stated to this entry; 0 if there is none.
+    /// Returns the latest era of the store that is known; 0 if there is none.
     wire::StoreEra storeEra() const;
 
     /// Returns the number of calls that this entry has made to the store.
@@ -78,12 +78,15 @@
     std::optional<WatchTiming> watchTiming(StorePart part) const;
     void applyChanges(StorePart part, const StoreChanges &changes, const std::string &source);
     void setStoreReachable(bool isReachable);
+    void observeEra(wire::StoreEra era, const std::string &source);
     void updateMembers();
     Awaitable<void> followSource(std::size_t slot);
     Awaitable<void> querySource(std::size_t slot, std::string peer);
     void applyRelayResponse(const RelayResponse &response, SteadyTime askedAt, const std::string &peer);
     std::optional<std::string> chooseSource(std::size_t slot) const;
-    bool hasChangesAfter(const PerPart<std::int64_t> &after) const;
+    bool hasChangesAfter(const PerPart<StorePosition> &known) const;
+    PerPart<StorePosition> knownPositions(const RelayQuery &query) const;
+    bool isBehind(const RelayResponse &response) const;
     bool isLargeFleet() const;
     bool isStarting() const;
     std::chrono::milliseconds serverWatchWait() const;
@@ -97,6 +100,7 @@
     PerPart<std::shared_ptr<PrefixWatch>> m_watches;
     std::shared_ptr<EntryRegistration> m_registration;
     std::vector<EntryMember> m_members;
+    wire::StoreEra m_era = 0; ///< latest era of the store that is known
     std::vector<std::string> m_sourceRanking; ///< peers that this entry may follow, best first
     bool m_isReader = true;
     bool m_isSeed = true; ///< other entries query this entry when they start
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -254,10 +254,24 @@
     }
 }
 
+void CallInterrupter::interrupt()
+{
+    if (const auto exchange = m_exchange.lock()) {
+        exchange->abort();
+    }
+}
+
 Awaitable<CallResult> call(ConnectionPool &pool, Endpoint peer, HttpRequest request, std::chrono::milliseconds timeout)
+{
+    return call(pool, std::move(peer), std::move(request), timeout, std::make_shared<CallInterrupter>());
+}
+
+Awaitable<CallResult> call(ConnectionPool &pool, Endpoint peer, HttpRequest request, std::chrono::milliseconds timeout,
+                           std::shared_ptr<CallInterrupter> interrupter)
 {
     CallResult result;
     auto exchange = std::make_shared<HttpExchange>(pool, peer, callIdleTimeout);
+    interrupter->m_exchange = exchange;
     auto timer = std::make_shared<asio::steady_timer>(pool.context(), timeout);
     timer->async_wait([exchange, timer](const IoError &error) {
         if (!error) {
--- a/src/process/prefixwatch.cpp
+++ b/src/process/prefixwatch.cpp
@@ -67,14 +67,18 @@
     return m_lastResponseAt;
 }
 
-wire::StoreEra PrefixWatch::era() const
+std::uint64_t PrefixWatch::calls() const
 {
-    return m_era;
+    return m_calls;
 }
 
-std::uint64_t PrefixWatch::calls() const
+void PrefixWatch::requireEra(wire::StoreEra era)
 {
-    return m_calls;
+    m_era = std::max(m_era, era);
+    if (m_mirror.position().era < m_era) {
+        m_isInterrupted = true;
+        m_interrupter->interrupt();
+    }
 }
 
 Awaitable<void> PrefixWatch::run()
@@ -86,83 +90,117 @@
             co_await sleepFor(idleCheckInterval);
             continue;
         }
-        bool hasSucceeded = false;
-        if (m_mirror.revision() == 0 || m_isHistoryCompacted) {
-            hasSucceeded = co_await readSnapshot();
+        m_isInterrupted = false;
+        CallOutcome outcome = CallOutcome::Failed;
+        if (needsSnapshot()) {
+            outcome = co_await readSnapshot();
         } else {
-            hasSucceeded = co_await waitForChanges(timing->maxWait);
+            outcome = co_await waitForChanges(timing->maxWait);
         }
-        const std::chrono::milliseconds pause = hasSucceeded ? timing->callInterval : nextBackoff(timing->maxBackoff);
+        const std::chrono::milliseconds pause = pauseAfter(outcome, *timing);
         if (pause.count() > 0) {
             co_await sleepFor(pause);
         }
     }
 }
 
-Awaitable<bool> PrefixWatch::readSnapshot()
+bool PrefixWatch::needsSnapshot() const
+{
+    const StorePosition known = m_mirror.position();
+    return known.revision == 0 || known.era < m_era || m_isHistoryGone;
+}
+
+// A store whose history is gone at once after each snapshot is not asked without a pause.
+std::chrono::milliseconds PrefixWatch::pauseAfter(CallOutcome outcome, const WatchTiming &timing)
+{
+    switch (outcome) {
+    case CallOutcome::Applied:
+        return timing.callInterval;
+    case CallOutcome::HistoryGone:
+        ++m_watchesWithoutHistory;
+        return m_watchesWithoutHistory == 1 ? std::chrono::milliseconds(0)
+                                            : backoff(m_watchesWithoutHistory, timing.maxBackoff);
+    case CallOutcome::Interrupted:
+        return std::chrono::milliseconds(0);
+    case CallOutcome::Failed:
+        break;
+    }
+    return backoff(m_failures, timing.maxBackoff);
+}
+
+Awaitable<PrefixWatch::CallOutcome> PrefixWatch::readSnapshot()
 {
-    std::vector<wire::StoreItem> all;
-    std::int64_t revision = 0;
+    StoreChanges snapshot{ .isSnapshot = true, .era = 0, .revision = 0, .items = {} };
     bool hasMore = true;
     while (hasMore) {
-        const std::string after = all.empty() ? "" : all.back().key;
+        const std::string after = snapshot.items.empty() ? "" : snapshot.items.back().key;
         ++m_calls;
         const std::chrono::milliseconds timeout = m_reachable.value_or(true) ? readTimeout : probeTimeout;
-        const CallResult result = co_await call(m_pool, m_store, makeGet(wire::rangeTarget(m_prefix, after)), timeout);
-        observeEra(result);
+        const CallResult result
+            = co_await call(m_pool, m_store, makeGet(wire::rangeTarget(m_prefix, after)), timeout, m_interrupter);
+        if (result.error && m_isInterrupted) {
+            co_return CallOutcome::Interrupted;
+        }
+        const wire::StoreEra era = observeEra(result);
         const auto page = result.succeeded() ? wire::parseItems(result.body) : std::nullopt;
         setReachable(page.has_value(), result);
-        if (!page) {
-            co_return false;
+        // Pages of two eras are no snapshot, and neither is a response that was under way when the store went back.
+        const bool isFirst = snapshot.revision == 0;
+        if (!page || era < m_era || (!isFirst && era != snapshot.era)) {
+            co_return CallOutcome::Failed;
         }
         // The pages may be of different revisions. The revision of the first page is kept, so that the next watch
         // repeats all later changes.
-        revision = revision == 0 ? page->revision : revision;
-        all.insert(all.end(), page->items.begin(), page->items.end());
+        snapshot.revision = isFirst ? page->revision : snapshot.revision;
+        snapshot.era = era;
+        snapshot.items.insert(snapshot.items.end(), page->items.begin(), page->items.end());
         hasMore = page->hasMore && !page->items.empty();
     }
-    m_isHistoryCompacted = false;
-    m_callbacks.onChanges({ .isSnapshot = true, .revision = revision, .items = std::move(all) });
-    co_return true;
+    m_isHistoryGone = false;
+    m_callbacks.onChanges(snapshot);
+    co_return CallOutcome::Applied;
 }
 
-Awaitable<bool> PrefixWatch::waitForChanges(std::chrono::milliseconds maxWait)
+Awaitable<PrefixWatch::CallOutcome> PrefixWatch::waitForChanges(std::chrono::milliseconds maxWait)
 {
     ++m_calls;
     const bool reachable = m_reachable.value_or(true);
     const std::chrono::milliseconds wait = reachable ? maxWait : probeMaxWait;
     const std::chrono::milliseconds timeout = reachable ? maxWait + responseMargin : probeTimeout;
-    const std::string target = wire::watchTarget(m_prefix, m_mirror.revision(), wait);
-    const CallResult result = co_await call(m_pool, m_store, makeGet(target), timeout);
-    observeEra(result);
-    if (!result.error && wire::isCompacted(static_cast<http::status>(result.status))) {
-        logEvent("store", "history compacted", { { "prefix", m_prefix }, { "revision", m_mirror.revision() } });
-        m_isHistoryCompacted = true;
-        co_return true;
+    const StorePosition known = m_mirror.position();
+    const std::string target = wire::watchTarget(m_prefix, known.revision, wait);
+    const CallResult result = co_await call(m_pool, m_store, makeGet(target), timeout, m_interrupter);
+    if (result.error && m_isInterrupted) {
+        co_return CallOutcome::Interrupted;
+    }
+    const wire::StoreEra era = observeEra(result);
+    if (!result.error && (wire::isCompacted(static_cast<http::status>(result.status)) || era > known.era)) {
+        logEvent("store", "history compacted",
+                 { { "prefix", m_prefix }, { "era", era }, { "revision", known.revision } });
+        m_isHistoryGone = true;
+        co_return CallOutcome::HistoryGone;
     }
     auto changes = result.succeeded() ? wire::parseItems(result.body) : std::nullopt;
     setReachable(changes.has_value(), result);
-    if (!changes) {
-        co_return false;
+    if (!changes || era < m_era) {
+        co_return CallOutcome::Failed;
     }
-    m_callbacks.onChanges({ .isSnapshot = false, .revision = changes->revision, .items = std::move(changes->items) });
-    co_return true;
+    m_watchesWithoutHistory = 0;
+    m_callbacks.onChanges(
+        { .isSnapshot = false, .era = era, .revision = changes->revision, .items = std::move(changes->items) });
+    co_return CallOutcome::Applied;
 }
 
-void PrefixWatch::observeEra(const CallResult &result)
+// Returns the era of a response, or the latest known one if the response states none.
+wire::StoreEra PrefixWatch::observeEra(const CallResult &result)
 {
     const wire::StoreEra era = result.error ? 0 : wire::parseStoreEra(result.head);
-    if (era <= m_era) {
-        return;
-    }
-    if (m_era > 0) {
-        logEvent("store", "came back from a copy",
-                 { { "prefix", m_prefix },
-                   { "era", era },
-                   { "previous_era", m_era },
-                   { "revision", m_mirror.revision() } });
+    if (era == 0) {
+        return m_era;
     }
-    m_era = era;
+    m_era = std::max(m_era, era);
+    m_callbacks.onEra(era);
+    return era;
 }
 
 void PrefixWatch::setReachable(bool reachable, const CallResult &result)
@@ -175,15 +213,15 @@
     m_reachable = reachable;
     logEvent("store", reachable ? "regained" : "lost",
              { { "prefix", m_prefix },
-               { "revision", m_mirror.revision() },
+               { "revision", m_mirror.position().revision },
                { "status", result.status },
                { "reason", result.error.message() } });
     m_callbacks.onReachabilityChanged(reachable);
 }
 
-std::chrono::milliseconds PrefixWatch::nextBackoff(std::chrono::milliseconds maxBackoff) const
+std::chrono::milliseconds PrefixWatch::backoff(std::uint32_t attempts, std::chrono::milliseconds maxBackoff)
 {
-    const std::chrono::milliseconds exponential = initialBackoff * (1U << std::min(m_failures, 6U));
+    const std::chrono::milliseconds exponential = initialBackoff * (1U << std::min(attempts, 6U));
     const auto bounded = std::min(exponential, maxBackoff);
     return std::chrono::milliseconds(static_cast<std::int64_t>(static_cast<double>(bounded.count()) * jitter()));
 }
--- a/src/process/relaymessages.cpp
+++ b/src/process/relaymessages.cpp
@@ -40,13 +40,17 @@
     for (const wire::StoreItem &item : changes.items) {
         items.push_back(toJson(item));
     }
-    return { { "whole", changes.isSnapshot }, { "revision", changes.revision }, { "items", std::move(items) } };
+    return { { "whole", changes.isSnapshot },
+             { "era", changes.era },
+             { "revision", changes.revision },
+             { "items", std::move(items) } };
 }
 
 StoreChanges changesFromJson(const Json &document)
 {
     StoreChanges changes;
     changes.isSnapshot = document.at("whole").get<bool>();
+    changes.era = document.value("era", wire::StoreEra{ 0 });
     changes.revision = document.at("revision").get<std::int64_t>();
     for (const Json &row : document.at("items")) {
         changes.items.push_back(itemFromJson(row));
@@ -63,7 +67,14 @@
 
 std::string encode(const RelayQuery &query)
 {
-    return toCbor({ { "after", query.knownRevisions },
+    PerPart<std::int64_t> revisions{};
+    PerPart<wire::StoreEra> eras{};
+    for (std::size_t part = 0; part < storePartCount; ++part) {
+        revisions[part] = query.known[part].revision;
+        eras[part] = query.known[part].era;
+    }
+    return toCbor({ { "after", revisions },
+                    { "eras", eras },
                     { "spacing_ms", query.minInterval.count() },
                     { "wait_ms", query.maxWait.count() } });
 }
@@ -88,7 +99,12 @@
 {
     return fromCbor<RelayQuery>(bytes, [](const Json &document) {
         RelayQuery query;
-        query.knownRevisions = document.at("after").get<PerPart<std::int64_t>>();
+        const auto revisions = document.at("after").get<PerPart<std::int64_t>>();
+        query.hasEras = document.contains("eras");
+        const auto eras = query.hasEras ? document.at("eras").get<PerPart<wire::StoreEra>>() : PerPart<wire::StoreEra>{};
+        for (std::size_t part = 0; part < storePartCount; ++part) {
+            query.known[part] = { eras[part], revisions[part] };
+        }
         query.minInterval = duration(document, "spacing_ms");
         query.maxWait = duration(document, "wait_ms");
         return query;
--- a/src/process/storemirror.cpp
+++ b/src/process/storemirror.cpp
@@ -1,6 +1,7 @@
 #include "zinniadock/process/storemirror.h"
 
 #include <algorithm>
+#include <set>
 
 namespace zinniadock
 {
@@ -15,46 +16,85 @@
 
 std::vector<wire::StoreItem> StoreMirror::apply(const StoreChanges &changes)
 {
-    std::vector<wire::StoreItem> changedItems;
-    // Ignores items up to the revision of this mirror. They have been applied before, including deletions that are no
-    // longer kept.
-    const auto applyItem = [this, &changedItems](const wire::StoreItem &item) {
-        if (item.revision <= m_revision) {
-            return;
-        }
-        wire::StoreItem &known = m_items[item.key];
-        if (item.revision <= known.revision) {
-            return;
-        }
-        m_deletionCount += known.revision > 0 && !known.value ? -1 : 0;
-        m_deletionCount += item.value ? 0 : 1;
-        known = item;
-        changedItems.push_back(item);
-    };
-    if (changes.isSnapshot) {
-        std::map<std::string, bool> listed;
-        for (const wire::StoreItem &item : changes.items) {
-            listed[item.key] = true;
-        }
-        std::vector<std::string> missing;
-        for (const auto &[key, item] : m_items) {
-            if (item.value && !listed.contains(key)) {
-                missing.push_back(key);
-            }
-        }
-        for (const std::string &key : missing) {
-            applyItem({ .key = key, .value = {}, .revision = changes.revision });
+    if (changes.era < m_position.era) {
+        return {};
+    }
+    if (changes.era == m_position.era) {
+        return merge(changes);
+    }
+    return changes.isSnapshot ? replaceBy(changes) : std::vector<wire::StoreItem>();
+}
+
+// Returns only the keys whose existence or value differs, since most keys were written before the copy was made.
+std::vector<wire::StoreItem> StoreMirror::replaceBy(const StoreChanges &snapshot)
+{
+    std::vector<wire::StoreItem> changedItems = missingIn(snapshot);
+    std::map<std::string, wire::StoreItem> replaced;
+    for (const wire::StoreItem &item : snapshot.items) {
+        const auto known = m_items.find(item.key);
+        if (known == m_items.end() || known->second.value != item.value) {
+            changedItems.push_back(item);
         }
+        replaced[item.key] = item;
     }
-    for (const wire::StoreItem &item : changes.items) {
-        applyItem(item);
+    m_items = std::move(replaced);
+    m_position = { snapshot.era, snapshot.revision };
+    m_firstRevisionOfEra = snapshot.revision;
+    m_compactedRevision = snapshot.revision;
+    m_deletionCount = 0;
+    return changedItems;
+}
+
+std::vector<wire::StoreItem> StoreMirror::merge(const StoreChanges &changes)
+{
+    std::vector<wire::StoreItem> candidates;
+    if (changes.isSnapshot) {
+        candidates = missingIn(changes);
     }
-    if (changes.isSnapshot && changes.revision > m_revision) {
+    candidates.insert(candidates.end(), changes.items.begin(), changes.items.end());
+    std::erase_if(candidates, [this](const wire::StoreItem &item) {
+        return !applyItem(item);
+    });
+    if (changes.isSnapshot && changes.revision > m_position.revision) {
         m_compactedRevision = changes.revision; // keys that were written and deleted before are not in the snapshot
     }
-    m_revision = std::max(m_revision, changes.revision);
+    m_firstRevisionOfEra = m_firstRevisionOfEra == 0 ? changes.revision : m_firstRevisionOfEra;
+    m_position.revision = std::max(m_position.revision, changes.revision);
     compactDeletions();
-    return changedItems;
+    return candidates;
+}
+
+// Returns the deletions of the keys that exist in this mirror and not in a snapshot.
+std::vector<wire::StoreItem> StoreMirror::missingIn(const StoreChanges &snapshot) const
+{
+    std::set<std::string> listed;
+    for (const wire::StoreItem &item : snapshot.items) {
+        listed.insert(item.key);
+    }
+    std::vector<wire::StoreItem> deletions;
+    for (const auto &[key, item] : m_items) {
+        if (item.value && !listed.contains(key)) {
+            deletions.push_back({ .key = key, .value = {}, .revision = snapshot.revision });
+        }
+    }
+    return deletions;
+}
+
+// Ignores items up to the revision of this mirror. They have been applied before, including deletions that are no longer
+// kept.
+bool StoreMirror::applyItem(const wire::StoreItem &item)
+{
+    if (item.revision <= m_position.revision) {
+        return false;
+    }
+    wire::StoreItem &known = m_items[item.key];
+    if (item.revision <= known.revision) {
+        return false;
+    }
+    m_deletionCount += known.revision > 0 && !known.value ? -1 : 0;
+    m_deletionCount += item.value ? 0 : 1;
+    known = item;
+    return true;
 }
 
 // Drops the older half of the deletions if there are more than maxRetainedDeletions.
@@ -77,23 +117,28 @@
     });
 }
 
-StoreChanges StoreMirror::changesAfter(std::int64_t revision) const
+StoreChanges StoreMirror::changesAfter(const StorePosition &known) const
 {
-    if (revision == 0 || revision < m_compactedRevision) {
-        return { .isSnapshot = true, .revision = m_revision, .items = items() };
+    StoreChanges changes{ .isSnapshot = false, .era = m_position.era, .revision = m_position.revision, .items = {} };
+    if (known.era > m_position.era) {
+        return changes;
+    }
+    if (known.era < m_position.era || known.revision == 0 || known.revision < m_compactedRevision) {
+        changes.isSnapshot = true;
+        changes.items = items();
+        return changes;
     }
-    StoreChanges changes{ .isSnapshot = false, .revision = m_revision, .items = {} };
     for (const auto &[key, item] : m_items) {
-        if (item.revision > revision) {
+        if (item.revision > known.revision) {
             changes.items.push_back(item);
         }
     }
     return changes;
 }
 
-std::int64_t StoreMirror::revision() const
+StorePosition StoreMirror::position() const
 {
-    return m_revision;
+    return m_position;
 }
 
 std::vector<wire::StoreItem> StoreMirror::items() const
@@ -107,4 +152,15 @@
     return existing;
 }
 
+std::optional<wire::StoreItem> StoreMirror::find(const std::string &key) const
+{
+    const auto found = m_items.find(key);
+    return found == m_items.end() || !found->second.value ? std::nullopt : std::optional(found->second);
+}
+
+bool StoreMirror::isWrittenInEra(const wire::StoreItem &item) const
+{
+    return item.revision > m_firstRevisionOfEra;
+}
+
 } // namespace zinniadock
--- a/src/process/storeview.cpp
+++ b/src/process/storeview.cpp
@@ -114,6 +114,10 @@
                                           .onReachabilityChanged =
                                               [this](bool isReachable) {
                                                   setStoreReachable(isReachable);
+                                              },
+                                          .onEra =
+                                              [this](wire::StoreEra era) {
+                                                  observeEra(era, "store");
                                               } };
     const auto timingOfPart = [this, part] {
         return watchTiming(part);
@@ -148,7 +152,8 @@
 
 void StoreView::applyChanges(StorePart part, const StoreChanges &changes, const std::string &source)
 {
-    const std::vector<wire::StoreItem> changedItems = m_mirrors[indexOf(part)].apply(changes);
+    StoreMirror &mirror = m_mirrors[indexOf(part)];
+    const std::vector<wire::StoreItem> changedItems = mirror.apply(changes);
     if (changedItems.empty()) {
         return;
     }
@@ -164,6 +169,28 @@
     m_changed.notify();
 }
 
+// Learns that the store has come back from a copy of itself. Servers and entries that the copy does not have may
+// register again, as after an outage.
+void StoreView::observeEra(wire::StoreEra era, const std::string &source)
+{
+    if (era <= m_era) {
+        return;
+    }
+    const wire::StoreEra previous = std::exchange(m_era, era);
+    if (previous == 0) {
+        return;
+    }
+    logEvent("store", "came back from a copy",
+             { { "era", era },
+               { "previous_era", previous },
+               { "revision", m_mirrors[indexOf(StorePart::Servers)].position().revision },
+               { "source", source } });
+    m_storeRecoveredAt = std::chrono::steady_clock::now();
+    for (const auto &watch : m_watches) {
+        watch->requireEra(era);
+    }
+}
+
 void StoreView::updateMembers()
 {
     m_members.clear();
@@ -244,7 +271,7 @@
 
 bool StoreView::hasServerList() const
 {
-    return m_mirrors[indexOf(StorePart::Servers)].revision() > 0;
+    return m_mirrors[indexOf(StorePart::Servers)].position().revision > 0;
 }
 
 std::optional<SteadyTime> StoreView::recoveryGraceEnd() const
@@ -268,11 +295,7 @@
 
 wire::StoreEra StoreView::storeEra() const
 {
-    wire::StoreEra era = 0;
-    for (const auto &watch : m_watches) {
-        era = std::max(era, watch->era());
-    }
-    return era;
+    return m_era;
 }
 
 std::uint64_t StoreView::storeCalls() const
@@ -319,13 +342,14 @@
     query.minInterval = minRelayIntervals.at(slot);
     query.maxWait = maxRelayWait;
     for (std::size_t part = 0; part < storePartCount; ++part) {
-        query.knownRevisions[part] = m_mirrors[part].revision();
+        query.known[part] = m_mirrors[part].position();
     }
     const HttpRequest request = makePost(relayTarget, encode(query));
     const auto askedAt = std::chrono::steady_clock::now();
     const CallResult result = co_await call(m_services.pool, endpoint, request, maxRelayWait + relayTimeoutSlack);
     const auto response = result.succeeded() ? decodeRelayResponse(result.body) : std::nullopt;
-    const bool isUsable = response && response->readsStore && response->age < confirmationTimeout();
+    const bool isUsable
+        = response && response->readsStore && response->age < confirmationTimeout() && !isBehind(*response);
     if (response) {
         applyRelayResponse(*response, askedAt, peer);
     }
@@ -344,6 +368,15 @@
     }
 }
 
+// Returns whether a source has not noticed yet that the store went back. A source that has read one part again is about
+// to read the others.
+bool StoreView::isBehind(const RelayResponse &response) const
+{
+    return std::all_of(response.changes.begin(), response.changes.end(), [this](const StoreChanges &changes) {
+        return changes.era < m_era;
+    });
+}
+
 // Dates the confirmation by the time at which the query was sent, and not by the arrival of the response, since the
 // response may have been delayed in transit.
 void StoreView::applyRelayResponse(const RelayResponse &response, SteadyTime askedAt, const std::string &peer)
@@ -353,21 +386,32 @@
         m_storeRecoveredAt = std::max(m_storeRecoveredAt.value_or(recoveredAt), recoveredAt);
     }
     for (std::size_t part = 0; part < storePartCount; ++part) {
+        observeEra(response.changes[part].era, peer);
         applyChanges(static_cast<StorePart>(part), response.changes[part], peer);
     }
     for (const auto &[id, announcement] : response.announcements) {
         m_callbacks.onAnnouncement(announcement);
     }
-    if (response.readsStore) {
+    if (response.readsStore && !isBehind(response)) {
         const SteadyTime confirmed = askedAt - response.age;
         m_relayConfirmedAt = std::max(m_relayConfirmedAt.value_or(confirmed), confirmed);
     }
 }
 
-bool StoreView::hasChangesAfter(const PerPart<std::int64_t> &after) const
+// An entry of an earlier version states no eras. Its revisions count as those of the current era.
+PerPart<StorePosition> StoreView::knownPositions(const RelayQuery &query) const
+{
+    PerPart<StorePosition> known = query.known;
+    for (std::size_t part = 0; part < storePartCount && !query.hasEras; ++part) {
+        known[part].era = m_mirrors[part].position().era;
+    }
+    return known;
+}
+
+bool StoreView::hasChangesAfter(const PerPart<StorePosition> &known) const
 {
     for (std::size_t part = 0; part < storePartCount; ++part) {
-        const StoreChanges changes = m_mirrors[part].changesAfter(after[part]);
+        const StoreChanges changes = m_mirrors[part].changesAfter(known[part]);
         if (!changes.items.empty()) {
             return true;
         }
@@ -379,9 +423,10 @@
 {
     const auto startedAt = std::chrono::steady_clock::now();
     const std::chrono::milliseconds wait = std::min(query.maxWait, maxRelayWait);
+    const PerPart<StorePosition> known = knownPositions(query);
     while (!m_stopped && isReadingStore() && elapsed(startedAt) < wait) {
         const std::chrono::milliseconds limit
-            = hasChangesAfter(query.knownRevisions) ? std::min(query.minInterval, wait) : wait;
+            = hasChangesAfter(known) ? std::min(query.minInterval, wait) : wait;
         const std::chrono::milliseconds left = limit - elapsed(startedAt);
         if (left.count() <= 0) {
             break;
@@ -396,7 +441,7 @@
         response.storeRecoveredAgo = elapsed(*m_storeRecoveredAt);
     }
     for (std::size_t part = 0; part < storePartCount; ++part) {
-        response.changes[part] = m_mirrors[part].changesAfter(query.knownRevisions[part]);
+        response.changes[part] = m_mirrors[part].changesAfter(known[part]);
     }
     response.announcements = m_callbacks.announcements();
     co_await connection->respond(makeResponse(http::status::ok, encode(response), "application/cbor"));
--- a/tests/unit/unit-storemirror.cpp
+++ b/tests/unit/unit-storemirror.cpp
@@ -79,7 +79,7 @@
         mirror.apply({ .isSnapshot = true, .revision = 5, .items = { written("a", 3), written("b", 5) } });
         CHECK(mirror.apply({ .revision = 9, .items = { deleted("a", 9) } }).size() == 1);
         CHECK(mirror.apply({ .revision = 7, .items = { written("a", 7) } }).empty());
-        CHECK(mirror.revision() == 9);
+        CHECK(mirror.position().revision == 9);
         REQUIRE(mirror.items().size() == 1);
         CHECK(mirror.items()[0].key == "b");
     }
@@ -94,14 +94,14 @@
             = mirror.apply({ .isSnapshot = true, .revision = 6, .items = { written("a", 3), written("d", 6) } });
         CHECK(older.empty());
         CHECK(mirror.items().size() == 1);
-        CHECK(mirror.revision() == 9);
+        CHECK(mirror.position().revision == 9);
     }
     SECTION("the empty snapshot of a source without data removes nothing")
     {
         mirror.apply({ .isSnapshot = true, .revision = 5, .items = { written("a", 3) } });
-        CHECK(mirror.apply(StoreMirror().changesAfter(5)).empty());
+        CHECK(mirror.apply(StoreMirror().changesAfter({ 0, 5 })).empty());
         CHECK(mirror.items().size() == 1);
-        CHECK(mirror.revision() == 5);
+        CHECK(mirror.position().revision == 5);
     }
     SECTION("the number of kept deletions is limited, and a mirror that is too far behind gets a snapshot")
     {
@@ -109,8 +109,8 @@
         for (std::int64_t revision = 1; revision <= many; ++revision) {
             mirror.apply({ .revision = revision, .items = { deleted("k" + std::to_string(revision), revision) } });
         }
-        CHECK(mirror.changesAfter(1).isSnapshot);
-        const StoreChanges recent = mirror.changesAfter(many - 10);
+        CHECK(mirror.changesAfter({ 0, 1 }).isSnapshot);
+        const StoreChanges recent = mirror.changesAfter({ 0, many - 10 });
         CHECK_FALSE(recent.isSnapshot);
         CHECK(recent.items.size() == 10);
     }
@@ -119,8 +119,8 @@
         StoreMirror follower;
         follower.apply({ .isSnapshot = true, .revision = 5, .items = { written("a", 3), written("b", 5) } });
         mirror.apply({ .isSnapshot = true, .revision = 9, .items = { written("b", 5) } });
-        follower.apply(mirror.changesAfter(follower.revision()));
-        CHECK(follower.revision() == 9);
+        follower.apply(mirror.changesAfter(follower.position()));
+        CHECK(follower.position().revision == 9);
         CHECK(same(follower.items(), mirror.items()));
     }
     SECTION("with random histories and sources no key reverts, and all sources lead to the same content")
@@ -136,19 +136,19 @@
             for (const int step : steps) {
                 const std::int64_t until = history.last() > 0 ? step % (history.last() + 1) : 0;
                 if (step % 3 == 0) {
-                    reader.apply(until > reader.revision() ? history.between(reader.revision(), until)
+                    reader.apply(until > reader.position().revision ? history.between(reader.position().revision, until)
                                                            : history.whole(until));
                     continue;
                 }
                 const StoreChanges relayed
-                    = step % 3 == 1 ? reader.changesAfter(follower.revision()) : history.whole(until);
+                    = step % 3 == 1 ? reader.changesAfter(follower.position()) : history.whole(until);
                 for (const wire::StoreItem &item : follower.apply(relayed)) {
                     RC_ASSERT(item.revision > seen[item.key]);
                     seen[item.key] = item.revision;
                 }
             }
-            reader.apply(history.between(reader.revision(), history.last()));
-            follower.apply(reader.changesAfter(follower.revision()));
+            reader.apply(history.between(reader.position().revision, history.last()));
+            follower.apply(reader.changesAfter(follower.position()));
             RC_ASSERT(same(follower.items(), history.whole(history.last()).items));
         });
         CHECK(holds);
@@ -174,10 +174,10 @@
     CHECK(decoded->changes[1].isSnapshot);
     CHECK(decoded->announcements == response.announcements);
     RelayQuery query;
-    query.knownRevisions = { 1, 2, 3 };
+    query.known = { StorePosition{ 1, 5 }, StorePosition{ 2, 6 }, StorePosition{ 2, 7 } };
     const auto decodedQuery = decodeRelayQuery(encode(query));
     REQUIRE(decodedQuery);
-    CHECK(decodedQuery->knownRevisions == query.knownRevisions);
+    CHECK(decodedQuery->known == query.known);
 
     SECTION("malformed bytes, missing fields and fields of another type are refused")
     {
