Take a new lease after the store went back

What operators would see: an entry that registered after the copy was made is missing in the list of entries for up to 20 s, and longer if another client gets the number of its lease: the entry then renews the lease of the other, or ends it when it stops.

Cause: a lease was renewed and ended by its number alone. A store that went back gives numbers out again.

Evidence: "an entry registers again after the store went back and never uses a lease of another" failed before.

Why it works: a lease belongs to the era that granted it. In a later era the entry takes a new lease and writes its registration again, after a random delay that grows with the fleet: at most 25 ms an entry, so that 340 entries make 80 writes a second. A stopping entry deletes its own key and ends no lease by number. A registration whose write was answered in another era than its lease is made again.

--- a/include/zinniadock/connection/wireform.h
+++ b/include/zinniadock/connection/wireform.h
@@ -124,11 +124,13 @@
 std::string parseLeaseId(std::string_view body);
 
 HttpRequest renewLeaseRequest(const std::string &lease);
-HttpRequest revokeLeaseRequest(const std::string &lease);
 
 /// Returns the request that writes one key under a lease.
 HttpRequest writeRequest(const std::string &key, const std::string &value, const std::string &lease);
 
+/// Returns the request that deletes one key.
+HttpRequest deleteRequest(const std::string &key);
+
 /// Parses the response to a read or a watch. Returns nothing if the response is malformed.
 std::optional<StoreItems> parseItems(std::string_view body);
 
--- a/include/zinniadock/process/entryregistration.h
+++ b/include/zinniadock/process/entryregistration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,28 +21,40 @@
 /// Keeps this entry registered in the store with a lease.
 ///
 /// Other entries use a registration only as a hint and skip a registered entry that does not respond, so correctness
-/// does not depend on the timely expiry of a lease.
+/// does not depend on the timely expiry of a lease. A lease belongs to the era of the store that granted it: in a later
+/// era its number may be given to another client, so that the entry gets a new lease and never uses the earlier one.
 class EntryRegistration : public std::enable_shared_from_this<EntryRegistration>
 {
 public:
-    EntryRegistration(ConnectionPool &pool, Endpoint store, EntryMember self);
+    /// \param onEra  called with the era of each response of the store that states one
+    EntryRegistration(ConnectionPool &pool, Endpoint store, EntryMember self,
+                      std::function<void(wire::StoreEra)> onEra);
 
     void start();
 
-    /// Stops renewing the lease and revokes it with a single call. If that call fails, the lease expires after its time
-    /// to live.
+    /// Registers again after \p delay, unless the lease is of this era or a later one.
+    void requireEra(wire::StoreEra era, std::chrono::milliseconds delay);
+
+    /// Stops renewing the lease and deletes the registration with a single call. If that call fails, the lease expires
+    /// after its time to live.
     void stop();
 
 private:
     Awaitable<void> run();
     Awaitable<bool> registerSelf();
     Awaitable<bool> renewLease();
-    Awaitable<void> revokeLease();
+    Awaitable<void> deleteRegistration();
+    wire::StoreEra observeEra(const CallResult &result);
 
     ConnectionPool &m_pool;
     const Endpoint m_store;
     const EntryMember m_self;
+    const std::function<void(wire::StoreEra)> m_onEra;
     std::string m_lease; ///< empty while not registered
+    wire::StoreEra m_leaseEra = 0; ///< era of the store that granted the lease
+    wire::StoreEra m_era = 0; ///< latest era of the store that is known
+    AsyncCondition m_eraChanged;
+    std::chrono::milliseconds m_delay{ 0 }; ///< before the next registration
     bool m_stopped = false;
 };
 
--- a/src/process/entryregistration.cpp
+++ b/src/process/entryregistration.cpp
@@ -42,10 +42,13 @@
     return member;
 }
 
-EntryRegistration::EntryRegistration(ConnectionPool &pool, Endpoint store, EntryMember self)
+EntryRegistration::EntryRegistration(ConnectionPool &pool, Endpoint store, EntryMember self,
+                                     std::function<void(wire::StoreEra)> onEra)
     : m_pool(pool)
     , m_store(std::move(store))
     , m_self(std::move(self))
+    , m_onEra(std::move(onEra))
+    , m_eraChanged(pool.context())
 {
 }
 
@@ -70,40 +73,73 @@
     asio::co_spawn(
         m_pool.context(),
         [self]() {
-            return self->revokeLease();
+            return self->deleteRegistration();
         },
         asio::detached);
 }
 
+void EntryRegistration::requireEra(wire::StoreEra era, std::chrono::milliseconds delay)
+{
+    m_era = std::max(m_era, era);
+    if (!m_lease.empty() && m_leaseEra < m_era) {
+        logEvent("entry", "registration lost",
+                 { { "peer", m_self.peer }, { "lease_era", m_leaseEra }, { "era", m_era }, { "delay_ms", delay } });
+        m_lease.clear();
+        m_delay = delay;
+        m_eraChanged.notify();
+    }
+}
+
 Awaitable<void> EntryRegistration::run()
 {
     const auto self = shared_from_this();
     while (!m_stopped) {
         bool succeeded = false;
         if (m_lease.empty()) {
+            co_await sleepFor(std::exchange(m_delay, std::chrono::milliseconds(0)));
             succeeded = co_await registerSelf();
         } else {
             succeeded = co_await renewLease();
         }
-        co_await sleepFor(succeeded ? renewalInterval : retryInterval);
+        const bool isLeaseLost = succeeded && m_lease.empty();
+        if (!isLeaseLost) {
+            co_await m_eraChanged.wait(succeeded ? renewalInterval : retryInterval);
+        }
+    }
+}
+
+// Returns the era of a response, or the latest known one if the response states none.
+wire::StoreEra EntryRegistration::observeEra(const CallResult &result)
+{
+    const wire::StoreEra era = result.error ? 0 : wire::parseStoreEra(result.head);
+    if (era > 0) {
+        m_era = std::max(m_era, era);
+        m_onEra(era);
     }
+    return era > 0 ? era : m_era;
 }
 
 Awaitable<bool> EntryRegistration::registerSelf()
 {
     const CallResult made = co_await call(m_pool, m_store, wire::leaseRequest(leaseDuration), callTimeout);
+    const wire::StoreEra leaseEra = observeEra(made);
     const std::string lease = made.succeeded() ? wire::parseLeaseId(made.body) : "";
-    if (lease.empty()) {
+    if (lease.empty() || m_stopped) {
         co_return false;
     }
     const std::string value = Json{ { "capacity", m_self.capacity } }.dump();
     const HttpRequest request = wire::writeRequest(registrationPrefix() + m_self.peer, value, lease);
     const CallResult written = co_await call(m_pool, m_store, request, callTimeout);
     // A write without a response may have taken effect. In this case the next registration overwrites its value, and
-    // its lease expires.
-    m_lease = written.succeeded() ? lease : "";
+    // its lease expires. A write in a later era than that of the lease may have used the lease of another client.
+    const bool isRegistered = written.succeeded() && observeEra(written) == leaseEra && leaseEra == m_era;
+    m_lease = isRegistered ? lease : "";
+    m_leaseEra = leaseEra;
     logEvent("entry", m_lease.empty() ? "registration failed" : "registered",
-             { { "peer", m_self.peer }, { "status", written.status }, { "reason", written.error.message() } });
+             { { "peer", m_self.peer },
+               { "era", leaseEra },
+               { "status", written.status },
+               { "reason", written.error.message() } });
     co_return !m_lease.empty();
 }
 
@@ -114,14 +150,17 @@
         logEvent("entry", "registration lease expired", { { "peer", m_self.peer } });
         m_lease.clear();
     }
-    co_return result.succeeded();
+    requireEra(observeEra(result), std::chrono::milliseconds(0));
+    co_return result.succeeded() || m_lease.empty();
 }
 
-Awaitable<void> EntryRegistration::revokeLease()
+// Deletes the key and does not end the lease, whose number may belong to another client after the store went back.
+Awaitable<void> EntryRegistration::deleteRegistration()
 {
     const auto self = shared_from_this();
     if (!m_lease.empty()) {
-        co_await call(m_pool, m_store, wire::revokeLeaseRequest(m_lease), callTimeout);
+        const HttpRequest request = wire::deleteRequest(registrationPrefix() + m_self.peer);
+        co_await call(m_pool, m_store, request, callTimeout);
     }
 }
 
--- a/src/process/storeview.cpp
+++ b/src/process/storeview.cpp
@@ -59,6 +59,10 @@
 constexpr std::array<std::chrono::milliseconds, 2> minRelayIntervals{ std::chrono::milliseconds(200),
                                                                       std::chrono::milliseconds(500) };
 
+/// After the store went back, entries register again after a random delay of at most this time for each known entry,
+/// since a whole fleet registers again.
+constexpr std::chrono::milliseconds registrationSpread{ 25 };
+
 /// Interval at which an entry that has no source, or needs none, checks again for a source.
 constexpr std::chrono::milliseconds idleInterval{ 100 };
 
@@ -93,7 +97,10 @@
     watch(StorePart::Servers, wire::serverPrefix());
     watch(StorePart::Entries, registrationPrefix());
     const EntryMember self{ .peer = m_ownPeer, .capacity = m_services.settings.forwarding.capacity };
-    m_registration = std::make_shared<EntryRegistration>(m_services.pool, m_services.settings.store.endpoint, self);
+    m_registration = std::make_shared<EntryRegistration>(m_services.pool, m_services.settings.store.endpoint, self,
+                                                         [this](wire::StoreEra era) {
+                                                             observeEra(era, "store");
+                                                         });
     m_registration->start();
     for (std::size_t slot = 0; slot < m_currentSources.size(); ++slot) {
         asio::co_spawn(
@@ -189,6 +196,9 @@
     for (const auto &watch : m_watches) {
         watch->requireEra(era);
     }
+    const auto maxDelay = registrationSpread * static_cast<int>(m_members.size());
+    m_registration->requireEra(
+        era, std::chrono::duration_cast<std::chrono::milliseconds>(m_services.randomFraction() * maxDelay));
 }
 
 void StoreView::updateMembers()
