Count entries whose registrations the store has lost while they register again

What callers would see: after a restore of the store, entries that share the limit of a server, or choose who reads the store, count too few of each other for some seconds.

Cause: an entry that is missing in the copy counted as gone at once.

Why it works: entries that were known before the store went back count for 10 s more, and longer in a large fleet, in which they register again.

--- a/include/zinniadock/process/storeview.h
+++ b/include/zinniadock/process/storeview.h
@@ -79,6 +79,9 @@
     void applyChanges(StorePart part, const StoreChanges &changes, const std::string &source);
     void setStoreReachable(bool isReachable);
     void observeEra(wire::StoreEra era, const std::string &source);
+    void holdMissingMembers(const std::vector<wire::StoreItem> &items);
+    Awaitable<void> dropHeldMembers();
+    void addHeldMembers();
     void updateMembers();
     Awaitable<void> followSource(std::size_t slot);
     Awaitable<void> querySource(std::size_t slot, std::string peer);
@@ -100,6 +103,7 @@
     PerPart<std::shared_ptr<PrefixWatch>> m_watches;
     std::shared_ptr<EntryRegistration> m_registration;
     std::vector<EntryMember> m_members;
+    std::vector<EntryMember> m_heldMembers; ///< entries whose registration the store lost when it went back
     wire::StoreEra m_era = 0; ///< latest era of the store that is known
     std::vector<std::string> m_sourceRanking; ///< peers that this entry may follow, best first
     bool m_isReader = true;
--- a/src/process/storeview.cpp
+++ b/src/process/storeview.cpp
@@ -59,8 +59,10 @@
 constexpr std::array<std::chrono::milliseconds, 2> minRelayIntervals{ std::chrono::milliseconds(200),
                                                                       std::chrono::milliseconds(500) };
 
-/// After the store went back, entries register again after a random delay of at most this time for each known entry,
-/// since a whole fleet registers again.
+/// After the store went back, entries that it has lost count as registered for this time, so that they can register
+/// again. They do so after a random delay of at most registrationSpread for each known entry, since a whole fleet
+/// registers again.
+constexpr std::chrono::milliseconds memberHoldTime{ 10000 };
 constexpr std::chrono::milliseconds registrationSpread{ 25 };
 
 /// Interval at which an entry that has no source, or needs none, checks again for a source.
@@ -160,10 +162,15 @@
 void StoreView::applyChanges(StorePart part, const StoreChanges &changes, const std::string &source)
 {
     StoreMirror &mirror = m_mirrors[indexOf(part)];
+    const wire::StoreEra previousEra = mirror.position().era;
     const std::vector<wire::StoreItem> changedItems = mirror.apply(changes);
+    const bool wentBack = previousEra > 0 && mirror.position().era > previousEra;
     if (changedItems.empty()) {
         return;
     }
+    if (wentBack && part == StorePart::Entries) {
+        holdMissingMembers(changedItems);
+    }
     if (part == StorePart::Configuration) {
         for (const wire::StoreItem &item : changedItems) {
             m_callbacks.onConfigurationItem(item, source);
@@ -201,6 +208,46 @@
         era, std::chrono::duration_cast<std::chrono::milliseconds>(m_services.randomFraction() * maxDelay));
 }
 
+void StoreView::holdMissingMembers(const std::vector<wire::StoreItem> &items)
+{
+    for (const wire::StoreItem &item : items) {
+        const auto member = std::find_if(m_members.begin(), m_members.end(), [&item](const EntryMember &each) {
+            return registrationPrefix() + each.peer == item.key;
+        });
+        if (!item.value && member != m_members.end()) {
+            m_heldMembers.push_back(*member);
+        }
+    }
+    asio::co_spawn(
+        m_services.context,
+        [this]() {
+            return dropHeldMembers();
+        },
+        asio::detached);
+}
+
+Awaitable<void> StoreView::dropHeldMembers()
+{
+    const wire::StoreEra era = m_era;
+    co_await sleepFor(memberHoldTime + registrationSpread * static_cast<int>(m_members.size()));
+    if (era == m_era && !m_stopped) {
+        m_heldMembers.clear();
+        updateMembers();
+    }
+}
+
+void StoreView::addHeldMembers()
+{
+    for (const EntryMember &held : m_heldMembers) {
+        const bool isRegistered = std::any_of(m_members.begin(), m_members.end(), [&held](const EntryMember &member) {
+            return member.peer == held.peer;
+        });
+        if (!isRegistered) {
+            m_members.push_back(held);
+        }
+    }
+}
+
 void StoreView::updateMembers()
 {
     m_members.clear();
@@ -212,6 +259,10 @@
             listsSelf = listsSelf || member->peer == m_ownPeer;
         }
     }
+    addHeldMembers();
+    listsSelf = listsSelf || std::any_of(m_members.begin(), m_members.end(), [this](const EntryMember &member) {
+        return member.peer == m_ownPeer;
+    });
     if (!listsSelf) {
         m_members.push_back({ .peer = m_ownPeer, .capacity = m_services.settings.forwarding.capacity });
     }
--- a/tests/unit/unit-storerestore.cpp
+++ b/tests/unit/unit-storerestore.cpp
@@ -261,3 +261,24 @@
     }));
     CHECK(deployment.store.copy().leases.count(ofOther) == 1);
 }
+
+// Guards against entries that no longer count each other, and so share limits wrongly, until all are registered again.
+TEST_CASE("entries whose registrations the store has lost still count while they register again")
+{
+    constexpr std::size_t entryCount = 3;
+    PlatformStore empty;
+    const PlatformStore::Copy copy = empty.copy();
+    Deployment deployment(entryCount);
+    const auto allKnown = [&] {
+        return std::all_of(deployment.entries.begin(), deployment.entries.end(), [](const auto &entry) {
+            return metric(*entry, "zinniadock_known_entries") == entryCount;
+        });
+    };
+    REQUIRE(eventually(allKnown));
+    deployment.restore(copy);
+    const auto restoredAt = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() - restoredAt < std::chrono::seconds(3)) {
+        CHECK(allKnown());
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+}
