Remember servers that were seen draining or gone when the store goes back

What callers would see: requests to a server that is draining or has left, since a store that came back from a copy lists it as ready (DRAIN).

Cause: the records of a later era replaced what was known of the servers.

Why it works: one module (departedservers, no network, clock or thread) remembers each incarnation that was seen draining or gone, with the sequence number of its last record. Draining is not undone by any record of the same incarnation. A server that was gone is listed again by a record that it wrote after the store went back, or with a later sequence number or start. A record that says neither is held back for 6 s: if its server does not renew it, it has expired by then; if it is still there, the server lives.

--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -7,6 +7,7 @@
 #include <system_error>
 
 #include "zinniadock/connection/httplistener.h"
+#include "zinniadock/process/departedservers.h"
 #include "zinniadock/process/forwardingservices.h"
 #include "zinniadock/process/sidecarfeed.h"
 #include "zinniadock/process/storeview.h"
@@ -61,6 +62,9 @@
     StoreViewCallbacks makeViewCallbacks();
     void applyConfiguration(const std::string &text, const std::string &source);
     void applyServerItem(const wire::StoreItem &item);
+    void applyServerRecord(ServerRecord record, const RecordOrigin &origin);
+    void holdBackServer(const ServerRecord &record);
+    void reviewHeldBackServers();
     void addServer(const ServerRecord &record);
     void startLoadFeed(const ServerRecord &record);
     bool acceptsAnnouncement(const ServerAnnouncement &announcement) const;
@@ -75,12 +79,14 @@
     const std::shared_ptr<ForwardingServices> m_sharedServices; ///< shared with the requests in progress
     ForwardingServices &m_services;
     StoreView m_storeView;
+    DepartedServers m_departed;
     std::shared_ptr<HttpListener> m_callerListener;
     std::shared_ptr<HttpListener> m_readinessListener;
     std::shared_ptr<HttpListener> m_peerListener;
     std::shared_ptr<HttpListener> m_metricsListener;
     std::map<std::string, std::shared_ptr<SidecarFeed>> m_feeds; ///< by server ID
     std::map<std::string, std::string> m_announcements; ///< encoded, by ID of a server that the store does not list yet
+    std::map<std::string, SteadyTime> m_heldBackUntil; ///< servers listed although they were seen gone, by ID
     std::map<std::string, SteadyTime> m_removalTimes; ///< when to unlist a removed server unless it returns, by ID
     bool m_stopped = false;
 };
--- a/include/zinniadock/process/serverdirectory.h
+++ b/include/zinniadock/process/serverdirectory.h
@@ -25,6 +25,7 @@
     bool isDraining = false;
     std::chrono::milliseconds warmUpDuration{ 0 }; ///< the server is slow for this time after it is listed
     std::int64_t startTimeMs = 0; ///< start of the incarnation, in Unix milliseconds
+    std::uint64_t sequence = 0; ///< rises with each record that the incarnation writes; 0 if not stated
 };
 
 /// A generation that an engine runs.
--- a/include/zinniadock/process/storeview.h
+++ b/include/zinniadock/process/storeview.h
@@ -70,6 +70,9 @@
     /// Returns the latest era of the store that is known; 0 if there is none.
     wire::StoreEra storeEra() const;
 
+    /// Returns the copy of a part of the store.
+    const StoreMirror &mirror(StorePart part) const;
+
     /// Returns the number of calls that this entry has made to the store.
     std::uint64_t storeCalls() const;
 
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -26,6 +26,10 @@
 /// Announcements of sidecars are accepted if the store has not confirmed the server list for this time.
 constexpr std::chrono::milliseconds storeConfirmationTimeout{ 1600 };
 
+/// After the store went back, a server that was seen gone is listed only if its record is still there after this time.
+/// The record of a server that does not renew it expires before.
+constexpr std::chrono::milliseconds heldBackTime{ 6000 };
+
 /// Interval between two cleanups of idle connections and removed servers.
 constexpr std::chrono::milliseconds cleanupInterval{ 5000 };
 
@@ -158,7 +162,11 @@
     const std::string id = serverIdOfKey(item.key);
     if (!item.value) {
         const auto now = std::chrono::steady_clock::now();
+        if (const TrackedServer *server = m_services.directory.find(id)) {
+            m_departed.recordGone(server->record, m_storeView.mirror(StorePart::Servers).position().era, now);
+        }
         m_removalTimes[id] = std::max(m_storeView.recoveryGraceEnd().value_or(now), now);
+        m_heldBackUntil.erase(id);
         applyDueRemovals();
         return;
     }
@@ -167,8 +175,60 @@
         logEvent("server", "invalid record ignored", { { "server", id }, { "reason", *problem } });
         return;
     }
-    m_announcements.erase(id);
-    addServer(std::get<ServerRecord>(parsed));
+    const StoreMirror &mirror = m_storeView.mirror(StorePart::Servers);
+    applyServerRecord(std::get<ServerRecord>(parsed),
+                      { .era = mirror.position().era, .isWrittenInEra = mirror.isWrittenInEra(item) });
+}
+
+// A store that came back from a copy lists servers as they were before, also servers that have left since.
+void ForwardingEntry::applyServerRecord(ServerRecord record, const RecordOrigin &origin)
+{
+    const ListedAs listedAs = m_departed.judge(record, origin);
+    if (listedAs == ListedAs::Gone) {
+        holdBackServer(record);
+        return;
+    }
+    m_heldBackUntil.erase(record.id);
+    m_announcements.erase(record.id);
+    m_departed.recordListed(record);
+    if (record.isDraining) {
+        m_departed.recordDraining(record, origin.era, std::chrono::steady_clock::now());
+    }
+    record.isDraining = record.isDraining || listedAs == ListedAs::Draining;
+    addServer(record);
+}
+
+void ForwardingEntry::holdBackServer(const ServerRecord &record)
+{
+    const auto until = std::chrono::steady_clock::now() + heldBackTime;
+    const bool isNew = m_heldBackUntil.insert_or_assign(record.id, until).second;
+    if (isNew) {
+        logEvent("server", "held back",
+                 { { "server", record.id },
+                   { "address", record.address.text() },
+                   { "era", m_storeView.storeEra() },
+                   { "reason", "it was seen gone before the store went back" } });
+    }
+    unlistServer(record.id);
+}
+
+// Lists the servers whose records have not expired.
+void ForwardingEntry::reviewHeldBackServers()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const std::map<std::string, SteadyTime> heldBack = m_heldBackUntil;
+    for (const auto &[id, until] : heldBack) {
+        if (until > now) {
+            continue;
+        }
+        m_heldBackUntil.erase(id);
+        const StoreMirror &mirror = m_storeView.mirror(StorePart::Servers);
+        const auto item = mirror.find(wire::serverPrefix() + id);
+        const auto parsed = wire::parseServer(id, item ? item->value.value_or("") : "");
+        if (const auto *record = std::get_if<ServerRecord>(&parsed)) {
+            applyServerRecord(*record, { .era = mirror.position().era, .isWrittenInEra = true });
+        }
+    }
 }
 
 bool ForwardingEntry::acceptsAnnouncement(const ServerAnnouncement &announcement) const
@@ -308,6 +368,7 @@
     while (!m_stopped) {
         co_await sleepFor(maintenanceInterval);
         applyDueRemovals();
+        reviewHeldBackServers();
         updateLoadFeeds();
         m_services.entryExchange->maintain();
         const auto now = std::chrono::steady_clock::now();
@@ -317,6 +378,7 @@
         nextCleanup = now + cleanupInterval;
         m_services.pool.closeStale();
         m_services.suspects.prune(now);
+        m_departed.prune(now);
         for (const std::string &id : m_services.directory.removeUnlisted(removedServerRetention, now)) {
             m_services.serverLimiter.forget(id);
             const auto feed = m_feeds.find(id);
--- a/src/process/storeview.cpp
+++ b/src/process/storeview.cpp
@@ -359,6 +359,11 @@
     return m_era;
 }
 
+const StoreMirror &StoreView::mirror(StorePart part) const
+{
+    return m_mirrors[indexOf(part)];
+}
+
 std::uint64_t StoreView::storeCalls() const
 {
     std::uint64_t calls = 0;
