Exchange between entries what a store that went back has lost

What callers would see: an entry that starts after the store went back has an older configuration in force, with keys that were taken away, and sends requests to servers that are draining, until the operators have written all of it again (CONFIG, DRAIN).

Cause: a starting entry reads only the store, and entries that run never compared what they have.

Why it works: entries send each other the version in force, its text to one that has an earlier version, and the servers that they have seen draining or gone. Nothing is added to the calls to the store, and nothing is sent in steady state.

--- a/include/zinniadock/connection/wireform.h
+++ b/include/zinniadock/connection/wireform.h
@@ -67,8 +67,8 @@
     std::optional<std::chrono::milliseconds> idleTimeout; ///< time for which the server keeps an idle connection open
 };
 
-/// Number of the times that the store has come back from a copy of itself. Revisions and leases of different eras can't be
-/// compared. 0 if the store does not state it.
+/// Number of the times that the store has come back from a copy of itself. Revisions and leases of different eras can't
+/// be compared. 0 if the store does not state it.
 using StoreEra = std::uint64_t;
 
 /// A key of the store with its value, or the deletion of a key.
--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -8,6 +8,7 @@
 
 #include "zinniadock/connection/httplistener.h"
 #include "zinniadock/process/departedservers.h"
+#include "zinniadock/process/entryknowledge.h"
 #include "zinniadock/process/forwardingservices.h"
 #include "zinniadock/process/sidecarfeed.h"
 #include "zinniadock/process/storeview.h"
@@ -65,6 +66,11 @@
     void applyServerRecord(ServerRecord record, const RecordOrigin &origin);
     void holdBackServer(const ServerRecord &record);
     void reviewHeldBackServers();
+    KnowledgeCallbacks makeKnowledgeCallbacks();
+    EntryKnowledge knowledgeFor(std::uint64_t knownVersion) const;
+    void applyKnowledge(const EntryKnowledge &knowledge, const std::string &source);
+    void applyDeparture(Departure departure);
+    Awaitable<void> askOtherEntries();
     void addServer(const ServerRecord &record);
     void startLoadFeed(const ServerRecord &record);
     bool acceptsAnnouncement(const ServerAnnouncement &announcement) const;
@@ -80,6 +86,9 @@
     ForwardingServices &m_services;
     StoreView m_storeView;
     DepartedServers m_departed;
+    std::shared_ptr<KnowledgeExchange> m_knowledge;
+    std::string m_configuration; ///< text of the configuration in force
+    bool m_hasAskedEntries = false; ///< whether other entries were asked for what the store may have lost
     std::shared_ptr<HttpListener> m_callerListener;
     std::shared_ptr<HttpListener> m_readinessListener;
     std::shared_ptr<HttpListener> m_peerListener;
--- a/include/zinniadock/process/storemirror.h
+++ b/include/zinniadock/process/storemirror.h
@@ -56,8 +56,8 @@
     /// Returns an existing key; nothing if it does not exist.
     std::optional<wire::StoreItem> find(const std::string &key) const;
 
-    /// Returns whether a key was written after the mirror first read the era. Any other key may have been written before
-    /// the store went back.
+    /// Returns whether a key was written after the mirror first read the era. Any other key may have been written
+    /// before the store went back.
     bool isWrittenInEra(const wire::StoreItem &item) const;
 
 private:
--- a/include/zinniadock/process/storeview.h
+++ b/include/zinniadock/process/storeview.h
@@ -24,6 +24,7 @@
 {
     std::function<void(const wire::StoreItem &, const std::string &source)> onConfigurationItem;
     std::function<void(const std::vector<wire::StoreItem> &)> onServerItems;
+    std::function<void()> onWentBack; ///< the store has come back from a copy of itself
     std::function<void(const std::string &)> onAnnouncement; ///< an encoded announcement that another entry relays
     /// Returns the encoded announcements that this entry knows, by server ID.
     std::function<std::map<std::string, std::string>()> announcements;
@@ -60,6 +61,9 @@
     /// Returns whether the list of servers was read, by this entry or through another one.
     bool hasServerList() const;
 
+    /// Returns whether the list of entries was read, by this entry or through another one.
+    bool hasEntryList() const;
+
     /// Returns the end of the grace period after the last outage of the store. Servers whose records expired during the
     /// outage may be listed again until then. Returns nothing if there was no outage.
     std::optional<SteadyTime> recoveryGraceEnd() const;
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -30,6 +30,13 @@
 /// The record of a server that does not renew it expires before.
 constexpr std::chrono::milliseconds heldBackTime{ 6000 };
 
+/// A starting entry whose seeds do not respond waits this long for the list of entries, and asks some of them.
+constexpr std::chrono::milliseconds maxWaitForEntryList{ 1000 };
+constexpr std::size_t entriesAskedAtStart = 3;
+
+/// Maximum number of departures that an entry sends to another.
+constexpr std::size_t maxSentDepartures = 2000;
+
 /// Interval between two cleanups of idle connections and removed servers.
 constexpr std::chrono::milliseconds cleanupInterval{ 5000 };
 
@@ -61,6 +68,10 @@
                          applyServerItem(item);
                      }
                  },
+             .onWentBack =
+                 [this] {
+                     m_knowledge->start();
+                 },
              .onAnnouncement =
                  [this](const std::string &bytes) {
                      const auto announcement = decodeServerAnnouncement(bytes);
@@ -112,6 +123,7 @@
         m_services.suspects.recordCrash(report, std::chrono::steady_clock::now());
         m_services.entryExchange->sendNotices();
     });
+    m_knowledge = std::make_shared<KnowledgeExchange>(m_services, makeKnowledgeCallbacks());
     m_storeView.start();
     const auto spawn = [this](Awaitable<void> (ForwardingEntry::*task)()) {
         asio::co_spawn(
@@ -122,6 +134,7 @@
             asio::detached);
     };
     spawn(&ForwardingEntry::runMaintenance);
+    spawn(&ForwardingEntry::askOtherEntries);
     return error;
 }
 
@@ -146,6 +159,7 @@
         return;
     }
     m_services.routes = std::make_shared<RouteTable>(table);
+    m_configuration = text;
     for (const auto &[id, server] : m_services.directory.servers()) {
         startLoadFeed(server.record);
     }
@@ -231,6 +245,69 @@
     }
 }
 
+KnowledgeCallbacks ForwardingEntry::makeKnowledgeCallbacks()
+{
+    return { .knowledge =
+                 [this](std::uint64_t knownVersion) {
+                     return knowledgeFor(knownVersion);
+                 },
+             .onKnowledge =
+                 [this](const EntryKnowledge &knowledge, const std::string &source) {
+                     applyKnowledge(knowledge, source);
+                 } };
+}
+
+EntryKnowledge ForwardingEntry::knowledgeFor(std::uint64_t knownVersion) const
+{
+    EntryKnowledge knowledge;
+    knowledge.configurationVersion = m_services.routes ? m_services.routes->version : 0;
+    knowledge.configuration = knownVersion < knowledge.configurationVersion ? m_configuration : "";
+    knowledge.departures = m_departed.latest(maxSentDepartures);
+    return knowledge;
+}
+
+void ForwardingEntry::applyKnowledge(const EntryKnowledge &knowledge, const std::string &source)
+{
+    const std::uint64_t current = m_services.routes ? m_services.routes->version : 0;
+    if (knowledge.configurationVersion > current && !knowledge.configuration.empty()) {
+        applyConfiguration(knowledge.configuration, source);
+    }
+    for (const Departure &departure : knowledge.departures) {
+        applyDeparture(departure);
+    }
+}
+
+// The store is right about which servers it lists in its current era. That a server is draining is true in any era.
+void ForwardingEntry::applyDeparture(Departure departure)
+{
+    const StoreMirror &mirror = m_storeView.mirror(StorePart::Servers);
+    const auto item = mirror.find(wire::serverPrefix() + departure.server);
+    departure.isGone = departure.isGone && !(item && departure.era >= mirror.position().era);
+    const bool isNew = m_departed.merge(departure, std::chrono::steady_clock::now());
+    if (isNew && item) {
+        applyServerItem(*item);
+    }
+}
+
+// An entry that starts after the store went back reads what the store has lost from the entries that ran before.
+// Without any of them, it uses what the store has.
+Awaitable<void> ForwardingEntry::askOtherEntries()
+{
+    std::vector<Endpoint> entries = m_services.settings.forwarding.seeds;
+    std::erase(entries, m_services.settings.forwarding.peer);
+    std::size_t responses = co_await m_knowledge->ask(std::move(entries));
+    const auto startedAt = std::chrono::steady_clock::now();
+    while (responses == 0 && !m_storeView.hasEntryList()
+           && std::chrono::steady_clock::now() - startedAt < maxWaitForEntryList) {
+        co_await sleepFor(maintenanceInterval);
+    }
+    if (responses == 0) {
+        responses = co_await m_knowledge->ask(m_knowledge->chooseEntries(entriesAskedAtStart));
+    }
+    m_hasAskedEntries = true;
+    logEvent("entry", "asked other entries", { { "responses", responses } });
+}
+
 bool ForwardingEntry::acceptsAnnouncement(const ServerAnnouncement &announcement) const
 {
     const auto &servers = m_services.directory.servers();
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -47,6 +47,13 @@
             co_return;
         }
     }
+    if (request.target() == knowledgeTarget) {
+        auto query = decodeEntryKnowledge(request.body());
+        if (query) {
+            co_await m_knowledge->handleQuery(connection, std::move(*query));
+            co_return;
+        }
+    }
     if (request.target() == relayTarget) {
         const auto query = decodeRelayQuery(request.body());
         if (query) {
@@ -90,7 +97,7 @@
 
 bool ForwardingEntry::isReady() const
 {
-    return m_services.routes && m_storeView.hasServerList() && !m_services.stopDeadline;
+    return m_services.routes && m_storeView.hasServerList() && m_hasAskedEntries && !m_services.stopDeadline;
 }
 
 } // namespace zinniadock
--- a/src/process/relaymessages.cpp
+++ b/src/process/relaymessages.cpp
@@ -101,7 +101,8 @@
         RelayQuery query;
         const auto revisions = document.at("after").get<PerPart<std::int64_t>>();
         query.hasEras = document.contains("eras");
-        const auto eras = query.hasEras ? document.at("eras").get<PerPart<wire::StoreEra>>() : PerPart<wire::StoreEra>{};
+        const auto eras
+            = query.hasEras ? document.at("eras").get<PerPart<wire::StoreEra>>() : PerPart<wire::StoreEra>{};
         for (std::size_t part = 0; part < storePartCount; ++part) {
             query.known[part] = { eras[part], revisions[part] };
         }
--- a/src/process/storemirror.cpp
+++ b/src/process/storemirror.cpp
@@ -80,8 +80,8 @@
     return deletions;
 }
 
-// Ignores items up to the revision of this mirror. They have been applied before, including deletions that are no longer
-// kept.
+// Ignores items up to the revision of this mirror. They have been applied before, including deletions that are no
+// longer kept.
 bool StoreMirror::applyItem(const wire::StoreItem &item)
 {
     if (item.revision <= m_position.revision) {
--- a/src/process/storeview.cpp
+++ b/src/process/storeview.cpp
@@ -206,6 +206,7 @@
     const auto maxDelay = registrationSpread * static_cast<int>(m_members.size());
     m_registration->requireEra(
         era, std::chrono::duration_cast<std::chrono::milliseconds>(m_services.randomFraction() * maxDelay));
+    m_callbacks.onWentBack();
 }
 
 void StoreView::holdMissingMembers(const std::vector<wire::StoreItem> &items)
@@ -261,8 +262,8 @@
     }
     addHeldMembers();
     listsSelf = listsSelf || std::any_of(m_members.begin(), m_members.end(), [this](const EntryMember &member) {
-        return member.peer == m_ownPeer;
-    });
+                    return member.peer == m_ownPeer;
+                });
     if (!listsSelf) {
         m_members.push_back({ .peer = m_ownPeer, .capacity = m_services.settings.forwarding.capacity });
     }
@@ -335,6 +336,11 @@
     return m_mirrors[indexOf(StorePart::Servers)].position().revision > 0;
 }
 
+bool StoreView::hasEntryList() const
+{
+    return m_mirrors[indexOf(StorePart::Entries)].position().revision > 0;
+}
+
 std::optional<SteadyTime> StoreView::recoveryGraceEnd() const
 {
     return m_storeRecoveredAt ? std::optional(*m_storeRecoveredAt + recoveryGracePeriod) : std::nullopt;
@@ -491,8 +497,7 @@
     const std::chrono::milliseconds wait = std::min(query.maxWait, maxRelayWait);
     const PerPart<StorePosition> known = knownPositions(query);
     while (!m_stopped && isReadingStore() && elapsed(startedAt) < wait) {
-        const std::chrono::milliseconds limit
-            = hasChangesAfter(known) ? std::min(query.minInterval, wait) : wait;
+        const std::chrono::milliseconds limit = hasChangesAfter(known) ? std::min(query.minInterval, wait) : wait;
         const std::chrono::milliseconds left = limit - elapsed(startedAt);
         if (left.count() <= 0) {
             break;
--- a/tests/unit/unit-storemirror.cpp
+++ b/tests/unit/unit-storemirror.cpp
@@ -114,7 +114,8 @@
         CHECK_FALSE(recent.isSnapshot);
         CHECK(recent.items.size() == 10);
     }
-    SECTION("a mirror gets a snapshot from one that has read a later snapshot, which does not show all deletions before")
+    SECTION(
+        "a mirror gets a snapshot from one that has read a later snapshot, which does not show all deletions before")
     {
         StoreMirror follower;
         follower.apply({ .isSnapshot = true, .revision = 5, .items = { written("a", 3), written("b", 5) } });
@@ -137,7 +138,7 @@
                 const std::int64_t until = history.last() > 0 ? step % (history.last() + 1) : 0;
                 if (step % 3 == 0) {
                     reader.apply(until > reader.position().revision ? history.between(reader.position().revision, until)
-                                                           : history.whole(until));
+                                                                    : history.whole(until));
                     continue;
                 }
                 const StoreChanges relayed
--- a/tests/unit/unit-storerestore.cpp
+++ b/tests/unit/unit-storerestore.cpp
@@ -282,3 +282,51 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
     }
 }
+
+TEST_CASE("messages on what entries know")
+{
+    EntryKnowledge knowledge;
+    knowledge.configurationVersion = 7;
+    knowledge.configuration = std::string("\0\xff", 2);
+    knowledge.departures = { { .server = "s", .startTimeMs = 5, .sequence = 6, .isDraining = true, .era = 2 },
+                             { .server = "t", .isGone = true } };
+    const std::string bytes = encode(knowledge);
+    const auto decoded = decodeEntryKnowledge(bytes);
+    REQUIRE(decoded);
+    CHECK(decoded->configurationVersion == knowledge.configurationVersion);
+    CHECK(decoded->configuration == knowledge.configuration);
+    CHECK(decoded->departures == knowledge.departures);
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        CHECK_FALSE(decodeEntryKnowledge(bytes.substr(0, length)));
+    }
+    for (std::size_t at = 0; at < bytes.size(); ++at) {
+        std::string changed = bytes;
+        changed[at] = static_cast<char>(changed[at] ^ 0x55);
+        static_cast<void>(decodeEntryKnowledge(changed));
+    }
+}
+
+// Guards against an entry that keeps an older configuration than the others, since the store lost the newer one before
+// the entry had read it.
+TEST_CASE("an entry takes a newer configuration from the others after the store went back")
+{
+    Deployment newer;
+    newer.store.put("op/config", configuration(5));
+    EntryThread &other = *newer.entries.front();
+    REQUIRE(eventually([&] {
+        return hasVersion(other, 5);
+    }));
+    Deployment older;
+    EntryThread &entry = *older.entries.front();
+    older.store.put("zinniadock/entries/127.0.0.1:" + std::to_string(other->peerPort()), R"({"capacity":1})");
+    REQUIRE(eventually([&] {
+        return metric(entry, "zinniadock_known_entries") == 2;
+    }));
+    CHECK(hasVersion(entry, 3));
+    older.restore(older.store.copy());
+    CHECK(eventually(
+        [&] {
+            return hasVersion(entry, 5);
+        },
+        configurationBound));
+}
