Make the stand-ins of the review cases sound

Cause: the server that leaves in case 2 did not say so in its answers, no server wrote heartbeats, and two cases that ran at the same time could use the same addresses. Change: Server-Leaving and heartbeats in the harness, case 2 with an entry that has no work for the server meanwhile, and a range of addresses that each case keeps to itself.

--- a/review/2/cutwatch.cpp
+++ b/review/2/cutwatch.cpp
@@ -7,7 +7,8 @@
 #include "../harness/steadyengine.h"
 
 /// The store cuts the waiting watches of an entry. Right after it, a server leaves without having reported that it is
-/// draining: its record is removed, and it serves for a little longer than the drain deadline.
+/// draining: its record is removed, and it serves for a little longer than the drain deadline. All its answers say that
+/// it leaves, but the entry has no work for it in that time.
 
 namespace zinniadock::review
 {
@@ -20,11 +21,15 @@
 
 /// `drainDeadlineMs`, and how much longer the server serves.
 constexpr std::chrono::milliseconds drainDeadline{ 2000 };
-constexpr std::chrono::milliseconds extraServingTime{ 300 };
+constexpr std::chrono::milliseconds extraServingTime{ 130 };
+
+/// From the removal to the next orders, and from the last orders to the cut.
+constexpr std::chrono::milliseconds nextOrdersDelay{ 2100 };
+constexpr std::chrono::milliseconds quietTime{ 300 };
 
 constexpr std::chrono::milliseconds removalDelay{ 30 }; ///< from the cut to the removal of the record
 constexpr std::chrono::milliseconds warmUp{ 4500 };
-constexpr EngineSpeed shopSpeed{ .firstEvent = std::chrono::milliseconds(30), .eventInterval = {} };
+constexpr EngineSpeed shopSpeed{ .firstEvent = std::chrono::milliseconds(60), .eventInterval = {} };
 constexpr int callerCount = 12;
 
 struct Shared
@@ -32,6 +37,7 @@
     Record &record;
     const Entry &entry;
     std::atomic<bool> isEnded{ false };
+    std::atomic<bool> isQuiet{ false }; ///< the callers send nothing
     std::atomic<int> answers{ 0 };
     std::atomic<int> failures{ 0 };
 };
@@ -40,6 +46,9 @@
 {
     auto caller = std::make_unique<Caller>(shared.entry.address, callerPort);
     for (int i = 0; !shared.isEnded; ++i) {
+        while (shared.isQuiet) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
         const std::string id = "order-" + std::to_string(number) + "-" + std::to_string(i);
         caller->send(requestText("POST", "/order/1", id, "X-Deadline-Ms: 1500\r\n", "book"));
         const Answer answer = readAnswer(*caller, Clock::now() + answerTimeout);
@@ -75,15 +84,21 @@
         });
     }
     std::this_thread::sleep_for(warmUp);
+    shared.isQuiet = true;
+    std::this_thread::sleep_for(quietTime);
     if (hasTrouble()) {
         record.line("the store cuts the watches that wait");
         storeLink.cut();
     }
     std::this_thread::sleep_for(removalDelay);
-    deployment.store.remove("servers/shop-b");
+    leaves.startLeaving();
+    deployment.unlist("shop-b");
     const auto removedAt = Clock::now();
     record.line("the record of shop-b is removed");
-    std::this_thread::sleep_for(drainDeadline + extraServingTime);
+    std::this_thread::sleep_until(removedAt + nextOrdersDelay);
+    record.line("the callers send their next orders");
+    shared.isQuiet = false;
+    std::this_thread::sleep_until(removedAt + drainDeadline + extraServingTime);
     leaves.stop();
     record.line("shop-b has ended");
     std::this_thread::sleep_for(std::chrono::seconds(1));
--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -166,15 +166,21 @@
 
 Deployment::Deployment(std::string program)
     : m_program(std::move(program))
-    , m_range(1 + getpid() % 250)
 {
+    reserveRange();
     std::string pattern = "/tmp/zinniadock-review-XXXXXX";
     m_directory = mkdtemp(pattern.data());
+    m_heartbeats = std::thread([this] {
+        sendHeartbeats();
+    });
 }
 
 // Keeps the logs if KEEP_LOGS is set.
 Deployment::~Deployment()
 {
+    m_isStopping = true;
+    m_heartbeats.join();
+    ::close(m_lock);
     entries.clear();
     engines.clear();
     if (!std::getenv("KEEP_LOGS")) { // NOLINT(concurrency-mt-unsafe): nothing changes the environment
@@ -183,6 +189,21 @@
     }
 }
 
+// Keeps a listener in the range of addresses, so that no other case that runs at the same time uses it.
+void Deployment::reserveRange()
+{
+    constexpr int rangeCount = 250;
+    constexpr int lockRole = 1;
+    m_lock = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    for (int i = 0; i < rangeCount; ++i) {
+        m_range = 1 + (getpid() + i) % rangeCount;
+        const sockaddr_in own = socketAddress(address(lockRole, 1), callerPort);
+        if (::bind(m_lock, reinterpret_cast<const sockaddr *>(&own), sizeof(own)) == 0) {
+            return;
+        }
+    }
+}
+
 std::string Deployment::address(int role, std::size_t index) const
 {
     return "127." + std::to_string(m_range) + "." + std::to_string(role) + "." + std::to_string(index);
@@ -269,9 +290,37 @@
 
 void Deployment::list(const std::string &id, const std::string &record)
 {
+    const std::lock_guard lock(m_mutex);
+    m_records[id] = Json::parse(record);
     store.put("servers/" + id, record);
 }
 
+void Deployment::unlist(const std::string &id)
+{
+    const std::lock_guard lock(m_mutex);
+    m_records.erase(id);
+    store.remove("servers/" + id);
+}
+
+void Deployment::sendHeartbeats()
+{
+    constexpr std::chrono::milliseconds heartbeatInterval{ 1200 };
+    constexpr std::chrono::milliseconds pollInterval{ 20 };
+    auto next = Clock::now() + heartbeatInterval;
+    while (!m_isStopping) {
+        std::this_thread::sleep_for(pollInterval);
+        if (Clock::now() < next) {
+            continue;
+        }
+        next += heartbeatInterval;
+        const std::lock_guard lock(m_mutex);
+        for (auto &[id, record] : m_records) {
+            record["seq"] = record.at("seq").get<int>() + 1;
+            store.put("servers/" + id, record.dump());
+        }
+    }
+}
+
 bool Deployment::waitUntilReady(const Entry &entry, std::chrono::milliseconds timeout)
 {
     constexpr std::chrono::milliseconds pollInterval{ 50 };
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -9,6 +10,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <sys/types.h>
@@ -119,9 +121,12 @@
     /// Starts the sidecar of an engine that listens at \p backend, which belongs to startEngineAddress().
     std::unique_ptr<Daemon> startSidecar(const std::string &id, const std::string &backend);
 
-    /// Writes the record of a server to the store.
+    /// Writes the record of a server to the store, from now on again at each heartbeat.
     void list(const std::string &id, const std::string &record);
 
+    /// Removes the record of a server from the store.
+    void unlist(const std::string &id);
+
     /// Returns a loopback address for a server.
     std::string newServerAddress();
 
@@ -137,12 +142,19 @@
 
 private:
     std::string address(int role, std::size_t index) const;
+    void reserveRange();
+    void sendHeartbeats();
 
     const std::string m_program;
     std::string m_directory;
     int m_range = 0;
+    int m_lock = -1; ///< socket that keeps the range of addresses
     int m_version = 2;
     std::size_t m_serverAddresses = 0;
+    std::mutex m_mutex;
+    std::map<std::string, nlohmann::json> m_records; ///< by server ID
+    std::atomic<bool> m_isStopping{ false };
+    std::thread m_heartbeats;
 };
 
 /// A caller's connection to an entry. Uses no code of the daemons.
--- a/review/harness/steadyengine.cpp
+++ b/review/harness/steadyengine.cpp
@@ -49,8 +49,14 @@
     stop();
 }
 
+void SteadyEngine::startLeaving()
+{
+    m_isLeaving = true;
+}
+
 void SteadyEngine::stop()
 {
+    m_hasEnded = true;
     m_server.stop();
 }
 
@@ -76,7 +82,14 @@
 
 void SteadyEngine::handle(standin::HTTPServerRequest &request, standin::HTTPServerResponse &response)
 {
+    if (m_hasEnded) {
+        standin::cutConnection(request);
+        return;
+    }
     const std::string target = request.getURI();
+    if (m_isLeaving) {
+        response.set("Server-Leaving", "1");
+    }
     if (target == "/h") {
         response.set("X-Instance-Id", m_id);
         standin::sendJson(response, "{}");
@@ -104,6 +117,10 @@
         m_runs.push_back({ .id = id, .events = 1, .allEvents = 1, .arrivedAt = std::chrono::steady_clock::now() });
     }
     std::this_thread::sleep_for(m_speed.firstEvent);
+    if (m_hasEnded) {
+        standin::cutConnection(request);
+        return;
+    }
     response.set("X-Request-Id", id);
     response.set("X-Server-Signature", "s." + m_id);
     standin::sendJson(response, "{\"booked\":\"" + id + "\"}");
--- a/review/harness/steadyengine.h
+++ b/review/harness/steadyengine.h
@@ -48,7 +48,10 @@
 
     std::vector<EngineRun> runs();
 
-    /// Ends the server: closes all connections, and refuses new ones.
+    /// From now on each answer has the field `Server-Leaving`.
+    void startLeaving();
+
+    /// Ends the server: no request on it gets an answer any more, all connections are closed, and new ones refused.
     void stop();
 
 private:
@@ -71,6 +74,8 @@
     std::vector<EngineRun> m_runs;
     std::map<std::string, Generation> m_running; ///< by request id
     std::atomic<std::uint64_t> m_reservations{ 0 };
+    std::atomic<bool> m_isLeaving{ false };
+    std::atomic<bool> m_hasEnded{ false };
     standin::LoopbackHttpServer m_server;
 };
 
