Take at a planned stop only what the servers can finish at their pace

Cause: the expected time of a generation was a constant (1.2 s and 12 ms a token), asked once on arrival and not after the wait for capacity; what was still in progress at the limit was cut, also without a response. Change: one decision for both roles and interfaces (stopadmission), the slowest recent pace of each pool (generationpace), asked again before each placement, and one sequence for a stop (gracefulstop) that answers what is left before the process ends. A sidecar refuses moves that it can't finish, and the entry makes them itself. Why it works: the latest end of what is taken is bounded by its deadline or by the slowest pace seen, so it lies before the end of the process; what the estimate misses gets a response instead of a cut.

--- a/include/zinniadock/process/entry.h
+++ b/include/zinniadock/process/entry.h
@@ -53,6 +53,9 @@
     /// Returns the port that callers connect to.
     std::uint16_t port() const;
 
+    /// Refuses requests that may take longer than \p timeLimit, after which the process ends.
+    void beginStop(std::chrono::milliseconds timeLimit);
+
     /// Refuses all further requests; requests in flight continue.
     void drain();
 
@@ -72,6 +75,7 @@
 
     const Settings m_settings;
     std::atomic<bool> m_draining{ false };
+    StopAdmission m_stop;
     std::atomic<bool> m_stopped{ false };
     VersionHolder m_versions;
     Timeline m_timeline;
--- a/include/zinniadock/process/entryservices.h
+++ b/include/zinniadock/process/entryservices.h
@@ -8,6 +8,7 @@
 #include "zinniadock/process/linkpool.h"
 #include "zinniadock/process/metrics.h"
 #include "zinniadock/process/settings.h"
+#include "zinniadock/process/stopadmission.h"
 #include "zinniadock/process/timeline.h"
 #include "zinniadock/version/version.h"
 
@@ -26,6 +27,7 @@
     EntryMetrics &metrics;
     Timeline &timeline;
     std::atomic<bool> &draining;
+    const StopAdmission &stop;
 };
 
 } // namespace zinniadock
--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -47,6 +47,10 @@
     /// Returns whether no request is in progress.
     bool isIdle() const;
 
+    /// Ends the requests in progress before the process ends. A request whose response has not begun gets one: status
+    /// 503 if it has not run, and 502 otherwise. A response that has begun is broken off. Accepts no more connections.
+    void endRequests();
+
     /// Applies changed settings. Only the forwarding settings take effect.
     void reload(Settings settings);
 
--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "zinniadock/connection/httpclient.h"
+#include "zinniadock/process/generationpace.h"
 #include "zinniadock/process/hintedlength.h"
 #include "zinniadock/process/metrics.h"
 #include "zinniadock/process/placement.h"
@@ -17,12 +18,14 @@
 #include "zinniadock/process/serverlimiter.h"
 #include "zinniadock/process/settings.h"
 #include "zinniadock/process/sharedsuspects.h"
+#include "zinniadock/process/stopadmission.h"
 #include "zinniadock/version/routetable.h"
 
 namespace zinniadock
 {
 
 class CrashWatch;
+class ForwardContext;
 class GenerationForwarder;
 class EntryExchange;
 
@@ -39,6 +42,8 @@
     std::uint64_t refusedReservations = 0; ///< admissions refused by a sidecar, and reservations refused by an engine
     std::uint64_t activeRequests = 0; ///< requests in progress
     std::uint64_t quarantinedRequests = 0; ///< requests refused, or not retried, since they may crash servers
+    std::uint64_t stopRefusals = 0; ///< requests refused since they might outlast the stop of the process
+    std::uint64_t endedRequests = 0; ///< requests that were still in progress when the process ended
 };
 
 /// Settings, routes, known servers and counters that all requests of a forwarding entry share. It exists until
@@ -73,7 +78,9 @@
     std::map<std::string, HintedLengthModel> outputLengths; ///< by route
     std::set<std::string> peerAddresses; ///< addresses on which the other entries listen for entries
     std::map<std::string, std::set<GenerationForwarder *>> activeGenerations; ///< by server ID
-    std::optional<SteadyTime> stopDeadline; ///< when this process ends; nothing until the process is asked to stop
+    std::map<std::string, GenerationPace> paces; ///< by pool
+    std::set<ForwardContext *> activeContexts; ///< requests in progress that were admitted
+    StopAdmission stop;
 
 private:
     std::minstd_rand m_random;
--- a/include/zinniadock/process/runmover.h
+++ b/include/zinniadock/process/runmover.h
@@ -14,4 +14,7 @@
 Awaitable<MoveResult> moveGeneration(ConnectionPool &pool, Endpoint source, MoveOrder order,
                                      std::chrono::milliseconds timeLeft, std::uint16_t sidecarPort);
 
+/// Returns an upper estimate of the time that moveGeneration() takes, unless other copies use the same links.
+std::chrono::milliseconds longestMoveTime(const MoveOrder &order);
+
 } // namespace zinniadock
--- a/include/zinniadock/process/watchingsidecar.h
+++ b/include/zinniadock/process/watchingsidecar.h
@@ -14,6 +14,7 @@
 #include "zinniadock/process/serverlimit.h"
 #include "zinniadock/process/settings.h"
 #include "zinniadock/process/sidecarmessages.h"
+#include "zinniadock/process/stopadmission.h"
 
 namespace zinniadock
 {
@@ -33,10 +34,15 @@
     /// Returns the port that entries connect to.
     std::uint16_t port() const;
 
-    /// Returns whether no move is pending or in progress.
+    /// Returns whether no move and no admission is in progress.
     bool isIdle() const;
 
+    /// Refuses moves that may take longer than the process runs, and load queries.
+    /// \param timeLimit  time until the process ends
     void drain(std::chrono::milliseconds timeLimit);
+
+    /// Responds to the pending moves, so that their entries move the generations themselves.
+    void endRequests();
     void closeIdleConnections();
 
     /// Does nothing, as a sidecar has no settings that may change at run time.
@@ -66,6 +72,7 @@
     std::chrono::milliseconds pauseBetweenReports() const;
     std::vector<std::string> activePeers();
     std::chrono::milliseconds timeLeft() const;
+    std::chrono::milliseconds longestTimeOf(const MoveOrder &order) const;
     std::shared_ptr<PendingMove> nextMove() const;
 
     const Settings m_settings;
@@ -83,7 +90,9 @@
     AsyncCondition m_loadChanged;
     AsyncCondition m_moveChanged;
     std::vector<std::shared_ptr<PendingMove>> m_pendingMoves; ///< not started yet
-    bool m_isMoving = false; ///< a move is in progress
+    std::shared_ptr<PendingMove> m_moveInProgress; ///< null if there is none
+    std::uint32_t m_requestsInProgress = 0; ///< admission queries and move orders
+    StopAdmission m_stop;
     std::map<std::string, std::chrono::steady_clock::time_point> m_lastQueryByPeer; ///< by peer address of the entry
     EngineAdmission m_admission;
     KnownLimits m_limits; ///< of the engine
--- a/include/zinniadock/request/forwardscope.h
+++ b/include/zinniadock/request/forwardscope.h
@@ -41,7 +41,10 @@
     /// Stops the monitoring that start() began, and counts the request as ended.
     void finish();
 
-    /// Returns whether the deadline has not passed and the caller is connected.
+    /// Ends the request before the process ends: aborts the current exchange, and keeps the request from another one.
+    void endEarly();
+
+    /// Returns whether the deadline has not passed, the caller is connected and endEarly() was not called.
     bool isActive() const;
 
     /// Returns the time until the deadline, which is negative after the deadline.
@@ -78,6 +81,9 @@
     /// Returns whether the process is stopping and ends before the deadline of the request.
     bool mayOutliveProcess() const;
 
+    /// Returns whether endEarly() was called.
+    bool hasEndedEarly() const;
+
     /// Returns the retry time for the caller of a refused request. It is short if this entry is stopping, since another
     /// entry can accept the request. Otherwise it is \p baseDelay. If all servers of the pool that are not draining are
     /// paused, the time until the first of these pauses ends is added. If \p isLimited, it is at least the expected
@@ -126,6 +132,7 @@
 private:
     const std::shared_ptr<ForwardingServices> m_sharedServices;
     std::shared_ptr<HttpExchange> m_exchange;
+    bool m_hasEndedEarly = false;
     asio::steady_timer m_timer;
     RequestTraits m_traits; ///< empty until they are needed
 };
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -91,6 +91,9 @@
     Awaitable<void> sendRefusal();
 
     bool mayOutliveProcess() const;
+    bool refusesBecauseOfStop();
+    GenerationSpeed assumedSpeed() const;
+    void recordWaitingGenerations() const;
     bool checkQuarantine();
     MoveOrder moveOrder(const TrackedServer &source) const;
     PlacementRequest placementRequest() const;
@@ -104,6 +107,7 @@
 
     const std::shared_ptr<ForwardContext> m_context;
     ForwardingServices &m_services;
+    GenerationPace &m_pace; ///< of the pool
     std::uint32_t m_expectedTokens = 0;
     std::set<std::string> m_refusedBy;
     bool m_hasWaited = false; ///< whether the generation has waited for an engine with free capacity
@@ -117,6 +121,8 @@
     BodyFraming m_callerFraming = BodyFraming::Chunks; ///< of the caller's response, after the head was sent
     std::optional<std::uint64_t> m_lastEventId;
     std::uint64_t m_eventCount = 0;
+    SteadyTime m_firstEventAt;
+    std::uint64_t m_firstEventCount = 0; ///< events that arrived together with the first one
     SteadyTime m_lastEventAt;
     std::chrono::microseconds m_maxEventGap{ 0 };
     std::chrono::milliseconds m_firstEventDelay{ 0 };
--- a/include/zinniadock/request/requestrunner.h
+++ b/include/zinniadock/request/requestrunner.h
@@ -28,6 +28,8 @@
     void runAuthenticated();
     std::optional<Failure> authorise(const std::string &routeName);
     void runGeneration();
+    std::optional<Failure> checkStop(RequestContext::Clock::time_point latestEnd) const;
+    RequestContext::Clock::time_point latestEnd(const GenerationRequest &generation) const;
 
     RequestContext m_context;
 };
--- a/src/daemon/forwarding.cpp
+++ b/src/daemon/forwarding.cpp
@@ -9,6 +9,7 @@
 
 #include "zinniadock/process/eventlog.h"
 #include "zinniadock/process/forwardingentry.h"
+#include "zinniadock/process/gracefulstop.h"
 #include "zinniadock/process/watchingsidecar.h"
 
 namespace zinniadock
@@ -18,9 +19,8 @@
 {
 
 constexpr std::chrono::milliseconds settingsPollInterval{ 2000 };
-constexpr std::chrono::milliseconds idlePollInterval{ 50 };
 
-/// The drain ends this long before the process is killed, so that the process stops in time.
+/// Requests in progress are ended this long before the process is killed, so that their responses are sent in time.
 constexpr std::chrono::milliseconds stopMargin{ 600 };
 
 /// Runs one role on one network thread: starts it, reloads its settings and stops it.
@@ -79,27 +79,15 @@
                 m_stopping = true;
             }
         }
-        co_await stopGracefully();
+        co_await stop();
     }
 
-    // Keeps serving for at least entry.lameDuck, since callers keep connecting until the platform has detected that the
-    // process is not ready. Then closes idle connections and waits for requests in flight, up to the drain limit.
-    Awaitable<void> stopGracefully()
+    Awaitable<void> stop()
     {
-        const auto startTime = std::chrono::steady_clock::now();
-        const auto elapsed = [startTime] {
-            return std::chrono::steady_clock::now() - startTime;
-        };
         logEvent("daemon", "stopping", { { "role", m_settings.daemon.role } });
-        const auto drainLimit = m_settings.forwarding.stopWithin() - stopMargin;
-        m_role.drain(drainLimit);
-        while (elapsed() < drainLimit && (elapsed() < m_settings.entry.lameDuck || !m_role.isIdle())) {
-            co_await sleepFor(idlePollInterval);
-            if (elapsed() > m_settings.entry.lameDuck) {
-                m_role.closeIdleConnections();
-            }
-        }
-        m_hasCutRequests = !m_role.isIdle();
+        const StopTiming timing{ .lameDuck = m_settings.entry.lameDuck,
+                                 .limit = m_settings.forwarding.stopWithin() - stopMargin };
+        m_hasCutRequests = co_await stopGracefully(m_role, timing);
         logEvent("daemon", "stopped", { { "role", m_settings.daemon.role }, { "cut", m_hasCutRequests ? 1 : 0 } });
         m_role.stop();
         m_context.stop();
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -195,6 +195,9 @@
     } << std::endl;
     termination.wait();
     log.info("stopping after a termination signal");
+    if constexpr (requires { role.beginStop(drainTimeout); }) {
+        role.beginStop(lameDuck + drainTimeout);
+    }
     if (lameDuck.count() > 0) {
         termination.arrivesWithin(lameDuck);
     }
--- a/src/process/entry.cpp
+++ b/src/process/entry.cpp
@@ -39,7 +39,8 @@
                   .claims = m_claims,
                   .metrics = m_metrics,
                   .timeline = m_timeline,
-                  .draining = m_draining }
+                  .draining = m_draining,
+                  .stop = m_stop }
     , m_follower(
           m_store, m_settings.store.prefix, m_versions, m_timeline,
           [this] {
@@ -85,6 +86,11 @@
     return m_server->port();
 }
 
+void Entry::beginStop(std::chrono::milliseconds timeLimit)
+{
+    m_stop.begin(std::chrono::steady_clock::now() + timeLimit);
+}
+
 void Entry::drain()
 {
     if (!m_draining.exchange(true)) {
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -489,7 +489,7 @@
 
 void ForwardingEntry::drain(std::chrono::milliseconds timeLimit)
 {
-    m_services.stopDeadline = std::chrono::steady_clock::now() + timeLimit;
+    m_services.stop.begin(std::chrono::steady_clock::now() + timeLimit);
     m_callerListener->disableKeepAlive();
     m_storeView.unregister();
 }
@@ -499,6 +499,16 @@
     m_callerListener->closeIdle();
 }
 
+void ForwardingEntry::endRequests()
+{
+    m_callerListener->stop();
+    const std::set<ForwardContext *> contexts = m_services.activeContexts;
+    m_services.counters.endedRequests += contexts.size();
+    for (ForwardContext *context : contexts) {
+        context->endEarly();
+    }
+}
+
 bool ForwardingEntry::isIdle() const
 {
     return m_services.counters.activeRequests == 0;
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -82,6 +82,8 @@
     appendMetric("zinniadock_crash_reports", suspects.reportCount(), out);
     appendMetric("zinniadock_quarantined_traits", suspects.quarantineCount(), out);
     appendMetric("zinniadock_quarantined_requests_total", m_services.counters.quarantinedRequests, out);
+    appendMetric("zinniadock_stop_refusals_total", m_services.counters.stopRefusals, out);
+    appendMetric("zinniadock_ended_requests_total", m_services.counters.endedRequests, out);
     appendMetric("zinniadock_server_connects_total", m_services.pool.connectCount(), out);
     appendMetric("zinniadock_store_calls_total", m_storeView.storeCalls(), out);
     appendMetric("zinniadock_store_era", m_storeView.storeEra(), out);
@@ -97,7 +99,7 @@
 
 bool ForwardingEntry::isReady() const
 {
-    return m_services.routes && m_storeView.hasServerList() && m_hasAskedEntries && !m_services.stopDeadline;
+    return m_services.routes && m_storeView.hasServerList() && m_hasAskedEntries && !m_services.stop.isStopping();
 }
 
 } // namespace zinniadock
--- a/src/process/runmover.cpp
+++ b/src/process/runmover.cpp
@@ -14,6 +14,9 @@
 // the first copy, only the final copy is made.
 constexpr std::chrono::milliseconds finalCopyTime{ 60 };
 
+/// Factor by which a copy between two data centres takes longer than inside one.
+constexpr int remoteCopyFactor = 2;
+
 constexpr unsigned statusNotRunning = 404;
 constexpr unsigned statusInProgress = 409;
 
@@ -62,6 +65,12 @@
 
 } // namespace
 
+std::chrono::milliseconds longestMoveTime(const MoveOrder &order)
+{
+    const auto targets = static_cast<int>(order.targets.size());
+    return targets * admissionTimeout + remoteCopyFactor * order.estimatedCopyTime + finalCopyTime;
+}
+
 Awaitable<MoveResult> moveGeneration(ConnectionPool &pool, Endpoint source, MoveOrder order,
                                      std::chrono::milliseconds timeLeft, std::uint16_t sidecarPort)
 {
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -214,12 +214,16 @@
         }
     } else if (request.target() == admissionTarget) {
         if (const auto query = decodeAdmissionQuery(request.body())) {
+            ++m_requestsInProgress;
             co_await handleAdmissionQuery(connection, *query);
+            --m_requestsInProgress;
             co_return;
         }
     } else if (request.target() == moveOrderTarget) {
         if (const auto order = decodeMoveOrder(request.body())) {
+            ++m_requestsInProgress;
             co_await handleMoveOrder(connection, *order);
+            --m_requestsInProgress;
             co_return;
         }
     }
@@ -242,7 +246,7 @@
     };
     const auto minInterval = std::max(query.minInterval, minReportInterval);
     const bool hasValidNumber = query.lastReportNumber > 0 && query.lastReportNumber <= m_reportNumber;
-    while (hasValidNumber && !isUrgent() && age() < maxLoadQueryWait
+    while (hasValidNumber && !isUrgent() && !m_stop.isStopping() && age() < maxLoadQueryWait
            && (m_reportNumber <= query.lastReportNumber || age() < minInterval)) {
         const auto limit = m_reportNumber > query.lastReportNumber ? minInterval : maxLoadQueryWait;
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(limit - age());
@@ -255,7 +259,8 @@
     report.load.committedTokens = m_admission.committedTokens();
     report.load.waitingTokens = m_admission.waitingTokens();
     report.load.generations.clear(); // included in committedTokens and waitingTokens
-    const http::status status = m_isEngineReachable ? http::status::ok : http::status::service_unavailable;
+    const bool isUsable = m_isEngineReachable && !m_stop.isStopping();
+    const http::status status = isUsable ? http::status::ok : http::status::service_unavailable;
     co_await connection->respond(makeResponse(status, encode(report), "application/cbor"));
 }
 
@@ -312,8 +317,15 @@
     co_await connection->respond(makeResponse(http::status::ok, encode(response), "application/cbor"));
 }
 
+// A refused order is carried out by its entry.
 Awaitable<void> EngineSidecar::handleMoveOrder(std::shared_ptr<HttpConnection> connection, MoveOrder order)
 {
+    if (!m_stop.mayTake(std::chrono::steady_clock::now() + longestTimeOf(order))) {
+        logEvent("move", "refused", { { "id", order.request }, { "reason", "the sidecar is stopping" } });
+        co_await connection->respond(
+            makeResponse(http::status::service_unavailable, "the sidecar is stopping\n", "text/plain"));
+        co_return;
+    }
     const auto move = std::make_shared<PendingMove>();
     move->order = std::move(order);
     m_firstMoveOrderAt = m_firstMoveOrderAt.value_or(std::chrono::steady_clock::now());
@@ -325,6 +337,19 @@
     co_await connection->respond(makeResponse(http::status::ok, encode(move->result), "application/cbor"));
 }
 
+// Moves are made one after the other.
+std::chrono::milliseconds EngineSidecar::longestTimeOf(const MoveOrder &order) const
+{
+    std::chrono::milliseconds time = longestMoveTime(order);
+    if (m_moveInProgress) {
+        time += longestMoveTime(m_moveInProgress->order);
+    }
+    for (const auto &pending : m_pendingMoves) {
+        time += longestMoveTime(pending->order);
+    }
+    return time;
+}
+
 std::shared_ptr<EngineSidecar::PendingMove> EngineSidecar::nextMove() const
 {
     const auto best
@@ -345,7 +370,7 @@
             continue;
         }
         std::erase(m_pendingMoves, move);
-        m_isMoving = true;
+        m_moveInProgress = move;
         const auto startedAt = std::chrono::steady_clock::now();
         const std::chrono::milliseconds left = timeLeft();
         move->result = co_await moveGeneration(m_pool, m_settings.sidecar.backend, move->order, left,
@@ -360,7 +385,7 @@
                    { "waiting", m_pendingMoves.size() },
                    { "reason", move->result.reason } });
         move->done = true;
-        m_isMoving = false;
+        m_moveInProgress.reset();
         m_moveChanged.notify();
     }
 }
@@ -393,13 +418,23 @@
 
 bool EngineSidecar::isIdle() const
 {
-    return m_pendingMoves.empty() && !m_isMoving;
+    return m_pendingMoves.empty() && !m_moveInProgress && m_requestsInProgress == 0;
 }
 
-// Does nothing, since entries continue without the sidecar. Only the pending moves have to complete; isIdle() returns
-// whether they have.
-void EngineSidecar::drain(std::chrono::milliseconds /*timeLimit*/)
+void EngineSidecar::drain(std::chrono::milliseconds timeLimit)
 {
+    m_stop.begin(std::chrono::steady_clock::now() + timeLimit);
+    m_loadChanged.notify();
+}
+
+void EngineSidecar::endRequests()
+{
+    for (const auto &move : m_pendingMoves) {
+        move->result.reason = "the sidecar has stopped";
+        move->done = true;
+    }
+    m_pendingMoves.clear();
+    m_moveChanged.notify();
 }
 
 void EngineSidecar::closeIdleConnections()
--- a/src/request/callforward.cpp
+++ b/src/request/callforward.cpp
@@ -44,6 +44,7 @@
     last.reason = "no server of pool " + m_context->poolName + " is available";
     if (m_context->mayOutliveProcess()) {
         last.reason = "the entry is stopping";
+        ++services.counters.stopRefusals;
         co_await sendResponse(std::move(last));
         co_return;
     }
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -85,6 +85,7 @@
 void ForwardContext::start()
 {
     const std::weak_ptr<ForwardContext> weak = weak_from_this();
+    services.activeContexts.insert(this);
     m_timer.expires_at(deadline);
     m_timer.async_wait([weak](const IoError &error) {
         const auto self = weak.lock();
@@ -106,13 +107,27 @@
 void ForwardContext::finish()
 {
     --services.counters.activeRequests;
+    services.activeContexts.erase(this);
     m_timer.cancel();
     m_exchange.reset();
 }
 
+void ForwardContext::endEarly()
+{
+    m_hasEndedEarly = true;
+    if (m_exchange) {
+        m_exchange->abort();
+    }
+}
+
 bool ForwardContext::isActive() const
 {
-    return !timedOut && !connection->hasCallerDisconnected();
+    return !timedOut && !m_hasEndedEarly && !connection->hasCallerDisconnected();
+}
+
+bool ForwardContext::hasEndedEarly() const
+{
+    return m_hasEndedEarly;
 }
 
 std::chrono::milliseconds ForwardContext::timeLeft() const
@@ -235,7 +250,7 @@
 
 bool ForwardContext::mayOutliveProcess() const
 {
-    return services.stopDeadline && deadline > *services.stopDeadline;
+    return !services.stop.mayTake(deadline);
 }
 
 ServerFilter ForwardContext::limitFilter() const
@@ -261,7 +276,7 @@
 
 std::chrono::milliseconds ForwardContext::retryDelay(std::chrono::milliseconds baseDelay, bool isLimited) const
 {
-    if (services.stopDeadline) {
+    if (services.stop.isStopping()) {
         return retryAfterStopping;
     }
     const auto now = std::chrono::steady_clock::now();
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -42,7 +42,8 @@
 /// Number of engines that may refuse a generation before the entry refuses it.
 constexpr std::uint32_t maxRefusals = 3;
 
-/// Assumed time for the prompt and for each output token of a generation on an engine under load.
+/// Assumed time for the prompt and for each output token of a generation on an engine under load, if the route states
+/// no target latency or no maximum gap.
 constexpr std::chrono::milliseconds promptTime{ 1200 };
 constexpr std::chrono::milliseconds tokenTime{ 12 };
 
@@ -63,6 +64,7 @@
 GenerationForwarder::GenerationForwarder(std::shared_ptr<ForwardContext> context)
     : m_context(std::move(context))
     , m_services(m_context->services)
+    , m_pace(m_services.paces[m_context->poolName])
     , m_moveChanged(m_services.context)
 {
     const wire::CallerFields &fields = m_context->fields;
@@ -94,11 +96,6 @@
 Awaitable<void> GenerationForwarder::run()
 {
     SegmentEnd segmentEnd = SegmentEnd::Refused;
-    if (mayOutliveProcess()) {
-        m_reason = "the entry is stopping";
-        co_await finish(segmentEnd);
-        co_return;
-    }
     if (checkQuarantine()) {
         co_await finish(segmentEnd);
         co_return;
@@ -140,12 +137,51 @@
 }
 
 // Returns whether the process is stopping and may end before the generation. Assumes the maximum output, since callers'
-// estimates are often wrong and a planned stop must not cut off a generation.
+// estimates are often wrong, and the slowest pace of the pool, since a planned stop must not cut off a generation. The
+// generation ends at its deadline at the latest.
 bool GenerationForwarder::mayOutliveProcess() const
 {
-    const std::int64_t output = m_context->fields.maxOutputTokens;
-    const auto latestEnd = std::chrono::steady_clock::now() + promptTime + output * tokenTime;
-    return m_services.stopDeadline && latestEnd > *m_services.stopDeadline;
+    if (!m_services.stop.isStopping()) {
+        return false;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    const std::uint32_t tokensPerEvent = std::max(m_context->pool.engine->tokensPerEvent, 1U);
+    const std::uint32_t events = (m_context->fields.maxOutputTokens + tokensPerEvent - 1) / tokensPerEvent;
+    recordWaitingGenerations();
+    const SteadyTime latestEnd = now + m_pace.longestTime(events, assumedSpeed(), now);
+    return !m_services.stop.mayTake(std::min(latestEnd, m_context->deadline));
+}
+
+bool GenerationForwarder::refusesBecauseOfStop()
+{
+    const bool refuses = mayOutliveProcess();
+    if (refuses) {
+        ++m_services.counters.stopRefusals;
+        m_reason = "the entry is stopping";
+    }
+    return refuses;
+}
+
+// Returns the slowest speed at which the route's streams count as on time.
+GenerationSpeed GenerationForwarder::assumedSpeed() const
+{
+    const ForwardRoute &route = *m_context->route;
+    const std::chrono::milliseconds eventTime = m_context->pool.engine->tokensPerEvent * tokenTime;
+    return { .firstEvent = std::max(route.targetLatency, promptTime),
+             .eventInterval = route.maxGap.count() > 0 ? route.maxGap : eventTime };
+}
+
+// Records how long the generations of the pool that have no event yet have waited so far.
+void GenerationForwarder::recordWaitingGenerations() const
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto &[server, generations] : m_services.activeGenerations) {
+        for (const GenerationForwarder *generation : generations) {
+            if (!generation->m_headSent && generation->m_context->poolName == m_context->poolName) {
+                m_pace.recordFirstEvent(generation->m_context->age(), now);
+            }
+        }
+    }
 }
 
 // The load reports at the entries are slightly stale, and several entries may choose the same idle engine. Therefore
@@ -158,11 +194,17 @@
     const RandomSource draw = [this] {
         return m_services.randomFraction();
     };
+    if (refusesBecauseOfStop()) {
+        co_return std::nullopt;
+    }
     std::size_t round = 0;
     std::set<std::string> excluded = m_refusedBy;
     m_services.serverLimiter.recordDemand(m_services.directory, m_context->poolName, std::chrono::steady_clock::now());
     co_await refreshLoads(excluded);
     while (m_context->isActive() && !checkQuarantine()) {
+        if (refusesBecauseOfStop()) {
+            break;
+        }
         m_isLimited = co_await m_context->isBlockedByLimit();
         if (m_isLimited) {
             m_reason = "each engine of pool " + m_context->poolName + " has reached its limit of requests per second";
@@ -461,7 +503,7 @@
     if (m_context->connection->hasCallerDisconnected()) {
         return SegmentEnd::CallerDisconnected;
     }
-    if (m_context->timedOut) {
+    if (!m_context->isActive()) {
         return SegmentEnd::Broken;
     }
     m_services.directory.recordConnectionFailure(m_server, std::chrono::steady_clock::now());
@@ -573,11 +615,18 @@
         m_context->recordResponse();
         m_firstEventDelay = m_context->age();
         m_services.metrics.firstToken.record(m_firstEventDelay);
+        m_firstEventAt = now;
+        m_firstEventCount = m_eventCount;
+        m_pace.recordFirstEvent(m_firstEventDelay, now);
     } else {
         const auto gap = std::chrono::duration_cast<std::chrono::microseconds>(now - m_lastEventAt);
         m_maxEventGap = std::max(m_maxEventGap, gap);
         const bool isLate = m_context->route->maxGap.count() > 0 && gap > m_context->route->maxGap;
         m_services.counters.lateGaps += isLate ? 1 : 0;
+        const auto sinceFirst = std::chrono::duration_cast<std::chrono::microseconds>(now - m_firstEventAt);
+        const auto intervals
+            = static_cast<std::int64_t>(std::max(m_eventCount - m_firstEventCount, std::uint64_t{ 1 }));
+        m_pace.recordEventInterval(sinceFirst / intervals, now);
     }
     m_lastEventAt = now;
     m_services.directory.markStarted(m_server, m_assignment);
@@ -590,6 +639,9 @@
 {
     const auto self = shared_from_this();
     detach();
+    if (m_context->hasEndedEarly()) {
+        m_reason = "the entry has stopped: " + m_reason;
+    }
     if (m_context->connection->hasCallerDisconnected() || segmentEnd == SegmentEnd::CallerDisconnected) {
         ++m_services.metrics.cancelled;
         m_context->logOutcome("cancelled", "the caller disconnected", Verdict::MayHaveRun);
--- a/src/request/generationmoves.cpp
+++ b/src/request/generationmoves.cpp
@@ -138,7 +138,8 @@
         } else {
             result = co_await moveGeneration(m_services.pool, engine, order, drainTimeLeft,
                                              m_services.settings.forwarding.sidecarPort());
-            const bool sidecarMayHaveStopped = !result.stopped && callResult.sendState == SendState::Sent;
+            const bool isRefused = !callResult.error && !callResult.succeeded();
+            const bool sidecarMayHaveStopped = !result.stopped && !isRefused && callResult.sendState == SendState::Sent;
             result.mayHaveStopped = result.mayHaveStopped || sidecarMayHaveStopped;
         }
     }
--- a/src/request/requestrunner.cpp
+++ b/src/request/requestrunner.cpp
@@ -16,6 +16,9 @@
 
 constexpr Log log{ "request" };
 
+/// Assumed maximum output of a generation whose caller set no limit, in tokens.
+constexpr std::uint32_t assumedMaxTokens = 8192;
+
 } // namespace
 
 RequestRunner::RequestRunner(EntryServices &services, const CallerRequest &request,
@@ -94,6 +97,10 @@
         m_context.fail(*failure);
         return;
     }
+    if (const auto failure = checkStop(m_context.deadline)) {
+        m_context.fail(*failure);
+        return;
+    }
     CallAttempts(m_context).run();
 }
 
@@ -115,6 +122,26 @@
     return std::nullopt;
 }
 
+// Returns the failure of a request that may still be in progress when a stopping entry ends.
+std::optional<Failure> RequestRunner::checkStop(RequestContext::Clock::time_point latestEnd) const
+{
+    if (m_context.services.stop.mayTake(latestEnd)) {
+        return std::nullopt;
+    }
+    return Failure{ .code = RequestError::Draining,
+                    .verdict = Verdict::NotRun,
+                    .message = "the entry is stopping",
+                    .retryAfter = retryAfterNoServer };
+}
+
+// The deadline applies to the first token. The later tokens are expected at the pace of the slowest recent ones.
+RequestContext::Clock::time_point RequestRunner::latestEnd(const GenerationRequest &generation) const
+{
+    constexpr double slowGapQuantile = 0.99;
+    const std::uint32_t tokens = generation.maxTokens > 0 ? generation.maxTokens : assumedMaxTokens;
+    return m_context.deadline + tokens * m_context.services.metrics.tokenGap.quantile(slowGapQuantile);
+}
+
 void RequestRunner::runGeneration()
 {
     if (m_context.request.method != "POST") {
@@ -143,6 +170,10 @@
         m_context.fail(*failure);
         return;
     }
+    if (const auto failure = checkStop(latestEnd(generation))) {
+        m_context.fail(*failure);
+        return;
+    }
     m_context.affinity = { .prefixHash = generation.prefixHash, .promptTokens = generation.promptTokens };
     GenerationAttempts(m_context, generation).run();
 }
--- a/tests/unit/forwardingfixture.h
+++ b/tests/unit/forwardingfixture.h
@@ -1,15 +1,20 @@
 #pragma once
 
 #include <functional>
+#include <future>
 #include <string>
 #include <thread>
+#include <utility> // Boost.Asio 1.74 uses std::exchange without it
 #include <vector>
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/use_future.hpp>
 #include <catch2/catch.hpp>
 
 #include "platformstandin.h"
 #include "zinniadock/process/forwardingentry.h"
+#include "zinniadock/process/gracefulstop.h"
 #include "zinniadock/process/watchingsidecar.h"
 
 namespace zinniadock::test
@@ -53,6 +58,17 @@
         asio::post(m_context, function);
     }
 
+    /// Stops the role on its thread as its process does. The result is whether requests had to be ended.
+    std::future<bool> stop(StopTiming timing)
+    {
+        return asio::co_spawn(
+            m_context,
+            [this, timing]() {
+                return stopGracefully(m_role, timing);
+            },
+            asio::use_future);
+    }
+
     Role *operator->()
     {
         return &m_role;
