Break off a stream whose next engine does not continue it

Cause: runSegment() reported each signed response that is no stream as a response for the caller, and finish() wrote it without a look at whether a head had been sent. Events of the next engine were forwarded whatever they continued, so that a stream that began again, or left out events, was joined with the first one. Change: streamstep decides from whether a head was sent, what the server says and why it was asked; a stream must go on after the last event that the caller has; the head of another response is found inside a body too; a connection whose handler responds twice to one request is closed. Why it works: behind a head each path leads to the continuation or to an early end, and the connection refuses anything else.

--- a/include/zinniadock/connection/httplistener.h
+++ b/include/zinniadock/connection/httplistener.h
@@ -45,12 +45,13 @@
 
     Awaitable<void> serve();
 
-    /// Writes a response with its whole body.
-    /// \param framing  Connection for a body that ends with the connection, since nobody has stated that it is
-    /// complete; the response has its length otherwise
+    /// Writes a response with its whole body. Closes the connection instead if a response to the request has begun,
+    /// since the caller would take the bytes for a part of it. \param framing  Connection for a body that ends with the
+    /// connection, since nobody has stated that it is complete; the response has its length otherwise
     Awaitable<void> respond(HttpResponse response, BodyFraming framing = BodyFraming::Length);
 
-    /// Writes the head of a response whose body follows with writePiece().
+    /// Writes the head of a response whose body follows with writePiece(). Closes the connection instead and returns an
+    /// error if a response to the request has begun.
     /// \param framing  Connection for a body that ends with the connection; the body is sent in chunks otherwise
     Awaitable<IoError> startStream(http::response_header<> head, BodyFraming framing);
     Awaitable<IoError> writePiece(const std::string &piece);
@@ -74,6 +75,13 @@
     void setDisconnectHandler(std::function<void()> handler);
 
 private:
+    /// State of the response to the request in progress.
+    enum class ResponseState {
+        NotBegun,
+        Streaming, ///< startStream() has sent the head, and the body is not complete
+        Ended,
+    };
+
     Awaitable<bool> readRequest(HttpRequest &request);
     Awaitable<void> rejectMalformedRequest(const IoError &error);
     void watchForDisconnect();
@@ -91,6 +99,7 @@
     bool m_callerDisconnected = false;
     bool m_keepAlive = true;
     bool m_isHeadRequest = false;
+    ResponseState m_responseState = ResponseState::NotBegun;
     bool m_resetsOnClose = false; ///< a body is in progress that ends with the connection
     std::uint64_t m_requestCount = 0;
 };
--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -34,6 +34,7 @@
 {
     std::uint64_t movedStreams = 0; ///< moves whose target was asked to continue the stream
     std::uint64_t failedMoves = 0;
+    std::uint64_t failedContinuations = 0; ///< stopped generations whose next engine did not continue the stream
     std::uint64_t brokenStreams = 0; ///< generations that failed, also before their first event
     std::uint64_t brokenResponses = 0; ///< responses of servers that ended early, after their head
     std::uint64_t unframedResponses = 0; ///< responses of servers that ended without a stated end, with FIN
--- a/include/zinniadock/request/eventsplitter.h
+++ b/include/zinniadock/request/eventsplitter.h
@@ -16,9 +16,8 @@
     std::string bytes; ///< including the empty line that terminates the event
 };
 
-/// Returns whether the bytes are the head of an HTTP response. A faulty server may send another response behind a
-/// stream without a length; no field of an event begins in this way.
-bool isResponseHead(const StreamEvent &event);
+/// Returns whether an event is only a comment, which has no ID.
+bool isComment(const StreamEvent &event);
 
 /// Maximum size of an incomplete event, in bytes. A stream whose incomplete event is larger is aborted.
 constexpr std::size_t maxStreamEventBytes = 256U << 10U;
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -10,6 +10,7 @@
 #include "zinniadock/process/sidecarmessages.h"
 #include "zinniadock/request/eventsplitter.h"
 #include "zinniadock/request/forwardscope.h"
+#include "zinniadock/request/streamstep.h"
 
 namespace zinniadock
 {
@@ -74,9 +75,13 @@
     Awaitable<std::optional<EnginePlacement>> reserveLimitedEngine(std::string server, AdmissionLimits limits);
     AdmissionQuery admissionQuery() const;
     std::chrono::milliseconds reservationDuration(const ServerRecord &server) const;
-    Awaitable<SegmentEnd> runSegment(wire::ServerFields fields);
-    SegmentEnd handleMissingResponse(const HttpExchange &exchange);
+    Awaitable<SegmentEnd> runSegment(wire::ServerFields fields, StreamAttempt attempt);
+    Awaitable<SegmentEnd> readPlainResponse(HttpExchange &exchange, const wire::ResponseFields &fields,
+                                            StreamAttempt attempt);
+    SegmentEnd handleMissingResponse(const HttpExchange &exchange, StreamAttempt attempt);
     Awaitable<SegmentEnd> relayEvents(HttpExchange &exchange);
+    bool isContinuedBy(const StreamEvent &event) const;
+    CallerResponse callerResponse() const;
     Awaitable<bool> forwardEvents(const std::vector<StreamEvent> &events, const ResponseHead &head,
                                   BodyFraming framing);
     SegmentEnd judgeSegment(const HttpExchange &exchange);
@@ -102,6 +107,7 @@
     void recordSent(const ServerRecord &server, SendReason reason);
     void logPlacement(const EnginePlacement &chosen) const;
     void recordEvents();
+    void recordFailedContinuation();
     void recordOutputLength();
     std::string streamSummary() const;
 
@@ -120,6 +126,7 @@
     bool m_headSent = false;
     BodyFraming m_callerFraming = BodyFraming::Chunks; ///< of the caller's response, after the head was sent
     std::optional<std::uint64_t> m_lastEventId;
+    bool m_areIdsConsecutive = true; ///< the IDs of the events so far had no gap
     std::uint64_t m_eventCount = 0;
     SteadyTime m_firstEventAt;
     std::uint64_t m_firstEventCount = 0; ///< events that arrived together with the first one
--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -70,6 +70,7 @@
     const auto self = shared_from_this();
     while (m_keepAlive && !m_callerDisconnected) {
         HttpRequest request;
+        m_responseState = ResponseState::NotBegun;
         const bool hasRequest = co_await readRequest(request);
         if (!hasRequest) {
             break;
@@ -79,6 +80,7 @@
         m_isHeadRequest = request.method() == http::verb::head;
         watchForDisconnect();
         co_await m_handler(self, std::move(request));
+        m_keepAlive = m_keepAlive && m_responseState == ResponseState::Ended;
         m_disconnectHandler = nullptr;
         IoError ignored; // the connection may be closed already
         m_stream.socket().cancel(ignored);
@@ -167,6 +169,11 @@
 
 Awaitable<void> HttpConnection::respond(HttpResponse response, BodyFraming framing)
 {
+    if (m_responseState != ResponseState::NotBegun) {
+        abort();
+        co_return;
+    }
+    m_responseState = ResponseState::Ended;
     const bool isUnframed = framing == BodyFraming::Connection;
     m_keepAlive = m_keepAlive && !isUnframed && !*m_keepAliveDisabled;
     response.version(11);
@@ -198,6 +205,11 @@
 // connection is a reset, also the end of this process, so that a truncated body does not look complete.
 Awaitable<IoError> HttpConnection::startStream(http::response_header<> head, BodyFraming framing)
 {
+    if (m_responseState != ResponseState::NotBegun) {
+        abort();
+        co_return make_error_code(boost::system::errc::operation_not_permitted);
+    }
+    m_responseState = ResponseState::Streaming;
     const bool isUnframed = framing == BodyFraming::Connection;
     m_keepAlive = m_keepAlive && !isUnframed && !*m_keepAliveDisabled;
     http::response<http::empty_body> response(std::move(head));
@@ -233,6 +245,7 @@
 
 Awaitable<void> HttpConnection::endStream()
 {
+    m_responseState = ResponseState::Ended;
     if (m_resetsOnClose) {
         co_await closeAfterResponse();
         co_return;
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -71,6 +71,7 @@
     appendMetric("zinniadock_active_requests", m_services.counters.activeRequests, out);
     appendMetric("zinniadock_moved_streams_total", m_services.counters.movedStreams, out);
     appendMetric("zinniadock_failed_moves_total", m_services.counters.failedMoves, out);
+    appendMetric("zinniadock_failed_continuations_total", m_services.counters.failedContinuations, out);
     appendMetric("zinniadock_broken_streams_total", m_services.counters.brokenStreams, out);
     appendMetric("zinniadock_broken_responses_total", m_services.counters.brokenResponses, out);
     appendMetric("zinniadock_unframed_responses_total", m_services.counters.unframedResponses, out);
--- a/src/request/eventsplitter.cpp
+++ b/src/request/eventsplitter.cpp
@@ -10,7 +10,6 @@
 {
 
 constexpr std::string_view idPrefix = "id:";
-constexpr std::string_view statusLinePrefix = "HTTP/1.";
 
 /// Maximum length of an incomplete event terminator at the end of the received bytes: LF and CR.
 constexpr std::size_t maxPartialTerminatorBytes = 2;
@@ -46,9 +45,9 @@
 
 } // namespace
 
-bool isResponseHead(const StreamEvent &event)
+bool isComment(const StreamEvent &event)
 {
-    return event.bytes.starts_with(statusLinePrefix);
+    return event.bytes.starts_with(':') && !event.id;
 }
 
 std::vector<StreamEvent> EventSplitter::push(std::string_view bytes)
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "zinniadock/connection/strayresponse.h"
 #include "zinniadock/request/engineprobe.h"
 
 namespace zinniadock
@@ -39,6 +40,9 @@
 /// Expected output as a share of the maximum output, if the caller gives no estimate.
 constexpr double defaultOutputShare = 0.5;
 
+/// ID of the first event of a stream whose events are numbered.
+constexpr std::uint64_t firstEventId = 1;
+
 /// Number of engines that may refuse a generation before the entry refuses it.
 constexpr std::uint32_t maxRefusals = 3;
 
@@ -111,7 +115,7 @@
         }
         wire::ServerFields fields = m_context->serverFields(chosen->server);
         fields.reservation = chosen->reservation;
-        segmentEnd = co_await runSegment(fields);
+        segmentEnd = co_await runSegment(fields, StreamAttempt::Placement);
         if (segmentEnd == SegmentEnd::Refused) {
             m_refusedBy.insert(chosen->server);
         }
@@ -433,7 +437,8 @@
     m_services.capacityChanged.notify();
 }
 
-Awaitable<GenerationForwarder::SegmentEnd> GenerationForwarder::runSegment(wire::ServerFields fields)
+Awaitable<GenerationForwarder::SegmentEnd> GenerationForwarder::runSegment(wire::ServerFields fields,
+                                                                           StreamAttempt attempt)
 {
     const std::string server = fields.server;
     const TrackedServer *tracked = m_services.directory.find(server);
@@ -461,7 +466,7 @@
         if (exchange->sendState() == SendState::Sent && !m_lastEventId) {
             m_context->recordBrokenRun(record, sentAt, error);
         }
-        co_return handleMissingResponse(*exchange);
+        co_return handleMissingResponse(*exchange, attempt);
     }
     m_context->updateServerState(server, responseFields);
     SegmentEnd segmentEnd = SegmentEnd::Broken;
@@ -474,21 +479,7 @@
             m_context->recordBrokenRun(record, sentAt, m_streamError);
         }
     } else {
-        m_reason = "status " + std::to_string(exchange->head().result_int());
-        HttpResponse plain(makeCallerHead(exchange->head()));
-        error = co_await exchange->readRest(plain.body(), maxPlainResponseBytes);
-        const std::string size = std::to_string(plain.body().size()) + " bytes";
-        m_context->logResponseEnd(*exchange, exchange->end(), size, error);
-        if (responseFields.isMisdirected) {
-            m_services.directory.markReplaced(server);
-        }
-        if (responseFields.notRun) {
-            segmentEnd = SegmentEnd::Refused;
-        } else if (!error && responseFields.isSigned) {
-            m_plainResponse = std::move(plain);
-            m_plainResponseEnd = exchange->end();
-            segmentEnd = SegmentEnd::PlainResponse;
-        }
+        segmentEnd = co_await readPlainResponse(*exchange, responseFields, attempt);
     }
     if (exchange->isComplete() && !responseFields.closesConnection) {
         exchange->releaseConnection(responseFields.idleTimeout.value_or(defaultIdleLimit));
@@ -496,9 +487,58 @@
     co_return segmentEnd;
 }
 
+Awaitable<GenerationForwarder::SegmentEnd> GenerationForwarder::readPlainResponse(HttpExchange &exchange,
+                                                                                  const wire::ResponseFields &fields,
+                                                                                  StreamAttempt attempt)
+{
+    m_reason = "status " + std::to_string(exchange.head().result_int());
+    HttpResponse plain(makeCallerHead(exchange.head()));
+    const IoError error = co_await exchange.readRest(plain.body(), maxPlainResponseBytes);
+    const std::string size = std::to_string(plain.body().size()) + " bytes";
+    m_context->logResponseEnd(exchange, exchange.end(), size, error);
+    if (fields.isMisdirected) {
+        m_services.directory.markReplaced(m_server);
+    }
+    const bool isUsable = !error && fields.isSigned && !containsStrayResponse(exchange.framing(), plain.body());
+    const StreamReply reply = fields.notRun ? StreamReply::Refusal
+        : isUsable                          ? StreamReply::WholeResponse
+                                            : StreamReply::Unusable;
+    switch (nextStep(callerResponse(), reply, attempt)) {
+    case StreamStep::TryNext:
+        co_return SegmentEnd::Refused;
+    case StreamStep::ForwardResponse:
+        m_plainResponse = std::move(plain);
+        m_plainResponseEnd = exchange.end();
+        co_return SegmentEnd::PlainResponse;
+    case StreamStep::ForwardEvents:
+    case StreamStep::Fail:
+        break;
+    }
+    if (attempt != StreamAttempt::Placement) {
+        recordFailedContinuation();
+    }
+    co_return SegmentEnd::Broken;
+}
+
+CallerResponse GenerationForwarder::callerResponse() const
+{
+    return m_headSent ? CallerResponse::HeadSent : CallerResponse::NotBegun;
+}
+
+void GenerationForwarder::recordFailedContinuation()
+{
+    ++m_services.counters.failedContinuations;
+    logEvent("move", "continuation failed",
+             { { "id", m_context->fields.requestId },
+               { "server", m_server },
+               { "events", m_eventCount },
+               { "reason", m_reason } });
+}
+
 // A server may have begun to run the request however soon the connection broke. Only a request that was not sent is
 // proven not to have run.
-GenerationForwarder::SegmentEnd GenerationForwarder::handleMissingResponse(const HttpExchange &exchange)
+GenerationForwarder::SegmentEnd GenerationForwarder::handleMissingResponse(const HttpExchange &exchange,
+                                                                           StreamAttempt attempt)
 {
     if (m_context->connection->hasCallerDisconnected()) {
         return SegmentEnd::CallerDisconnected;
@@ -514,19 +554,37 @@
                { "try", m_context->attempts },
                { "not_run", notRun ? 1 : 0 },
                { "reason", m_reason } });
-    return notRun ? SegmentEnd::Refused : SegmentEnd::Broken;
+    const StreamReply reply = notRun ? StreamReply::Refusal : StreamReply::Unusable;
+    if (nextStep(callerResponse(), reply, attempt) == StreamStep::TryNext) {
+        return SegmentEnd::Refused;
+    }
+    if (attempt != StreamAttempt::Placement) {
+        recordFailedContinuation();
+    }
+    return SegmentEnd::Broken;
 }
 
 Awaitable<GenerationForwarder::SegmentEnd> GenerationForwarder::relayEvents(HttpExchange &exchange)
 {
     const ResponseHead head = makeCallerHead(exchange.head());
+    bool isFirstEvent = true;
     while (!exchange.isComplete()) {
         std::string bytes;
         const IoError error = co_await exchange.readSome(bytes);
         std::vector<StreamEvent> events = m_splitter.push(bytes);
-        const auto foreign = std::find_if(events.begin(), events.end(), isResponseHead);
+        const auto foreign = std::find_if(events.begin(), events.end(), [](const StreamEvent &event) {
+            return containsResponseHead(event.bytes);
+        });
         const bool hasForeignBytes = foreign != events.end();
         events.erase(foreign, events.end());
+        const auto first = std::find_if_not(events.begin(), events.end(), isComment);
+        if (isFirstEvent && first != events.end() && !isContinuedBy(*first)) {
+            m_reason = "the stream does not continue after event " + std::to_string(m_lastEventId.value_or(0));
+            recordFailedContinuation();
+            exchange.abort();
+            co_return SegmentEnd::Broken;
+        }
+        isFirstEvent = isFirstEvent && first == events.end();
         const bool forwarded = co_await forwardEvents(events, head, exchange.framing());
         if (!forwarded || m_context->connection->hasCallerDisconnected()) {
             co_return SegmentEnd::CallerDisconnected;
@@ -550,6 +608,16 @@
     co_return judgeSegment(exchange);
 }
 
+// Returns whether an event may follow what the caller has. The first event of the first engine always may.
+bool GenerationForwarder::isContinuedBy(const StreamEvent &event) const
+{
+    const bool isConsecutive = m_areIdsConsecutive && (m_eventCount > 1 || m_lastEventId == firstEventId);
+    const bool isContinued
+        = callerResponse() == CallerResponse::NotBegun || isContinuation(m_lastEventId, event.id, isConsecutive);
+    const StreamReply reply = isContinued ? StreamReply::Events : StreamReply::OtherEvents;
+    return nextStep(callerResponse(), reply, StreamAttempt::Placement) == StreamStep::ForwardEvents;
+}
+
 StreamPlace GenerationForwarder::placeInStream() const
 {
     return zinniadock::placeInStream(m_eventCount, m_splitter.incompleteEvent().size());
@@ -589,7 +657,10 @@
             continue;
         }
         piece += event.bytes;
-        m_lastEventId = event.id ? event.id : m_lastEventId;
+        if (event.id) {
+            m_areIdsConsecutive = m_areIdsConsecutive && (!m_lastEventId || *event.id == *m_lastEventId + 1);
+            m_lastEventId = event.id;
+        }
         ++m_eventCount;
     }
     if (piece.empty()) {
--- a/src/request/generationmoves.cpp
+++ b/src/request/generationmoves.cpp
@@ -154,6 +154,7 @@
                { "target", result.target ? result.target->text() : std::string() },
                { "candidates", order.targets.size() },
                { "events", m_eventCount },
+               { "last_event", m_lastEventId.value_or(0) },
                { "reason", result.reason } });
     m_moveChanged.notify();
 }
@@ -188,14 +189,14 @@
         ++m_services.counters.movedStreams;
         wire::ServerFields fields = m_context->serverFields(*target);
         fields.copy = m_move.copy;
-        segmentEnd = co_await runSegment(fields);
+        segmentEnd = co_await runSegment(fields, StreamAttempt::Move);
     }
     if (segmentEnd == SegmentEnd::Refused) {
         logEvent("move", "generation resumes at the source engine",
                  { { "id", m_context->fields.requestId }, { "source", source }, { "reason", m_reason } });
         wire::ServerFields fields = m_context->serverFields(source);
         fields.copy = m_move.copy;
-        segmentEnd = co_await runSegment(fields);
+        segmentEnd = co_await runSegment(fields, StreamAttempt::Resume);
     }
     co_return segmentEnd == SegmentEnd::Refused ? SegmentEnd::Broken : segmentEnd;
 }
--- a/tests/unit/unit-eventsplitter.cpp
+++ b/tests/unit/unit-eventsplitter.cpp
@@ -2,6 +2,7 @@
 
 #include <rapidcheck.h>
 
+#include "zinniadock/connection/strayresponse.h"
 #include "zinniadock/request/eventsplitter.h"
 
 using namespace zinniadock;
@@ -39,8 +40,15 @@
     {
         const auto events = splitter.push("data: HTTP/1.1\n\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
         REQUIRE(events.size() == 2);
-        CHECK_FALSE(isResponseHead(events[0]));
-        CHECK(isResponseHead(events[1]));
+        CHECK_FALSE(containsResponseHead(events[0].bytes));
+        CHECK(containsResponseHead(events[1].bytes));
+    }
+    SECTION("a comment is told from an event")
+    {
+        const auto events = splitter.push(": ping\n\nid: 1\ndata: a\n\n");
+        REQUIRE(events.size() == 2);
+        CHECK(isComment(events[0]));
+        CHECK_FALSE(isComment(events[1]));
     }
     SECTION("bytes without an end of an event overflow at the maximum event size")
     {
--- a/tests/unit/unit-responseends.cpp
+++ b/tests/unit/unit-responseends.cpp
@@ -7,6 +7,7 @@
 
 #include "fleet.h"
 #include "forwardingfixture.h"
+#include "movedeployment.h"
 #include "rawcaller.h"
 #include "zinniadock/connection/responseend.h"
 
@@ -17,40 +18,6 @@
 namespace
 {
 
-/// An engine with a generation, and a second engine that is listed when the first begins to drain.
-struct MoveDeployment
-{
-    MoveDeployment()
-        : entry(entrySettings(store.port(), sourceSidecar->port()))
-    {
-        REQUIRE(eventually([this] {
-            return isReady(entry);
-        }));
-    }
-
-    /// Requests a stream whose source begins to drain after some events, and returns what the caller gets.
-    SeenResponse requestMovedStream()
-    {
-        source.setEventInterval(std::chrono::milliseconds(30));
-        auto response = std::async(std::launch::async, [this] {
-            return requestRaw(entry->port(), rawGeneration("moved"));
-        });
-        REQUIRE(eventually([this] {
-            return source.startedRequests().size() == 1;
-        }));
-        store.put("servers/e2", target.record("engines"));
-        source.startDraining(std::chrono::milliseconds(1500));
-        return response.get();
-    }
-
-    PlatformServer source{ "e1", "127.0.0.2" };
-    PlatformServer target{ "e2", "127.0.0.3" };
-    SeededStore store{ "e1", source.record("engines") };
-    RoleThread<EngineSidecar> sourceSidecar{ sidecarSettings("127.0.0.2", 0, source.endpoint()) };
-    RoleThread<EngineSidecar> targetSidecar{ sidecarSettings("127.0.0.3", sourceSidecar->port(), target.endpoint()) };
-    RoleThread<ForwardingEntry> entry;
-};
-
 constexpr int cutAfter = 20; ///< last whole event of a stream that ends between or inside events
 
 /// How a server states the end of a response in the tests below.
