Tell a cut watch and a lost answer from an outage of the store

Cause: any failed call, also one cut watch, counted as an outage of the store, and after an outage each removal of a server waited for 2.3 s, also one that was acknowledged after the store's return. Entries that follow another one took it over. Change: storecontact decides what is an outage from how calls end: only calls on new connections that fail one after the other. After an outage only deletions up to the store's revision at its return wait; the revision is relayed to followers. A failed watch is checked on a new connection. Log event "call failed", metrics of call ends and outages. Why it works: a removal waits only if the record may have expired while the store was out, which its revision shows. The relay of the stand-ins could end with a connection that it had accepted meanwhile; it now ends its acceptor first.

--- a/include/zinniadock/connection/httpclient.h
+++ b/include/zinniadock/connection/httpclient.h
@@ -154,6 +154,8 @@
 {
     IoError error; ///< set if no complete response was received
     SendState sendState = SendState::NotSent;
+    bool hasTimedOut = false;
+    bool isConnectionReused = false; ///< the request was sent on a connection that had been used before
     unsigned status = 0;
     ResponseHead head;
     std::string body;
@@ -164,6 +166,16 @@
     }
 };
 
+class CallInterrupter;
+
+/// Options of call().
+struct CallOptions
+{
+    std::chrono::milliseconds timeout{ 0 }; ///< for the whole call
+    bool usesNewConnection = false; ///< closes the idle connections to the peer, and opens a new one
+    std::shared_ptr<CallInterrupter> interrupter; ///< may end the call before; null for none
+};
+
 /// Ends a call in progress with an error. Does nothing if there is none.
 class CallInterrupter
 {
@@ -171,8 +183,7 @@
     void interrupt();
 
 private:
-    friend Awaitable<CallResult> call(ConnectionPool &pool, Endpoint peer, HttpRequest request,
-                                      std::chrono::milliseconds timeout, std::shared_ptr<CallInterrupter> interrupter);
+    friend Awaitable<CallResult> call(ConnectionPool &pool, Endpoint peer, HttpRequest request, CallOptions options);
 
     std::weak_ptr<HttpExchange> m_exchange;
 };
@@ -180,8 +191,7 @@
 /// Sends a request and reads the whole response within \p timeout.
 Awaitable<CallResult> call(ConnectionPool &pool, Endpoint peer, HttpRequest request, std::chrono::milliseconds timeout);
 
-/// Sends a request and reads the whole response within \p timeout, unless \p interrupter ends the call before.
-Awaitable<CallResult> call(ConnectionPool &pool, Endpoint peer, HttpRequest request, std::chrono::milliseconds timeout,
-                           std::shared_ptr<CallInterrupter> interrupter);
+/// Sends a request and reads the whole response.
+Awaitable<CallResult> call(ConnectionPool &pool, Endpoint peer, HttpRequest request, CallOptions options);
 
 } // namespace zinniadock
--- a/include/zinniadock/process/prefixwatch.h
+++ b/include/zinniadock/process/prefixwatch.h
@@ -9,6 +9,7 @@
 
 #include "zinniadock/connection/httpclient.h"
 #include "zinniadock/connection/wireform.h"
+#include "zinniadock/process/storecontact.h"
 #include "zinniadock/process/storemirror.h"
 
 namespace zinniadock
@@ -18,8 +19,8 @@
 struct PrefixWatchCallbacks
 {
     std::function<void(const StoreChanges &)> onChanges; ///< called after each valid response, even without changes
-    /// Called when the store becomes reachable or unreachable.
-    std::function<void(bool reachable)> onReachabilityChanged;
+    /// Called after each call, before its response is applied.
+    std::function<void(StoreCallEnd end, bool onNewConnection)> onCallEnded;
     std::function<void(wire::StoreEra)> onEra; ///< called with the era of each response that states one
 };
 
@@ -71,7 +72,9 @@
     Awaitable<CallOutcome> readSnapshot();
     Awaitable<CallOutcome> waitForChanges(std::chrono::milliseconds maxWait);
     bool needsSnapshot() const;
-    void setReachable(bool reachable, const CallResult &result);
+    CallOptions optionsOfCall(std::chrono::milliseconds timeout) const;
+    std::chrono::milliseconds marginOfCall() const;
+    void recordCall(const CallResult &result, bool isValid, SteadyTime startedAt);
     wire::StoreEra observeEra(const CallResult &result);
     std::chrono::milliseconds pauseAfter(CallOutcome outcome, const WatchTiming &timing);
     static std::chrono::milliseconds backoff(std::uint32_t attempts, std::chrono::milliseconds maxBackoff);
@@ -87,10 +90,10 @@
     bool m_isHistoryGone = false; ///< the store does not have the changes after the mirror's position
     bool m_isInterrupted = false;
     wire::StoreEra m_era = 0; ///< latest era of the store that is known
-    std::uint32_t m_failures = 0;
+    std::uint32_t m_failures = 0; ///< calls that failed since the last valid response
+    bool m_isChecking = false; ///< the last call failed, and the next one shows whether the store serves
     std::uint32_t m_watchesWithoutHistory = 0; ///< since the last watch that the store could answer
     std::uint64_t m_calls = 0;
-    std::optional<bool> m_reachable; ///< nothing before the first call
     bool m_stopped = false;
 };
 
--- a/include/zinniadock/process/relaymessages.h
+++ b/include/zinniadock/process/relaymessages.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "zinniadock/process/storemirror.h"
 
@@ -21,6 +22,8 @@
 
 constexpr std::size_t storePartCount = 3;
 
+std::string_view toString(StorePart part);
+
 /// One value for each part of the store.
 template <typename Value>
 using PerPart = std::array<Value, storePartCount>;
@@ -40,6 +43,8 @@
     bool readsStore = false; ///< the responding entry currently reads the store itself
     std::chrono::milliseconds age{ 0 }; ///< time since the store last confirmed its content to the responding entry
     std::optional<std::chrono::milliseconds> storeRecoveredAgo; ///< time since the store recovered from an outage
+    /// Revision of the store when it recovered; nothing if it is not known yet.
+    std::optional<std::int64_t> recoveredRevision;
     PerPart<StoreChanges> changes;
     /// Encoded announcements of servers that the store does not list, by server ID.
     std::map<std::string, std::string> announcements;
--- a/include/zinniadock/process/storeview.h
+++ b/include/zinniadock/process/storeview.h
@@ -15,6 +15,7 @@
 #include "zinniadock/process/forwardingservices.h"
 #include "zinniadock/process/prefixwatch.h"
 #include "zinniadock/process/relaymessages.h"
+#include "zinniadock/process/storecontact.h"
 
 namespace zinniadock
 {
@@ -23,7 +24,7 @@
 struct StoreViewCallbacks
 {
     std::function<void(const wire::StoreItem &, const std::string &source)> onConfigurationItem;
-    std::function<void(const std::vector<wire::StoreItem> &)> onServerItems;
+    std::function<void(const std::vector<wire::StoreItem> &, const RemovalGrace &)> onServerItems;
     std::function<void()> onWentBack; ///< the store has come back from a copy of itself
     std::function<void(const std::string &)> onAnnouncement; ///< an encoded announcement that another entry relays
     /// Returns the encoded announcements that this entry knows, by server ID.
@@ -64,10 +65,6 @@
     /// Returns whether the list of entries was read, by this entry or through another one.
     bool hasEntryList() const;
 
-    /// Returns the end of the grace period after the last outage of the store. Servers whose records expired during the
-    /// outage may be listed again until then. Returns nothing if there was no outage.
-    std::optional<SteadyTime> recoveryGraceEnd() const;
-
     /// Returns whether this entry currently reads the store itself.
     bool isReadingStore() const;
 
@@ -80,11 +77,19 @@
     /// Returns the number of calls that this entry has made to the store.
     std::uint64_t storeCalls() const;
 
+    /// Returns how many calls to the store ended in each way.
+    const std::map<StoreCallEnd, std::uint64_t> &callEnds() const;
+
+    /// Returns the number of outages of the store that this entry has seen.
+    std::uint64_t outages() const;
+
 private:
     void watch(StorePart part, const std::string &prefix);
     std::optional<WatchTiming> watchTiming(StorePart part) const;
     void applyChanges(StorePart part, const StoreChanges &changes, const std::string &source);
-    void setStoreReachable(bool isReachable);
+    void recordCall(StorePart part, StoreCallEnd end, bool onNewConnection);
+    void beginRecovery(SteadyTime at, std::optional<std::int64_t> revision);
+    RemovalGrace removalGrace(const StoreChanges &changes) const;
     void observeEra(wire::StoreEra era, const std::string &source);
     void holdMissingMembers(const std::vector<wire::StoreItem> &items);
     Awaitable<void> dropHeldMembers();
@@ -119,8 +124,11 @@
     std::map<std::string, SteadyTime> m_skippedUntil; ///< peers that are not queried until then
     std::array<std::string, 2> m_currentSources; ///< peers that this entry currently follows; empty for none
     std::optional<SteadyTime> m_relayConfirmedAt; ///< last confirmation by the store that another entry relayed
-    std::optional<SteadyTime> m_storeUnreachableSince; ///< since when this entry's own calls to the store fail
+    StoreContact m_contact; ///< of this entry's own calls
+    std::map<StoreCallEnd, std::uint64_t> m_callEnds;
+    std::uint64_t m_outages = 0;
     std::optional<SteadyTime> m_storeRecoveredAt; ///< end of the last outage of the store
+    std::optional<std::int64_t> m_recoveredRevision; ///< of the store at that time; nothing if it is not known yet
     AsyncCondition m_changed;
     bool m_stopped = false;
 };
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -263,24 +263,29 @@
 
 Awaitable<CallResult> call(ConnectionPool &pool, Endpoint peer, HttpRequest request, std::chrono::milliseconds timeout)
 {
-    return call(pool, std::move(peer), std::move(request), timeout, std::make_shared<CallInterrupter>());
+    return call(pool, std::move(peer), std::move(request), CallOptions{ .timeout = timeout });
 }
 
-Awaitable<CallResult> call(ConnectionPool &pool, Endpoint peer, HttpRequest request, std::chrono::milliseconds timeout,
-                           std::shared_ptr<CallInterrupter> interrupter)
+Awaitable<CallResult> call(ConnectionPool &pool, Endpoint peer, HttpRequest request, CallOptions options)
 {
     CallResult result;
-    auto exchange = std::make_shared<HttpExchange>(pool, peer, callIdleTimeout);
-    interrupter->m_exchange = exchange;
-    auto timer = std::make_shared<asio::steady_timer>(pool.context(), timeout);
-    timer->async_wait([exchange, timer](const IoError &error) {
+    const auto maxIdleTime = options.usesNewConnection ? std::chrono::milliseconds(0) : callIdleTimeout;
+    auto exchange = std::make_shared<HttpExchange>(pool, peer, maxIdleTime);
+    if (options.interrupter) {
+        options.interrupter->m_exchange = exchange;
+    }
+    auto hasTimedOut = std::make_shared<bool>(false);
+    auto timer = std::make_shared<asio::steady_timer>(pool.context(), options.timeout);
+    timer->async_wait([exchange, timer, hasTimedOut](const IoError &error) {
         if (!error) {
+            *hasTimedOut = true;
             exchange->abort();
         }
     });
     request.set(http::field::host, peer.text());
-    result.error = co_await exchange->send(request, timeout);
+    result.error = co_await exchange->send(request, options.timeout);
     result.sendState = exchange->sendState();
+    result.isConnectionReused = exchange->isConnectionReused();
     if (!result.error) {
         result.error = co_await exchange->readHead();
     }
@@ -290,6 +295,7 @@
         result.error = co_await exchange->readRest(result.body, maxCallResponseBytes);
     }
     timer->cancel();
+    result.hasTimedOut = *hasTimedOut;
     if (!result.error) {
         exchange->releaseConnection(callIdleTimeout);
     }
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -63,9 +63,9 @@
                      }
                  },
              .onServerItems =
-                 [this](const std::vector<wire::StoreItem> &items) {
+                 [this](const std::vector<wire::StoreItem> &items, const RemovalGrace &grace) {
                      for (const wire::StoreItem &item : items) {
-                         applyServerItem(item);
+                         applyServerItem(item, grace);
                      }
                  },
              .onWentBack =
@@ -171,7 +171,7 @@
                { "keys", table.keys.size() } });
 }
 
-void ForwardingEntry::applyServerItem(const wire::StoreItem &item)
+void ForwardingEntry::applyServerItem(const wire::StoreItem &item, const RemovalGrace &grace)
 {
     const std::string id = serverIdOfKey(item.key);
     if (!item.value) {
@@ -179,7 +179,7 @@
         if (const TrackedServer *server = m_services.directory.find(id)) {
             m_departed.recordGone(server->record, m_storeView.mirror(StorePart::Servers).position().era, now);
         }
-        m_removalTimes[id] = std::max(m_storeView.recoveryGraceEnd().value_or(now), now);
+        m_removalTimes[id] = grace.removalTime(item.revision, now);
         m_heldBackUntil.erase(id);
         applyDueRemovals();
         return;
@@ -285,7 +285,7 @@
     departure.isGone = departure.isGone && !(item && departure.era >= mirror.position().era);
     const bool isNew = m_departed.merge(departure, std::chrono::steady_clock::now());
     if (isNew && item) {
-        applyServerItem(*item);
+        applyServerItem(*item, {});
     }
 }
 
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -85,8 +85,13 @@
     appendMetric("zinniadock_quarantined_requests_total", m_services.counters.quarantinedRequests, out);
     appendMetric("zinniadock_stop_refusals_total", m_services.counters.stopRefusals, out);
     appendMetric("zinniadock_ended_requests_total", m_services.counters.endedRequests, out);
-    appendMetric("zinniadock_server_connects_total", m_services.pool.connectCount(), out);
+    appendMetric("zinniadock_server_connects_total",
+                 m_services.pool.connectCount(), out);
     appendMetric("zinniadock_store_calls_total", m_storeView.storeCalls(), out);
+    for (const auto &[end, count] : m_storeView.callEnds()) {
+        appendMetric("zinniadock_store_call_ends_total{end=\"" + std::string(toString(end)) + "\"}", count, out);
+    }
+    appendMetric("zinniadock_store_outages_total", m_storeView.outages(), out);
     appendMetric("zinniadock_store_era", m_storeView.storeEra(), out);
     appendMetric("zinniadock_store_fresh", m_storeView.isFresh() ? 1 : 0, out);
     appendMetric("zinniadock_store_reader", m_storeView.isReadingStore() ? 1 : 0, out);
--- a/src/process/prefixwatch.cpp
+++ b/src/process/prefixwatch.cpp
@@ -17,16 +17,42 @@
 constexpr std::chrono::milliseconds responseMargin{ 800 };
 constexpr std::chrono::milliseconds readTimeout{ 1500 };
 
-// Maximum wait and timeout of a call while the store is unreachable. They are short, so that a call without a response
-// does not delay the detection of the recovery.
-constexpr std::chrono::milliseconds probeMaxWait{ 200 };
-constexpr std::chrono::milliseconds probeTimeout{ 700 };
+// Delay of the first call after a failed one, wait of such a call, and margins of the first and of later ones. The wait
+// is short, so that the call soon shows whether the store serves. The first margin allows for a slow store. The later
+// one is short, so that a call without a response does not delay the detection of the store's return.
+constexpr std::chrono::milliseconds firstCheckDelay{ 70 };
+constexpr std::chrono::milliseconds checkWait{ 200 };
+constexpr std::chrono::milliseconds firstCheckMargin{ 1000 };
+constexpr std::chrono::milliseconds laterCheckMargin{ 500 };
+
+/// Failures of a watch that are logged until it is answered again: of the call and of its first check.
+constexpr std::uint32_t maxLoggedFailures = 2;
 
 constexpr std::chrono::milliseconds initialBackoff{ 60 };
 
 /// Interval at which a suspended watch checks whether to resume.
 constexpr std::chrono::milliseconds idleCheckInterval{ 150 };
 
+/// Returns how a call ended.
+/// \param isValid  whether it has a valid response
+StoreCallEnd endOf(const CallResult &result, bool isValid)
+{
+    if (isValid) {
+        return StoreCallEnd::Answered;
+    }
+    if (result.sendState == SendState::NotSent) {
+        return StoreCallEnd::NotConnected;
+    }
+    if (result.hasTimedOut) {
+        return StoreCallEnd::Silent;
+    }
+    if (result.error) {
+        return StoreCallEnd::Cut;
+    }
+    const bool isThrottled = static_cast<http::status>(result.status) == http::status::too_many_requests;
+    return isThrottled ? StoreCallEnd::Throttled : StoreCallEnd::Rejected;
+}
+
 double jitter()
 {
     thread_local std::minstd_rand engine(std::random_device{}());
@@ -125,7 +151,7 @@
     case CallOutcome::Failed:
         break;
     }
-    return backoff(m_failures, timing.maxBackoff);
+    return m_isChecking && m_failures == 1 ? firstCheckDelay : backoff(m_failures, timing.maxBackoff);
 }
 
 Awaitable<PrefixWatch::CallOutcome> PrefixWatch::readSnapshot()
@@ -135,15 +161,15 @@
     while (hasMore) {
         const std::string after = snapshot.items.empty() ? "" : snapshot.items.back().key;
         ++m_calls;
-        const std::chrono::milliseconds timeout = m_reachable.value_or(true) ? readTimeout : probeTimeout;
-        const CallResult result
-            = co_await call(m_pool, m_store, makeGet(wire::rangeTarget(m_prefix, after)), timeout, m_interrupter);
+        const auto startedAt = std::chrono::steady_clock::now();
+        const CallOptions options = optionsOfCall(m_isChecking ? marginOfCall() : readTimeout);
+        const CallResult result = co_await call(m_pool, m_store, makeGet(wire::rangeTarget(m_prefix, after)), options);
         if (result.error && m_isInterrupted) {
             co_return CallOutcome::Interrupted;
         }
         const wire::StoreEra era = observeEra(result);
         const auto page = result.succeeded() ? wire::parseItems(result.body) : std::nullopt;
-        setReachable(page.has_value(), result);
+        recordCall(result, page.has_value(), startedAt);
         // Pages of two eras are no snapshot, and neither is a response that was under way when the store went back.
         const bool isFirst = snapshot.revision == 0;
         if (!page || era < m_era || (!isFirst && era != snapshot.era)) {
@@ -157,6 +183,7 @@
         hasMore = page->hasMore && !page->items.empty();
     }
     m_isHistoryGone = false;
+    m_lastResponseAt = std::chrono::steady_clock::now();
     m_callbacks.onChanges(snapshot);
     co_return CallOutcome::Applied;
 }
@@ -164,12 +191,12 @@
 Awaitable<PrefixWatch::CallOutcome> PrefixWatch::waitForChanges(std::chrono::milliseconds maxWait)
 {
     ++m_calls;
-    const bool reachable = m_reachable.value_or(true);
-    const std::chrono::milliseconds wait = reachable ? maxWait : probeMaxWait;
-    const std::chrono::milliseconds timeout = reachable ? maxWait + responseMargin : probeTimeout;
+    const std::chrono::milliseconds wait = m_isChecking ? std::min(checkWait, maxWait) : maxWait;
     const StorePosition known = m_mirror.position();
-    const std::string target = wire::watchTarget(m_prefix, known.revision, wait);
-    const CallResult result = co_await call(m_pool, m_store, makeGet(target), timeout, m_interrupter);
+    const HttpRequest request = makeGet(wire::watchTarget(m_prefix, known.revision, wait));
+    const auto startedAt = std::chrono::steady_clock::now();
+    const CallOptions options = optionsOfCall(wait + marginOfCall());
+    const CallResult result = co_await call(m_pool, m_store, request, options);
     if (result.error && m_isInterrupted) {
         co_return CallOutcome::Interrupted;
     }
@@ -178,14 +205,16 @@
         logEvent("store", "history compacted",
                  { { "prefix", m_prefix }, { "era", era }, { "revision", known.revision } });
         m_isHistoryGone = true;
+        recordCall(result, true, startedAt);
         co_return CallOutcome::HistoryGone;
     }
     auto changes = result.succeeded() ? wire::parseItems(result.body) : std::nullopt;
-    setReachable(changes.has_value(), result);
+    recordCall(result, changes.has_value(), startedAt);
     if (!changes || era < m_era) {
         co_return CallOutcome::Failed;
     }
     m_watchesWithoutHistory = 0;
+    m_lastResponseAt = std::chrono::steady_clock::now();
     m_callbacks.onChanges(
         { .isSnapshot = false, .era = era, .revision = changes->revision, .items = std::move(changes->items) });
     co_return CallOutcome::Applied;
@@ -203,20 +232,38 @@
     return era;
 }
 
-void PrefixWatch::setReachable(bool reachable, const CallResult &result)
+CallOptions PrefixWatch::optionsOfCall(std::chrono::milliseconds timeout) const
+{
+    return { .timeout = timeout, .usesNewConnection = m_isChecking, .interrupter = m_interrupter };
+}
+
+std::chrono::milliseconds PrefixWatch::marginOfCall() const
+{
+    if (!m_isChecking) {
+        return responseMargin;
+    }
+    return m_failures == 1 ? firstCheckMargin : laterCheckMargin;
+}
+
+void PrefixWatch::recordCall(const CallResult &result, bool isValid, SteadyTime startedAt)
 {
-    m_failures = reachable ? 0 : m_failures + 1;
-    m_lastResponseAt = reachable ? std::chrono::steady_clock::now() : m_lastResponseAt;
-    if (m_reachable == reachable) {
-        return;
+    const auto now = std::chrono::steady_clock::now();
+    const StoreCallEnd end = endOf(result, isValid);
+    const auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(now - startedAt);
+    m_isChecking = end != StoreCallEnd::Answered && end != StoreCallEnd::Throttled;
+    if (end == StoreCallEnd::Answered) {
+        m_failures = 0;
+    } else if (++m_failures <= maxLoggedFailures) {
+        logEvent("store", "call failed",
+                 { { "prefix", m_prefix },
+                   { "end", toString(end) },
+                   { "new_connection", result.isConnectionReused ? 0 : 1 },
+                   { "failures", m_failures },
+                   { "status", result.status },
+                   { "waited_ms", duration },
+                   { "reason", result.error.message() } });
     }
-    m_reachable = reachable;
-    logEvent("store", reachable ? "regained" : "lost",
-             { { "prefix", m_prefix },
-               { "revision", m_mirror.position().revision },
-               { "status", result.status },
-               { "reason", result.error.message() } });
-    m_callbacks.onReachabilityChanged(reachable);
+    m_callbacks.onCallEnded(end, !result.isConnectionReused);
 }
 
 std::chrono::milliseconds PrefixWatch::backoff(std::uint32_t attempts, std::chrono::milliseconds maxBackoff)
--- a/src/process/relaymessages.cpp
+++ b/src/process/relaymessages.cpp
@@ -65,6 +65,11 @@
 
 } // namespace
 
+std::string_view toString(StorePart part)
+{
+    return part == StorePart::Configuration ? "configuration" : part == StorePart::Servers ? "servers" : "entries";
+}
+
 std::string encode(const RelayQuery &query)
 {
     PerPart<std::int64_t> revisions{};
@@ -92,6 +97,9 @@
     if (response.storeRecoveredAgo) {
         document["returned_ms"] = response.storeRecoveredAgo->count();
     }
+    if (response.recoveredRevision) {
+        document["returned_revision"] = *response.recoveredRevision;
+    }
     return toCbor(document);
 }
 
@@ -121,6 +129,9 @@
         if (document.contains("returned_ms")) {
             response.storeRecoveredAgo = duration(document, "returned_ms");
         }
+        if (document.contains("returned_revision")) {
+            response.recoveredRevision = document.at("returned_revision").get<std::int64_t>();
+        }
         for (std::size_t part = 0; part < storePartCount; ++part) {
             response.changes[part] = changesFromJson(document.at("changes").at(part));
         }
--- a/src/process/storeview.cpp
+++ b/src/process/storeview.cpp
@@ -68,6 +68,9 @@
 /// Interval at which an entry that has no source, or needs none, checks again for a source.
 constexpr std::chrono::milliseconds idleInterval{ 100 };
 
+/// Name of the store as the source of a change.
+constexpr const char *storeSource = "store";
+
 constexpr std::size_t indexOf(StorePart part)
 {
     return static_cast<std::size_t>(part);
@@ -101,7 +104,7 @@
     const EntryMember self{ .peer = m_ownPeer, .capacity = m_services.settings.forwarding.capacity };
     m_registration = std::make_shared<EntryRegistration>(m_services.pool, m_services.settings.store.endpoint, self,
                                                          [this](wire::StoreEra era) {
-                                                             observeEra(era, "store");
+                                                             observeEra(era, storeSource);
                                                          });
     m_registration->start();
     for (std::size_t slot = 0; slot < m_currentSources.size(); ++slot) {
@@ -118,15 +121,15 @@
 {
     const PrefixWatchCallbacks callbacks{ .onChanges =
                                               [this, part](const StoreChanges &changes) {
-                                                  applyChanges(part, changes, "store");
+                                                  applyChanges(part, changes, storeSource);
                                               },
-                                          .onReachabilityChanged =
-                                              [this](bool isReachable) {
-                                                  setStoreReachable(isReachable);
+                                          .onCallEnded =
+                                              [this, part](StoreCallEnd end, bool onNewConnection) {
+                                                  recordCall(part, end, onNewConnection);
                                               },
                                           .onEra =
                                               [this](wire::StoreEra era) {
-                                                  observeEra(era, "store");
+                                                  observeEra(era, storeSource);
                                               } };
     const auto timingOfPart = [this, part] {
         return watchTiming(part);
@@ -165,6 +168,10 @@
     const wire::StoreEra previousEra = mirror.position().era;
     const std::vector<wire::StoreItem> changedItems = mirror.apply(changes);
     const bool wentBack = previousEra > 0 && mirror.position().era > previousEra;
+    const bool isFirstAfterRecovery = part == StorePart::Servers && m_storeRecoveredAt && !m_recoveredRevision;
+    if (isFirstAfterRecovery && source == storeSource && changes.era == m_era) {
+        m_recoveredRevision = changes.revision;
+    }
     if (changedItems.empty()) {
         return;
     }
@@ -176,7 +183,7 @@
             m_callbacks.onConfigurationItem(item, source);
         }
     } else if (part == StorePart::Servers) {
-        m_callbacks.onServerItems(changedItems);
+        m_callbacks.onServerItems(changedItems, removalGrace(changes));
     } else {
         updateMembers();
     }
@@ -199,7 +206,7 @@
                { "previous_era", previous },
                { "revision", m_mirrors[indexOf(StorePart::Servers)].position().revision },
                { "source", source } });
-    m_storeRecoveredAt = std::chrono::steady_clock::now();
+    beginRecovery(std::chrono::steady_clock::now(), std::nullopt);
     for (const auto &watch : m_watches) {
         watch->requireEra(era);
     }
@@ -288,13 +295,41 @@
     }
 }
 
-void StoreView::setStoreReachable(bool isReachable)
+void StoreView::recordCall(StorePart part, StoreCallEnd end, bool onNewConnection)
 {
-    const auto now = std::chrono::steady_clock::now();
-    if (isReachable && m_storeUnreachableSince) {
-        m_storeRecoveredAt = now;
+    ++m_callEnds[end];
+    const bool hasChanged = m_contact.record(part, end, onNewConnection);
+    if (!hasChanged) {
+        return;
+    }
+    logEvent("store", m_contact.isOut() ? "lost" : "regained",
+             { { "part", toString(part) },
+               { "revision", m_mirrors[indexOf(StorePart::Servers)].position().revision },
+               { "end", toString(end) } });
+    if (m_contact.isOut()) {
+        ++m_outages;
+    } else {
+        beginRecovery(std::chrono::steady_clock::now(), std::nullopt);
+    }
+}
+
+void StoreView::beginRecovery(SteadyTime at, std::optional<std::int64_t> revision)
+{
+    m_storeRecoveredAt = at;
+    m_recoveredRevision = revision;
+}
+
+// The deletions that follow from a snapshot have no revision of their own.
+RemovalGrace StoreView::removalGrace(const StoreChanges &changes) const
+{
+    RemovalGrace grace;
+    if (m_storeRecoveredAt) {
+        grace.end = *m_storeRecoveredAt + recoveryGracePeriod;
     }
-    m_storeUnreachableSince = isReachable ? std::nullopt : std::optional(m_storeUnreachableSince.value_or(now));
+    if (m_recoveredRevision && !changes.isSnapshot) {
+        grace.lastRevision = *m_recoveredRevision;
+    }
+    return grace;
 }
 
 bool StoreView::isLargeFleet() const
@@ -341,11 +376,6 @@
     return m_mirrors[indexOf(StorePart::Entries)].position().revision > 0;
 }
 
-std::optional<SteadyTime> StoreView::recoveryGraceEnd() const
-{
-    return m_storeRecoveredAt ? std::optional(*m_storeRecoveredAt + recoveryGracePeriod) : std::nullopt;
-}
-
 bool StoreView::isStarting() const
 {
     return !m_relayConfirmedAt && !m_isSeed && elapsed(m_startedAt) < startupTime;
@@ -379,12 +409,21 @@
     return calls;
 }
 
+const std::map<StoreCallEnd, std::uint64_t> &StoreView::callEnds() const
+{
+    return m_callEnds;
+}
+
+std::uint64_t StoreView::outages() const
+{
+    return m_outages;
+}
+
 Awaitable<void> StoreView::followSource(std::size_t slot)
 {
     while (!m_stopped) {
         const auto own = ownConfirmedAt();
-        const bool isHealthyReader
-            = m_isReader && !m_storeUnreachableSince && own && elapsed(*own) < confirmationTimeout();
+        const bool isHealthyReader = m_isReader && !m_contact.isOut() && own && elapsed(*own) < confirmationTimeout();
         const std::optional<std::string> peer = isHealthyReader ? std::nullopt : chooseSource(slot);
         m_currentSources.at(slot) = peer.value_or("");
         if (!peer) {
@@ -455,7 +494,9 @@
 {
     if (response.storeRecoveredAgo) {
         const SteadyTime recoveredAt = askedAt - *response.storeRecoveredAgo;
-        m_storeRecoveredAt = std::max(m_storeRecoveredAt.value_or(recoveredAt), recoveredAt);
+        if (!m_storeRecoveredAt || recoveredAt > *m_storeRecoveredAt) {
+            beginRecovery(recoveredAt, response.recoveredRevision);
+        }
     }
     for (std::size_t part = 0; part < storePartCount; ++part) {
         observeEra(response.changes[part].era, peer);
@@ -510,6 +551,7 @@
     response.age = own ? elapsed(*own) : std::chrono::milliseconds(0);
     if (m_storeRecoveredAt) {
         response.storeRecoveredAgo = elapsed(*m_storeRecoveredAt);
+        response.recoveredRevision = m_recoveredRevision;
     }
     for (std::size_t part = 0; part < storePartCount; ++part) {
         response.changes[part] = m_mirrors[part].changesAfter(known[part]);
--- a/tests/standin/linkrelay.cpp
+++ b/tests/standin/linkrelay.cpp
@@ -63,10 +63,11 @@
     {
         const std::lock_guard lock(m_mutex);
         m_stopping = true;
+        m_isEnding = true;
     }
     m_changed.notify_all();
+    m_acceptor.join(); // before the cut, since a client may connect again at once
     cut();
-    m_acceptor.join();
     joinEndedConnections(true);
 }
 
@@ -103,6 +104,14 @@
     }
 }
 
+void LinkRelay::silenceOpenConnections()
+{
+    const std::lock_guard lock(m_mutex);
+    for (Connection &connection : m_connections) {
+        connection.isSilent = true;
+    }
+}
+
 void LinkRelay::acceptConnections()
 {
     const auto stopping = [this] {
@@ -149,13 +158,17 @@
                 });
             }
             std::this_thread::sleep_for(std::chrono::milliseconds(m_delayMilliseconds));
-            sendAll(to, buffer.data(), size);
+            if (!connection.isSilent) {
+                sendAll(to, buffer.data(), size);
+            }
         }
     } catch (const Poco::Exception &) {
         // One end is closed. The shutdown below closes the other end.
         shutDownSocket(from);
     }
-    shutDownSocket(to);
+    if (!connection.isSilent || m_isEnding) {
+        shutDownSocket(to);
+    }
     --connection.running;
 }
 
--- a/tests/standin/linkrelay.h
+++ b/tests/standin/linkrelay.h
@@ -58,6 +58,10 @@
     /// Closes all connections.
     void cut();
 
+    /// From now on nothing passes on the connections that are open now, in either direction. They stay open, and new
+    /// ones work.
+    void silenceOpenConnections();
+
 private:
     struct Connection
     {
@@ -65,6 +69,7 @@
         Poco::Net::StreamSocket server;
         std::vector<std::thread> threads;
         std::atomic<int> running{ 2 }; ///< number of threads that still forward, one for each direction
+        std::atomic<bool> isSilent{ false };
     };
 
     void acceptConnections();
@@ -81,6 +86,7 @@
     BlockedDirections m_blockedDirections;
     std::atomic<std::int64_t> m_delayMilliseconds{ 0 };
     bool m_stopping = false;
+    std::atomic<bool> m_isEnding{ false }; ///< as m_stopping, for threads that don't hold m_mutex
     std::list<Connection> m_connections; ///< changed only by the accepting thread and the destructor, under m_mutex;
                                          ///< read by cut() under m_mutex
     std::thread m_acceptor;
--- /dev/null
+++ b/tests/unit/unit-storecontact.cpp
@@ -0,0 +1,116 @@
+#include <catch2/catch.hpp>
+
+#include "zinniadock/process/storecontact.h"
+
+using namespace zinniadock;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+const auto now = std::chrono::steady_clock::now();
+constexpr auto failures
+    = { StoreCallEnd::Cut, StoreCallEnd::Silent, StoreCallEnd::Rejected, StoreCallEnd::NotConnected };
+constexpr auto parts = { StorePart::Configuration, StorePart::Servers, StorePart::Entries };
+
+} // namespace
+
+// Guards against a cut or silent watch that counts as an outage of the store.
+TEST_CASE("what the calls of an entry show of the store")
+{
+    StoreContact contact;
+
+    SECTION("a connection that is cut or silent is no outage, for each watch and for all of them")
+    {
+        for (const StorePart part : parts) {
+            for (const StoreCallEnd end : { StoreCallEnd::Cut, StoreCallEnd::Silent }) {
+                CHECK_FALSE(contact.record(part, end, false));
+                CHECK_FALSE(contact.isOut());
+            }
+        }
+        CHECK_FALSE(contact.record(StorePart::Servers, StoreCallEnd::Answered, true));
+        CHECK_FALSE(contact.isOut());
+    }
+    SECTION("one lost response on a new connection is no outage")
+    {
+        contact.record(StorePart::Servers, StoreCallEnd::Cut, false);
+        contact.record(StorePart::Servers, StoreCallEnd::Silent, true);
+        CHECK_FALSE(contact.isOut());
+        contact.record(StorePart::Servers, StoreCallEnd::Answered, true);
+        contact.record(StorePart::Servers, StoreCallEnd::Silent, true);
+        CHECK_FALSE(contact.isOut());
+    }
+    SECTION("lost responses of different watches are no outage")
+    {
+        for (const StorePart part : parts) {
+            contact.record(part, StoreCallEnd::Silent, true);
+        }
+        CHECK_FALSE(contact.isOut());
+    }
+    SECTION("calls on new connections that fail one after the other are an outage, until a call is answered")
+    {
+        for (const StoreCallEnd end : failures) {
+            contact.record(StorePart::Servers, StoreCallEnd::Cut, false);
+            CHECK_FALSE(contact.record(StorePart::Servers, end, true));
+            CHECK(contact.record(StorePart::Servers, end, true));
+            CHECK(contact.isOut());
+            CHECK_FALSE(contact.record(StorePart::Configuration, end, true));
+            CHECK(contact.record(StorePart::Configuration, StoreCallEnd::Answered, true));
+            CHECK_FALSE(contact.isOut());
+        }
+    }
+    SECTION("a watch that is rejected counts on any connection")
+    {
+        contact.record(StorePart::Servers, StoreCallEnd::Rejected, false);
+        CHECK(contact.record(StorePart::Servers, StoreCallEnd::Rejected, true));
+    }
+    SECTION("a throttled call shows nothing")
+    {
+        for (int i = 0; i < 10; ++i) {
+            CHECK_FALSE(contact.record(StorePart::Servers, StoreCallEnd::Throttled, true));
+        }
+        contact.record(StorePart::Servers, StoreCallEnd::Silent, true);
+        contact.record(StorePart::Servers, StoreCallEnd::Silent, true);
+        CHECK(contact.isOut());
+        CHECK_FALSE(contact.record(StorePart::Servers, StoreCallEnd::Throttled, true));
+        CHECK(contact.isOut());
+    }
+}
+
+// Guards against the delay of a removal that the store has acknowledged while it serves.
+TEST_CASE("when a removed server is unlisted")
+{
+    RemovalGrace grace;
+
+    SECTION("at once, if there was no outage")
+    {
+        CHECK(grace.removalTime(9, now) == now);
+    }
+    SECTION("after the grace period, if its record may have expired during the outage")
+    {
+        grace.end = now + milliseconds(2000);
+        grace.lastRevision = 9;
+        CHECK(grace.removalTime(9, now) == now + milliseconds(2000));
+        CHECK(grace.removalTime(9, now + milliseconds(2500)) == now + milliseconds(2500));
+    }
+    SECTION("at once, if the store has acknowledged the removal after its return")
+    {
+        grace.end = now + milliseconds(2000);
+        grace.lastRevision = 9;
+        CHECK(grace.removalTime(10, now) == now);
+    }
+    SECTION("after the grace period, if the revision of the return is not known yet")
+    {
+        grace.end = now + milliseconds(2000);
+        CHECK(grace.removalTime(1000000, now) == now + milliseconds(2000));
+    }
+}
+
+TEST_CASE("messages between entries carry the revision of a returned store")
+{
+    RelayResponse response;
+    response.storeRecoveredAgo = milliseconds(70);
+    CHECK_FALSE(decodeRelayResponse(encode(response))->recoveredRevision);
+    response.recoveredRevision = 12;
+    CHECK(decodeRelayResponse(encode(response))->recoveredRevision == 12);
+}
