--- a/include/zinniadock/process/entryregistration.h
+++ b/include/zinniadock/process/entryregistration.h
@@ -41,6 +41,7 @@
 
 private:
     Awaitable<void> run();
+    Awaitable<CallResult> callStore(HttpRequest request);
     Awaitable<bool> registerSelf();
     Awaitable<bool> renewLease();
     Awaitable<void> deleteRegistration();
@@ -55,6 +56,7 @@
     wire::StoreEra m_era = 0; ///< latest era of the store that is known
     AsyncCondition m_eraChanged;
     std::chrono::milliseconds m_delay{ 0 }; ///< before the next registration
+    bool m_hasFailed = false; ///< the last call got no response
     bool m_stopped = false;
 };
 
--- a/include/zinniadock/process/prefixwatch.h
+++ b/include/zinniadock/process/prefixwatch.h
@@ -74,7 +74,7 @@
     bool needsSnapshot() const;
     CallOptions optionsOfCall(std::chrono::milliseconds timeout) const;
     std::chrono::milliseconds marginOfCall() const;
-    void recordCall(const CallResult &result, bool isValid, SteadyTime startedAt);
+    void recordCall(const CallResult &result, bool isValid, std::chrono::milliseconds wait, SteadyTime startedAt);
     wire::StoreEra observeEra(const CallResult &result);
     std::chrono::milliseconds pauseAfter(CallOutcome outcome, const WatchTiming &timing);
     static std::chrono::milliseconds backoff(std::uint32_t attempts, std::chrono::milliseconds maxBackoff);
@@ -94,6 +94,7 @@
     bool m_isChecking = false; ///< the last call failed, and the next one shows whether the store serves
     std::uint32_t m_watchesWithoutHistory = 0; ///< since the last watch that the store could answer
     std::uint64_t m_calls = 0;
+    std::chrono::milliseconds m_responseTime{ 0 }; ///< of the last response, without the time that the store waited
     bool m_stopped = false;
 };
 
--- a/include/zinniadock/process/settings.h
+++ b/include/zinniadock/process/settings.h
@@ -72,6 +72,8 @@
     double retryWindowSeconds = 10;
     /// A server that the store marks as draining gets no new requests after this time.
     std::chrono::milliseconds drainWithin{ 2000 };
+    /// An accepted configuration is in force after this time.
+    std::chrono::milliseconds configurationWithin{ 2000 };
     double capacity = 1; ///< number of processors of this instance; fractions are allowed
     double stopWithinSeconds = 8; ///< time from the request to stop until the platform kills the process
 
--- a/include/zinniadock/process/storecontact.h
+++ b/include/zinniadock/process/storecontact.h
@@ -56,4 +56,13 @@
                                                       std::chrono::steady_clock::time_point now) const;
 };
 
+/// Returns the maximum time that a watch may wait at the store, so that a change reaches the entry within \p bound also
+/// if the watch's connection has become silent.
+/// \param callInterval  pause between two watches
+std::chrono::milliseconds watchWaitFor(std::chrono::milliseconds bound, std::chrono::milliseconds callInterval);
+
+/// Returns how long a response may take beyond the time that a call waits at the store, before the call is given up.
+/// \param slowest  recent response time of the store
+std::chrono::milliseconds responseMargin(std::chrono::milliseconds slowest);
+
 } // namespace zinniadock
--- a/include/zinniadock/process/storeview.h
+++ b/include/zinniadock/process/storeview.h
@@ -104,7 +104,9 @@
     bool isBehind(const RelayResponse &response) const;
     bool isLargeFleet() const;
     bool isStarting() const;
-    std::chrono::milliseconds serverWatchWait() const;
+    std::chrono::milliseconds callInterval(StorePart part) const;
+    std::chrono::milliseconds boundOf(StorePart part) const;
+    std::chrono::milliseconds confirmationInterval() const;
     std::chrono::milliseconds confirmationTimeout() const;
     std::optional<SteadyTime> ownConfirmedAt() const;
 
--- a/src/process/entryregistration.cpp
+++ b/src/process/entryregistration.cpp
@@ -119,9 +119,18 @@
     return era > 0 ? era : m_era;
 }
 
+// After a failed call the next one uses a new connection, since the others may be silent too.
+Awaitable<CallResult> EntryRegistration::callStore(HttpRequest request)
+{
+    const CallOptions options{ .timeout = callTimeout, .usesNewConnection = m_hasFailed };
+    CallResult result = co_await call(m_pool, m_store, std::move(request), options);
+    m_hasFailed = static_cast<bool>(result.error);
+    co_return result;
+}
+
 Awaitable<bool> EntryRegistration::registerSelf()
 {
-    const CallResult made = co_await call(m_pool, m_store, wire::leaseRequest(leaseDuration), callTimeout);
+    const CallResult made = co_await callStore(wire::leaseRequest(leaseDuration));
     const wire::StoreEra leaseEra = observeEra(made);
     const std::string lease = made.succeeded() ? wire::parseLeaseId(made.body) : "";
     if (lease.empty() || m_stopped) {
@@ -129,7 +138,7 @@
     }
     const std::string value = Json{ { "capacity", m_self.capacity } }.dump();
     const HttpRequest request = wire::writeRequest(registrationPrefix() + m_self.peer, value, lease);
-    const CallResult written = co_await call(m_pool, m_store, request, callTimeout);
+    const CallResult written = co_await callStore(request);
     // A write without a response may have taken effect. In this case the next registration overwrites its value, and
     // its lease expires. A write in a later era than that of the lease may have used the lease of another client.
     const bool isRegistered = written.succeeded() && observeEra(written) == leaseEra && leaseEra == m_era;
@@ -145,7 +154,7 @@
 
 Awaitable<bool> EntryRegistration::renewLease()
 {
-    const CallResult result = co_await call(m_pool, m_store, wire::renewLeaseRequest(m_lease), callTimeout);
+    const CallResult result = co_await callStore(wire::renewLeaseRequest(m_lease));
     if (!result.error && result.status == leaseNotFound) {
         logEvent("entry", "registration lease expired", { { "peer", m_self.peer } });
         m_lease.clear();
@@ -160,7 +169,7 @@
     const auto self = shared_from_this();
     if (!m_lease.empty()) {
         const HttpRequest request = wire::deleteRequest(registrationPrefix() + m_self.peer);
-        co_await call(m_pool, m_store, request, callTimeout);
+        co_await callStore(request);
     }
 }
 
--- a/src/process/prefixwatch.cpp
+++ b/src/process/prefixwatch.cpp
@@ -14,7 +14,6 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds responseMargin{ 800 };
 constexpr std::chrono::milliseconds readTimeout{ 1500 };
 
 // Delay of the first call after a failed one, wait of such a call, and margins of the first and of later ones. The wait
@@ -169,7 +168,7 @@
         }
         const wire::StoreEra era = observeEra(result);
         const auto page = result.succeeded() ? wire::parseItems(result.body) : std::nullopt;
-        recordCall(result, page.has_value(), startedAt);
+        recordCall(result, page.has_value(), std::chrono::milliseconds(0), startedAt);
         // Pages of two eras are no snapshot, and neither is a response that was under way when the store went back.
         const bool isFirst = snapshot.revision == 0;
         if (!page || era < m_era || (!isFirst && era != snapshot.era)) {
@@ -205,11 +204,11 @@
         logEvent("store", "history compacted",
                  { { "prefix", m_prefix }, { "era", era }, { "revision", known.revision } });
         m_isHistoryGone = true;
-        recordCall(result, true, startedAt);
+        recordCall(result, true, wait, startedAt);
         co_return CallOutcome::HistoryGone;
     }
     auto changes = result.succeeded() ? wire::parseItems(result.body) : std::nullopt;
-    recordCall(result, changes.has_value(), startedAt);
+    recordCall(result, changes.has_value(), wait, startedAt);
     if (!changes || era < m_era) {
         co_return CallOutcome::Failed;
     }
@@ -240,12 +239,13 @@
 std::chrono::milliseconds PrefixWatch::marginOfCall() const
 {
     if (!m_isChecking) {
-        return responseMargin;
+        return responseMargin(m_responseTime);
     }
     return m_failures == 1 ? firstCheckMargin : laterCheckMargin;
 }
 
-void PrefixWatch::recordCall(const CallResult &result, bool isValid, SteadyTime startedAt)
+void PrefixWatch::recordCall(const CallResult &result, bool isValid, std::chrono::milliseconds wait,
+                             SteadyTime startedAt)
 {
     const auto now = std::chrono::steady_clock::now();
     const StoreCallEnd end = endOf(result, isValid);
@@ -253,6 +253,7 @@
     m_isChecking = end != StoreCallEnd::Answered && end != StoreCallEnd::Throttled;
     if (end == StoreCallEnd::Answered) {
         m_failures = 0;
+        m_responseTime = std::max(duration - wait, m_responseTime - m_responseTime / 4);
     } else if (++m_failures <= maxLoggedFailures) {
         logEvent("store", "call failed",
                  { { "prefix", m_prefix },
--- a/src/process/sidecarfeed.cpp
+++ b/src/process/sidecarfeed.cpp
@@ -65,7 +65,12 @@
             ? reportIntervalInUse
             : std::max(minReportInterval, reportIntervalPerServer * servers);
         const HttpRequest request = makePost(loadQueryTarget, encode(query));
-        const CallResult result = co_await call(m_services.pool, m_sidecar, request, responseTimeout);
+        CallOptions options{ .timeout = responseTimeout };
+        CallResult result = co_await call(m_services.pool, m_sidecar, request, options);
+        if (result.error && result.isConnectionReused && !m_stopped) {
+            options.usesNewConnection = true;
+            result = co_await call(m_services.pool, m_sidecar, request, options);
+        }
         const auto report = result.succeeded() ? decodeEngineLoadReport(result.body) : std::nullopt;
         if (m_isReachable != report.has_value()) {
             m_isReachable = report.has_value();
--- a/src/process/storecontact.cpp
+++ b/src/process/storecontact.cpp
@@ -11,6 +11,17 @@
 /// Consecutive failures on new connections that show an outage. One alone may be a response that was lost.
 constexpr std::uint32_t failuresOfOutage = 2;
 
+constexpr std::chrono::milliseconds minResponseMargin{ 400 };
+constexpr std::chrono::milliseconds maxResponseMargin{ 1500 };
+
+/// Factor on the response time of a slow store.
+constexpr int responseTimeFactor = 2;
+
+/// Time for a new connection and a call on it after a watch was given up.
+constexpr std::chrono::milliseconds recheckTime{ 200 };
+
+constexpr std::chrono::milliseconds minWatchWait{ 100 };
+
 } // namespace
 
 std::string_view toString(StoreCallEnd end)
@@ -59,4 +70,14 @@
     return end && revision <= lastRevision ? std::max(*end, now) : now;
 }
 
+std::chrono::milliseconds watchWaitFor(std::chrono::milliseconds bound, std::chrono::milliseconds callInterval)
+{
+    return std::max(bound - minResponseMargin - recheckTime - callInterval, minWatchWait);
+}
+
+std::chrono::milliseconds responseMargin(std::chrono::milliseconds slowest)
+{
+    return std::clamp(responseTimeFactor * slowest, minResponseMargin, maxResponseMargin);
+}
+
 } // namespace zinniadock
--- a/src/process/storeview.cpp
+++ b/src/process/storeview.cpp
@@ -13,13 +13,11 @@
 namespace
 {
 
-/// Maximum time that the store waits for changes before it responds to a watch. A reader of a large fleet uses
-/// readerWatchWait for the server list, since each response shows its followers that the store still confirms the list.
-constexpr std::chrono::milliseconds defaultWatchWait{ 3000 };
+/// Maximum time that the store waits for changes before it responds to the watch of the server list of a reader in a
+/// large fleet. Each response shows its followers that the store still confirms the list.
 constexpr std::chrono::milliseconds readerWatchWait{ 700 };
-constexpr std::chrono::milliseconds entriesWatchWait{ 15000 };
 
-/// The last confirmation by the store is stale after the maximum wait of the server watch plus this time.
+/// The last confirmation by the store is stale after the longest time between two confirmations plus this time.
 constexpr std::chrono::milliseconds confirmationSlack{ 800 };
 
 /// Pause between two watches of the server list: serverPausePerReader for each reader, since the readers share the
@@ -28,7 +26,7 @@
 /// sooner.
 constexpr std::chrono::milliseconds serverPausePerReader{ 60 };
 constexpr std::chrono::milliseconds minServerPauseInLargeFleet{ 300 };
-constexpr double maxServerPauseShare = 0.5;
+constexpr double maxServerPauseShare = 0.25;
 
 /// Pause between two watches of the entry registrations. When a fleet starts, its entries register at the same time,
 /// and one response carries several registrations.
@@ -147,21 +145,38 @@
     WatchTiming timing;
     const std::size_t entries = m_members.size();
     timing.maxBackoff = std::max(minBackoffLimit, backoffPerEntry * static_cast<int>(entries));
-    timing.maxWait = defaultWatchWait;
-    if (part == StorePart::Servers) {
-        timing.maxWait = serverWatchWait();
-        const auto maxPause = std::chrono::duration_cast<std::chrono::milliseconds>(
-            maxServerPauseShare * m_services.settings.forwarding.drainWithin);
-        const auto shared = serverPausePerReader * static_cast<int>(readerCount(entries));
-        timing.callInterval
-            = std::min(isLargeFleet() ? std::max(shared, minServerPauseInLargeFleet) : shared, maxPause);
-    } else if (part == StorePart::Entries) {
-        timing.callInterval = entriesPause;
-        timing.maxWait = entriesWatchWait;
+    timing.callInterval = callInterval(part);
+    timing.maxWait = watchWaitFor(boundOf(part), timing.callInterval);
+    if (part == StorePart::Servers && isLargeFleet()) {
+        timing.maxWait = std::min(timing.maxWait, readerWatchWait);
     }
     return timing;
 }
 
+std::chrono::milliseconds StoreView::callInterval(StorePart part) const
+{
+    if (part == StorePart::Configuration) {
+        return std::chrono::milliseconds(0);
+    }
+    if (part == StorePart::Entries) {
+        return entriesPause;
+    }
+    const auto maxPause = std::chrono::duration_cast<std::chrono::milliseconds>(
+        maxServerPauseShare * m_services.settings.forwarding.drainWithin);
+    const auto shared = serverPausePerReader * static_cast<int>(readerCount(m_members.size()));
+    return std::min(isLargeFleet() ? std::max(shared, minServerPauseInLargeFleet) : shared, maxPause);
+}
+
+// Returns the time within which a change of a part must reach this entry. Registrations of entries decide how the retry
+// budget is shared, so they must be known within its window.
+std::chrono::milliseconds StoreView::boundOf(StorePart part) const
+{
+    const ForwardingSection &settings = m_services.settings.forwarding;
+    return part == StorePart::Configuration ? settings.configurationWithin
+        : part == StorePart::Servers        ? settings.drainWithin
+                                            : settings.retryWindow();
+}
+
 void StoreView::applyChanges(StorePart part, const StoreChanges &changes, const std::string &source)
 {
     StoreMirror &mirror = m_mirrors[indexOf(part)];
@@ -337,14 +352,17 @@
     return m_members.size() > maxSmallFleetSize;
 }
 
-std::chrono::milliseconds StoreView::serverWatchWait() const
+// The longest time between two confirmations of the server list by a store that serves.
+std::chrono::milliseconds StoreView::confirmationInterval() const
 {
-    return isLargeFleet() ? readerWatchWait : defaultWatchWait;
+    const std::chrono::milliseconds pause = callInterval(StorePart::Servers);
+    const std::chrono::milliseconds wait = watchWaitFor(boundOf(StorePart::Servers), pause);
+    return pause + (isLargeFleet() ? std::min(wait, readerWatchWait) : wait);
 }
 
 std::chrono::milliseconds StoreView::confirmationTimeout() const
 {
-    return serverWatchWait() + confirmationSlack;
+    return confirmationInterval() + confirmationSlack;
 }
 
 // Returns the time of the last response to the watch of the server list. The list changes often, so the calls of this
@@ -456,8 +474,14 @@
         query.known[part] = m_mirrors[part].position();
     }
     const HttpRequest request = makePost(relayTarget, encode(query));
-    const auto askedAt = std::chrono::steady_clock::now();
-    const CallResult result = co_await call(m_services.pool, endpoint, request, maxRelayWait + relayTimeoutSlack);
+    CallOptions options{ .timeout = maxRelayWait + relayTimeoutSlack };
+    auto askedAt = std::chrono::steady_clock::now();
+    CallResult result = co_await call(m_services.pool, endpoint, request, options);
+    if (result.error && result.isConnectionReused) {
+        options.usesNewConnection = true;
+        askedAt = std::chrono::steady_clock::now();
+        result = co_await call(m_services.pool, endpoint, request, options);
+    }
     const auto response = result.succeeded() ? decodeRelayResponse(result.body) : std::nullopt;
     const bool isUsable
         = response && response->readsStore && response->age < confirmationTimeout() && !isBehind(*response);
--- a/src/request/generationmoves.cpp
+++ b/src/request/generationmoves.cpp
@@ -131,7 +131,9 @@
         const Endpoint sidecar{ engine.address, m_services.settings.forwarding.sidecarPort() };
         const auto drainTimeLeft = source->load.drainTimeLeft.value_or(std::chrono::milliseconds(1000));
         const HttpRequest request = makePost(moveOrderTarget, encode(order));
-        const CallResult callResult = co_await call(m_services.pool, sidecar, request, moveTimeout);
+        // A kept connection may be silent, and an engine that is draining leaves no time to find out.
+        const CallOptions options{ .timeout = moveTimeout, .usesNewConnection = true };
+        const CallResult callResult = co_await call(m_services.pool, sidecar, request, options);
         const auto decoded = callResult.succeeded() ? decodeMoveResult(callResult.body) : std::nullopt;
         if (decoded) {
             result = *decoded;
--- a/tests/unit/unit-storecontact.cpp
+++ b/tests/unit/unit-storecontact.cpp
@@ -106,6 +106,23 @@
     }
 }
 
+// Guards against a silent watch that is found dead only after a bound of the rules has run out.
+TEST_CASE("a silent watch is replaced before the bound of its part runs out")
+{
+    for (const int bound : { 1000, 2000, 3000, 4000, 10000 }) {
+        for (const int pause : { 0, 60, 300 }) {
+            const milliseconds wait = watchWaitFor(milliseconds(bound), milliseconds(pause));
+            CHECK(milliseconds(pause) + wait + responseMargin(milliseconds(0)) < milliseconds(bound));
+            CHECK(wait >= milliseconds(100));
+        }
+    }
+    SECTION("a slow store gets more time to respond")
+    {
+        CHECK(responseMargin(milliseconds(500)) >= milliseconds(1000));
+        CHECK(responseMargin(milliseconds(60000)) <= milliseconds(2000));
+    }
+}
+
 TEST_CASE("messages between entries carry the revision of a returned store")
 {
     RelayResponse response;
--- a/tests/unit/unit-storewatch.cpp
+++ b/tests/unit/unit-storewatch.cpp
@@ -18,6 +18,9 @@
 /// Time after which an entry that has received a removal, or a configuration, has applied it.
 constexpr milliseconds applied{ 500 };
 
+/// Bound of the rules for configurations and removals.
+constexpr milliseconds bound{ 2000 };
+
 constexpr std::size_t smallFleet = 1;
 constexpr std::size_t largeFleet = 12;
 
@@ -111,6 +114,33 @@
     }));
 }
 
+// Guards against a silent watch that keeps an old configuration, or a server that is gone, in force.
+TEST_CASE("with silent connections to the store a change is in force within its bound")
+{
+    RelayedFleet fleet(GENERATE(smallFleet, largeFleet));
+    CAPTURE(fleet.entries.size());
+    const milliseconds delay(GENERATE(0, 300, 900));
+    fleet.store.put("op/config", configuration(4));
+    REQUIRE(eventually([&] {
+        return fleet.allHaveVersion(4);
+    }));
+    const auto silentAt = std::chrono::steady_clock::now();
+    fleet.relay.silenceOpenConnections();
+    std::this_thread::sleep_for(delay);
+    fleet.store.put("op/config", configuration(5));
+    fleet.store.remove("servers/s2");
+    CHECK(eventually(
+        [&] {
+            return fleet.allHaveVersion(5);
+        },
+        bound));
+    std::this_thread::sleep_until(silentAt + bound + applied);
+    CHECK(fleet.avoidsSecondServer());
+    CHECK(fleet.all([](RoleThread<ForwardingEntry> &entry) {
+        return metric(entry, "zinniadock_store_outages_total") == 0;
+    }));
+}
+
 // Guards against a removal during an outage that takes a living server's work away before it can be listed again.
 TEST_CASE("after an outage of the store a server whose record had expired has two seconds to be listed again")
 {
@@ -165,3 +195,25 @@
     std::this_thread::sleep_for(applied);
     CHECK(fleet.avoidsSecondServer());
 }
+
+// Guards against a lost response that counts as an outage of the store.
+TEST_CASE("calls that the store does not answer for a moment are no outage")
+{
+    RelayedFleet fleet(smallFleet);
+    RoleThread<ForwardingEntry> &entry = *fleet.entries.front();
+    fleet.store.setUnresponsive(true);
+    fleet.store.put("op/config", configuration(4));
+    REQUIRE(eventually([&] {
+        return fleet.store.callsWithoutResponse() >= 1;
+    }));
+    fleet.store.setUnresponsive(false);
+    fleet.store.remove("servers/s2");
+    CHECK(eventually(
+        [&] {
+            return fleet.allHaveVersion(4);
+        },
+        bound));
+    std::this_thread::sleep_for(applied);
+    CHECK(fleet.avoidsSecondServer());
+    CHECK(metric(entry, "zinniadock_store_outages_total") == 0);
+}
