Keep late second responses of servers from all callers

Callers saw: bytes that are no answer, on streams of an earlier landing, with back ends that may answer twice. Cause of what was found: connections of refused generations and of an entry's own calls, whose responses have no ID, were used for requests again; all moves of a sidecar shared connections; a body that ends with its connection was forwarded with a second response behind it. Change: an entry's own calls, reservations at a sidecar and each move use connections of their own; a connection is kept only after a response with an ID; the head of a response in a body that ends with its connection breaks it off. Why it works: each response to a request is matched by its ID on connections that carry nothing without one.

--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -64,7 +64,10 @@
 
     asio::io_context &context;
     Settings settings;
-    ConnectionPool pool;
+    ConnectionPool pool; ///< for requests to backend servers, and for calls to the system's own processes and the store
+    /// For calls of this entry to backend servers. Responses to them have no ID, so that a second copy of one could be
+    /// taken for the response to a request on the same connection.
+    ConnectionPool controlPool;
     std::shared_ptr<const RouteTable> routes; ///< null before the first configuration
     ServerDirectory directory;
     EntryTree entryTree;
--- a/include/zinniadock/process/watchingsidecar.h
+++ b/include/zinniadock/process/watchingsidecar.h
@@ -77,7 +77,8 @@
 
     const Settings m_settings;
     asio::io_context &m_context;
-    ConnectionPool m_pool;
+    ConnectionPool m_pool; ///< for load reports of the engine, and for calls to the system's own processes
+    ConnectionPool m_reservationPool; ///< for reservations, whose responses have no ID
     std::shared_ptr<HttpListener> m_listener;
     std::shared_ptr<HttpListener> m_metricsListener;
     EngineLoad m_load;
--- a/src/connection/servicecall.cpp
+++ b/src/connection/servicecall.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/error.hpp>
 
 #include "zinniadock/connection/httpclient.h"
+#include "zinniadock/connection/strayresponse.h"
 #include "zinniadock/detail/httptime.h"
 
 namespace zinniadock
@@ -88,6 +89,12 @@
         outcome = failureOfReading(error, response.body.size(), timeouts.receive);
         co_return;
     }
+    if (containsStrayResponse(exchange.framing(), response.body)) {
+        outcome = Failure{ .code = RequestError::EngineLost,
+                           .verdict = Verdict::MayHaveRun,
+                           .message = "the body of the service's response contains another response" };
+        co_return;
+    }
     response.status = exchange.head().result_int();
     response.contentType = exchange.head()[http::field::content_type].to_string();
     response.isEndStated = exchange.end() == ResponseEnd::Complete;
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -332,7 +332,8 @@
 Awaitable<void> ForwardingEntry::resolveAnnouncement(ServerAnnouncement announcement)
 {
     const std::string healthPath = m_services.routes->pools.at(announcement.pool).healthPath;
-    const CallResult result = co_await call(m_services.pool, announcement.address, makeGet(healthPath), healthTimeout);
+    const CallResult result
+        = co_await call(m_services.controlPool, announcement.address, makeGet(healthPath), healthTimeout);
     announcement.id = result.succeeded() ? wire::parseResponseFields(result.head).server : "";
     if (!announcement.id.empty() && acceptsAnnouncement(announcement)) {
         addAnnouncedServer(announcement);
@@ -454,6 +455,7 @@
         }
         nextCleanup = now + cleanupInterval;
         m_services.pool.closeStale();
+        m_services.controlPool.closeStale();
         m_services.suspects.prune(now);
         m_departed.prune(now);
         for (const std::string &id : m_services.directory.removeUnlisted(removedServerRetention, now)) {
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -86,7 +86,7 @@
     appendMetric("zinniadock_stop_refusals_total", m_services.counters.stopRefusals, out);
     appendMetric("zinniadock_ended_requests_total", m_services.counters.endedRequests, out);
     appendMetric("zinniadock_server_connects_total",
-                 m_services.pool.connectCount(), out);
+                 m_services.pool.connectCount() + m_services.controlPool.connectCount(), out);
     appendMetric("zinniadock_store_calls_total", m_storeView.storeCalls(), out);
     for (const auto &[end, count] : m_storeView.callEnds()) {
         appendMetric("zinniadock_store_call_ends_total{end=\"" + std::string(toString(end)) + "\"}", count, out);
--- a/src/process/forwardingservices.cpp
+++ b/src/process/forwardingservices.cpp
@@ -19,6 +19,7 @@
     : context(ioContext)
     , settings(std::move(initialSettings))
     , pool(ioContext)
+    , controlPool(ioContext)
     , serverLimiter(
           [this] {
               return randomFraction();
--- a/src/process/runmover.cpp
+++ b/src/process/runmover.cpp
@@ -74,6 +74,9 @@
 Awaitable<MoveResult> moveGeneration(ConnectionPool &pool, Endpoint source, MoveOrder order,
                                      std::chrono::milliseconds timeLeft, std::uint16_t sidecarPort)
 {
+    // The responses to the orders have no ID. On a connection of its own, a move can't get a late second response to
+    // the order for another generation.
+    ConnectionPool orders(pool.context());
     MoveResult result;
     for (const Endpoint &target : order.targets) {
         const bool admitted = co_await isAdmitted(pool, target, order.admission, sidecarPort, result.reason);
@@ -82,7 +85,7 @@
         }
         std::string firstCopy;
         if (timeLeft > order.estimatedCopyTime + finalCopyTime) {
-            const CallResult first = co_await copyGeneration(pool, source, order.request, target, false);
+            const CallResult first = co_await copyGeneration(orders, source, order.request, target, false);
             result.reason = describe(first);
             if (first.error || first.status == statusNotRunning) {
                 co_return result;
@@ -92,7 +95,7 @@
             }
             firstCopy = wire::parseCopyId(first.body);
         }
-        const CallResult last = co_await copyGeneration(pool, source, order.request, target, true);
+        const CallResult last = co_await copyGeneration(orders, source, order.request, target, true);
         const std::string copy = wire::parseCopyId(last.body);
         result.reason = last.succeeded() ? "" : describe(last);
         result.stopped = !last.error && !copy.empty();
@@ -103,7 +106,7 @@
         if (last.succeeded()) {
             result.target = target;
         } else if (!result.stopped && !firstCopy.empty()) {
-            co_await call(pool, source, wire::deleteCopyRequest(firstCopy), callTimeout);
+            co_await call(orders, source, wire::deleteCopyRequest(firstCopy), callTimeout);
         }
         co_return result;
     }
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -48,6 +48,7 @@
     : m_settings(std::move(settings))
     , m_context(context)
     , m_pool(context)
+    , m_reservationPool(context)
     , m_loadChanged(context)
     , m_moveChanged(context)
 {
@@ -287,7 +288,8 @@
     if (response.admitted && query.reservationDuration.count() > 0 && !isLimited) {
         const HttpRequest request
             = wire::reserveRequest(static_cast<std::uint32_t>(neededTokens(query)), query.reservationDuration);
-        const CallResult result = co_await call(m_pool, m_settings.sidecar.backend, request, reservationTimeout);
+        const CallResult result
+            = co_await call(m_reservationPool, m_settings.sidecar.backend, request, reservationTimeout);
         m_limits.recordSent(engineIncarnation(), SendReason::Control);
         if (!result.error) {
             observeEngineLimit(result.head, query.request);
--- a/src/request/callforward.cpp
+++ b/src/request/callforward.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "zinniadock/connection/strayresponse.h"
+
 namespace zinniadock
 {
 
@@ -170,6 +172,9 @@
     if (error) {
         co_return makeFailedAttempt(*exchange, "reading the response body: " + error.message());
     }
+    if (containsStrayResponse(exchange->framing(), attempt.response.body())) {
+        co_return makeFailedAttempt(*exchange, "the response body contains another response");
+    }
     attempt.end = exchange->end();
     if (!fields.closesConnection && !fields.requestId.empty()) {
         exchange->releaseConnection(fields.idleTimeout.value_or(defaultIdleLimit));
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -370,7 +370,7 @@
     const Endpoint engine = tracked->record.address;
     const HttpRequest request = wire::reserveRequest(static_cast<std::uint32_t>(tokens), lifetime);
     m_services.serverLimiter.recordSent(tracked->record, SendReason::Control, std::chrono::steady_clock::now());
-    const CallResult result = co_await call(m_services.pool, engine, request, reservationTimeout);
+    const CallResult result = co_await call(m_services.controlPool, engine, request, reservationTimeout);
     const auto now = std::chrono::steady_clock::now();
     if (result.error) {
         m_services.directory.recordConnectionFailure(server, now);
@@ -481,7 +481,8 @@
     } else {
         segmentEnd = co_await readPlainResponse(*exchange, responseFields, attempt);
     }
-    if (exchange->isComplete() && !responseFields.closesConnection) {
+    // A refusal has no ID, so that a second copy of it could not be told from the response to a later request.
+    if (exchange->isComplete() && !responseFields.closesConnection && !responseFields.requestId.empty()) {
         exchange->releaseConnection(responseFields.idleTimeout.value_or(defaultIdleLimit));
     }
     co_return segmentEnd;
--- a/tests/standin/platformstandin.cpp
+++ b/tests/standin/platformstandin.cpp
@@ -32,12 +32,15 @@
     return out.str();
 }
 
+/// Body of the response that this thread has sent last.
+thread_local std::string lastBody;
+
 void send(HTTPServerResponse &response, int status, const Json &body)
 {
     response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
     response.setContentType("application/json");
-    const std::string text = body.dump();
-    response.sendBuffer(text.data(), text.size());
+    lastBody = body.dump();
+    response.sendBuffer(lastBody.data(), lastBody.size());
 }
 
 std::string parameter(const Poco::URI &uri, const std::string &name)
@@ -404,6 +407,18 @@
     m_script = response;
 }
 
+void PlatformServer::clearScriptedResponse()
+{
+    const std::lock_guard lock(m_mutex);
+    m_script.reset();
+}
+
+void PlatformServer::setSecondResponse(std::optional<std::chrono::milliseconds> delay)
+{
+    const std::lock_guard lock(m_mutex);
+    m_secondResponseDelay = delay;
+}
+
 void PlatformServer::setCrashMarker(const std::string &marker)
 {
     const std::lock_guard lock(m_mutex);
@@ -603,6 +618,31 @@
     } else {
         serve(request, response);
     }
+    sendAgain(request, response);
+}
+
+void PlatformServer::sendAgain(HTTPServerRequest &request, const HTTPServerResponse &response)
+{
+    std::optional<std::chrono::milliseconds> delay;
+    {
+        const std::lock_guard lock(m_mutex);
+        delay = m_secondResponseDelay;
+    }
+    if (!delay || !response.sent()) {
+        return;
+    }
+    std::string head = "HTTP/1.1 " + std::to_string(response.getStatus()) + " " + response.getReason() + "\r\n";
+    for (const auto &[name, value] : response) {
+        const bool isFraming
+            = Poco::icompare(name, "Transfer-Encoding") == 0 || Poco::icompare(name, "Content-Length") == 0;
+        head += isFraming ? "" : name + ": " + value + "\r\n";
+    }
+    std::this_thread::sleep_for(*delay);
+    try {
+        sendRaw(request, head + "Content-Length: " + std::to_string(lastBody.size()) + "\r\n\r\n" + lastBody);
+    } catch (const Poco::Exception &) {
+        return; // the client has closed the connection
+    }
 }
 
 void PlatformServer::report(HTTPServerResponse &response)
@@ -797,6 +837,7 @@
     } else {
         response.setKeepAlive(false);
     }
+    lastBody = streamBody(first);
     std::ostream &out = response.send();
     out << std::flush;
     if (crashesOn(received)) {
--- a/tests/standin/platformstandin.h
+++ b/tests/standin/platformstandin.h
@@ -197,6 +197,13 @@
     /// Makes the server send exactly these bytes in response to each request that it runs.
     void setScriptedResponse(const ScriptedResponse &response);
 
+    /// Ends the effect of setScriptedResponse().
+    void clearScriptedResponse();
+
+    /// Makes the server send a second copy of each response, of requests and of calls to itself, this long after the
+    /// first one and on the same connection; nothing ends this.
+    void setSecondResponse(std::optional<std::chrono::milliseconds> delay);
+
     /// Makes the server crash when it runs a request whose target, body or prompt parts contain \p marker: it refuses
     /// new connections, and no request on it ends. The crash is complete after stop().
     void setCrashMarker(const std::string &marker);
@@ -267,6 +274,9 @@
     };
 
     void handle(HTTPServerRequest &request, HTTPServerResponse &response);
+
+    /// Sends a copy of the response that this thread has sent last.
+    void sendAgain(HTTPServerRequest &request, const HTTPServerResponse &response);
     void report(HTTPServerResponse &response);
     void reserve(HTTPServerResponse &response);
     void move(HTTPServerRequest &request, HTTPServerResponse &response);
@@ -301,6 +311,7 @@
     std::atomic<bool> m_rejectsReservations{ false };
     std::atomic<bool> m_sendsDrainingHeader{ false };
     std::optional<ScriptedResponse> m_script;
+    std::optional<std::chrono::milliseconds> m_secondResponseDelay;
     StreamFraming m_streamFraming = StreamFraming::Chunks;
     std::optional<StreamCut> m_streamCut;
     std::string m_crashMarker; ///< empty if no request crashes the server
