Play in the soak what the review used

The review's cases showed what the soak does not play: connections that stay silent while new ones work, answers of the store that are lost, removals that must take effect, engines that answer with errors or twice, slow engines, and stops that overlap. Change: these are drawn like the other faults. A request to a removed server later than its bound, and bytes that are no part of a response, are violations.

--- a/bench/soak/faultplan.cpp
+++ b/bench/soak/faultplan.cpp
@@ -20,6 +20,10 @@
 /// between the stop and the exit of the daemon.
 constexpr std::chrono::milliseconds minFaultFreeTime{ 4000 };
 
+/// Bound for the use of a server after its removal, and the time that a request may take to reach it.
+constexpr std::chrono::milliseconds drainWithin{ 2000 };
+constexpr std::chrono::milliseconds drainSlack{ 300 };
+
 /// Exit code of a daemon that aborted in-flight requests when it stopped.
 constexpr int exitCodeCutRequests = 7;
 
@@ -47,6 +51,11 @@
     if (kind != "stop_entry" && kind != "reload_entry") {
         m_lastDisruptiveFault = std::chrono::steady_clock::now();
     }
+    // Cut and silent connections to the store, while new ones work, must not delay what the store has acknowledged.
+    const bool isStoreFault = kind.starts_with("store") && kind != "store_cut" && kind != "store_open_silent";
+    if (isStoreFault || kind == "freeze_entry") {
+        m_lastStoreFault = std::chrono::steady_clock::now();
+    }
     return true;
 }
 
@@ -181,8 +190,9 @@
 
 void FaultPlan::injectRelayFault(const std::string &kind, standin::LinkRelay &relay, const std::string &target)
 {
-    constexpr std::array<const char *, 5> relayFaults{ "silent_to_server", "silent_to_client", "silent_both", "slow",
-                                                       "cut" };
+    constexpr std::array<const char *, 6> relayFaults{
+        "silent_to_server", "silent_to_client", "silent_both", "slow", "cut", "open_silent"
+    };
     const std::size_t fault = m_random() % relayFaults.size();
     if (!beginFault(kind + "_" + relayFaults.at(fault), target)) {
         return;
@@ -191,8 +201,10 @@
         relay.setBlockedDirections({ .toServer = fault != 1, .toClient = fault != 0 });
     } else if (fault == 3) {
         relay.setDelay(randomDuration(20, 150));
-    } else {
+    } else if (fault == 4) {
         relay.cut();
+    } else {
+        relay.silenceOpenConnections();
     }
     endFaultAfter(randomDuration(200, 3000), target, [&relay] {
         relay.setBlockedDirections({});
@@ -202,11 +214,19 @@
 
 void FaultPlan::injectStoreFault()
 {
-    if (m_random() % 3 == 0) {
+    const auto choice = m_random() % 4;
+    if (choice == 0) {
         if (beginFault("store_compacts", "store")) {
             m_fleet.store.compact();
             m_hasActiveFault["store"] = false;
         }
+    } else if (choice == 1) {
+        if (beginFault("store_loses_answers", "store")) {
+            m_fleet.store.setUnresponsive(true);
+            endFaultAfter(randomDuration(50, 1500), "store", [this] {
+                m_fleet.store.setUnresponsive(false);
+            });
+        }
     } else if (beginFault("store_down", "store")) {
         m_fleet.store.setDown(true);
         endFaultAfter(randomDuration(300, 4000), "store", [this] {
@@ -215,6 +235,63 @@
     }
 }
 
+// Entries must not use a server later than drainWithin after the store has acknowledged its removal. The stand-in of
+// the store is down, or does not answer, during other faults, and a frozen entry can't learn of the removal.
+void FaultPlan::removeShop(std::size_t index)
+{
+    const std::string target = "shop-" + std::to_string(index);
+    if (!beginFault("shop_removed", target)) {
+        return;
+    }
+    standin::PlatformServer &server = *m_fleet.shopServers[index];
+    m_fleet.store.remove("servers/" + server.id());
+    const auto removedAt = std::chrono::steady_clock::now();
+    const auto countedRuns = std::make_shared<std::optional<std::size_t>>();
+    m_pendingActions.push_back({ removedAt + drainWithin + drainSlack, [&server, countedRuns] {
+                                    *countedRuns = server.startedRequests().size();
+                                    return true;
+                                } });
+    endFaultAfter(drainWithin + drainSlack + randomDuration(500, 1500), target,
+                  [this, &server, countedRuns, removedAt] {
+                      const bool isExcused = m_lastStoreFault + minFaultFreeTime > removedAt || m_isEndingAllFaults;
+                      if (!isExcused && *countedRuns && server.startedRequests().size() > **countedRuns) {
+                          m_checker.addViolation(server.id() + ": got requests too long after its removal");
+                      }
+                      m_fleet.store.put("servers/" + server.id(), server.record("shop"));
+                  });
+}
+
+void FaultPlan::injectEngineError(std::size_t index)
+{
+    const std::string target = "engine-error-" + std::to_string(index);
+    const bool hasCrashed = !m_fleet.engines[index].server;
+    if (hasCrashed || !beginFault("engine_errs", target)) {
+        return;
+    }
+    const std::string head = "X-Request-Id: {id}\r\nX-Server-Signature: s\r\nContent-Length: 2\r\n\r\n{}";
+    const std::array<std::string, 5> replies{
+        "HTTP/1.1 500 Internal Server Error\r\n" + head, "HTTP/1.1 504 Gateway Timeout\r\n" + head,
+        "HTTP/1.1 429 Too Many Requests\r\nX-Not-Executed: 1\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\n{}", "no response\r\n\r\n"
+    };
+    const std::string engine = m_fleet.engines[index].id;
+    m_fleet.engines[index].server->setScriptedResponse({ .parts = { replies.at(m_random() % replies.size()) } });
+    endFaultAfter(randomDuration(200, 1500), target, [this, index, engine] {
+        if (m_fleet.engines[index].id == engine && m_fleet.engines[index].server) {
+            m_fleet.engines[index].server->clearScriptedResponse();
+        }
+    });
+}
+
+void FaultPlan::injectSecondResponses(standin::PlatformServer *server)
+{
+    const auto delay = m_random() % 2 == 0 ? std::optional(randomDuration(0, 30)) : std::nullopt;
+    if (server) { // null if the engine has crashed
+        ++m_counts["second_responses"];
+        server->setSecondResponse(delay);
+    }
+}
+
 void FaultPlan::injectShopFault(std::size_t index)
 {
     using standin::ServerBehavior;
@@ -239,7 +316,7 @@
     const std::string entryName = "entry-" + std::to_string(entry);
     const std::string engineName = "engine-" + std::to_string(engine);
     // An engine, its sidecar and its relay are replaced together, so they are one target.
-    switch (m_random() % 14) {
+    switch (m_random() % 18) {
     case 0:
         return killDaemon("kill_entry", *m_fleet.entries[entry].daemon, entryName);
     case 1:
@@ -265,6 +342,19 @@
         return injectStoreFault();
     case 12:
         return injectShopFault(m_random() % m_fleet.shopServers.size());
+    case 13:
+        return removeShop(0);
+    case 14:
+        return injectEngineError(engine);
+    case 15:
+        return injectSecondResponses(m_fleet.engines[engine].server.get());
+    case 16:
+        return injectSecondResponses(m_fleet.shopServers[m_random() % m_fleet.shopServers.size()].get());
+    case 17:
+        for (std::size_t each = 0; each < m_fleet.entries.size() && m_random() % 3 == 0; ++each) {
+            stopEntry(each);
+        }
+        return;
     default:
         ++m_counts["configuration"];
         m_fleet.publishConfiguration();
--- a/bench/soak/faultplan.h
+++ b/bench/soak/faultplan.h
@@ -56,6 +56,9 @@
     void injectRelayFault(const std::string &kind, standin::LinkRelay &relay, const std::string &target);
     void injectStoreFault();
     void injectShopFault(std::size_t index);
+    void removeShop(std::size_t index);
+    void injectEngineError(std::size_t index);
+    void injectSecondResponses(standin::PlatformServer *server);
 
     SoakFleet &m_fleet;
     SoakChecker &m_checker;
@@ -64,6 +67,7 @@
     std::map<std::string, bool> m_hasActiveFault; ///< by target
     std::map<std::string, std::size_t> m_counts; ///< by kind of fault
     bool m_isEndingAllFaults = false;
+    Time m_lastStoreFault; ///< start of the last fault that may keep a change of the store from an entry
     Time m_lastDisruptiveFault; ///< start of the last fault that may abort in-flight requests
 };
 
--- a/bench/soak/soakcallers.cpp
+++ b/bench/soak/soakcallers.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <memory>
 #include <random>
+#include <stdexcept>
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
@@ -137,6 +138,8 @@
         outcome.isComplete = true;
     } catch (const Poco::Exception &) {
         outcome.isComplete = false;
+    } catch (const std::logic_error &) {
+        outcome.isMalformed = true; // a status or the size of a chunk is no number
     }
     if (mustClose || !outcome.isComplete) {
         connection.reset();
--- a/bench/soak/soakchecker.cpp
+++ b/bench/soak/soakchecker.cpp
@@ -64,6 +64,9 @@
         return "status " + std::to_string(outcome.status)
             + " guarantees that the request was not executed, but it was executed";
     }
+    if (outcome.isMalformed) {
+        return "received bytes that are no part of a response";
+    }
     if (outcome.status != ok) {
         return "";
     }
--- a/bench/soak/soakchecker.h
+++ b/bench/soak/soakchecker.h
@@ -22,6 +22,7 @@
     int status = 0; ///< HTTP status; 0 if the connection failed before the response head was read
     bool isSigned = false; ///< the response has the signature of a backend server
     bool isComplete = false; ///< the response body was read to its end
+    bool isMalformed = false; ///< bytes arrived that are no part of a response
     std::string body;
 };
 
--- a/bench/soak/soakfleet.cpp
+++ b/bench/soak/soakfleet.cpp
@@ -1,5 +1,6 @@
 #include "soakfleet.h"
 
+#include <array>
 #include <csignal>
 #include <fstream>
 
@@ -20,7 +21,12 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t shopCount = 2;
-constexpr std::chrono::milliseconds eventInterval{ 20 };
+/// Times between the events of the engines, in the order of their starts. A stream of the slowest ones takes longer
+/// than an entry assumes without their pace.
+constexpr std::array<std::chrono::milliseconds, 4> eventIntervals{ std::chrono::milliseconds(20),
+                                                                   std::chrono::milliseconds(5),
+                                                                   std::chrono::milliseconds(40),
+                                                                   std::chrono::milliseconds(75) };
 
 /// Ports of the daemons, below the ephemeral port range of the system.
 constexpr std::uint16_t callerPort = 18740;
@@ -191,7 +197,7 @@
     Engine &engine = engines[index];
     engine.id = "engine-" + std::to_string(++m_engineIncarnations);
     engine.server = std::make_unique<standin::PlatformServer>(engine.id, addressOf(AddressRole::Engine, index));
-    engine.server->setEventInterval(eventInterval);
+    engine.server->setEventInterval(eventIntervals.at(m_engineIncarnations % eventIntervals.size()));
     engine.relay = std::make_unique<standin::LinkRelay>(standin::LinkRelaySettings{
         .server = engine.server->endpoint(), .address = addressOf(AddressRole::Relay, index) });
     engine.sidecar = std::make_unique<DaemonProcess>(m_program, m_directory + "/sidecar-" + engine.id);
