--- a/include/zinniadock/connection/httplistener.h
+++ b/include/zinniadock/connection/httplistener.h
@@ -45,13 +45,14 @@
 
     Awaitable<void> serve();
 
-    /// Writes a response with its whole body. Closes the connection instead if a response to the request has begun,
-    /// since the caller would take the bytes for a part of it. \param framing  Connection for a body that ends with the
-    /// connection, since nobody has stated that it is complete; the response has its length otherwise
+    /// Writes a response with its whole body. If a response to the request has begun, closes the connection instead,
+    /// since the caller would take the bytes for a part of that response.
+    /// \param framing  Connection for a body that ends with the connection, since nobody has stated that it is
+    /// complete; the response has its length otherwise
     Awaitable<void> respond(HttpResponse response, BodyFraming framing = BodyFraming::Length);
 
-    /// Writes the head of a response whose body follows with writePiece(). Closes the connection instead and returns an
-    /// error if a response to the request has begun.
+    /// Writes the head of a response whose body follows with writePiece(). If a response to the request has begun,
+    /// closes the connection instead and returns an error.
     /// \param framing  Connection for a body that ends with the connection; the body is sent in chunks otherwise
     Awaitable<IoError> startStream(http::response_header<> head, BodyFraming framing);
     Awaitable<IoError> writePiece(const std::string &piece);
--- a/src/process/storeview.cpp
+++ b/src/process/storeview.cpp
@@ -318,7 +318,7 @@
         return;
     }
     logEvent("store", m_contact.isOut() ? "lost" : "regained",
-             { { "part", toString(part) },
+             { { "watch", toString(part) },
                { "revision", m_mirrors[indexOf(StorePart::Servers)].position().revision },
                { "end", toString(end) } });
     if (m_contact.isOut()) {
--- a/tests/unit/unit-continuations.cpp
+++ b/tests/unit/unit-continuations.cpp
@@ -194,7 +194,6 @@
         context.run();
     });
     const std::string seen = sendRawBytes(listener->port(), "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
-    std::string rest;
     context.stop();
     thread.join();
     CHECK(seen.find("second") == std::string::npos);
--- a/tests/unit/unit-wireform.cpp
+++ b/tests/unit/unit-wireform.cpp
@@ -281,3 +281,10 @@
     CHECK(decodedResult->copy->name == "c");
     CHECK_FALSE(decodedResult->target);
 }
+
+// Guards against a move order that can't be written, which ended all moves of a sidecar.
+TEST_CASE("a move order of a request whose ID is not UTF-8 can be written")
+{
+    const HttpRequest request = wire::moveRequest("id-\xff", { "127.0.0.1", 7 }, true);
+    CHECK(request.body().find("127.0.0.1:7") != std::string::npos);
+}
