Leave out of the soak a refusal that the stand-in counts as a run

Trace: engine-5 answered it with the scripted 429 that states X-Not-Executed, 1 ms after its admission, and the entry placed it at engine-7, as it should. The stand-in records a request as run before it sends a script, so the script contradicted the record. Refusals stay in the soak through the behaviour Overloaded, which records nothing.

--- a/bench/soak/faultplan.cpp
+++ b/bench/soak/faultplan.cpp
@@ -269,11 +269,11 @@
         return;
     }
     const std::string head = "X-Request-Id: {id}\r\nX-Server-Signature: s\r\nContent-Length: 2\r\n\r\n{}";
-    const std::array<std::string, 5> replies{
-        "HTTP/1.1 500 Internal Server Error\r\n" + head, "HTTP/1.1 504 Gateway Timeout\r\n" + head,
-        "HTTP/1.1 429 Too Many Requests\r\nX-Not-Executed: 1\r\nContent-Length: 2\r\n\r\n{}",
-        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\n{}", "no response\r\n\r\n"
-    };
+    // Each reply leaves open whether the request ran, since the stand-in counts it as a run.
+    const std::array<std::string, 4> replies{ "HTTP/1.1 500 Internal Server Error\r\n" + head,
+                                              "HTTP/1.1 504 Gateway Timeout\r\n" + head,
+                                              "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\n{}",
+                                              "no response\r\n\r\n" };
     const std::string engine = m_fleet.engines[index].id;
     m_fleet.engines[index].server->setScriptedResponse({ .parts = { replies.at(m_random() % replies.size()) } });
     endFaultAfter(randomDuration(200, 1500), target, [this, index, engine] {
