--- a/tests/unit/unit-secondresponses.cpp
+++ b/tests/unit/unit-secondresponses.cpp
@@ -53,12 +53,14 @@
     {
         EngineDeployment deployment(GENERATE(false, true));
         deployment.engine.setEventInterval(milliseconds(1));
+        deployment.engine.setStreams(StreamFraming::Length); // the stand-in ends chunks only after a second response
         deployment.engine.setSecondResponse(delay);
         for (int i = 0; i < 6; ++i) {
             const std::string id = "generation-" + std::to_string(i);
             const TestResponse response
                 = sendRequest(deployment.entry->port(), { .target = "/stream/1", .id = id, .isGeneration = true });
             CHECK(response.status == 200);
+            CHECK(response.isComplete);
             CHECK(response.body == completeStreamBody());
         }
         CHECK(deployment.engine.startedRequests().size() == 6);
