End the second responses of the soak, and repeat no response in chunks

Trace: two of the check's streams were broken off with "bad chunk" after all 60 events, at an engine that still sent second responses. The fault was never ended, and the stand-in sent the copy of a response in chunks before its last chunk, which spoils the response itself. Change: second responses are a fault of the services that ends like the others; a response in chunks is not repeated.

--- a/bench/soak/faultplan.h
+++ b/bench/soak/faultplan.h
@@ -58,7 +58,7 @@
     void injectShopFault(std::size_t index);
     void removeShop(std::size_t index);
     void injectEngineError(std::size_t index);
-    void injectSecondResponses(standin::PlatformServer *server);
+    void injectSecondResponses(std::size_t index);
 
     SoakFleet &m_fleet;
     SoakChecker &m_checker;
--- a/tests/standin/platformstandin.h
+++ b/tests/standin/platformstandin.h
@@ -200,8 +200,8 @@
     /// Ends the effect of setScriptedResponse().
     void clearScriptedResponse();
 
-    /// Makes the server send a second copy of each response, of requests and of calls to itself, this long after the
-    /// first one and on the same connection; nothing ends this.
+    /// Makes the server send a second copy of each response that is not in chunks, of requests and of calls to itself,
+    /// this long after the first one and on the same connection; nothing ends this.
     void setSecondResponse(std::optional<std::chrono::milliseconds> delay);
 
     /// Makes the server crash when it runs a request whose target, body or prompt parts contain \p marker: it refuses
