Compute the wait of the server watch in one place

Cause: the wait of the watch of the server list in a large fleet was decided in watchTiming() and again in confirmationInterval(), so that one could change without the other; two retries on a new connection gave no reason. Change: watchTiming() derives the wait from confirmationInterval(); the retries state their reason. The values are the same. Result: formatter and linter are clean over both files; three cases of unit-storewatch and unit-storeview pass, 270 assertions. The whole suite did not run on this commit.

--- a/src/process/sidecarfeed.cpp
+++ b/src/process/sidecarfeed.cpp
@@ -67,6 +67,7 @@
         const HttpRequest request = makePost(loadQueryTarget, encode(query));
         CallOptions options{ .timeout = responseTimeout };
         CallResult result = co_await call(m_services.pool, m_sidecar, request, options);
+        // The failure may concern the kept connection only, and not the sidecar.
         if (result.error && result.isConnectionReused && !m_stopped) {
             options.usesNewConnection = true;
             result = co_await call(m_services.pool, m_sidecar, request, options);
--- a/src/process/storeview.cpp
+++ b/src/process/storeview.cpp
@@ -146,10 +146,8 @@
     const std::size_t entries = m_members.size();
     timing.maxBackoff = std::max(minBackoffLimit, backoffPerEntry * static_cast<int>(entries));
     timing.callInterval = callInterval(part);
-    timing.maxWait = watchWaitFor(boundOf(part), timing.callInterval);
-    if (part == StorePart::Servers && isLargeFleet()) {
-        timing.maxWait = std::min(timing.maxWait, readerWatchWait);
-    }
+    timing.maxWait = part == StorePart::Servers ? confirmationInterval() - timing.callInterval
+                                                : watchWaitFor(boundOf(part), timing.callInterval);
     return timing;
 }
 
@@ -352,7 +350,8 @@
     return m_members.size() > maxSmallFleetSize;
 }
 
-// The longest time between two confirmations of the server list by a store that serves.
+// Returns the longest time between two confirmations of the server list by a store that serves: the pause and the wait
+// of its watch.
 std::chrono::milliseconds StoreView::confirmationInterval() const
 {
     const std::chrono::milliseconds pause = callInterval(StorePart::Servers);
@@ -477,6 +476,7 @@
     CallOptions options{ .timeout = maxRelayWait + relayTimeoutSlack };
     auto askedAt = std::chrono::steady_clock::now();
     CallResult result = co_await call(m_services.pool, endpoint, request, options);
+    // The failure may concern the kept connection only, and not the other entry.
     if (result.error && result.isConnectionReused) {
         options.usesNewConnection = true;
         askedAt = std::chrono::steady_clock::now();
