Add failing tests of evidence that entries lose or read differently

Callers saw a request return to servers after three of them had crashed.

- Copies of a request that crash all servers of a pool within one run time count as one crash; of several such requests one is quarantined in each turn.

The simulated fleet has callers that leave, requests that are sent several times at once, and a random delay of messages.

--- a/tests/standin/platformstandin.cpp
+++ b/tests/standin/platformstandin.cpp
@@ -425,6 +425,11 @@
     m_crashMarker = marker;
 }
 
+void PlatformServer::setCrashDelay(std::chrono::milliseconds delay)
+{
+    m_crashDelayMs = delay.count();
+}
+
 bool PlatformServer::sendScript(HTTPServerRequest &request)
 {
     std::optional<ScriptedResponse> script;
@@ -472,6 +477,7 @@
 
 void PlatformServer::crash()
 {
+    std::this_thread::sleep_for(std::chrono::milliseconds(m_crashDelayMs));
     refuseConnections();
     m_hasCrashed = true;
     while (!m_isStopping) {
--- a/tests/standin/platformstandin.h
+++ b/tests/standin/platformstandin.h
@@ -208,6 +208,9 @@
     /// new connections, and no request on it ends. The crash is complete after stop().
     void setCrashMarker(const std::string &marker);
 
+    /// Sets the time from the arrival of such a request until the crash. It crashes also if the caller has left.
+    void setCrashDelay(std::chrono::milliseconds delay);
+
     /// Returns whether a request has crashed the server.
     bool hasCrashed() const;
 
@@ -314,6 +317,7 @@
     std::optional<std::chrono::milliseconds> m_secondResponseDelay;
     StreamFraming m_streamFraming = StreamFraming::Chunks;
     std::optional<StreamCut> m_streamCut;
+    std::atomic<std::int64_t> m_crashDelayMs{ 0 };
     std::string m_crashMarker; ///< empty if no request crashes the server
     std::atomic<bool> m_hasCrashed{ false };
     std::atomic<bool> m_isStopping{ false };
--- a/tests/unit/crashingpool.cpp
+++ b/tests/unit/crashingpool.cpp
@@ -9,9 +9,10 @@
 using standin::PlatformServer;
 
 CrashingPool::CrashingPool(const std::string &pool, std::size_t servers, std::size_t entryCount,
-                           ServerReturn serverReturn)
+                           ServerReturn serverReturn, std::chrono::milliseconds crashDelay)
     : m_pool(pool)
     , m_return(serverReturn)
+    , m_crashDelay(crashDelay)
     , m_slots(servers)
 {
     m_store.put("op/config", configuration(3));
@@ -51,6 +52,7 @@
 {
     auto server = std::make_unique<PlatformServer>(id, "127.0.0.1", port);
     server->setCrashMarker(crashMarker);
+    server->setCrashDelay(m_crashDelay);
     server->setStartTime(++m_nextStart);
     m_store.put("servers/" + id, server->record(m_pool));
     return server;
--- a/tests/unit/crashingpool.h
+++ b/tests/unit/crashingpool.h
@@ -31,8 +31,10 @@
     using Time = std::chrono::steady_clock::time_point;
 
     /// \param pool  `shop` or `engines`, see configuration()
+    /// \param crashDelay  from the arrival of such a request until the server crashes
     CrashingPool(const std::string &pool, std::size_t servers, std::size_t entryCount,
-                 ServerReturn serverReturn = ServerReturn::NewServer);
+                 ServerReturn serverReturn = ServerReturn::NewServer,
+                 std::chrono::milliseconds crashDelay = std::chrono::milliseconds(0));
     ~CrashingPool();
 
     CrashingPool(const CrashingPool &) = delete;
@@ -68,6 +70,7 @@
 
     const std::string m_pool;
     const ServerReturn m_return;
+    const std::chrono::milliseconds m_crashDelay;
     std::mutex m_mutex;
     int m_nextId = 1;
     int m_nextStart = 1000;
--- a/tests/unit/suspectfleet.cpp
+++ b/tests/unit/suspectfleet.cpp
@@ -95,12 +95,20 @@
 void SuspectFleet::arrive(std::size_t group)
 {
     const CallerGroup &callers = m_setup.groups[group];
-    Request request{ .group = group, .id = std::to_string(m_nextId++) };
+    Request request{ .group = group, .id = {} };
     const std::size_t number = callers.distinct > 0 ? m_random() % callers.distinct : m_nextId;
     request.traits.push_back(std::hash<std::string>()(std::to_string(group) + "/" + std::to_string(number)));
     request.traits.insert(request.traits.end(), callers.sharedTraits.begin(), callers.sharedTraits.end());
     const bool isSpread = callers.isDeadly && m_setup.spreadsRetries;
-    request.entry = isSpread ? ++m_nextDeadlyEntry % m_entries.size() : m_random() % m_entries.size();
+    for (std::size_t copy = 0; copy < callers.copies; ++copy) {
+        request.id = std::to_string(m_nextId++);
+        arriveAt(isSpread ? ++m_nextDeadlyEntry % m_entries.size() : m_random() % m_entries.size(), request);
+    }
+}
+
+void SuspectFleet::arriveAt(std::size_t entry, Request request)
+{
+    request.entry = entry;
     send(std::move(request));
 }
 
@@ -132,6 +140,7 @@
 void SuspectFleet::finishRuns()
 {
     for (Server &server : m_servers) {
+        abandonRuns(server);
         const auto deadly = std::find_if(server.running.begin(), server.running.end(), [this](const Request &request) {
             return m_setup.groups[request.group].isDeadly && request.respondsAt <= m_now;
         });
@@ -141,7 +150,7 @@
         std::erase_if(server.running, [this](const Request &request) {
             const Entry &entry = m_entries[request.entry];
             const bool isDone = request.respondsAt <= m_now;
-            if (isDone && !entry.isFrozen && entry.isRunning) {
+            if (isDone && !request.isAbandoned && !entry.isFrozen && entry.isRunning) {
                 entry.suspects->recordResponse(request.traits, m_now);
             }
             return isDone;
@@ -149,13 +158,33 @@
     }
 }
 
+void SuspectFleet::abandonRuns(Server &server)
+{
+    for (Request &request : server.running) {
+        const auto patience = m_setup.groups[request.group].patience;
+        request.isAbandoned = request.isAbandoned || (patience.count() > 0 && m_now - request.sentAt >= patience);
+    }
+}
+
 void SuspectFleet::crash(Server &server, std::optional<std::size_t> group)
 {
     if (group) {
         m_crashes[*group].push_back(m_now);
     }
+    detectCrashes(server);
+    server.running.clear();
+    server.id = "i-" + std::to_string(m_nextId++);
+    server.backAt = m_now + m_setup.returnDelay;
+}
+
+// An entry whose caller has left has closed the connection, so that it does not see the crash.
+void SuspectFleet::detectCrashes(const Server &server)
+{
     std::map<std::size_t, CrashReport> reports;
     for (const Request &request : server.running) {
+        if (request.isAbandoned) {
+            continue;
+        }
         const auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(m_now - request.sentAt);
         CrashReport &report = reports[request.entry];
         report.id = m_random();
@@ -178,9 +207,12 @@
             }
         });
     }
-    server.running.clear();
-    server.id = "i-" + std::to_string(m_nextId++);
-    server.backAt = m_now + m_setup.returnDelay;
+}
+
+std::chrono::milliseconds SuspectFleet::messageDelay()
+{
+    const auto steps = static_cast<std::uint64_t>(m_setup.maxMessageDelay / stepTime);
+    return stepTime * static_cast<int>(1 + m_random() % std::max<std::uint64_t>(steps, 1));
 }
 
 void SuspectFleet::killServers(std::size_t count)
@@ -227,7 +259,7 @@
 {
     Entry &sender = m_entries[entry];
     for (const std::string &target : sender.suspects->peersToNotify(m_now)) {
-        Message message{ .arrivesAt = m_now + stepTime, .from = entry, .to = 0, .bytes = {}, .batch = {} };
+        Message message{ .arrivesAt = m_now + messageDelay(), .from = entry, .to = 0, .bytes = {}, .batch = {} };
         message.to = std::stoul(target.substr(std::string("10.0.0.").size()));
         message.batch = sender.suspects->nextFor(target, m_now);
         EntryReport notice;
--- a/tests/unit/suspectfleet.h
+++ b/tests/unit/suspectfleet.h
@@ -25,6 +25,8 @@
     RequestTraits sharedTraits; ///< of all requests of the group, besides the trait of each request itself
     std::chrono::milliseconds duration{ 30 }; ///< from the arrival at a server until the response begins
     int attempts = 1; ///< servers that one request may be sent to
+    std::size_t copies = 1; ///< callers that send the same request at once, each at an entry of its own choice
+    std::chrono::milliseconds patience{ 0 }; ///< callers leave after this time without a response; 0 if they stay
 };
 
 /// Parameters of a simulated fleet.
@@ -36,11 +38,11 @@
     std::chrono::milliseconds returnDelay{ 3000 }; ///< from the crash of a server until it is back
     std::uint64_t seed = 1;
     bool spreadsRetries = false; ///< each deadly request goes to the entry after the one that got the deadly one before
+    std::chrono::milliseconds maxMessageDelay{ 10 }; ///< messages between entries take from one step to this time
 };
 
 /// Simulates entries that share a suspect table, servers that crash, and callers. The clock and the network are
-/// simulated. A message between
-/// entries takes one step. Requests to a frozen entry are lost.
+/// simulated. Requests to a frozen entry are lost. A server goes on with a request whose caller has left.
 class SuspectFleet
 {
 public:
@@ -106,6 +108,7 @@
         int attempt = 1;
         SteadyTime sentAt;
         SteadyTime respondsAt;
+        bool isAbandoned = false; ///< the caller has left
     };
 
     struct Server
@@ -139,8 +142,12 @@
     void deliver(const Message &message);
     void sendNotices(std::size_t entry);
     void arrive(std::size_t group);
+    void arriveAt(std::size_t entry, Request request);
     void send(Request request);
     void finishRuns();
+    void abandonRuns(Server &server);
+    void detectCrashes(const Server &server);
+    std::chrono::milliseconds messageDelay();
     void crash(Server &server, std::optional<std::size_t> group);
     bool isReachable(std::size_t from, std::size_t to) const;
     static std::string peer(std::size_t entry);
--- a/tests/unit/unit-crashingrequests.cpp
+++ b/tests/unit/unit-crashingrequests.cpp
@@ -1,9 +1,11 @@
 #include <algorithm>
 #include <thread>
 
+#include <Poco/Net/StreamSocket.h>
 #include <catch2/catch.hpp>
 
 #include "crashingpool.h"
+#include "rawcaller.h"
 
 using namespace zinniadock;
 using namespace zinniadock::test;
@@ -31,6 +33,16 @@
     }));
 }
 
+/// Sends a request, and leaves before a response can arrive.
+void sendAndLeave(std::uint16_t port, const std::string &id, const std::string &target)
+{
+    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", port));
+    const std::string request = rawRequest("GET", target, id);
+    socket.sendBytes(request.data(), static_cast<int>(request.size()));
+    std::this_thread::sleep_for(std::chrono::milliseconds(40));
+    socket.close();
+}
+
 } // namespace
 
 // Guards against a request that ends one server after another, because no entry remembers under which requests servers
@@ -107,3 +119,27 @@
     }
     CHECK(soundAnswered == 10);
 }
+
+// Guards against a request that ends one server after another, because its callers leave before it does and the entries
+// forget the run with them.
+TEST_CASE("a request that crashes servers after its callers have left is no longer sent to servers")
+{
+    CrashingPool pool("shop", 3, 3, ServerReturn::NewServer, std::chrono::milliseconds(90));
+    const TestRequest sound{ .target = "/read/1", .id = "sound", .body = "read 1" };
+    std::size_t number = 0;
+    const auto end = Clock::now() + 3 * knowledgeTime;
+    while (Clock::now() < end) {
+        ++number;
+        const std::string target = std::string("/read/") + crashMarker;
+        sendAndLeave(pool.entryPort(number % 3), "deadly" + std::to_string(number), target);
+        sendRequest(pool.entryPort((number + 1) % 3), sound);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    CAPTURE(pool.crashes().size());
+    CHECK(lateCrashes(pool.crashes(), 3) <= maxLateRequests);
+    std::size_t soundAnswered = 0;
+    for (std::size_t reads = 0; reads < 10; ++reads) {
+        soundAnswered += sendRequest(pool.entryPort(reads % 3), sound).status == 200 ? 1 : 0;
+    }
+    CHECK(soundAnswered == 10);
+}
