--- a/include/zinniadock/process/sharedsuspects.h
+++ b/include/zinniadock/process/sharedsuspects.h
@@ -20,6 +20,7 @@
 {
     std::vector<CrashReport> crashes;
     std::vector<ClearedTrait> cleared;
+    std::vector<QuarantineConclusion> conclusions;
 };
 
 /// Evidence for one peer.
@@ -34,8 +35,14 @@
 class ByteBudget
 {
 public:
+    /// Adds the bytes that were earned since the last call.
+    void earn(double bytesPerSecond, SteadyTime now);
+
     /// Returns whether anything may be sent now. The next bytes may exceed what is left.
-    bool hasCredit(double bytesPerSecond, SteadyTime now);
+    bool hasCredit() const;
+
+    /// Returns whether what can't wait may be sent now. It may use the bytes of the next seconds.
+    bool hasUrgentCredit() const;
 
     void spend(std::size_t bytes);
 
@@ -50,8 +57,10 @@
 /// The suspect table of an entry, shared with the other entries along their tree. Each entry sends all that it learns
 /// to its parent, so that the crashes that a trait explains are added up on the way to the root. To its children, and
 /// to other entries that it hears from, it sends only crashes with a trait that has several, and that such a trait is
-/// cleared. An item is sent to a peer until the peer confirms it; what can change a decision goes first. An entry that
-/// starts introduces itself to one other entry. Logs each change of the quarantines.
+/// cleared. The root, which gets all reports, concludes the quarantines. Its conclusions go to all entries, so that the
+/// same ones hold everywhere. An entry without a reachable parent is the root of those that it reaches. An item is sent
+/// to a peer until the peer confirms it; what can change a decision goes first. An entry that starts introduces itself
+/// to one other entry. Logs each change of the quarantines.
 ///
 /// Has no network, clock or thread of its own; the messages are exchanged by EntryExchange. Not thread-safe.
 class SharedSuspects
@@ -88,6 +97,12 @@
     void recordSent(const std::string &peer, const EvidenceBatch &batch, std::optional<std::uint64_t> peerStart,
                     SteadyTime now);
 
+    /// Quarantines the traits that have been chosen for long enough.
+    void settle(SteadyTime now);
+
+    /// Returns whether a message to a peer is on its way.
+    bool isSending() const;
+
     /// Forgets what is too old, and peers that are no longer in the tree.
     void prune(SteadyTime now);
 
@@ -97,7 +112,7 @@
     const SuspectTable &table() const;
 
 private:
-    using Content = std::variant<CrashReport, ClearedTrait>;
+    using Content = std::variant<CrashReport, ClearedTrait, QuarantineConclusion>;
 
     struct Item
     {
@@ -112,16 +127,26 @@
         SteadyTime heardAt;
         SteadyTime notifiedAt;
         bool isBusy = false; ///< a message is on its way
+        bool getsUrgentOnly = false; ///< in this message, for lack of budget
     };
 
     void add(Content content, const std::string &sender);
     void applyItem(const CrashReport &report, const std::string &peer, SteadyTime now);
     void applyItem(const ClearedTrait &cleared, const std::string &peer, SteadyTime now);
+    void applyItem(const QuarantineConclusion &conclusion, const std::string &peer, SteadyTime now);
+    void discardSurplus();
+    void updateRole(SteadyTime now);
     void publishChanges(const std::string &source);
     void recordPeerStart(const std::string &peer, std::uint64_t start, SteadyTime now);
     bool hasNewsFor(const std::string &peer, bool isParent) const;
+    bool isConcludedBy(RequestTrait trait, const std::string &peer) const;
+    bool hasUrgentNewsFor(const std::string &peer) const;
+    bool isUrgentFor(const Item &item, const std::string &peer) const;
+    bool mayNotify(const std::string &peer, const Peer &state, bool isHeartbeat, SteadyTime now) const;
     bool isRelevant(const Item &item, const std::string &peer) const;
-    bool hasCrashWith(RequestTrait trait, const std::string &peer) const;
+    bool isOpenSuspect(RequestTrait trait) const;
+    CrashReport relevantPart(const CrashReport &report) const;
+    bool isSuspectedBy(RequestTrait trait, const std::string &peer) const;
     std::vector<const Item *> newsFor(const std::string &peer, bool isParent) const;
     std::size_t priority(const Item &item) const;
     SteadyTime notifiedAt(const std::string &peer) const;
--- a/include/zinniadock/process/suspecttable.h
+++ b/include/zinniadock/process/suspecttable.h
@@ -9,6 +9,8 @@
 #include <vector>
 
 #include "zinniadock/process/crashreport.h"
+#include "zinniadock/process/quarantinechoice.h"
+#include "zinniadock/process/responsehistory.h"
 
 namespace zinniadock
 {
@@ -16,9 +18,12 @@
 /// When requests are quarantined.
 struct QuarantinePolicy
 {
-    /// Crashes, one after another, after which requests with a trait are quarantined.
+    /// Crashes after which requests with a trait are quarantined, see chooseQuarantines().
     std::size_t minCrashes = 3;
 
+    /// Whether a trait is held back for \c settlingTime also if its crashes came one after another.
+    bool alwaysSettles = false;
+
     /// Time without a crash after which one request is let through as a trial. It doubles with each further crash.
     std::chrono::milliseconds firstTrialDelay{ 60000 };
 };
@@ -28,9 +33,10 @@
 {
     RequestTrait trait = 0;
     std::size_t position = 0; ///< of the trait among the traits of the request
-    std::size_t crashes = 0; ///< crashes, one after another, that the trait explains
+    std::size_t crashes = 0; ///< that speak against the trait
     std::string lastServer; ///< ID of the last server that crashed
-    std::chrono::milliseconds timeLeft{ 0 }; ///< until the next trial
+    std::chrono::milliseconds timeLeft{ 0 }; ///< until the next trial, or until the request is no longer held back
+    bool isProvisional = false; ///< held back until the reports of other entries on the same crashes have arrived
 };
 
 /// A change of the set of quarantined traits.
@@ -47,13 +53,11 @@
     SteadyTime at; ///< of the response
 };
 
-/// Determines which requests crash servers, from reports of crashes and from responses.
+/// Determines which requests crash servers, from reports of crashes, from responses, and from the conclusions of other
+/// entries. See chooseQuarantines() for the decision.
 ///
-/// A trait is quarantined after \c minCrashes runs of requests with it that ended in a crash, one after another, and if
-/// no server has responded to such a request since. Runs that overlap count once, since a single event may end several
-/// servers, and with them frequent requests on each of them. If several traits explain the same crashes, the one is
-/// quarantined that explains most; if they explain the same number, one further crash is awaited, unless the other
-/// trait only occurs in the same requests.
+/// Reports of the same crashes arrive one after another. A trait that is chosen because of crashes at the same time is
+/// first held back for \c settlingTime, and quarantined if it is still chosen then.
 ///
 /// Has no network, clock or thread of its own. Not thread-safe.
 class SuspectTable
@@ -63,11 +67,18 @@
     ///                     requests through at the same moment
     explicit SuspectTable(const QuarantinePolicy &policy = {}, double trialSpread = 0);
 
+    /// Sets whether this table concludes quarantines itself, which is the default. Otherwise it only adopts the
+    /// conclusions of other entries: in a fleet the entry that gets all reports concludes.
+    void setConcludes(bool concludes);
+
     /// Records a crash. Returns whether it was not known. Complexity: linear in the known runs.
     bool recordCrash(const CrashReport &report, SteadyTime now);
 
+    /// Records a quarantine that another entry has concluded. Returns whether this is new.
+    bool recordConclusion(const QuarantineConclusion &conclusion, SteadyTime now);
+
     /// Records that a server responded to a request with these traits.
-    /// Complexity: constant if none of them is suspected.
+    /// Complexity: constant for each trait if none of them is suspected.
     void recordResponse(const RequestTraits &traits, SteadyTime at);
 
     /// Records that a trait was cleared elsewhere. Returns whether this is new.
@@ -78,7 +89,8 @@
     /// \param requestId  the request of a trial may be checked several times
     std::optional<Quarantine> findQuarantine(const RequestTraits &traits, const std::string &requestId, SteadyTime now);
 
-    /// Returns the max number of crashes, one after another, that a trait of a request has in common.
+    /// Returns the max number of crashes that a trait of a request has in common; of a trait that had a response
+    /// before, the number of crashes one after another.
     std::size_t crashCount(const RequestTraits &traits) const;
 
     /// Returns whether no crash is known, so that no request needs to be checked.
@@ -87,37 +99,46 @@
     /// Returns the cleared traits that other processes may suspect and have not been told about, once each.
     std::vector<ClearedTrait> takeClearedToShare();
 
+    /// Returns whether a trait of a request has never had a response, and a server has crashed on it.
+    bool isSuspect(const RequestTraits &traits) const;
+
+    /// Returns the quarantines that this table has concluded and other processes have not been told about, once each.
+    std::vector<QuarantineConclusion> takeConclusionsToShare();
+
     /// Returns the changes of quarantined traits since the last call.
     std::vector<QuarantineChange> takeChanges();
 
+    /// Returns whether a trait is in quarantine.
+    bool isQuarantined(RequestTrait trait) const;
+
     /// Returns the number of traits in quarantine.
     std::size_t quarantineCount() const;
 
+    /// Returns the number of traits that are chosen and not yet in quarantine.
+    std::size_t settlingCount() const;
+
     /// Returns the number of known crash reports.
     std::size_t reportCount() const;
 
-    /// Forgets crashes that are too long ago.
+    /// Quarantines the traits that have been chosen for long enough.
+    void settle(SteadyTime now);
+
+    /// Forgets crashes that are too long ago. Includes settle().
     void prune(SteadyTime now);
 
 private:
-    /// A run that ended in a crash, as it concerns one trait.
-    struct Run
-    {
-        std::uint64_t crash = 0; ///< the same for all reports of one crash
-        std::uint64_t report = 0;
-        std::uint64_t id = 0; ///< of the run in its report
-        std::size_t request = 0; ///< hash of the request ID
-        std::size_t position = 0; ///< of the trait in the request
-        SteadyTime begin;
-        SteadyTime end;
-    };
-
     struct TraitState
     {
-        std::vector<Run> runs; ///< by end
-        SteadyTime clearedAt;
+        std::vector<CrashedRun> runs; ///< by end
+        SteadyTime clearedAt; ///< last response; the epoch if there was none
         SteadyTime sharedClearedAt;
-        std::size_t crashes = 0; ///< crashes that the trait explains if it is in quarantine, otherwise 0
+        bool isAsked = false; ///< another entry does not know of the last response
+        std::size_t crashes = 0; ///< that speak against the trait if it is in quarantine, otherwise 0
+        std::optional<SteadyTime> chosenSince; ///< while the trait is chosen, but not yet in quarantine
+        bool isHeld = false; ///< requests are refused meanwhile
+        bool isConcluded = false; ///< by another entry, or by this one
+        std::size_t sharedCrashes = 0; ///< crashes that other entries know as a conclusion
+        std::size_t position = 0;
         SteadyTime trialAt;
         std::string trialRequest;
     };
@@ -128,37 +149,49 @@
         std::uint64_t crash = 0;
     };
 
-    /// A trait that may explain crashes.
-    struct Candidate
+    struct KnownCrash
     {
-        RequestTrait trait = 0;
-        std::size_t crashes = 0;
-        std::size_t position = 0;
-        std::vector<const Run *> runs;
+        ServerCrash crash;
+        std::uint64_t id = 0;
     };
 
-    std::uint64_t crashOf(const CrashReport &report);
+    std::uint64_t crashOf(const ServerCrash &crash);
+    TraitState &stateOf(RequestTrait trait);
+    static void insertRun(TraitState &state, const CrashedRun &run);
 
     /// Returns whether a run of a trait has ended after one time and not after another.
     static bool hasRunBetween(const TraitState &state, SteadyTime after, SteadyTime until);
-    void review();
-    std::vector<Candidate> candidates(const std::vector<std::uint64_t> &explained) const;
-    std::vector<const Run *> openRuns(const TraitState &state, const std::vector<std::uint64_t> &explained) const;
-    std::optional<Candidate> chooseCandidate(const std::vector<std::uint64_t> &explained) const;
-    bool isAmbiguous(const Candidate &best, const std::vector<Candidate> &others) const;
+    static std::vector<const CrashedRun *> openRuns(const TraitState &state);
+    std::vector<TraitEvidence> evidence() const;
+    std::vector<CrashTime> crashTimes() const;
+    void review(SteadyTime now);
+    void applyChoice(RequestTrait trait, TraitState &state, const QuarantineChoice *choice, SteadyTime now);
     void setCrashes(RequestTrait trait, TraitState &state, std::size_t crashes);
+    std::chrono::milliseconds settlingTimeOf(const QuarantineChoice &choice) const;
+    void setChosen(TraitState &state, std::optional<SteadyTime> since);
+    static bool contradicts(const TraitState &state, const QuarantineConclusion &conclusion);
+    QuarantineConclusion conclude(RequestTrait trait, const TraitState &state) const;
     SteadyTime releaseTime(const TraitState &state) const;
     Quarantine describe(RequestTrait trait, const TraitState &state, SteadyTime now) const;
+    Quarantine describeHold(RequestTrait trait, const TraitState &state, SteadyTime now) const;
+    std::optional<Quarantine> findTraitQuarantine(RequestTrait trait, const std::string &requestId, SteadyTime now);
+    const ServerCrash *findCrash(std::uint64_t id) const;
     void forget(const KnownReport &known);
+    void pruneReports(SteadyTime now);
     bool supportsQuarantine(const KnownReport &known) const;
 
     const QuarantinePolicy m_policy;
     const double m_trialSpread;
+    ResponseHistory m_history;
     std::deque<KnownReport> m_reports;
+    std::deque<KnownCrash> m_crashes;
     std::unordered_map<RequestTrait, TraitState> m_traits;
     std::uint64_t m_nextCrash = 1;
     std::size_t m_quarantineCount = 0;
-    bool m_mayShare = false; ///< something has changed since takeClearedToShare()
+    std::size_t m_settlingCount = 0;
+    bool m_concludes = true;
+    bool m_mayShareCleared = false; ///< something has changed since takeClearedToShare()
+    bool m_mayShareConclusions = false; ///< something has changed since takeConclusionsToShare()
     std::vector<QuarantineChange> m_changes;
 };
 
--- a/src/process/entryexchange.cpp
+++ b/src/process/entryexchange.cpp
@@ -37,6 +37,7 @@
 {
     const auto now = std::chrono::steady_clock::now();
     updateFleet();
+    m_suspects.settle(now);
     sendNotices();
     if (!m_limiter.isActive(now)) {
         return;
--- a/src/process/entrymessages.cpp
+++ b/src/process/entrymessages.cpp
@@ -40,11 +40,13 @@
     return std::isfinite(permits) ? std::clamp(permits, 0.0, maxRequestLimit) : 0;
 }
 
-// Crashes are arrays of ID, server, age in milliseconds and runs; a run is an array of a hash of the request ID,
-// duration in milliseconds and traits. Cleared traits are arrays of trait and age.
+// Crashes are arrays of ID, server, age in milliseconds, runs and start time of the server; a run is an array of a hash
+// of the request ID, duration in milliseconds and traits. Cleared traits are arrays of trait and age. Conclusions are
+// arrays of trait, position and crashes; such a crash is an array of server, start time of the server and age.
 
 constexpr std::size_t maxRunsPerCrash = 64;
 constexpr std::size_t maxTraitsPerRun = 64;
+constexpr std::size_t maxCrashesPerConclusion = 64;
 
 std::int64_t ageOf(SteadyTime at, SteadyTime now)
 {
@@ -64,7 +66,7 @@
         const auto request = static_cast<std::uint32_t>(stableHash(run.requestId));
         runs.push_back(Json::array({ request, run.duration.count(), run.traits }));
     }
-    return Json::array({ report.id, report.server, ageOf(report.at, now), std::move(runs) });
+    return Json::array({ report.id, report.server, ageOf(report.at, now), std::move(runs), report.serverStartTimeMs });
 }
 
 CrashReport crashFromRow(const Json &row, SteadyTime now)
@@ -73,6 +75,7 @@
     report.id = row.at(0).get<std::uint64_t>();
     report.server = row.at(1).get<std::string>();
     report.at = now - durationFromJson(row.at(2));
+    report.serverStartTimeMs = row.size() > 4 ? row.at(4).get<std::int64_t>() : 0;
     for (const Json &run : row.at(3)) {
         auto traits = run.at(2).get<RequestTraits>();
         if (report.runs.size() < maxRunsPerCrash && traits.size() <= maxTraitsPerRun) {
@@ -84,6 +87,31 @@
     return report;
 }
 
+Json toRow(const QuarantineConclusion &conclusion, SteadyTime now)
+{
+    Json crashes = Json::array();
+    for (const ServerCrash &crash : conclusion.crashes) {
+        crashes.push_back(Json::array({ crash.server, crash.serverStartTimeMs, ageOf(crash.at, now) }));
+    }
+    return Json::array({ conclusion.trait, conclusion.position, std::move(crashes), conclusion.hadResponse });
+}
+
+QuarantineConclusion conclusionFromRow(const Json &row, SteadyTime now)
+{
+    QuarantineConclusion conclusion{ .trait = row.at(0).get<RequestTrait>(),
+                                     .position = row.at(1).get<std::size_t>(),
+                                     .hadResponse = row.at(3).get<bool>(),
+                                     .crashes = {} };
+    for (const Json &crash : row.at(2)) {
+        if (conclusion.crashes.size() < maxCrashesPerConclusion) {
+            conclusion.crashes.push_back({ .server = crash.at(0).get<std::string>(),
+                                           .serverStartTimeMs = crash.at(1).get<std::int64_t>(),
+                                           .at = now - durationFromJson(crash.at(2)) });
+        }
+    }
+    return conclusion;
+}
+
 Json toJson(const CrashEvidence &evidence, SteadyTime now)
 {
     Json crashes = Json::array();
@@ -94,7 +122,11 @@
     for (const ClearedTrait &each : evidence.cleared) {
         cleared.push_back(Json::array({ each.trait, ageOf(each.at, now) }));
     }
-    return Json::array({ std::move(crashes), std::move(cleared) });
+    Json conclusions = Json::array();
+    for (const QuarantineConclusion &conclusion : evidence.conclusions) {
+        conclusions.push_back(toRow(conclusion, now));
+    }
+    return Json::array({ std::move(crashes), std::move(cleared), std::move(conclusions) });
 }
 
 CrashEvidence evidenceFromJson(const Json &value, SteadyTime now)
@@ -106,6 +138,9 @@
     for (const Json &row : value.at(1)) {
         evidence.cleared.push_back({ row.at(0).get<RequestTrait>(), now - durationFromJson(row.at(1)) });
     }
+    for (const Json &row : value.size() > 2 ? value.at(2) : Json::array()) {
+        evidence.conclusions.push_back(conclusionFromRow(row, now));
+    }
     return evidence;
 }
 
--- a/src/process/sharedsuspects.cpp
+++ b/src/process/sharedsuspects.cpp
@@ -24,12 +24,17 @@
 constexpr std::size_t runBytes = 10; ///< without traits
 constexpr std::size_t crashBytes = 32; ///< without runs
 constexpr std::size_t clearedBytes = 14;
+constexpr std::size_t conclusionBytes = 16; ///< without crashes
+constexpr std::size_t concludedCrashBytes = 26;
 
 /// Average bytes per second that an entry sends about crashes. It receives as much from its neighbours.
 constexpr double largeFleetBytesPerSecond = 600;
 constexpr double smallFleetBytesPerSecond = 4000;
 constexpr double burstBytes = 6000;
 
+/// Interval between two notices to a child about reports, in a large fleet. Conclusions do not wait.
+constexpr std::chrono::milliseconds childNoticeInterval{ 500 };
+
 /// Interval at which an entry with evidence sends a notice to its parent also without news. By it an entry learns that
 /// its parent has restarted, and a parent learns which entries have chosen it.
 constexpr std::chrono::milliseconds heartbeatInterval{ 10000 };
@@ -40,30 +45,76 @@
 /// An entry that was not heard from for this time is no longer a neighbour.
 constexpr std::chrono::milliseconds neighbourTimeout{ 25000 };
 
+SteadyTime timeOf(const CrashReport &report)
+{
+    return report.at;
+}
+
+SteadyTime timeOf(const ClearedTrait &cleared)
+{
+    return cleared.at;
+}
+
+SteadyTime timeOf(const QuarantineConclusion &conclusion)
+{
+    return conclusion.crashes.back().at;
+}
+
 template <typename Content>
 SteadyTime observedAt(const Content &content)
 {
     return std::visit(
         [](const auto &item) {
-            return item.at;
+            return timeOf(item);
         },
         content);
 }
 
-template <typename Content>
-std::size_t messageBytes(const Content &content)
+std::size_t bytesOf(const CrashReport &report)
 {
-    const auto *report = std::get_if<CrashReport>(&content);
-    if (!report) {
-        return clearedBytes;
-    }
     std::size_t bytes = crashBytes;
-    for (const EndedRun &run : report->runs) {
+    for (const EndedRun &run : report.runs) {
         bytes += runBytes + traitBytes * run.traits.size();
     }
     return bytes;
 }
 
+std::size_t bytesOf(const ClearedTrait & /*cleared*/)
+{
+    return clearedBytes;
+}
+
+std::size_t bytesOf(const QuarantineConclusion &conclusion)
+{
+    return conclusionBytes + concludedCrashBytes * conclusion.crashes.size();
+}
+
+/// Adds an item of a message.
+void append(CrashEvidence &evidence, const CrashReport &report)
+{
+    evidence.crashes.push_back(report);
+}
+
+void append(CrashEvidence &evidence, const ClearedTrait &cleared)
+{
+    evidence.cleared.push_back(cleared);
+}
+
+void append(CrashEvidence &evidence, const QuarantineConclusion &conclusion)
+{
+    evidence.conclusions.push_back(conclusion);
+}
+
+template <typename Content>
+std::size_t messageBytes(const Content &content)
+{
+    return std::visit(
+        [](const auto &item) {
+            return bytesOf(item);
+        },
+        content);
+}
+
 /// Records that a peer knows the items with a content that satisfies \p matches.
 template <typename Content, typename Items, typename Predicate>
 void markKnown(Items &items, const std::string &peer, Predicate matches)
@@ -85,7 +136,7 @@
 
 } // namespace
 
-bool ByteBudget::hasCredit(double bytesPerSecond, SteadyTime now)
+void ByteBudget::earn(double bytesPerSecond, SteadyTime now)
 {
     if (!m_creditedUntil) {
         m_credit = burstBytes;
@@ -94,9 +145,18 @@
         m_credit = std::min(m_credit + elapsed.count() * bytesPerSecond, burstBytes);
     }
     m_creditedUntil = now;
+}
+
+bool ByteBudget::hasCredit() const
+{
     return m_credit > 0;
 }
 
+bool ByteBudget::hasUrgentCredit() const
+{
+    return m_credit > -burstBytes;
+}
+
 void ByteBudget::refund(std::size_t bytes)
 {
     m_credit += static_cast<double>(bytes);
@@ -110,7 +170,7 @@
 SharedSuspects::SharedSuspects(EntryTree &tree, std::uint64_t start)
     : m_tree(tree)
     , m_start(start)
-    , m_table({}, fractionOf(start))
+    , m_table({ .alwaysSettles = true }, fractionOf(start))
 {
 }
 
@@ -125,14 +185,37 @@
     if (!sender.empty()) {
         knownBy.insert(sender);
     }
+    if (const auto *conclusion = std::get_if<QuarantineConclusion>(&content)) {
+        std::erase_if(m_items, [trait = conclusion->trait](const Item &item) {
+            const auto *earlier = std::get_if<QuarantineConclusion>(&item.content);
+            return earlier && earlier->trait == trait;
+        });
+    }
     m_items.push_back({ m_nextNumber++, std::move(knownBy), std::move(content) });
-    if (m_items.size() > maxItems) {
-        m_items.pop_front();
+    discardSurplus();
+}
+
+// Reports are discarded first: what they led to is in the conclusions.
+void SharedSuspects::discardSurplus()
+{
+    if (m_items.size() <= maxItems) {
+        return;
     }
+    const auto report = std::find_if(m_items.begin(), m_items.end(), [](const Item &item) {
+        return std::holds_alternative<CrashReport>(item.content);
+    });
+    m_items.erase(report == m_items.end() ? m_items.begin() : report);
+}
+
+// All reports meet at the root. Any other entry knows a part of them, by which sound requests may look suspect.
+void SharedSuspects::updateRole(SteadyTime now)
+{
+    m_table.setConcludes(!m_tree.parent(now));
 }
 
 void SharedSuspects::recordCrash(const CrashReport &report, SteadyTime now)
 {
+    updateRole(now);
     if (m_table.recordCrash(report, now)) {
         add(report, "");
         publishChanges("");
@@ -141,8 +224,8 @@
 
 void SharedSuspects::recordResponse(const RequestTraits &traits, SteadyTime now)
 {
+    m_table.recordResponse(traits, now);
     if (!m_table.isEmpty()) {
-        m_table.recordResponse(traits, now);
         publishChanges("");
     }
 }
@@ -150,12 +233,15 @@
 std::optional<Quarantine> SharedSuspects::findQuarantine(const RequestTraits &traits, const std::string &requestId,
                                                          SteadyTime now)
 {
-    return m_table.findQuarantine(traits, requestId, now);
+    auto quarantine = m_table.findQuarantine(traits, requestId, now);
+    publishChanges("");
+    return quarantine;
 }
 
 void SharedSuspects::apply(const CrashEvidence &evidence, const std::string &peer, std::uint64_t peerStart,
                            SteadyTime now)
 {
+    updateRole(now);
     recordPeerStart(peer, peerStart, now);
     for (const CrashReport &report : evidence.crashes) {
         applyItem(report, peer, now);
@@ -163,6 +249,9 @@
     for (const ClearedTrait &cleared : evidence.cleared) {
         applyItem(cleared, peer, now);
     }
+    for (const QuarantineConclusion &conclusion : evidence.conclusions) {
+        applyItem(conclusion, peer, now);
+    }
     publishChanges(peer);
 }
 
@@ -188,8 +277,22 @@
     });
 }
 
+void SharedSuspects::applyItem(const QuarantineConclusion &conclusion, const std::string &peer, SteadyTime now)
+{
+    if (m_table.recordConclusion(conclusion, now)) {
+        add(conclusion, peer);
+        return;
+    }
+    markKnown<QuarantineConclusion>(m_items, peer, [&conclusion](const QuarantineConclusion &known) {
+        return known.trait == conclusion.trait && known.crashes.size() <= conclusion.crashes.size();
+    });
+}
+
 void SharedSuspects::publishChanges(const std::string &source)
 {
+    for (const QuarantineConclusion &conclusion : m_table.takeConclusionsToShare()) {
+        add(conclusion, "");
+    }
     for (const ClearedTrait &cleared : m_table.takeClearedToShare()) {
         add(cleared, "");
     }
@@ -230,17 +333,48 @@
 // One crash alone quarantines nothing, and a peer that does not know the crashes of a trait does not suspect it.
 bool SharedSuspects::isRelevant(const Item &item, const std::string &peer) const
 {
-    constexpr std::size_t minRelevantCrashes = 2;
+    if (std::holds_alternative<QuarantineConclusion>(item.content)) {
+        return true;
+    }
     const auto *cleared = std::get_if<ClearedTrait>(&item.content);
-    return cleared ? hasCrashWith(cleared->trait, peer) : priority(item) >= minRelevantCrashes;
+    if (cleared) {
+        return isSuspectedBy(cleared->trait, peer);
+    }
+    return !relevantPart(std::get<CrashReport>(item.content)).runs.empty();
 }
 
-bool SharedSuspects::hasCrashWith(RequestTrait trait, const std::string &peer) const
+bool SharedSuspects::isOpenSuspect(RequestTrait trait) const
+{
+    constexpr std::size_t minRelevantCrashes = 2;
+    return m_table.crashCount({ trait }) >= minRelevantCrashes && !m_table.isQuarantined(trait);
+}
+
+// Only these traits may get a response elsewhere that matters.
+CrashReport SharedSuspects::relevantPart(const CrashReport &report) const
+{
+    CrashReport part = report;
+    for (EndedRun &run : part.runs) {
+        std::erase_if(run.traits, [this](RequestTrait trait) {
+            return !isOpenSuspect(trait);
+        });
+    }
+    std::erase_if(part.runs, [](const EndedRun &run) {
+        return run.traits.empty();
+    });
+    return part;
+}
+
+bool SharedSuspects::isSuspectedBy(RequestTrait trait, const std::string &peer) const
 {
     return std::any_of(m_items.begin(), m_items.end(), [trait, &peer](const Item &item) {
+        if (!item.knownBy.contains(peer)) {
+            return false;
+        }
+        if (const auto *conclusion = std::get_if<QuarantineConclusion>(&item.content)) {
+            return conclusion->trait == trait;
+        }
         const auto *report = std::get_if<CrashReport>(&item.content);
-        return report && item.knownBy.contains(peer)
-            && std::any_of(report->runs.begin(), report->runs.end(), [trait](const EndedRun &run) {
+        return report && std::any_of(report->runs.begin(), report->runs.end(), [trait](const EndedRun &run) {
                    return std::find(run.traits.begin(), run.traits.end(), trait) != run.traits.end();
                });
     });
@@ -325,11 +459,10 @@
     if (m_items.empty() && !isHeartbeat) {
         return chosen;
     }
-    const auto parent = m_tree.parent(now);
+    m_budget.earn(bytesPerSecond(), now);
     for (const std::string &peer : neighbours(now)) {
         Peer &state = m_peers[peer];
-        const bool isNeeded = isHeartbeat || hasNewsFor(peer, parent == peer);
-        if (state.isBusy || !isNeeded || !m_budget.hasCredit(bytesPerSecond(), now)) {
+        if (!mayNotify(peer, state, isHeartbeat, now)) {
             continue;
         }
         if (isHeartbeat) {
@@ -338,25 +471,74 @@
         }
         state.isBusy = true;
         state.notifiedAt = now;
+        state.getsUrgentOnly = !m_budget.hasCredit();
         m_budget.spend(noticeBytes);
         chosen.push_back(peer);
     }
     return chosen;
 }
 
+bool SharedSuspects::mayNotify(const std::string &peer, const Peer &state, bool isHeartbeat, SteadyTime now) const
+{
+    if (state.isBusy) {
+        return false;
+    }
+    if (hasUrgentNewsFor(peer)) {
+        return m_budget.hasUrgentCredit();
+    }
+    if (!m_budget.hasCredit()) {
+        return false;
+    }
+    const bool isParent = m_tree.parent(now) == peer;
+    const bool isDue = isParent || m_tree.size() <= maxSmallFleetSize || now - state.notifiedAt >= childNoticeInterval;
+    return isHeartbeat || (isDue && hasNewsFor(peer, isParent));
+}
+
+// A conclusion, or that one has ended.
+bool SharedSuspects::isUrgentFor(const Item &item, const std::string &peer) const
+{
+    if (item.knownBy.contains(peer) || std::holds_alternative<CrashReport>(item.content)) {
+        return false;
+    }
+    const auto *cleared = std::get_if<ClearedTrait>(&item.content);
+    return !cleared || isConcludedBy(cleared->trait, peer);
+}
+
+bool SharedSuspects::isConcludedBy(RequestTrait trait, const std::string &peer) const
+{
+    return std::any_of(m_items.begin(), m_items.end(), [trait, &peer](const Item &item) {
+        const auto *conclusion = std::get_if<QuarantineConclusion>(&item.content);
+        return conclusion && conclusion->trait == trait && item.knownBy.contains(peer);
+    });
+}
+
+bool SharedSuspects::hasUrgentNewsFor(const std::string &peer) const
+{
+    return std::any_of(m_items.rbegin(), m_items.rend(), [this, &peer](const Item &item) {
+        return isUrgentFor(item, peer);
+    });
+}
+
 EvidenceBatch SharedSuspects::nextFor(const std::string &peer, SteadyTime now)
 {
     EvidenceBatch batch;
-    for (const Item *item : newsFor(peer, m_tree.parent(now) == peer)) {
-        const std::size_t itemBytes = messageBytes(item->content);
+    const bool isParent = m_tree.parent(now) == peer;
+    const bool sendsUrgentOnly = m_peers[peer].getsUrgentOnly;
+    for (const Item *item : newsFor(peer, isParent)) {
+        const auto *report = std::get_if<CrashReport>(&item->content);
+        if (sendsUrgentOnly && !isUrgentFor(*item, peer)) {
+            continue;
+        }
+        const Content content = report && !isParent ? relevantPart(*report) : item->content;
+        const std::size_t itemBytes = messageBytes(content);
         if (batch.bytes + itemBytes > maxBatchBytes && !batch.items.empty()) {
             break;
         }
-        if (const auto *report = std::get_if<CrashReport>(&item->content)) {
-            batch.evidence.crashes.push_back(*report);
-        } else {
-            batch.evidence.cleared.push_back(std::get<ClearedTrait>(item->content));
-        }
+        std::visit(
+            [&batch](const auto &part) {
+                append(batch.evidence, part);
+            },
+            content);
         batch.items.insert(item->number);
         batch.bytes += itemBytes;
     }
@@ -382,6 +564,20 @@
     }
 }
 
+void SharedSuspects::settle(SteadyTime now)
+{
+    updateRole(now);
+    m_table.settle(now);
+    publishChanges("");
+}
+
+bool SharedSuspects::isSending() const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [](const auto &peer) {
+        return peer.second.isBusy;
+    });
+}
+
 void SharedSuspects::prune(SteadyTime now)
 {
     std::erase_if(m_items, [now](const Item &item) {
--- a/src/process/suspecttable.cpp
+++ b/src/process/suspecttable.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <functional>
 #include <map>
-#include <set>
 #include <utility>
 
 namespace zinniadock
@@ -25,12 +24,17 @@
 /// Time for the trial request to get a response. Then another request may be the trial.
 constexpr std::chrono::milliseconds trialTimeout{ 15000 };
 
-/// Entries see the crash of one server at most this far apart.
-constexpr std::chrono::milliseconds sameCrashTolerance{ 1000 };
+/// Time in which the reports of other entries on the same crashes arrive.
+constexpr std::chrono::milliseconds settlingTime{ 250 };
 
-/// Two runs of different requests count as one after another only if there is this time between them, since the clocks
-/// of two entries are compared through messages.
-constexpr std::chrono::milliseconds minGapBetweenRuns{ 50 };
+/// Time in which all entries report their responses to a suspect.
+constexpr std::chrono::milliseconds longSettlingTime{ 1000 };
+
+/// Max number of crashes that a conclusion names. It bounds the size of messages.
+constexpr std::size_t maxConcludedCrashes = 8;
+
+/// Max number of crashes whose servers are kept, to recognise them in later reports.
+constexpr std::size_t maxCrashes = 1024;
 
 } // namespace
 
@@ -40,6 +44,11 @@
 {
 }
 
+void SuspectTable::setConcludes(bool concludes)
+{
+    m_concludes = concludes;
+}
+
 bool SuspectTable::recordCrash(const CrashReport &report, SteadyTime now)
 {
     const bool isKnown = std::any_of(m_reports.begin(), m_reports.end(), [&report](const KnownReport &known) {
@@ -49,57 +58,133 @@
         return false;
     }
     prune(now);
-    const std::uint64_t crash = crashOf(report);
+    const std::uint64_t crash = crashOf({ report.server, report.serverStartTimeMs, report.at });
     std::uint64_t runId = 0;
     for (const EndedRun &ended : report.runs) {
         ++runId;
         for (std::size_t position = 0; position < ended.traits.size(); ++position) {
-            std::vector<Run> &runs = m_traits[ended.traits[position]].runs;
-            const Run run{ .crash = crash,
-                           .report = report.id,
-                           .id = runId,
-                           .request = std::hash<std::string>()(ended.requestId),
-                           .position = position,
-                           .begin = report.at - ended.duration,
-                           .end = report.at };
-            const auto later = std::find_if(runs.begin(), runs.end(), [&run](const Run &each) {
-                return each.end > run.end;
-            });
-            runs.insert(later, run);
+            insertRun(stateOf(ended.traits[position]),
+                      { .crash = crash,
+                        .report = report.id,
+                        .id = runId,
+                        .request = std::hash<std::string>()(ended.requestId),
+                        .position = position,
+                        .begin = report.at - ended.duration,
+                        .end = report.at });
         }
     }
     m_reports.push_back({ report, crash });
-    m_mayShare = true;
-    review();
+    m_mayShareCleared = true;
+    review(now);
     return true;
 }
 
-std::uint64_t SuspectTable::crashOf(const CrashReport &report)
+bool SuspectTable::recordConclusion(const QuarantineConclusion &conclusion, SteadyTime now)
+{
+    if (conclusion.crashes.empty() || now - conclusion.crashes.back().at > quarantineRetention) {
+        return false;
+    }
+    TraitState &state = stateOf(conclusion.trait);
+    if (contradicts(state, conclusion)) {
+        state.isAsked = true;
+        state.sharedClearedAt = SteadyTime();
+        m_mayShareCleared = true;
+        return false;
+    }
+    bool isNews = !state.isConcluded && state.crashes == 0;
+    for (const ServerCrash &each : conclusion.crashes) {
+        const std::uint64_t crash = crashOf(each);
+        const bool isKnown = std::any_of(state.runs.begin(), state.runs.end(), [crash](const CrashedRun &run) {
+            return run.crash == crash;
+        });
+        if (!isKnown) {
+            const std::string id = each.server + toText(conclusion.trait);
+            insertRun(state,
+                      { .crash = crash,
+                        .report = 0,
+                        .id = std::hash<std::string>()(id),
+                        .request = std::hash<std::string>()(each.server),
+                        .position = conclusion.position,
+                        .begin = each.at,
+                        .end = each.at });
+            isNews = true;
+        }
+    }
+    if (openRuns(state).empty()) {
+        return false;
+    }
+    state.isConcluded = true;
+    state.sharedCrashes = std::max(state.sharedCrashes, conclusion.crashes.size());
+    review(now);
+    return isNews;
+}
+
+// The entry that has concluded does not know of a response. It decides again when it does.
+bool SuspectTable::contradicts(const TraitState &state, const QuarantineConclusion &conclusion)
+{
+    return !conclusion.hadResponse && state.clearedAt != SteadyTime();
+}
+
+// What a report says of a crash replaces what a conclusion says of it.
+void SuspectTable::insertRun(TraitState &state, const CrashedRun &run)
 {
-    const auto same = std::find_if(m_reports.begin(), m_reports.end(), [&report](const KnownReport &known) {
-        const auto apart = std::chrono::abs(known.report.at - report.at);
-        return known.report.server == report.server && apart <= sameCrashTolerance;
+    std::erase_if(state.runs, [&run](const CrashedRun &each) {
+        return each.report == 0 && each.crash == run.crash;
+    });
+    const auto later = std::find_if(state.runs.begin(), state.runs.end(), [&run](const CrashedRun &each) {
+        return each.end > run.end;
     });
-    return same == m_reports.end() ? m_nextCrash++ : same->crash;
+    state.runs.insert(later, run);
 }
 
-void SuspectTable::recordResponse(const RequestTraits &traits, SteadyTime at)
+SuspectTable::TraitState &SuspectTable::stateOf(RequestTrait trait)
 {
-    if (m_traits.empty()) {
-        return;
+    const auto [position, isNew] = m_traits.try_emplace(trait);
+    if (isNew) {
+        position->second.clearedAt = m_history.lastResponse(trait).value_or(SteadyTime());
     }
+    return position->second;
+}
+
+std::uint64_t SuspectTable::crashOf(const ServerCrash &crash)
+{
+    const auto same = std::find_if(m_crashes.begin(), m_crashes.end(), [&crash](const KnownCrash &known) {
+        return isSameCrash(known.crash, crash);
+    });
+    if (same != m_crashes.end()) {
+        return same->id;
+    }
+    if (m_crashes.size() >= maxCrashes) {
+        m_crashes.pop_front();
+    }
+    m_crashes.push_back({ crash, m_nextCrash });
+    return m_nextCrash++;
+}
+
+const ServerCrash *SuspectTable::findCrash(std::uint64_t id) const
+{
+    const auto found = std::find_if(m_crashes.begin(), m_crashes.end(), [id](const KnownCrash &known) {
+        return known.id == id;
+    });
+    return found == m_crashes.end() ? nullptr : &found->crash;
+}
+
+void SuspectTable::recordResponse(const RequestTraits &traits, SteadyTime at)
+{
     bool clearsRuns = false;
     for (const RequestTrait trait : traits) {
+        m_history.record(trait, at);
         const auto found = m_traits.find(trait);
         if (found == m_traits.end() || found->second.clearedAt >= at) {
             continue;
         }
-        clearsRuns = clearsRuns || !openRuns(found->second, {}).empty();
+        clearsRuns = clearsRuns || !openRuns(found->second).empty();
         found->second.clearedAt = at;
-        m_mayShare = true;
+        found->second.isConcluded = false;
+        m_mayShareCleared = true;
     }
     if (clearsRuns) {
-        review();
+        review(at);
     }
 }
 
@@ -109,145 +194,125 @@
     if (now - cleared.at > retention) {
         return false;
     }
-    TraitState &state = m_traits[cleared.trait];
+    TraitState &state = stateOf(cleared.trait);
     // Others may not have seen the response by which this process has cleared the trait.
-    const bool isNews = !isSuspected || hasRunBetween(state, state.sharedClearedAt, cleared.at);
+    const bool isFirst = state.sharedClearedAt == SteadyTime();
+    const bool isNews = !isSuspected || isFirst || hasRunBetween(state, state.sharedClearedAt, cleared.at);
     state.sharedClearedAt = std::max(state.sharedClearedAt, cleared.at);
     if (state.clearedAt < cleared.at) {
         state.clearedAt = cleared.at;
-        review();
+        state.isConcluded = false;
+        review(now);
     }
     return isNews;
 }
 
 bool SuspectTable::hasRunBetween(const TraitState &state, SteadyTime after, SteadyTime until)
 {
-    return std::any_of(state.runs.begin(), state.runs.end(), [after, until](const Run &run) {
+    return std::any_of(state.runs.begin(), state.runs.end(), [after, until](const CrashedRun &run) {
         return run.end > after && run.end <= until;
     });
 }
 
-std::vector<const SuspectTable::Run *> SuspectTable::openRuns(const TraitState &state,
-                                                              const std::vector<std::uint64_t> &explained) const
+std::vector<const CrashedRun *> SuspectTable::openRuns(const TraitState &state)
 {
-    std::vector<const Run *> runs;
-    for (const Run &run : state.runs) {
-        const bool isExplained = std::find(explained.begin(), explained.end(), run.crash) != explained.end();
-        if (run.end > state.clearedAt && !isExplained) {
+    std::vector<const CrashedRun *> runs;
+    for (const CrashedRun &run : state.runs) {
+        if (run.end > state.clearedAt) {
             runs.push_back(&run);
         }
     }
     return runs;
 }
 
-namespace
-{
-
-/// Returns the number of runs that ended one after another. An attempt of a request always follows its attempt before.
-/// \pre runs are sorted by their end
-template <typename Run>
-std::size_t countSequential(const std::vector<const Run *> &runs)
+// Traits with fewer crashes can't be chosen.
+std::vector<TraitEvidence> SuspectTable::evidence() const
 {
-    std::size_t count = 0;
-    SteadyTime lastEnd;
-    std::map<std::size_t, SteadyTime> attemptEnds; ///< end of the last run of each request
-    for (const Run *run : runs) {
-        const auto attempt = attemptEnds.find(run->request);
-        const bool isNextAttempt = attempt != attemptEnds.end() && run->begin >= attempt->second;
-        if (count == 0 || isNextAttempt || run->begin >= lastEnd + minGapBetweenRuns) {
-            ++count;
-            lastEnd = run->end;
+    std::vector<TraitEvidence> all;
+    for (const auto &[trait, state] : m_traits) {
+        if (!state.isConcluded && (state.runs.size() < m_policy.minCrashes || !m_concludes)) {
+            continue;
+        }
+        TraitEvidence each{ .trait = trait, .runs = openRuns(state), .hadResponse = false, .isConcluded = false };
+        if (each.runs.size() >= m_policy.minCrashes || state.isConcluded) {
+            each.hadResponse = state.clearedAt != SteadyTime();
+            each.isConcluded = state.isConcluded;
+            all.push_back(std::move(each));
         }
-        attemptEnds[run->request] = run->end;
     }
-    return count;
+    return all;
 }
 
-template <typename Run>
-std::set<std::pair<std::uint64_t, std::uint64_t>> runKeys(const std::vector<const Run *> &runs)
+std::vector<CrashTime> SuspectTable::crashTimes() const
 {
-    std::set<std::pair<std::uint64_t, std::uint64_t>> keys;
-    for (const Run *run : runs) {
-        keys.emplace(run->report, run->id);
+    std::vector<CrashTime> times;
+    for (const KnownCrash &known : m_crashes) {
+        times.push_back({ .crash = known.id, .at = known.crash.at });
     }
-    return keys;
+    std::sort(times.begin(), times.end(), [](const CrashTime &left, const CrashTime &right) {
+        return left.at < right.at;
+    });
+    return times;
 }
 
-} // namespace
+void SuspectTable::review(SteadyTime now)
+{
+    const std::vector<QuarantineChoice> choices = chooseQuarantines(evidence(), crashTimes(), m_policy.minCrashes);
+    std::map<RequestTrait, const QuarantineChoice *> chosen;
+    for (const QuarantineChoice &choice : choices) {
+        chosen[choice.trait] = &choice;
+    }
+    for (auto &[trait, state] : m_traits) {
+        const auto found = chosen.find(trait);
+        applyChoice(trait, state, found == chosen.end() ? nullptr : found->second, now);
+    }
+}
 
-std::vector<SuspectTable::Candidate> SuspectTable::candidates(const std::vector<std::uint64_t> &explained) const
+void SuspectTable::applyChoice(RequestTrait trait, TraitState &state, const QuarantineChoice *choice, SteadyTime now)
 {
-    std::vector<Candidate> found;
-    for (const auto &[trait, state] : m_traits) {
-        Candidate candidate{ .trait = trait, .crashes = 0, .position = 0, .runs = openRuns(state, explained) };
-        candidate.crashes = countSequential(candidate.runs);
-        if (candidate.crashes < m_policy.minCrashes) {
-            continue;
-        }
-        const auto first
-            = std::min_element(candidate.runs.begin(), candidate.runs.end(), [](const Run *left, const Run *right) {
-                  return left->position < right->position;
-              });
-        candidate.position = (*first)->position;
-        found.push_back(std::move(candidate));
-    }
-    std::sort(found.begin(), found.end(), [](const Candidate &left, const Candidate &right) {
-        if (left.crashes != right.crashes) {
-            return left.crashes > right.crashes;
-        }
-        if (left.runs.size() != right.runs.size()) {
-            return left.runs.size() > right.runs.size();
-        }
-        return left.position != right.position ? left.position < right.position : left.trait < right.trait;
-    });
-    return found;
+    if (!choice) {
+        setChosen(state, std::nullopt);
+        setCrashes(trait, state, 0);
+        state.isConcluded = state.isConcluded && !openRuns(state).empty();
+        return;
+    }
+    state.position = choice->position;
+    const SteadyTime since = state.chosenSince.value_or(now);
+    if (state.crashes > 0 || state.isConcluded || now - since >= settlingTimeOf(*choice)) {
+        setChosen(state, std::nullopt);
+        setCrashes(trait, state, choice->crashes);
+        state.isConcluded = true;
+        return;
+    }
+    setChosen(state, since);
+    state.isHeld = choice->settling != Settling::Long;
 }
 
-// Another request may have run on the same servers each time, for example because its caller retries at the same time.
-// The next crash shows which of the two it is.
-bool SuspectTable::isAmbiguous(const Candidate &best, const std::vector<Candidate> &others) const
+std::chrono::milliseconds SuspectTable::settlingTimeOf(const QuarantineChoice &choice) const
 {
-    const auto bestRuns = runKeys(best.runs);
-    std::set<std::uint64_t> crashes;
-    for (const Run *run : best.runs) {
-        crashes.insert(run->crash);
+    switch (choice.settling) {
+    case Settling::None:
+        return m_policy.alwaysSettles ? settlingTime : std::chrono::milliseconds(0);
+    case Settling::Short:
+        return settlingTime;
+    case Settling::Long:
+        break;
     }
-    return std::any_of(others.begin(), others.end(), [&](const Candidate &other) {
-        const auto otherRuns = runKeys(other.runs);
-        const bool hasSameRequests
-            = std::includes(bestRuns.begin(), bestRuns.end(), otherRuns.begin(), otherRuns.end());
-        std::vector<const Run *> remaining = other.runs;
-        std::erase_if(remaining, [&crashes](const Run *run) {
-            return crashes.contains(run->crash);
-        });
-        return other.crashes == best.crashes && !hasSameRequests && countSequential(remaining) < m_policy.minCrashes;
-    });
+    return longSettlingTime;
 }
 
-std::optional<SuspectTable::Candidate> SuspectTable::chooseCandidate(const std::vector<std::uint64_t> &explained) const
+void SuspectTable::setChosen(TraitState &state, std::optional<SteadyTime> since)
 {
-    const std::vector<Candidate> all = candidates(explained);
-    const auto chosen = std::find_if(all.begin(), all.end(), [this, &all](const Candidate &candidate) {
-        return candidate.crashes > m_policy.minCrashes || !isAmbiguous(candidate, all);
-    });
-    return chosen == all.end() ? std::nullopt : std::optional(*chosen);
+    m_settlingCount += since && !state.chosenSince ? 1 : 0;
+    m_settlingCount -= !since && state.chosenSince ? 1 : 0;
+    state.chosenSince = since;
+    state.isHeld = state.isHeld && since;
 }
 
-// Chooses the trait that explains most crashes, then the one that explains most of the others, and so on. A trait of
-// sound requests that were running at the same crashes has nothing left to explain.
-void SuspectTable::review()
+void SuspectTable::settle(SteadyTime now)
 {
-    std::map<RequestTrait, std::size_t> chosen;
-    std::vector<std::uint64_t> explained;
-    while (const auto candidate = chooseCandidate(explained)) {
-        chosen[candidate->trait] = candidate->crashes;
-        for (const Run *run : candidate->runs) {
-            explained.push_back(run->crash);
-        }
-    }
-    for (auto &[trait, state] : m_traits) {
-        const auto found = chosen.find(trait);
-        setCrashes(trait, state, found == chosen.end() ? 0 : found->second);
+    if (m_settlingCount > 0) {
+        review(now);
     }
 }
 
@@ -256,7 +321,9 @@
     const bool wasQuarantined = state.crashes > 0;
     const bool isQuarantined = crashes > 0;
     state.crashes = crashes;
+    m_mayShareConclusions = m_mayShareConclusions || isQuarantined;
     if (wasQuarantined && !isQuarantined) {
+        state.sharedCrashes = 0;
         m_changes.push_back({ describe(trait, state, state.clearedAt), false });
         --m_quarantineCount;
     }
@@ -268,7 +335,8 @@
 
 SteadyTime SuspectTable::releaseTime(const TraitState &state) const
 {
-    const std::size_t doublings = std::min(state.crashes - m_policy.minCrashes, maxDoublings);
+    const std::size_t further = std::max(state.crashes, m_policy.minCrashes) - m_policy.minCrashes;
+    const std::size_t doublings = std::min(further, maxDoublings);
     const auto delay = (1U << doublings) * m_policy.firstTrialDelay;
     const auto spread = std::chrono::duration_cast<std::chrono::milliseconds>(m_trialSpread * delay);
     return state.runs.back().end + delay + spread;
@@ -276,58 +344,92 @@
 
 Quarantine SuspectTable::describe(RequestTrait trait, const TraitState &state, SteadyTime now) const
 {
-    const auto last = std::find_if(m_reports.rbegin(), m_reports.rend(), [&state](const KnownReport &known) {
-        return !state.runs.empty() && known.report.id == state.runs.back().report;
-    });
+    const ServerCrash *last = state.runs.empty() ? nullptr : findCrash(state.runs.back().crash);
     const SteadyTime release = state.crashes > 0 ? releaseTime(state) : now;
     return { .trait = trait,
-             .position = 0,
+             .position = state.position,
              .crashes = state.crashes,
-             .lastServer = last == m_reports.rend() ? std::string() : last->report.server,
+             .lastServer = last ? last->server : std::string(),
              .timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(std::max(release, now) - now) };
 }
 
+Quarantine SuspectTable::describeHold(RequestTrait trait, const TraitState &state, SteadyTime now) const
+{
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(*state.chosenSince + settlingTime - now);
+    Quarantine quarantine = describe(trait, state, now);
+    quarantine.crashes = countCrashes(openRuns(state));
+    quarantine.timeLeft = std::max(left, std::chrono::milliseconds(0));
+    quarantine.isProvisional = true;
+    return quarantine;
+}
+
 std::optional<Quarantine> SuspectTable::findQuarantine(const RequestTraits &traits, const std::string &requestId,
                                                        SteadyTime now)
 {
-    if (m_quarantineCount == 0) {
+    settle(now);
+    if (m_quarantineCount + m_settlingCount == 0) {
         return std::nullopt;
     }
     for (std::size_t position = 0; position < traits.size(); ++position) {
-        const auto found = m_traits.find(traits[position]);
-        if (found == m_traits.end() || found->second.crashes == 0) {
-            continue;
-        }
-        TraitState &state = found->second;
-        const bool isTrialDue = now >= releaseTime(state);
-        if (isTrialDue && now - state.trialAt > trialTimeout) {
-            state.trialAt = now;
-            state.trialRequest = requestId;
-        }
-        if (!isTrialDue || state.trialRequest != requestId) {
-            Quarantine quarantine = describe(traits[position], state, now);
-            quarantine.position = position;
-            const auto trialEnd = state.trialAt + trialTimeout;
-            const auto untilTrialEnd = std::chrono::duration_cast<std::chrono::milliseconds>(trialEnd - now);
-            quarantine.timeLeft = std::max(quarantine.timeLeft, untilTrialEnd);
+        if (auto quarantine = findTraitQuarantine(traits[position], requestId, now)) {
+            quarantine->position = position;
             return quarantine;
         }
     }
     return std::nullopt;
 }
 
+std::optional<Quarantine> SuspectTable::findTraitQuarantine(RequestTrait trait, const std::string &requestId,
+                                                            SteadyTime now)
+{
+    const auto found = m_traits.find(trait);
+    if (found == m_traits.end()) {
+        return std::nullopt;
+    }
+    TraitState &state = found->second;
+    if (state.isHeld) {
+        return describeHold(trait, state, now);
+    }
+    if (state.crashes == 0) {
+        return std::nullopt;
+    }
+    const bool isTrialDue = now >= releaseTime(state);
+    if (isTrialDue && now - state.trialAt > trialTimeout) {
+        state.trialAt = now;
+        state.trialRequest = requestId;
+    }
+    if (isTrialDue && state.trialRequest == requestId) {
+        return std::nullopt;
+    }
+    Quarantine quarantine = describe(trait, state, now);
+    const auto untilTrialEnd
+        = std::chrono::duration_cast<std::chrono::milliseconds>(state.trialAt + trialTimeout - now);
+    quarantine.timeLeft = std::max(quarantine.timeLeft, untilTrialEnd);
+    return quarantine;
+}
+
 std::size_t SuspectTable::crashCount(const RequestTraits &traits) const
 {
     std::size_t count = 0;
     for (const RequestTrait trait : traits) {
         const auto found = m_traits.find(trait);
         if (found != m_traits.end()) {
-            count = std::max(count, countSequential(openRuns(found->second, {})));
+            const auto runs = openRuns(found->second);
+            const bool hadResponse = found->second.clearedAt != SteadyTime();
+            count = std::max(count, hadResponse ? countSequential(runs) : countCrashes(runs));
         }
     }
     return count;
 }
 
+bool SuspectTable::isSuspect(const RequestTraits &traits) const
+{
+    return std::any_of(traits.begin(), traits.end(), [this](RequestTrait trait) {
+        const auto found = m_traits.find(trait);
+        return found != m_traits.end() && found->second.clearedAt == SteadyTime() && !found->second.runs.empty();
+    });
+}
+
 bool SuspectTable::isEmpty() const
 {
     return m_traits.empty();
@@ -337,15 +439,17 @@
 std::vector<ClearedTrait> SuspectTable::takeClearedToShare()
 {
     std::vector<ClearedTrait> cleared;
-    if (!std::exchange(m_mayShare, false)) {
+    if (!std::exchange(m_mayShareCleared, false)) {
         return cleared;
     }
     for (auto &[trait, state] : m_traits) {
         const auto &runs = state.runs;
-        const bool hasSeveralCrashes = std::any_of(runs.begin(), runs.end(), [&runs](const Run &run) {
-            return run.crash != runs.front().crash;
-        });
-        const bool isNew = hasRunBetween(state, state.sharedClearedAt, state.clearedAt);
+        const bool isAsked = std::exchange(state.isAsked, false);
+        const bool hasSeveralCrashes = isAsked || std::any_of(runs.begin(), runs.end(), [&runs](const CrashedRun &run) {
+                                           return run.crash != runs.front().crash;
+                                       });
+        const bool isFirst = state.sharedClearedAt == SteadyTime() && state.clearedAt != SteadyTime();
+        const bool isNew = isFirst || hasRunBetween(state, state.sharedClearedAt, state.clearedAt);
         if (hasSeveralCrashes && isNew) {
             state.sharedClearedAt = state.clearedAt;
             cleared.push_back({ trait, state.clearedAt });
@@ -354,16 +458,62 @@
     return cleared;
 }
 
+std::vector<QuarantineConclusion> SuspectTable::takeConclusionsToShare()
+{
+    std::vector<QuarantineConclusion> conclusions;
+    if (!std::exchange(m_mayShareConclusions, false)) {
+        return conclusions;
+    }
+    for (auto &[trait, state] : m_traits) {
+        const std::size_t crashes = std::min(state.crashes, maxConcludedCrashes);
+        if (crashes > state.sharedCrashes) {
+            conclusions.push_back(conclude(trait, state));
+            state.sharedCrashes = std::max(crashes, conclusions.back().crashes.size());
+        }
+    }
+    return conclusions;
+}
+
+// Names the last crashes: a response in the meantime may clear the first ones.
+QuarantineConclusion SuspectTable::conclude(RequestTrait trait, const TraitState &state) const
+{
+    QuarantineConclusion conclusion{
+        .trait = trait, .position = state.position, .hadResponse = state.clearedAt != SteadyTime(), .crashes = {}
+    };
+    std::vector<std::uint64_t> named;
+    const auto runs = openRuns(state);
+    for (auto run = runs.rbegin(); run != runs.rend() && named.size() < maxConcludedCrashes; ++run) {
+        const ServerCrash *crash = findCrash((*run)->crash);
+        if (crash && std::find(named.begin(), named.end(), (*run)->crash) == named.end()) {
+            named.push_back((*run)->crash);
+            conclusion.crashes.push_back(*crash);
+        }
+    }
+    std::reverse(conclusion.crashes.begin(), conclusion.crashes.end());
+    return conclusion;
+}
+
 std::vector<QuarantineChange> SuspectTable::takeChanges()
 {
     return std::exchange(m_changes, {});
 }
 
+bool SuspectTable::isQuarantined(RequestTrait trait) const
+{
+    const auto found = m_traits.find(trait);
+    return found != m_traits.end() && found->second.crashes > 0;
+}
+
 std::size_t SuspectTable::quarantineCount() const
 {
     return m_quarantineCount;
 }
 
+std::size_t SuspectTable::settlingCount() const
+{
+    return m_settlingCount;
+}
+
 std::size_t SuspectTable::reportCount() const
 {
     return m_reports.size();
@@ -386,7 +536,7 @@
         for (const RequestTrait trait : run.traits) {
             const auto found = m_traits.find(trait);
             if (found != m_traits.end()) {
-                std::erase_if(found->second.runs, [&known](const Run &each) {
+                std::erase_if(found->second.runs, [&known](const CrashedRun &each) {
                     return each.report == known.report.id;
                 });
             }
@@ -397,6 +547,28 @@
 void SuspectTable::prune(SteadyTime now)
 {
     const std::size_t before = m_reports.size();
+    pruneReports(now);
+    while (!m_crashes.empty() && now - m_crashes.front().crash.at > quarantineRetention) {
+        m_crashes.pop_front();
+    }
+    bool hasForgotten = m_reports.size() != before;
+    for (auto &[trait, state] : m_traits) {
+        const std::size_t old = std::erase_if(state.runs, [now](const CrashedRun &run) {
+            return now - run.end > quarantineRetention;
+        });
+        hasForgotten = hasForgotten || old > 0;
+    }
+    if (hasForgotten) {
+        review(now);
+    }
+    settle(now);
+    std::erase_if(m_traits, [now](const auto &each) {
+        return each.second.runs.empty() && now - each.second.clearedAt > retention;
+    });
+}
+
+void SuspectTable::pruneReports(SteadyTime now)
+{
     for (auto known = m_reports.begin(); known != m_reports.end();) {
         const bool isSupporting = supportsQuarantine(*known);
         const auto age = now - known->report.at;
@@ -411,12 +583,6 @@
         forget(m_reports.front());
         m_reports.pop_front();
     }
-    if (m_reports.size() != before) {
-        review();
-    }
-    std::erase_if(m_traits, [now](const auto &each) {
-        return each.second.runs.empty() && now - each.second.clearedAt > retention;
-    });
 }
 
 } // namespace zinniadock
--- a/tests/unit/unit-crashevidence.cpp
+++ b/tests/unit/unit-crashevidence.cpp
@@ -158,3 +158,124 @@
     CAPTURE(entries, seed);
     checkFleet(fleet, groups.size(), entries);
 }
+
+// Guards against entries that miss a conclusion of another one, because each decides by the reports that it has.
+TEST_CASE("a conclusion holds at an entry that has none of the reports")
+{
+    const SteadyTime start{ std::chrono::hours(100) };
+    SuspectTable knowing;
+    for (std::size_t crash = 0; crash < 3; ++crash) {
+        const SteadyTime begin = start + seconds(crash);
+        knowing.recordCrash(reportOf(crash, begin, begin + milliseconds(90)), begin + milliseconds(110));
+    }
+    const auto conclusions = knowing.takeConclusionsToShare();
+    REQUIRE(conclusions.size() == 1);
+    CHECK(conclusions[0].trait == deadlyTrait);
+    CHECK(conclusions[0].crashes.size() == 3);
+    CHECK(knowing.takeConclusionsToShare().empty());
+
+    const SteadyTime now = start + milliseconds(2200);
+    EntryReport message;
+    message.sender = "10.0.0.1:80";
+    message.evidence.conclusions = conclusions;
+    const auto decoded = decodeEntryReport(encode(message, now), now + milliseconds(20));
+    REQUIRE(decoded);
+    REQUIRE(decoded->evidence.conclusions.size() == 1);
+    SuspectTable other;
+    CHECK(other.recordConclusion(decoded->evidence.conclusions[0], now));
+    CHECK_FALSE(other.recordConclusion(decoded->evidence.conclusions[0], now));
+    CHECK(other.findQuarantine({ deadlyTrait }, "request", now));
+    CHECK(other.takeConclusionsToShare().empty());
+
+    SECTION("the reports arrive later")
+    {
+        for (std::size_t crash = 0; crash < 3; ++crash) {
+            const SteadyTime begin = start + seconds(crash);
+            other.recordCrash(reportOf(crash, begin, begin + milliseconds(90)), now);
+        }
+        CHECK(other.crashCount({ deadlyTrait }) == 3);
+        CHECK(other.findQuarantine({ deadlyTrait }, "request", now));
+    }
+    SECTION("a response ends it, and it does not return with a late message")
+    {
+        other.recordResponse({ deadlyTrait }, now + milliseconds(100));
+        CHECK_FALSE(other.findQuarantine({ deadlyTrait }, "request", now + milliseconds(100)));
+        CHECK_FALSE(other.recordConclusion(decoded->evidence.conclusions[0], now + milliseconds(200)));
+        CHECK_FALSE(other.findQuarantine({ deadlyTrait }, "request", now + milliseconds(200)));
+    }
+}
+
+// Guards against a trait that is quarantined before the reports arrive that exclude it.
+TEST_CASE("a trait with crashes at the same time is held back before it is quarantined")
+{
+    const SteadyTime end = SteadyTime{ std::chrono::hours(100) } + milliseconds(90);
+    SuspectTable table;
+    for (std::size_t crash = 0; crash < 3; ++crash) {
+        table.recordCrash(reportOf(crash, end - milliseconds(90), end), end);
+    }
+    const auto held = table.findQuarantine({ deadlyTrait }, "request", end);
+    REQUIRE(held);
+    CHECK(held->isProvisional);
+    CHECK(held->timeLeft <= milliseconds(250));
+    CHECK(table.quarantineCount() == 0);
+    CHECK(table.settlingCount() == 1);
+    CHECK(table.takeChanges().empty());
+
+    SECTION("it is quarantined when nothing excludes it")
+    {
+        table.settle(end + milliseconds(300));
+        CHECK(table.quarantineCount() == 1);
+        CHECK(table.settlingCount() == 0);
+        CHECK(table.takeChanges().size() == 1);
+    }
+    SECTION("a response elsewhere before the crashes excludes it")
+    {
+        table.recordCleared({ deadlyTrait, end - seconds(5) }, end + milliseconds(50));
+        table.settle(end + milliseconds(300));
+        CHECK_FALSE(table.findQuarantine({ deadlyTrait }, "request", end + milliseconds(300)));
+        CHECK(table.settlingCount() == 0);
+        CHECK(table.takeChanges().empty());
+    }
+}
+
+// Guards against a sound request in quarantine that was running on servers which another request has crashed.
+TEST_CASE("of two requests on the same crashed servers only the one that crashes more is quarantined")
+{
+    const SteadyTime start{ std::chrono::hours(100) };
+    constexpr RequestTrait besideTrait = 8;
+    SuspectTable table;
+    for (std::size_t crash = 0; crash < 4; ++crash) {
+        const SteadyTime end = start + milliseconds(30) * static_cast<int>(crash);
+        CrashReport report = reportOf(crash, end - milliseconds(90), end);
+        if (crash < 3) {
+            report.runs.push_back({ .requestId = "beside", .duration = milliseconds(20), .traits = { besideTrait } });
+        }
+        table.recordCrash(report, end);
+    }
+    table.settle(start + seconds(1));
+    CHECK(table.findQuarantine({ deadlyTrait }, "request", start + seconds(1)));
+    CHECK_FALSE(table.findQuarantine({ besideTrait }, "request", start + seconds(1)));
+    CHECK(table.quarantineCount() == 1);
+}
+
+// Guards against copies of a request that end two servers of a pool and count as two crashes only, so that the next
+// copies end the pool again.
+TEST_CASE("copies of a request that ended with two servers count each")
+{
+    const SteadyTime end = SteadyTime{ std::chrono::hours(100) };
+    SuspectTable table;
+    for (std::size_t crash = 0; crash < 2; ++crash) {
+        CrashReport report = reportOf(crash, end - milliseconds(90), end);
+        for (const char *copy : { "a", "b" }) {
+            report.runs.push_back({ .requestId = copy, .duration = milliseconds(80), .traits = { deadlyTrait } });
+        }
+        table.recordCrash(report, end);
+    }
+    table.settle(end + seconds(1));
+    REQUIRE(table.findQuarantine({ deadlyTrait }, "request", end + seconds(1)));
+    const auto conclusions = table.takeConclusionsToShare();
+    REQUIRE(conclusions.size() == 1);
+    SuspectTable other;
+    CHECK(other.recordConclusion(conclusions[0], end + seconds(1)));
+    CHECK(other.findQuarantine({ deadlyTrait }, "request", end + seconds(1)));
+}
