Keep the evidence of runs whose connections the entry itself has closed

Callers left after 37 ms, and the request ended 24 servers: no entry had any evidence, since each dropped a run together with its caller. In the end all entries quarantined a request that had only run beside it.

Cause: a run counted only if its connection broke while the caller was still there. Runs that ended because the caller left, the attempt or the deadline was over, the stream was moved, the process stopped, the response had begun, or the server was no longer listed, left nothing.

Now an entry remembers such runs for 5 s. They are in the report when the server is found to have crashed: by another broken run, a refused connection, its removal from the list, or a check if the request is suspect. The connection is still closed at once. A request whose connection broke waits for the check of its server (60 ms at most) before it is retried or answered, so that a caller that repeats it at once meets entries that know. Calls that are suspect go to the same server from all entries. A stopping process waits for its checks and messages.

--- a/include/zinniadock/process/placement.h
+++ b/include/zinniadock/process/placement.h
@@ -26,6 +26,8 @@
     std::string dataCentre; ///< of the entry, or of the engine that a generation moves away from
     std::optional<std::chrono::milliseconds> maxLoadAge; ///< engines with an older load are skipped
     ServerFilter maySend; ///< servers for which it returns false are skipped; empty for none
+    /// All entries choose the same server for calls with the same key, whatever its load. Nothing for other calls.
+    std::optional<std::uint64_t> commonServerKey;
 };
 
 /// Returns a random number, uniformly distributed in [0, 1).
@@ -70,7 +72,8 @@
                                            SteadyTime now, const RandomSource &draw);
 
 /// Chooses the server of a plain service with the least work of this entry per slot; among equal servers, one in the
-/// entry's data centre. A server in backoff is chosen only if there is no other. Complexity: linear in the servers.
+/// entry's data centre. A server in backoff is chosen only if there is no other. A request with a commonServerKey gets
+/// the server that a hash determines. Complexity: linear in the servers.
 std::optional<std::string> placeCall(const ServerDirectory &directory, const PlacementRequest &request,
                                      const std::set<std::string> &excluded, SteadyTime now, const RandomSource &draw);
 
--- a/include/zinniadock/request/forwardscope.h
+++ b/include/zinniadock/request/forwardscope.h
@@ -65,14 +65,22 @@
     /// Returns the traits by which the request is recognised when it comes again.
     const RequestTraits &traits();
 
-    /// Records that the connection to a server broke before any part of the response arrived. Does nothing if the entry
-    /// itself has closed the connection.
-    void recordBrokenRun(const ServerRecord &target, SteadyTime sentAt, const IoError &error);
+    /// Records that the exchange with a server ended before a whole response arrived: its connection broke, or the
+    /// entry has closed it. Waits until a server whose connection broke has been checked. \pre the request was sent, if
+    /// only in part
+    Awaitable<void> recordUnansweredRun(ServerRecord target, SteadyTime sentAt, IoError error);
+
+    /// Records that a server refused a connection. Does nothing after other errors.
+    void recordRefusedConnection(const std::string &serverId, const IoError &error);
+
+    /// Returns a key of the request if servers have crashed on it, so that all entries send it to the same server. A
+    /// request that crashes servers then crashes one at a time.
+    std::optional<std::uint64_t> commonServerKey();
 
     /// Returns why the request must not be sent to a server, since it may crash it; nothing if it may be sent.
     std::optional<Quarantine> findQuarantine();
 
-    /// Records that a server responded to the request, so that the request does not crash servers.
+    /// Records that the last server responded to the request, so that the request does not crash servers.
     void recordResponse();
 
     /// Returns a text response of the entry itself.
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -86,6 +86,7 @@
                                   BodyFraming framing);
     SegmentEnd judgeSegment(const HttpExchange &exchange);
     StreamPlace placeInStream() const;
+    IoError unansweredError(SegmentEnd segmentEnd) const;
     void logStreamEnd(const HttpExchange &exchange) const;
     bool mayContinue(SegmentEnd segmentEnd) const;
     Awaitable<SegmentEnd> continueAfterMove(SegmentEnd segmentEnd);
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -425,6 +425,7 @@
     if (m_services.directory.markUnlisted(id, std::chrono::steady_clock::now())) {
         logEvent("server", "unlisted", { { "server", id }, { "source", "store" } });
         notifyServerDraining(m_services, id);
+        m_services.crashWatch->recordGone(id);
     }
 }
 
@@ -513,7 +514,8 @@
 
 bool ForwardingEntry::isIdle() const
 {
-    return m_services.counters.activeRequests == 0;
+    return m_services.counters.activeRequests == 0 && !m_services.crashWatch->isChecking()
+        && !m_services.suspects.isSending();
 }
 
 void ForwardingEntry::reload(Settings settings)
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -82,6 +82,8 @@
     const SuspectTable &suspects = m_services.suspects.table();
     appendMetric("zinniadock_crash_reports", suspects.reportCount(), out);
     appendMetric("zinniadock_quarantined_traits", suspects.quarantineCount(), out);
+    appendMetric("zinniadock_settling_traits", suspects.settlingCount(), out);
+    appendMetric("zinniadock_abandoned_crash_runs_total", m_services.crashWatch->abandonedCrashRuns(), out);
     appendMetric("zinniadock_quarantined_requests_total", m_services.counters.quarantinedRequests, out);
     appendMetric("zinniadock_stop_refusals_total", m_services.counters.stopRefusals, out);
     appendMetric("zinniadock_ended_requests_total", m_services.counters.endedRequests, out);
--- a/src/process/placement.cpp
+++ b/src/process/placement.cpp
@@ -1,6 +1,9 @@
 #include "zinniadock/process/placement.h"
 
 #include <algorithm>
+#include <limits>
+
+#include "zinniadock/process/routing.h"
 
 namespace zinniadock
 {
@@ -246,6 +249,18 @@
     return best == candidates.end() ? std::nullopt : std::optional(best->id);
 }
 
+namespace
+{
+
+/// Returns a rank from 0 to 1 that is the same at all entries (rendezvous hashing).
+double hashedRank(std::uint64_t key, const std::string &server)
+{
+    const std::uint64_t hash = stableHash(server + std::to_string(key));
+    return static_cast<double>(hash) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
+} // namespace
+
 std::optional<std::string> placeCall(const ServerDirectory &directory, const PlacementRequest &request,
                                      const std::set<std::string> &excluded, SteadyTime now, const RandomSource &draw)
 {
@@ -259,7 +274,9 @@
         const double remotePenalty = server.record.dataCentre == request.dataCentre ? 0 : remotePenaltySlots / slots;
         const double backoffPenalty = server.backoffUntil > now ? 100 : 0;
         const double work = static_cast<double>(server.assignments.size()) / slots;
-        candidates.push_back({ id, work + remotePenalty + backoffPenalty + callRandomSpread * draw() });
+        const double load = request.commonServerKey ? hashedRank(*request.commonServerKey, id)
+                                                    : work + remotePenalty + callRandomSpread * draw();
+        candidates.push_back({ id, load + backoffPenalty });
     }
     const auto best = std::min_element(candidates.begin(), candidates.end(), hasLessLoad);
     return best == candidates.end() ? std::nullopt : std::optional(best->id);
--- a/src/request/callforward.cpp
+++ b/src/request/callforward.cpp
@@ -68,6 +68,7 @@
         const auto now = std::chrono::steady_clock::now();
         PlacementRequest need{ .pool = m_context->poolName, .dataCentre = services.settings.daemon.dataCentre };
         need.maySend = m_context->limitFilter();
+        need.commonServerKey = m_context->commonServerKey();
         const auto server = placeCall(services.directory, need, m_triedServers, now, [&services] {
             return services.randomFraction();
         });
@@ -152,15 +153,16 @@
     if (error) {
         if (exchange->sendState() == SendState::NotSent) {
             services.directory.recordConnectionFailure(target.record.id, std::chrono::steady_clock::now());
+            m_context->recordRefusedConnection(target.record.id, error);
         } else {
-            m_context->recordBrokenRun(target.record, sentAt, error);
+            co_await m_context->recordUnansweredRun(target.record, sentAt, error);
         }
         co_return makeFailedAttempt(*exchange, "sending the request: " + error.message());
     }
     wire::ResponseFields fields;
     error = co_await readMatchingHead(*exchange, m_context->fields.requestId, fields);
     if (error) {
-        m_context->recordBrokenRun(target.record, sentAt, error);
+        co_await m_context->recordUnansweredRun(target.record, sentAt, error);
         co_return makeFailedAttempt(*exchange, "waiting for the response: " + error.message());
     }
     m_context->updateServerState(target.record.id, fields);
@@ -170,6 +172,7 @@
     const std::string size = std::to_string(attempt.response.body().size()) + " bytes";
     m_context->logResponseEnd(*exchange, exchange->end(), size, error);
     if (error) {
+        co_await m_context->recordUnansweredRun(target.record, sentAt, error);
         co_return makeFailedAttempt(*exchange, "reading the response body: " + error.message());
     }
     if (containsStrayResponse(exchange->framing(), attempt.response.body())) {
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -198,18 +198,35 @@
     return m_traits;
 }
 
-void ForwardContext::recordBrokenRun(const ServerRecord &target, SteadyTime sentAt, const IoError &error)
+Awaitable<void> ForwardContext::recordUnansweredRun(ServerRecord target, SteadyTime sentAt, IoError error)
 {
-    if (!isActive() || error == asio::error::operation_aborted) {
-        return;
+    const auto self = shared_from_this();
+    const auto now = std::chrono::steady_clock::now();
+    EndedRun run{ .requestId = fields.requestId,
+                  .duration = std::chrono::duration_cast<std::chrono::milliseconds>(now - sentAt),
+                  .traits = traits(),
+                  .promptParts = boost::algorithm::join(fields.sharedPromptParts, "+") };
+    if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
+        const bool isSuspect = services.suspects.table().isSuspect(traits());
+        services.crashWatch->recordAbandonedRun(target, std::move(run), sentAt, isSuspect);
+        co_return;
     }
-    const auto duration
-        = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - sentAt);
-    services.crashWatch->recordBrokenRun(target,
-                                         { .requestId = fields.requestId,
-                                           .duration = duration,
-                                           .traits = traits(),
-                                           .promptParts = boost::algorithm::join(fields.sharedPromptParts, "+") });
+    services.crashWatch->recordBrokenRun(target, std::move(run));
+    co_await services.crashWatch->waitForCheck(target.id);
+}
+
+void ForwardContext::recordRefusedConnection(const std::string &serverId, const IoError &error)
+{
+    if (error == asio::error::connection_refused) {
+        services.crashWatch->recordGone(serverId);
+    }
+}
+
+std::optional<std::uint64_t> ForwardContext::commonServerKey()
+{
+    const SuspectTable &table = services.suspects.table();
+    const bool isSuspect = !table.isEmpty() && table.isSuspect(traits());
+    return isSuspect ? std::optional(traits().front()) : std::nullopt;
 }
 
 std::optional<Quarantine> ForwardContext::findQuarantine()
@@ -222,16 +239,16 @@
 
 void ForwardContext::recordResponse()
 {
-    if (!services.suspects.isEmpty()) {
-        services.suspects.recordResponse(traits(), std::chrono::steady_clock::now());
-    }
+    services.crashWatch->recordAlive(server);
+    services.suspects.recordResponse(traits(), std::chrono::steady_clock::now());
 }
 
 std::string toText(const Quarantine &quarantine)
 {
     const std::string common = quarantine.position == 0 ? "this request" : "requests with the same prompt part";
-    return "quarantined: " + std::to_string(quarantine.crashes) + " servers crashed while they ran " + common
-        + " (trait " + toText(quarantine.trait) + "), the last one was " + quarantine.lastServer;
+    const std::string state = quarantine.isProvisional ? "held back: " : "quarantined: ";
+    return state + std::to_string(quarantine.crashes) + " servers crashed while they ran " + common + " (trait "
+        + toText(quarantine.trait) + "), the last one was " + quarantine.lastServer;
 }
 
 HttpResponse ForwardContext::makeEntryResponse(http::status status, const std::string &reason) const
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -448,6 +448,7 @@
     const ServerRecord record = tracked->record;
     attach(server);
     m_mayHaveStopped = false;
+    m_streamError = {};
     ++m_context->attempts;
     recordSent(record, fields.copy ? SendReason::Move : SendReason::FirstAttempt);
     m_splitter.reset();
@@ -463,8 +464,10 @@
     }
     if (error) {
         m_reason = "no response: " + error.message();
-        if (exchange->sendState() == SendState::Sent && !m_lastEventId) {
-            m_context->recordBrokenRun(record, sentAt, error);
+        if (exchange->sendState() == SendState::NotSent) {
+            m_context->recordRefusedConnection(server, error);
+        } else if (!m_lastEventId) {
+            co_await m_context->recordUnansweredRun(record, sentAt, error);
         }
         co_return handleMissingResponse(*exchange, attempt);
     }
@@ -475,8 +478,8 @@
     if (isStream) {
         segmentEnd = co_await relayEvents(*exchange);
         logStreamEnd(*exchange);
-        if (segmentEnd == SegmentEnd::Broken && m_eventCount == 0) {
-            m_context->recordBrokenRun(record, sentAt, m_streamError);
+        if (segmentEnd != SegmentEnd::Complete && m_eventCount == 0) {
+            co_await m_context->recordUnansweredRun(record, sentAt, unansweredError(segmentEnd));
         }
     } else {
         segmentEnd = co_await readPlainResponse(*exchange, responseFields, attempt);
@@ -488,6 +491,16 @@
     co_return segmentEnd;
 }
 
+// Returns why a stream ended before its first event.
+IoError GenerationForwarder::unansweredError(SegmentEnd segmentEnd) const
+{
+    if (m_streamError) {
+        return m_streamError;
+    }
+    return segmentEnd == SegmentEnd::CallerDisconnected ? IoError(asio::error::operation_aborted)
+                                                        : IoError(asio::error::connection_reset);
+}
+
 Awaitable<GenerationForwarder::SegmentEnd> GenerationForwarder::readPlainResponse(HttpExchange &exchange,
                                                                                   const wire::ResponseFields &fields,
                                                                                   StreamAttempt attempt)
--- a/tests/unit/suspectfleet.cpp
+++ b/tests/unit/suspectfleet.cpp
@@ -13,6 +13,9 @@
 /// Time from the end of a server until an entry has found out that it has crashed.
 constexpr std::chrono::milliseconds detectionTime{ 20 };
 
+/// Time from the end of a server until the next connection of an entry to it is refused.
+constexpr std::chrono::milliseconds nextConnectionTime{ 300 };
+
 /// Bytes of the heads of a request and its response between entries.
 constexpr std::size_t headBytes = 170;
 
@@ -162,7 +165,16 @@
 {
     for (Request &request : server.running) {
         const auto patience = m_setup.groups[request.group].patience;
-        request.isAbandoned = request.isAbandoned || (patience.count() > 0 && m_now - request.sentAt >= patience);
+        if (request.isAbandoned || patience.count() == 0 || m_now - request.sentAt < patience) {
+            continue;
+        }
+        request.isAbandoned = true;
+        AbandonedRun run{ .server = {},
+                          .run = { .requestId = request.id, .traits = request.traits, .promptParts = {} },
+                          .sentAt = request.sentAt,
+                          .abandonedAt = m_now };
+        run.server.id = server.id;
+        m_entries[request.entry].abandoned.record(std::move(run));
     }
 }
 
@@ -177,12 +189,15 @@
     server.backAt = m_now + m_setup.returnDelay;
 }
 
-// An entry whose caller has left has closed the connection, so that it does not see the crash.
+// An entry whose caller has left has closed the connection. It learns of the end of the server when the next connection
+// is refused.
 void SuspectFleet::detectCrashes(const Server &server)
 {
     std::map<std::size_t, CrashReport> reports;
+    std::set<std::size_t> others;
     for (const Request &request : server.running) {
         if (request.isAbandoned) {
+            others.insert(request.entry);
             continue;
         }
         const auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(m_now - request.sentAt);
@@ -194,19 +209,39 @@
         if (request.attempt < m_setup.groups[request.group].attempts) {
             Request retry = request;
             ++retry.attempt;
-            m_later.emplace_back(m_now + stepTime, [this, retry] {
+            m_later.emplace_back(m_now + detectionTime + stepTime, [this, retry] {
                 send(retry);
             });
         }
     }
     for (const auto &[entry, report] : reports) {
         m_later.emplace_back(m_now + detectionTime, [this, entry = entry, report = report] {
-            if (!m_entries[entry].isFrozen && m_entries[entry].isRunning) {
-                m_entries[entry].suspects->recordCrash(report, m_now);
-                sendNotices(entry);
-            }
+            recordCrash(entry, report);
         });
     }
+    for (const std::size_t entry : others) {
+        const auto delay = reports.contains(entry) ? detectionTime : nextConnectionTime;
+        m_later.emplace_back(m_now + delay, [this, id = server.id, entry] {
+            detectAbandoned(id, entry);
+        });
+    }
+}
+
+void SuspectFleet::detectAbandoned(const std::string &server, std::size_t entry)
+{
+    CrashReport report{ .id = m_random(), .server = server, .at = m_now, .runs = {} };
+    report.runs = m_entries[entry].abandoned.take(server, m_now);
+    if (!report.runs.empty()) {
+        recordCrash(entry, report);
+    }
+}
+
+void SuspectFleet::recordCrash(std::size_t entry, const CrashReport &report)
+{
+    if (!m_entries[entry].isFrozen && m_entries[entry].isRunning) {
+        m_entries[entry].suspects->recordCrash(report, m_now);
+        sendNotices(entry);
+    }
 }
 
 std::chrono::milliseconds SuspectFleet::messageDelay()
--- a/tests/unit/suspectfleet.h
+++ b/tests/unit/suspectfleet.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "zinniadock/process/abandonedruns.h"
 #include "zinniadock/process/entrymessages.h"
 #include "zinniadock/process/sharedsuspects.h"
 
@@ -92,6 +93,7 @@
     {
         std::unique_ptr<EntryTree> tree;
         std::unique_ptr<SharedSuspects> suspects;
+        AbandonedRuns abandoned;
         bool isFrozen = false;
         bool isRunning = true;
         int partition = 0;
@@ -147,6 +149,8 @@
     void finishRuns();
     void abandonRuns(Server &server);
     void detectCrashes(const Server &server);
+    void detectAbandoned(const std::string &server, std::size_t entry);
+    void recordCrash(std::size_t entry, const CrashReport &report);
     std::chrono::milliseconds messageDelay();
     void crash(Server &server, std::optional<std::size_t> group);
     bool isReachable(std::size_t from, std::size_t to) const;
