--- a/tests/unit/unit-crashevidence.cpp
+++ b/tests/unit/unit-crashevidence.cpp
@@ -145,6 +145,37 @@
     checkFleet(fleet, groups.size(), entries);
 }
 
+// Guards against calls that have one attempt only, so that each entry sees a single crash.
+TEST_CASE("entries together quarantine a call with one attempt that crashes servers")
+{
+    const std::size_t entries = GENERATE(5U, 340U);
+    const std::uint64_t seed = GENERATE(range(1U, 4U));
+    std::vector<CallerGroup> groups = soundGroups(10);
+    groups.push_back(deadlyGroup(9));
+    groups.back().attempts = 1;
+    SuspectFleet fleet({ .entries = entries, .servers = smallPool, .groups = groups, .seed = seed });
+    fleet.run(seconds(30));
+    CAPTURE(entries, seed);
+    checkFleet(fleet, groups.size(), entries);
+}
+
+// Guards against sound requests that are refused, and culprits that are missed, while all servers are killed besides.
+TEST_CASE("entries tell a request that crashes servers from kills of all servers at once")
+{
+    const std::size_t entries = GENERATE(5U, 103U);
+    const std::uint64_t seed = GENERATE(range(1U, 4U));
+    std::vector<CallerGroup> groups = soundGroups(60);
+    groups.push_back(deadlyGroup(2));
+    SuspectFleet fleet({ .entries = entries, .servers = 12, .groups = groups, .seed = seed });
+    for (int round = 0; round < 5; ++round) {
+        fleet.run(seconds(6));
+        fleet.killServers(12);
+    }
+    fleet.run(seconds(6));
+    CAPTURE(entries, seed);
+    checkFleet(fleet, groups.size(), entries);
+}
+
 // Guards against a request whose callers leave before it crashes the server, so that no entry has evidence.
 TEST_CASE("entries together quarantine a request whose callers leave before it crashes servers")
 {
--- a/tests/unit/unit-crashingrequests.cpp
+++ b/tests/unit/unit-crashingrequests.cpp
@@ -33,16 +33,39 @@
     }));
 }
 
-/// Sends a request, and leaves before a response can arrive.
-void sendAndLeave(std::uint16_t port, const std::string &id, const std::string &target)
+/// Sends the bytes of a request, and leaves before a response can arrive.
+void sendAndLeave(std::uint16_t port, const std::string &request)
 {
     Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", port));
-    const std::string request = rawRequest("GET", target, id);
     socket.sendBytes(request.data(), static_cast<int>(request.size()));
     std::this_thread::sleep_for(std::chrono::milliseconds(40));
     socket.close();
 }
 
+/// Sends requests that crash servers to one entry after another, with sound ones beside them, and checks that the
+/// servers are left alone in the end. Requests of plain services only.
+template <typename SendDeadly>
+void checkThatCrashesEnd(CrashingPool &pool, SendDeadly sendDeadly)
+{
+    const TestRequest sound{ .target = "/read/1", .id = "sound", .body = "read 1" };
+    std::size_t number = 0;
+    const auto end = Clock::now() + 3 * knowledgeTime;
+    while (Clock::now() < end) {
+        ++number;
+        sendDeadly(pool.entryPort(number % 3), "deadly" + std::to_string(number));
+        sendRequest(pool.entryPort((number + 1) % 3), sound);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    CAPTURE(pool.crashes().size());
+    CHECK(pool.crashes().size() >= 2);
+    CHECK(lateCrashes(pool.crashes(), 3) <= maxLateRequests);
+    std::size_t soundAnswered = 0;
+    for (std::size_t reads = 0; reads < 10; ++reads) {
+        soundAnswered += sendRequest(pool.entryPort(reads % 3), sound).status == 200 ? 1 : 0;
+    }
+    CHECK(soundAnswered == 10);
+}
+
 } // namespace
 
 // Guards against a request that ends one server after another, because no entry remembers under which requests servers
@@ -125,21 +148,39 @@
 TEST_CASE("a request that crashes servers after its callers have left is no longer sent to servers")
 {
     CrashingPool pool("shop", 3, 3, ServerReturn::NewServer, std::chrono::milliseconds(90));
-    const TestRequest sound{ .target = "/read/1", .id = "sound", .body = "read 1" };
-    std::size_t number = 0;
+    checkThatCrashesEnd(pool, [](std::uint16_t port, const std::string &id) {
+        sendAndLeave(port, rawRequest("GET", std::string("/read/") + crashMarker, id));
+    });
+}
+
+// Guards against a request that ends one server after another, because an entry gives up an attempt before the server
+// ends and forgets the run with it.
+TEST_CASE("a request that crashes servers after its attempts were given up is no longer sent to servers")
+{
+    CrashingPool pool("shop", 4, 3, ServerReturn::NewServer, std::chrono::milliseconds(400));
+    checkThatCrashesEnd(pool, [](std::uint16_t port, const std::string &id) {
+        const std::string body = std::string("read ") + crashMarker;
+        sendRequest(port, { .target = "/read/1", .id = id, .body = body });
+    });
+}
+
+// Guards against engines that end one after another, because the callers of streams leave before they do.
+TEST_CASE("streams that crash engines after their callers have left are no longer sent to engines")
+{
+    CrashingPool pool("engines", 5, 3, ServerReturn::NewServer, std::chrono::milliseconds(90));
+    const std::string fields
+        = "X-Token-Count: 1000,240\r\nX-Prompt-Prefix: " + std::string(crashMarker) + ":21,own:900\r\n";
     const auto end = Clock::now() + 3 * knowledgeTime;
-    while (Clock::now() < end) {
-        ++number;
-        const std::string target = std::string("/read/") + crashMarker;
-        sendAndLeave(pool.entryPort(number % 3), "deadly" + std::to_string(number), target);
-        sendRequest(pool.entryPort((number + 1) % 3), sound);
-        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    for (std::size_t number = 0; Clock::now() < end; ++number) {
+        const std::string id = "deadly" + std::to_string(number);
+        sendAndLeave(pool.entryPort(number % 3), rawRequest("POST", "/stream/1", id, fields));
+        sendRequest(pool.entryPort((number + 1) % 3),
+                    { .target = "/stream/1",
+                      .id = "sound" + std::to_string(number),
+                      .isGeneration = true,
+                      .body = {},
+                      .promptParts = "first:79,own" + std::to_string(number) + ":9" });
     }
     CAPTURE(pool.crashes().size());
-    CHECK(lateCrashes(pool.crashes(), 3) <= maxLateRequests);
-    std::size_t soundAnswered = 0;
-    for (std::size_t reads = 0; reads < 10; ++reads) {
-        soundAnswered += sendRequest(pool.entryPort(reads % 3), sound).status == 200 ? 1 : 0;
-    }
-    CHECK(soundAnswered == 10);
+    CHECK(lateCrashes(pool.crashes(), 5) <= maxLateRequests);
 }
