--- a/src/process/suspecttable.cpp
+++ b/src/process/suspecttable.cpp
@@ -466,9 +466,13 @@
     }
     for (auto &[trait, state] : m_traits) {
         const std::size_t crashes = std::min(state.crashes, maxConcludedCrashes);
-        if (crashes > state.sharedCrashes) {
-            conclusions.push_back(conclude(trait, state));
-            state.sharedCrashes = std::max(crashes, conclusions.back().crashes.size());
+        if (crashes <= state.sharedCrashes) {
+            continue;
+        }
+        QuarantineConclusion conclusion = conclude(trait, state);
+        state.sharedCrashes = std::max(crashes, conclusion.crashes.size());
+        if (!conclusion.crashes.empty()) {
+            conclusions.push_back(std::move(conclusion));
         }
     }
     return conclusions;
