Delete the registration of an entry that stops while it registers

What others saw: an entry that had stopped stayed registered until its lease expired, up to a minute, and other entries asked it.

Cause: the stop deletes the registration only if the entry knows its lease. If the stop comes between the write at the store and its response, the lease is not known yet, and nobody deletes the key afterwards.

--- a/src/process/entryregistration.cpp
+++ b/src/process/entryregistration.cpp
@@ -69,6 +69,9 @@
         return;
     }
     m_stopped = true;
+    if (m_lease.empty()) {
+        return;
+    }
     const auto self = shared_from_this();
     asio::co_spawn(
         m_pool.context(),
@@ -149,6 +152,9 @@
                { "era", leaseEra },
                { "status", written.status },
                { "reason", written.error.message() } });
+    if (m_stopped) {
+        co_await deleteRegistration();
+    }
     co_return !m_lease.empty();
 }
 
@@ -167,10 +173,8 @@
 Awaitable<void> EntryRegistration::deleteRegistration()
 {
     const auto self = shared_from_this();
-    if (!m_lease.empty()) {
-        const HttpRequest request = wire::deleteRequest(registrationPrefix() + m_self.peer);
-        co_await callStore(request);
-    }
+    const HttpRequest request = wire::deleteRequest(registrationPrefix() + m_self.peer);
+    co_await callStore(request);
 }
 
 } // namespace zinniadock
