--- a/include/zinniadock/process/quarantinechoice.h
+++ b/include/zinniadock/process/quarantinechoice.h
@@ -65,9 +65,9 @@
 /// A trait is a candidate if \p minCrashes crashes speak against it. Of a trait that no server has ever responded to,
 /// each crash counts, or each request that ended with one of at least two servers if there are several. Of one that had
 /// responses before, only crashes one after another count, and two more are needed, since one event may end several
-/// servers and with them frequent requests on each of them. Besides, the trait must explain as much as one whole event:
-/// each of its crashes is divided by the number of servers that crashed at the same time. So a request on one of many
-/// servers that are killed together is no candidate.
+/// servers and with them frequent requests on each of them. Besides, the trait must explain as much as one whole event,
+/// or two thirds of one if it never had a response: each of its crashes is divided by the number of servers that
+/// crashed at the same time. So a request on one of many servers that are killed together is no candidate.
 ///
 /// The trait that explains most crashes is chosen, then the one that explains most of the others, and so on. If two
 /// explain the same number, one further crash is awaited, unless one of them only occurs in the same requests. A
