Say once whether a peer knows a conclusion, and share the bounds of fleet tests

Found in reading the diff: two functions asked whether a peer knows a conclusion, a parameter always had the same value, a constant and a comment did not say what they hold, and two test files had the same bounds and the same lines to run a fleet.

No behaviour, bound or assertion changes.

--- a/src/process/entrymessages.cpp
+++ b/src/process/entrymessages.cpp
@@ -42,7 +42,8 @@
 
 // Crashes are arrays of ID, server, age in milliseconds, runs and start time of the server; a run is an array of a hash
 // of the request ID, duration in milliseconds and traits. Cleared traits are arrays of trait and age. Conclusions are
-// arrays of trait, position and crashes; such a crash is an array of server, start time of the server and age.
+// arrays of trait, position, crashes and whether there was a response before; such a crash is an array of server, start
+// time of the server and age. Entries of earlier versions send neither start times nor conclusions.
 
 constexpr std::size_t maxRunsPerCrash = 64;
 constexpr std::size_t maxTraitsPerRun = 64;
--- a/src/process/quarantinechoice.cpp
+++ b/src/process/quarantinechoice.cpp
@@ -19,8 +19,8 @@
 /// two entries are compared through messages.
 constexpr std::chrono::milliseconds minGapBetweenRuns{ 50 };
 
-/// Additional crashes that a trait with earlier responses needs.
-constexpr std::size_t crashesPerResponse = 2;
+/// Crashes that a trait with earlier responses needs in addition: a sound request may run at several kills of servers.
+constexpr std::size_t additionalCrashesAfterResponse = 2;
 
 /// A single crash never speaks against a request, however many copies of it were running.
 constexpr std::size_t minServers = 2;
@@ -122,7 +122,7 @@
         return weighUnanswered(runs, minCrashes);
     }
     const std::size_t sequential = countSequential(runs);
-    return sequential - std::min(sequential, crashesPerResponse);
+    return sequential - std::min(sequential, additionalCrashesAfterResponse);
 }
 
 bool explainsMore(const Candidate &left, const Candidate &right)
@@ -140,7 +140,7 @@
                                            : left.evidence->trait < right.evidence->trait;
 }
 
-/// Chooses traits by what they explain.
+/// Chooses traits by what they explain, see chooseQuarantines().
 class Chooser
 {
 public:
@@ -168,29 +168,33 @@
     }
 
 private:
-    std::vector<Candidate> candidates() const
+    /// Returns the traits that may explain crashes which no chosen trait explains.
+    std::vector<Candidate> unexplainedCandidates() const
     {
         std::vector<Candidate> found;
         for (const TraitEvidence &evidence : m_evidence) {
-            Candidate candidate{ .evidence = &evidence, .weight = 0, .position = 0, .runs = {} };
-            candidate.runs = without(evidence.runs, [this](const CrashedRun *run) {
+            const auto isExplained = [this](const CrashedRun *run) {
                 return m_explained.contains(run->crash);
-            });
-            addIf(std::move(candidate), m_minCrashes, found);
+            };
+            addCandidate(evidence, without(evidence.runs, isExplained), found);
         }
         std::sort(found.begin(), found.end(), explainsMore);
         return found;
     }
 
-    void addIf(Candidate candidate, std::size_t minCrashes, std::vector<Candidate> &found) const
+    /// Adds a trait to the candidates if enough speaks against it.
+    /// \param runs  those of its runs that count
+    void addCandidate(const TraitEvidence &evidence, Runs runs, std::vector<Candidate> &found) const
     {
-        candidate.weight = weigh(*candidate.evidence, candidate.runs, m_minCrashes);
-        if (candidate.weight >= minCrashes && explainsAnEvent(candidate)) {
+        Candidate candidate{ .evidence = &evidence, .weight = 0, .position = 0, .runs = std::move(runs) };
+        candidate.weight = weigh(evidence, candidate.runs, m_minCrashes);
+        if (candidate.weight >= m_minCrashes && explainsAnEvent(candidate)) {
             candidate.position = firstPosition(candidate.runs);
             found.push_back(std::move(candidate));
         }
     }
 
+    /// Returns whether the crashes of a candidate are a large enough part of all crashes at the same times.
     bool explainsAnEvent(const Candidate &candidate) const
     {
         if (candidate.evidence->isConcluded) {
@@ -204,7 +208,8 @@
         return events >= (candidate.evidence->hadResponse ? minExplainedEvents : minExplainedUnanswered);
     }
 
-    // A crash that a chosen trait explains is no part of an event with another cause.
+    /// Returns the number of servers that crashed together with one. A crash that a chosen trait explains is no part of
+    /// an event with another cause, unless it is among \p own.
     std::size_t countAtSameTime(const CrashTime &crash, const std::set<std::uint64_t> &own) const
     {
         const auto first = std::lower_bound(m_crashes.begin(), m_crashes.end(), crash.at - sameEventTime,
@@ -220,7 +225,7 @@
 
     std::optional<Candidate> nextUnexplained() const
     {
-        const std::vector<Candidate> all = candidates();
+        const std::vector<Candidate> all = unexplainedCandidates();
         const auto next = std::find_if(all.begin(), all.end(), [this, &all](const Candidate &candidate) {
             return candidate.weight > m_minCrashes || candidate.evidence->isConcluded || !isAmbiguous(candidate, all);
         });
@@ -245,6 +250,7 @@
         });
     }
 
+    /// Returns the traits without a response that are not chosen, with all their runs.
     std::vector<Candidate> explainedCandidates() const
     {
         std::vector<Candidate> found;
@@ -254,8 +260,7 @@
                       return choice.trait == evidence.trait;
                   });
             if (!isChosen && !evidence.hadResponse) {
-                addIf({ .evidence = &evidence, .weight = 0, .position = 0, .runs = evidence.runs }, m_minCrashes,
-                      found);
+                addCandidate(evidence, evidence.runs, found);
             }
         }
         std::sort(found.begin(), found.end(), explainsMore);
--- a/src/process/sharedsuspects.cpp
+++ b/src/process/sharedsuspects.cpp
@@ -366,18 +366,14 @@
 
 bool SharedSuspects::isSuspectedBy(RequestTrait trait, const std::string &peer) const
 {
-    return std::any_of(m_items.begin(), m_items.end(), [trait, &peer](const Item &item) {
-        if (!item.knownBy.contains(peer)) {
-            return false;
-        }
-        if (const auto *conclusion = std::get_if<QuarantineConclusion>(&item.content)) {
-            return conclusion->trait == trait;
-        }
+    const bool hasReport = std::any_of(m_items.begin(), m_items.end(), [trait, &peer](const Item &item) {
         const auto *report = std::get_if<CrashReport>(&item.content);
-        return report && std::any_of(report->runs.begin(), report->runs.end(), [trait](const EndedRun &run) {
+        return report && item.knownBy.contains(peer)
+            && std::any_of(report->runs.begin(), report->runs.end(), [trait](const EndedRun &run) {
                    return std::find(run.traits.begin(), run.traits.end(), trait) != run.traits.end();
                });
     });
+    return hasReport || isConcludedBy(trait, peer);
 }
 
 std::size_t SharedSuspects::priority(const Item &item) const
--- a/tests/unit/suspectfleet.h
+++ b/tests/unit/suspectfleet.h
@@ -17,6 +17,16 @@
 namespace zinniadock::test
 {
 
+/// Time in which all entries must know what they have seen together.
+constexpr std::chrono::milliseconds knowledgeTime{ 3000 };
+
+/// Crashes of one request after which it may reach servers only a few times more, and how often.
+constexpr std::size_t allowedCrashes = 3;
+constexpr std::size_t maxLateArrivals = 3;
+
+/// Max bytes that an entry may exchange about crashes in a second.
+constexpr double maxBytesPerSecond = 2048;
+
 /// Requests of one kind that the callers of a SuspectFleet send.
 struct CallerGroup
 {
--- a/tests/unit/unit-crashevidence.cpp
+++ b/tests/unit/unit-crashevidence.cpp
@@ -12,15 +12,6 @@
 namespace
 {
 
-/// Time in which all entries must know what they have seen together.
-constexpr milliseconds knowledgeTime{ 3000 };
-
-/// Crashes of one request after which it may reach servers only a few times more, and how often.
-constexpr std::size_t allowedCrashes = 3;
-constexpr std::size_t maxLateArrivals = 3;
-
-constexpr double maxBytesPerSecond = 2048;
-
 /// Servers of a pool that one request can crash within one run time.
 constexpr std::size_t smallPool = 3;
 
@@ -60,6 +51,20 @@
     CHECK(fleet.maxBytesPerSecond() <= maxBytesPerSecond);
 }
 
+/// Runs a fleet before a small pool, and checks it. The first two groups are sound.
+void runSmallPool(const std::vector<CallerGroup> &groups, std::size_t entries, std::uint64_t seed, seconds duration,
+                  milliseconds maxMessageDelay = milliseconds(10))
+{
+    SuspectFleet fleet({ .entries = entries,
+                         .servers = smallPool,
+                         .groups = groups,
+                         .seed = seed,
+                         .maxMessageDelay = maxMessageDelay });
+    fleet.run(duration);
+    CAPTURE(entries, seed);
+    checkFleet(fleet, groups.size(), entries);
+}
+
 /// A crash as one entry sees it.
 CrashReport reportOf(std::size_t number, SteadyTime begin, SteadyTime end)
 {
@@ -120,14 +125,7 @@
     std::vector<CallerGroup> groups = soundGroups(10);
     groups.push_back(deadlyGroup(2));
     groups.back().copies = 4;
-    SuspectFleet fleet({ .entries = entries,
-                         .servers = smallPool,
-                         .groups = groups,
-                         .seed = seed,
-                         .maxMessageDelay = milliseconds(50) });
-    fleet.run(seconds(40));
-    CAPTURE(entries, seed);
-    checkFleet(fleet, groups.size(), entries);
+    runSmallPool(groups, entries, seed, seconds(40), milliseconds(50));
 }
 
 // Guards against requests that crash the same servers, of which only one is quarantined in each turn.
@@ -139,10 +137,7 @@
     for (const double perSecond : { 6.0, 4.0, 9.0 }) {
         groups.push_back(deadlyGroup(perSecond));
     }
-    SuspectFleet fleet({ .entries = entries, .servers = smallPool, .groups = groups, .seed = seed });
-    fleet.run(seconds(40));
-    CAPTURE(entries, seed);
-    checkFleet(fleet, groups.size(), entries);
+    runSmallPool(groups, entries, seed, seconds(40));
 }
 
 // Guards against calls that have one attempt only, so that each entry sees a single crash.
@@ -153,10 +148,7 @@
     std::vector<CallerGroup> groups = soundGroups(10);
     groups.push_back(deadlyGroup(9));
     groups.back().attempts = 1;
-    SuspectFleet fleet({ .entries = entries, .servers = smallPool, .groups = groups, .seed = seed });
-    fleet.run(seconds(30));
-    CAPTURE(entries, seed);
-    checkFleet(fleet, groups.size(), entries);
+    runSmallPool(groups, entries, seed, seconds(30));
 }
 
 // Guards against sound requests that are refused, and culprits that are missed, while all servers are killed besides.
@@ -184,10 +176,7 @@
     std::vector<CallerGroup> groups = soundGroups(10);
     groups.push_back(deadlyGroup(6));
     groups.back().patience = milliseconds(40);
-    SuspectFleet fleet({ .entries = entries, .servers = smallPool, .groups = groups, .seed = seed });
-    fleet.run(seconds(40));
-    CAPTURE(entries, seed);
-    checkFleet(fleet, groups.size(), entries);
+    runSmallPool(groups, entries, seed, seconds(40));
 }
 
 // Guards against entries that miss a conclusion of another one, because each decides by the reports that it has.
--- a/tests/unit/unit-suspecttable.cpp
+++ b/tests/unit/unit-suspecttable.cpp
@@ -11,15 +11,6 @@
 namespace
 {
 
-/// Time in which all entries must know what one of them has seen.
-constexpr milliseconds knowledgeTime{ 3000 };
-
-/// Crashes of one request after which it may reach servers only a few times more, and how often.
-constexpr std::size_t allowedCrashes = 3;
-constexpr std::size_t maxLateArrivals = 3;
-
-constexpr double maxBytesPerSecond = 2048;
-
 const SteadyTime start{ std::chrono::hours(100) };
 
 /// Returns a report of one crash with requests that each have run for \p duration. Each has only a trait of its own.
