--- a/tests/standin/platformstandin.cpp
+++ b/tests/standin/platformstandin.cpp
@@ -194,6 +194,11 @@
     m_changed.notify_all();
 }
 
+void PlatformStore::setWriteResponseDelay(std::chrono::milliseconds delay)
+{
+    m_writeResponseDelayMs = delay.count();
+}
+
 void PlatformStore::setUnresponsive(bool unresponsive)
 {
     m_unresponsive = unresponsive;
@@ -256,6 +261,7 @@
     }
     if (path == "/-/kv-txn") {
         status = write(Json::parse(request.stream()));
+        std::this_thread::sleep_for(std::chrono::milliseconds(m_writeResponseDelayMs));
     } else if (path.rfind(keepPath, 0) == 0) {
         status = hasLease(std::stoll(path.substr(keepPath.size()))) ? 200 : 404;
     } else if (path.rfind(endPath, 0) == 0) {
--- a/tests/standin/platformstandin.h
+++ b/tests/standin/platformstandin.h
@@ -81,6 +81,9 @@
     /// Never responds to calls that arrive while \p unresponsive is true.
     void setUnresponsive(bool unresponsive);
 
+    /// Responds to each write only after this time. The write has taken effect before.
+    void setWriteResponseDelay(std::chrono::milliseconds delay);
+
     /// Returns the number of calls that got no response because of setUnresponsive().
     std::uint64_t callsWithoutResponse() const;
 
@@ -105,6 +108,7 @@
     std::atomic<std::uint64_t> m_era{ 1 };
     std::atomic<bool> m_down{ false };
     std::atomic<bool> m_unresponsive{ false };
+    std::atomic<std::int64_t> m_writeResponseDelayMs{ 0 };
     std::atomic<std::uint64_t> m_callsWithoutResponse{ 0 };
     bool m_stopping = false;
     std::atomic<std::uint64_t> m_calls{ 0 };
