Check servers on which runs were abandoned, and keep runs of servers that are listed as gone

Cause: an abandoned run is evidence when the entry finds out that the server has ended. Without other requests on that server this was its removal from the list, 2.5 s later. By then the server counted as leaving, and the run, whose duration was computed up to that moment, as cut by a planned stop.

Now a run that was long enough on a server that was already leaving is dropped when it is abandoned, its duration ends at most 500 ms after that, and a server that has not responded 700 ms after an abandoned run is checked by one connection, if no server ever responded to such a request. A process that ends does this after 150 ms, and waits for it.

--- a/include/zinniadock/process/abandonedruns.h
+++ b/include/zinniadock/process/abandonedruns.h
@@ -19,6 +19,7 @@
     EndedRun run; ///< its duration is computed when the server ends
     SteadyTime sentAt;
     SteadyTime abandonedAt;
+    bool needsCheck = true; ///< whether takeDueChecks() will return the server
 };
 
 /// Remembers abandoned runs for some seconds. A server that ends soon after one may have crashed on it. The memory is
@@ -36,13 +37,24 @@
     /// Returns the last record of a server that has abandoned runs; null if there is none.
     const ServerRecord *findServer(const std::string &server) const;
 
+    /// Returns the servers to check, once for each run: they have not responded since the run would have ended them.
+    std::vector<ServerRecord> takeDueChecks(SteadyTime now);
+
+    /// Returns whether takeDueChecks() will return a server later.
+    bool needsChecks() const;
+
+    /// Shortens the time until a server is checked, since the process ends soon.
+    void hasten();
+
     /// Removes and returns the runs that may have been running when a server ended.
-    std::vector<EndedRun> take(const std::string &server, SteadyTime endedAt);
+    /// \param seenAt  when the end of the server was found out
+    std::vector<EndedRun> take(const std::string &server, SteadyTime seenAt);
 
 private:
     void forgetOld(SteadyTime now);
 
     std::deque<AbandonedRun> m_runs; ///< by the time at which they were abandoned
+    bool m_isHastened = false; ///< hasten() was called
 };
 
 } // namespace zinniadock
--- a/include/zinniadock/process/crashwatch.h
+++ b/include/zinniadock/process/crashwatch.h
@@ -16,6 +16,13 @@
 
 struct ForwardingServices;
 
+/// When a server is checked on which a run was abandoned.
+enum class AbandonedCheck {
+    Soon, ///< servers have crashed on the request before
+    IfSilent, ///< unless the server responds to another request
+    None, ///< servers have responded to such requests; the server is checked for other reasons only
+};
+
 /// Determines whether a server has crashed after the connections of requests to it broke, or refused new ones, and
 /// reports the requests that were running. A server has crashed if it refuses new connections, unless it had been
 /// leaving and ended as planned. A server that is silent, unreachable or accepts connections has not. Used only on the
@@ -33,8 +40,7 @@
 
     /// Records that this entry has closed the connection of a request before a whole response arrived. The request is
     /// part of the report if the server ends soon.
-    /// \param isSuspect  servers have crashed on the request before, so that the server is checked
-    void recordAbandonedRun(const ServerRecord &server, EndedRun run, SteadyTime sentAt, bool isSuspect);
+    void recordAbandonedRun(const ServerRecord &server, EndedRun run, SteadyTime sentAt, AbandonedCheck check);
 
     /// Records that a server refused a connection or is no longer listed. Checks it if runs on it were abandoned.
     void recordGone(const std::string &server);
@@ -42,11 +48,18 @@
     /// Records that a server has responded.
     void recordAlive(const std::string &server);
 
+    /// Checks the servers on which runs were abandoned, if they have not responded since. Called at intervals of some
+    /// 100 ms.
+    void maintain();
+
+    /// Checks these servers sooner, since the process ends soon.
+    void hasten();
+
     /// Waits until a server that is being checked is found to have crashed or not, for a short time at most. What is
     /// sent next is then decided with this knowledge.
     Awaitable<void> waitForCheck(std::string server);
 
-    /// Returns whether a server is being checked.
+    /// Returns whether a server is being checked, or will be.
     bool isChecking() const;
 
     /// Returns the number of crashes that were reported.
@@ -69,6 +82,7 @@
     bool isLeaving(const std::string &server) const;
     void addAbandonedRuns(Suspicion &suspicion);
     void report(Suspicion suspicion);
+    void exclude(const Suspicion &suspicion, const IoError &error);
 
     ForwardingServices &m_services;
     const Handler m_handler;
--- a/include/zinniadock/process/suspecttable.h
+++ b/include/zinniadock/process/suspecttable.h
@@ -102,6 +102,9 @@
     /// Returns whether a trait of a request has never had a response, and a server has crashed on it.
     bool isSuspect(const RequestTraits &traits) const;
 
+    /// Returns whether servers have responded to requests with each of these traits.
+    bool hadResponses(const RequestTraits &traits) const;
+
     /// Returns the quarantines that this table has concluded and other processes have not been told about, once each.
     std::vector<QuarantineConclusion> takeConclusionsToShare();
 
--- a/src/process/crashwatch.cpp
+++ b/src/process/crashwatch.cpp
@@ -85,11 +85,17 @@
     }
 }
 
-void CrashWatch::recordAbandonedRun(const ServerRecord &server, EndedRun run, SteadyTime sentAt, bool isSuspect)
+void CrashWatch::recordAbandonedRun(const ServerRecord &server, EndedRun run, SteadyTime sentAt, AbandonedCheck check)
 {
-    m_abandoned.record(
-        { .server = server, .run = std::move(run), .sentAt = sentAt, .abandonedAt = std::chrono::steady_clock::now() });
-    if (isSuspect && !m_suspicions.contains(server.id)) {
+    if (isLeaving(server.id) && run.duration >= minPlannedRun) {
+        return;
+    }
+    m_abandoned.record({ .server = server,
+                         .run = std::move(run),
+                         .sentAt = sentAt,
+                         .abandonedAt = std::chrono::steady_clock::now(),
+                         .needsCheck = check != AbandonedCheck::None });
+    if (check == AbandonedCheck::Soon && !m_suspicions.contains(server.id)) {
         startCheck(server, {}, abandonedCheckDelay);
     }
 }
@@ -107,6 +113,20 @@
     m_abandoned.recordAlive(server, std::chrono::steady_clock::now());
 }
 
+void CrashWatch::maintain()
+{
+    for (const ServerRecord &server : m_abandoned.takeDueChecks(std::chrono::steady_clock::now())) {
+        if (!m_suspicions.contains(server.id)) {
+            startCheck(server, {}, std::chrono::milliseconds(0));
+        }
+    }
+}
+
+void CrashWatch::hasten()
+{
+    m_abandoned.hasten();
+}
+
 void CrashWatch::startCheck(const ServerRecord &server, std::vector<EndedRun> runs, std::chrono::milliseconds delay)
 {
     m_suspicions[server.id] = { .server = server, .at = std::chrono::steady_clock::now(), .runs = std::move(runs) };
@@ -135,7 +155,7 @@
 
 bool CrashWatch::isChecking() const
 {
-    return !m_suspicions.empty();
+    return !m_suspicions.empty() || m_abandoned.needsChecks();
 }
 
 // A process that has ended no longer listens, so that its host refuses connections. After a broken link, a connection
@@ -151,26 +171,30 @@
     m_suspicions.erase(server);
     if (error == asio::error::connection_refused) {
         addAbandonedRuns(suspicion);
-        if (!suspicion.runs.empty()) {
-            report(std::move(suspicion));
-        }
-    } else if (!suspicion.runs.empty()) {
+        report(std::move(suspicion));
+    } else {
+        exclude(suspicion, error);
+    }
+    m_checked.notify();
+}
+
+void CrashWatch::exclude(const Suspicion &suspicion, const IoError &error)
+{
+    if (!error) {
+        recordAlive(suspicion.server.id);
+    }
+    if (!suspicion.runs.empty()) {
         logEvent("crash", "excluded",
-                 { { "server", server },
+                 { { "server", suspicion.server.id },
                    { "requests", join(suspicion.runs, requestIdOf) },
                    { "reason", error ? error.message() : "the server accepts connections" } });
     }
-    m_checked.notify();
 }
 
 void CrashWatch::addAbandonedRuns(Suspicion &suspicion)
 {
     const std::string &server = suspicion.server.id;
-    const bool isServerLeaving = isLeaving(server);
     std::vector<EndedRun> abandoned = m_abandoned.take(server, suspicion.at);
-    std::erase_if(abandoned, [isServerLeaving](const EndedRun &run) {
-        return isServerLeaving && run.duration >= minPlannedRun;
-    });
     if (abandoned.empty()) {
         return;
     }
@@ -185,6 +209,9 @@
 
 void CrashWatch::report(Suspicion suspicion)
 {
+    if (suspicion.runs.empty()) {
+        return;
+    }
     ++m_crashes;
     CrashReport crash{ .id = 0,
                        .server = suspicion.server.id,
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -449,6 +449,7 @@
         applyDueRemovals();
         reviewHeldBackServers();
         updateLoadFeeds();
+        m_services.crashWatch->maintain();
         m_services.entryExchange->maintain();
         const auto now = std::chrono::steady_clock::now();
         if (now < nextCleanup) {
@@ -507,6 +508,7 @@
     m_callerListener->stop();
     const std::set<ForwardContext *> contexts = m_services.activeContexts;
     m_services.counters.endedRequests += contexts.size();
+    m_services.crashWatch->hasten();
     for (ForwardContext *context : contexts) {
         context->endEarly();
     }
--- a/src/process/suspecttable.cpp
+++ b/src/process/suspecttable.cpp
@@ -430,6 +430,13 @@
     });
 }
 
+bool SuspectTable::hadResponses(const RequestTraits &traits) const
+{
+    return std::all_of(traits.begin(), traits.end(), [this](RequestTrait trait) {
+        return m_history.lastResponse(trait).has_value();
+    });
+}
+
 bool SuspectTable::isEmpty() const
 {
     return m_traits.empty();
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -207,8 +207,11 @@
                   .traits = traits(),
                   .promptParts = boost::algorithm::join(fields.sharedPromptParts, "+") };
     if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
-        const bool isSuspect = services.suspects.table().isSuspect(traits());
-        services.crashWatch->recordAbandonedRun(target, std::move(run), sentAt, isSuspect);
+        const SuspectTable &table = services.suspects.table();
+        const AbandonedCheck check = table.isSuspect(traits()) ? AbandonedCheck::Soon
+            : table.hadResponses(traits())                     ? AbandonedCheck::None
+                                                               : AbandonedCheck::IfSilent;
+        services.crashWatch->recordAbandonedRun(target, std::move(run), sentAt, check);
         co_return;
     }
     services.crashWatch->recordBrokenRun(target, std::move(run));
--- a/tests/unit/crashingpool.cpp
+++ b/tests/unit/crashingpool.cpp
@@ -68,12 +68,25 @@
     return *m_entries.at(index);
 }
 
+void CrashingPool::setReturnDelay(std::chrono::milliseconds delay)
+{
+    m_returnDelay = delay;
+}
+
 void CrashingPool::restartEntry(std::size_t index)
 {
     m_entries.at(index).reset();
     m_entries.at(index) = makeEntry();
 }
 
+void CrashingPool::stopEntry(std::size_t index)
+{
+    m_entries.at(index)
+        ->stop({ .lameDuck = std::chrono::milliseconds(0), .limit = std::chrono::milliseconds(3000) })
+        .get();
+    restartEntry(index);
+}
+
 void CrashingPool::killServers(std::size_t count)
 {
     const std::lock_guard lock(m_mutex);
@@ -113,7 +126,7 @@
             slot.lastPort = slot.server->port();
             slot.server->stop();
             slot.server.reset();
-            slot.returnsAt = now + returnDelay;
+            slot.returnsAt = now + m_returnDelay.load();
         } else if (!slot.server && now >= slot.returnsAt) {
             const bool keepsId = m_return == ServerReturn::SameId;
             if (!keepsId) {
--- a/tests/unit/crashingpool.h
+++ b/tests/unit/crashingpool.h
@@ -23,8 +23,8 @@
     SameAddress, ///< with another ID at its address
 };
 
-/// Servers of one pool that crash on requests with crashMarker, and entries in front of them. A crashed server returns
-/// after \c returnDelay.
+/// Servers of one pool that crash on requests with crashMarker, and entries in front of them. A crashed server is
+/// listed until it returns.
 class CrashingPool
 {
 public:
@@ -43,9 +43,15 @@
     std::uint16_t entryPort(std::size_t entry);
     RoleThread<ForwardingEntry> &entry(std::size_t index);
 
+    /// Sets the time after which a crashed server returns.
+    void setReturnDelay(std::chrono::milliseconds delay);
+
     /// Replaces an entry by a new process at another address.
     void restartEntry(std::size_t index);
 
+    /// Stops an entry as its process does after SIGTERM, and replaces it.
+    void stopEntry(std::size_t index);
+
     /// Ends servers, as a kill from outside does. They return like crashed ones.
     void killServers(std::size_t count);
 
@@ -53,8 +59,6 @@
     std::vector<Time> crashes();
 
 private:
-    static constexpr std::chrono::milliseconds returnDelay{ 700 };
-
     void watch();
     void replaceEnded();
     std::unique_ptr<standin::PlatformServer> makeServer(const std::string &id, std::uint16_t port);
@@ -71,6 +75,7 @@
     const std::string m_pool;
     const ServerReturn m_return;
     const std::chrono::milliseconds m_crashDelay;
+    std::atomic<std::chrono::milliseconds> m_returnDelay{ std::chrono::milliseconds(700) };
     std::mutex m_mutex;
     int m_nextId = 1;
     int m_nextStart = 1000;
--- a/tests/unit/unit-crashingrequests.cpp
+++ b/tests/unit/unit-crashingrequests.cpp
@@ -184,3 +184,46 @@
     CAPTURE(pool.crashes().size());
     CHECK(lateCrashes(pool.crashes(), 5) <= maxLateRequests);
 }
+
+// Guards against evidence that is lost because the server is listed as gone before an entry finds out that it crashed.
+TEST_CASE("requests that crash servers after their callers have left are found also without other requests")
+{
+    const bool isGeneration = GENERATE(false, true);
+    CrashingPool pool(isGeneration ? "engines" : "shop", 6, 3, ServerReturn::NewServer, std::chrono::milliseconds(90));
+    pool.setReturnDelay(std::chrono::milliseconds(2000));
+    const std::string fields
+        = "X-Token-Count: 1000,240\r\nX-Prompt-Prefix: first:79," + std::string(crashMarker) + ":21\r\n";
+    const auto end = Clock::now() + 4 * knowledgeTime;
+    for (std::size_t number = 0; Clock::now() < end; ++number) {
+        const std::string id = "deadly" + std::to_string(number);
+        const std::string request = isGeneration ? rawRequest("POST", "/stream/1", id, fields)
+                                                 : rawRequest("GET", std::string("/read/") + crashMarker, id);
+        sendAndLeave(pool.entryPort(number % 3), request);
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    }
+    CAPTURE(isGeneration, pool.crashes().size());
+    CHECK(pool.crashes().size() >= 2);
+    CHECK(lateCrashes(pool.crashes(), 3) <= maxLateRequests);
+}
+
+// Guards against evidence that is lost because the entry stops before the server crashes.
+TEST_CASE("requests that crash servers are found although each entry stops after one of them")
+{
+    const bool leaves = GENERATE(false, true);
+    CrashingPool pool("shop", 6, 3, ServerReturn::NewServer, std::chrono::milliseconds(200));
+    const auto end = Clock::now() + 4 * knowledgeTime;
+    for (std::size_t number = 0; Clock::now() < end; ++number) {
+        const std::string request
+            = rawRequest("GET", std::string("/read/") + crashMarker, "deadly" + std::to_string(number));
+        const std::uint16_t port = pool.entryPort(number % 3);
+        if (leaves) {
+            sendAndLeave(port, request);
+        } else {
+            requestRaw(port, request, "GET");
+        }
+        pool.stopEntry(number % 3);
+    }
+    CAPTURE(leaves, pool.crashes().size());
+    CHECK(pool.crashes().size() >= 2);
+    CHECK(lateCrashes(pool.crashes(), 3) <= maxLateRequests);
+}
