Give evidence of crashes to other entries when an entry starts or stops

What was seen: entries that are restarted one after another, each after one request that crashes two servers, sent the request to servers 17 times later than 3 s after the third crash.

Cause: a report went from an entry to its parent in the tree, and from there only to entries that needed it for a trait with two crashes. The crashes that the root had detected itself, and everything that an entry had not sent yet, ended with its process. A new entry learned of quarantines some 100 ms after its first request.

Now entries send their children the traits that one crash speaks against and that never had a response. A stopping entry gives what it knows to three other entries at its end, and a starting one asks for it before it is ready, both with the message that entries exchange for lost configurations.

--- a/include/zinniadock/process/entryknowledge.h
+++ b/include/zinniadock/process/entryknowledge.h
@@ -14,21 +14,25 @@
 namespace zinniadock
 {
 
-/// What an entry knows that a store which came back from a copy may have lost. Entries send it to each other.
+/// What an entry knows that is lost with it, or that a store which came back from a copy may have lost. Entries send it
+/// to each other.
 struct EntryKnowledge
 {
     std::uint64_t configurationVersion = 0; ///< version in force; 0 before the first configuration
     std::string configuration; ///< text of the version in force; empty if the receiver has it or a later one
     std::vector<Departure> departures;
+    CrashEvidence evidence;
 };
 
 /// Target of EntryKnowledge requests at an entry's peer address. The response is an EntryKnowledge too.
 constexpr const char *knowledgeTarget = "/knowledge";
 
-std::string encode(const EntryKnowledge &knowledge);
+/// Encodes a message. Times in it are encoded as ages at \p now.
+std::string encode(const EntryKnowledge &knowledge, SteadyTime now);
 
 /// Decodes a message. Returns nothing if the bytes are malformed or a field has the wrong type.
-std::optional<EntryKnowledge> decodeEntryKnowledge(const std::string &bytes);
+/// \param now  time of arrival, to which the ages in the message refer
+std::optional<EntryKnowledge> decodeEntryKnowledge(const std::string &bytes, SteadyTime now);
 
 /// Callbacks of a KnowledgeExchange. They are called on the network thread.
 struct KnowledgeCallbacks
@@ -38,8 +42,8 @@
     std::function<void(const EntryKnowledge &, const std::string &source)> onKnowledge;
 };
 
-/// Exchanges EntryKnowledge with other entries: when an entry starts, and for a few seconds after the store has come
-/// back from a copy.
+/// Exchanges EntryKnowledge with other entries: when an entry starts or stops, and for a few seconds after the store
+/// has come back from a copy.
 class KnowledgeExchange : public std::enable_shared_from_this<KnowledgeExchange>
 {
 public:
--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -51,6 +51,9 @@
     /// 503 if it has not run, and 502 otherwise. A response that has begun is broken off. Accepts no more connections.
     void endRequests();
 
+    /// Sends what this entry knows about crashes to other entries. Waits a short time for them.
+    Awaitable<void> handOver();
+
     /// Applies changed settings. Only the forwarding settings take effect.
     void reload(Settings settings);
 
--- a/include/zinniadock/process/gracefulstop.h
+++ b/include/zinniadock/process/gracefulstop.h
@@ -15,6 +15,9 @@
     role.drain(timeLimit); // from now on takes only work that ends within timeLimit
     role.closeIdleConnections();
     role.endRequests(); // responds to the requests in progress that have no response yet
+    {
+        role.handOver()
+        } -> std::same_as<Awaitable<void>>; // gives other processes what is lost with this one
     {
         constRole.isIdle()
         } -> std::convertible_to<bool>; // whether no request is in progress
@@ -47,14 +50,15 @@
             role.closeIdleConnections();
         }
     } while (elapsed() < timing.limit && (elapsed() < timing.lameDuck || !role.isIdle()));
-    if (role.isIdle()) {
-        co_return false;
-    }
-    role.endRequests();
-    while (!role.isIdle() && elapsed() < timing.limit + maxResponseTime) {
-        co_await sleepFor(pollInterval);
+    const bool endsRequests = !role.isIdle();
+    if (endsRequests) {
+        role.endRequests();
+        while (!role.isIdle() && elapsed() < timing.limit + maxResponseTime) {
+            co_await sleepFor(pollInterval);
+        }
     }
-    co_return true;
+    co_await role.handOver();
+    co_return endsRequests;
 }
 
 } // namespace zinniadock
--- a/include/zinniadock/process/sharedsuspects.h
+++ b/include/zinniadock/process/sharedsuspects.h
@@ -85,6 +85,13 @@
     /// Applies a message of a peer.
     void apply(const CrashEvidence &evidence, const std::string &peer, std::uint64_t peerStart, SteadyTime now);
 
+    /// Applies evidence whose sender does not become a neighbour.
+    void learn(const CrashEvidence &evidence, SteadyTime now);
+
+    /// Returns what another entry must know to refuse the same requests and to conclude from later crashes: the
+    /// conclusions, and the crashes of suspects. The newest, if it is too much.
+    CrashEvidence openEvidence() const;
+
     /// Returns the peers to send a notice to, and counts the notices. Each must be followed by nextFor() and
     /// recordSent().
     std::vector<std::string> peersToNotify(SteadyTime now);
@@ -131,6 +138,7 @@
     };
 
     void add(Content content, const std::string &sender);
+    void applyItems(const CrashEvidence &evidence, const std::string &peer, SteadyTime now);
     void applyItem(const CrashReport &report, const std::string &peer, SteadyTime now);
     void applyItem(const ClearedTrait &cleared, const std::string &peer, SteadyTime now);
     void applyItem(const QuarantineConclusion &conclusion, const std::string &peer, SteadyTime now);
--- a/include/zinniadock/process/watchingsidecar.h
+++ b/include/zinniadock/process/watchingsidecar.h
@@ -37,6 +37,9 @@
     /// Returns whether no move and no admission is in progress.
     bool isIdle() const;
 
+    /// Does nothing: all that a sidecar knows is known at its engine.
+    Awaitable<void> handOver();
+
     /// Refuses moves that may take longer than the process runs, and load queries.
     /// \param timeLimit  time until the process ends
     void drain(std::chrono::milliseconds timeLimit);
--- a/src/process/entryknowledge.cpp
+++ b/src/process/entryknowledge.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "zinniadock/detail/cbormessage.h"
+#include "zinniadock/detail/evidencejson.h"
 #include "zinniadock/process/eventlog.h"
 
 namespace zinniadock
@@ -47,7 +48,7 @@
 
 } // namespace
 
-std::string encode(const EntryKnowledge &knowledge)
+std::string encode(const EntryKnowledge &knowledge, SteadyTime now)
 {
     Json departures = Json::array();
     for (const Departure &departure : knowledge.departures) {
@@ -56,12 +57,13 @@
     const std::string &text = knowledge.configuration;
     return detail::toCbor({ { "version", knowledge.configurationVersion },
                             { "configuration", Json::binary(std::vector<std::uint8_t>(text.begin(), text.end())) },
-                            { "departed", std::move(departures) } });
+                            { "departed", std::move(departures) },
+                            { "crashes", detail::toJson(knowledge.evidence, now) } });
 }
 
-std::optional<EntryKnowledge> decodeEntryKnowledge(const std::string &bytes)
+std::optional<EntryKnowledge> decodeEntryKnowledge(const std::string &bytes, SteadyTime now)
 {
-    return detail::fromCbor<EntryKnowledge>(bytes, [](const Json &document) {
+    return detail::fromCbor<EntryKnowledge>(bytes, [now](const Json &document) {
         EntryKnowledge knowledge;
         knowledge.configurationVersion = document.at("version").get<std::uint64_t>();
         const auto &text = document.at("configuration").get_binary();
@@ -69,6 +71,9 @@
         for (const Json &row : document.at("departed")) {
             knowledge.departures.push_back(departureFromRow(row));
         }
+        if (document.contains("crashes")) {
+            knowledge.evidence = detail::evidenceFromJson(document.at("crashes"), now);
+        }
         return knowledge;
     });
 }
@@ -153,9 +158,10 @@
 {
     const auto self = shared_from_this();
     const EntryKnowledge own = m_callbacks.knowledge(std::numeric_limits<std::uint64_t>::max());
-    const HttpRequest request = makePost(knowledgeTarget, encode(own));
+    const HttpRequest request = makePost(knowledgeTarget, encode(own, std::chrono::steady_clock::now()));
     const CallResult result = co_await call(m_services.pool, entry, request, exchangeTimeout);
-    const auto knowledge = result.succeeded() ? decodeEntryKnowledge(result.body) : std::nullopt;
+    const auto knowledge
+        = result.succeeded() ? decodeEntryKnowledge(result.body, std::chrono::steady_clock::now()) : std::nullopt;
     if (knowledge) {
         ++round->responses;
         m_callbacks.onKnowledge(*knowledge, entry.text());
@@ -169,7 +175,8 @@
     const auto self = shared_from_this();
     const EntryKnowledge own = m_callbacks.knowledge(query.configurationVersion);
     m_callbacks.onKnowledge(query, "another entry");
-    co_await connection->respond(makeResponse(http::status::ok, encode(own), "application/cbor"));
+    co_await connection->respond(
+        makeResponse(http::status::ok, encode(own, std::chrono::steady_clock::now()), "application/cbor"));
 }
 
 } // namespace zinniadock
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -34,6 +34,9 @@
 constexpr std::chrono::milliseconds maxWaitForEntryList{ 1000 };
 constexpr std::size_t entriesAskedAtStart = 3;
 
+/// Other entries that a stopping entry gives its evidence to. One of them may be stopping as well.
+constexpr std::size_t entriesToldAtStop = 3;
+
 /// Maximum number of departures that an entry sends to another.
 constexpr std::size_t maxSentDepartures = 2000;
 
@@ -263,6 +266,7 @@
     knowledge.configurationVersion = m_services.routes ? m_services.routes->version : 0;
     knowledge.configuration = knownVersion < knowledge.configurationVersion ? m_configuration : "";
     knowledge.departures = m_departed.latest(maxSentDepartures);
+    knowledge.evidence = m_services.suspects.openEvidence();
     return knowledge;
 }
 
@@ -275,6 +279,7 @@
     for (const Departure &departure : knowledge.departures) {
         applyDeparture(departure);
     }
+    m_services.suspects.learn(knowledge.evidence, std::chrono::steady_clock::now());
 }
 
 // The store is right about which servers it lists in its current era. That a server is draining is true in any era.
@@ -514,6 +519,13 @@
     }
 }
 
+Awaitable<void> ForwardingEntry::handOver()
+{
+    if (!m_services.suspects.isEmpty()) {
+        co_await m_knowledge->ask(m_knowledge->chooseEntries(entriesToldAtStop));
+    }
+}
+
 bool ForwardingEntry::isIdle() const
 {
     return m_services.counters.activeRequests == 0 && !m_services.crashWatch->isChecking()
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -48,7 +48,7 @@
         }
     }
     if (request.target() == knowledgeTarget) {
-        auto query = decodeEntryKnowledge(request.body());
+        auto query = decodeEntryKnowledge(request.body(), std::chrono::steady_clock::now());
         if (query) {
             co_await m_knowledge->handleQuery(connection, std::move(*query));
             co_return;
--- a/src/process/sharedsuspects.cpp
+++ b/src/process/sharedsuspects.cpp
@@ -18,6 +18,9 @@
 /// Max evidence in one message. A new entry gets all of it in several messages.
 constexpr std::size_t maxBatchBytes = 1400;
 
+/// Max evidence that openEvidence() returns, in bytes.
+constexpr std::size_t maxEvidenceBytes = 32768;
+
 /// Sizes in a message, in bytes.
 constexpr std::size_t noticeBytes = 230; ///< a notice and its response, with the heads, without evidence
 constexpr std::size_t traitBytes = 9;
@@ -115,10 +118,13 @@
         content);
 }
 
-/// Records that a peer knows the items with a content that satisfies \p matches.
+/// Records that a peer knows the items with a content that satisfies \p matches. Does nothing if \p peer is empty.
 template <typename Content, typename Items, typename Predicate>
 void markKnown(Items &items, const std::string &peer, Predicate matches)
 {
+    if (peer.empty()) {
+        return;
+    }
     for (auto &item : items) {
         const auto *known = std::get_if<Content>(&item.content);
         if (known && matches(*known)) {
@@ -241,8 +247,18 @@
 void SharedSuspects::apply(const CrashEvidence &evidence, const std::string &peer, std::uint64_t peerStart,
                            SteadyTime now)
 {
-    updateRole(now);
     recordPeerStart(peer, peerStart, now);
+    applyItems(evidence, peer, now);
+}
+
+void SharedSuspects::learn(const CrashEvidence &evidence, SteadyTime now)
+{
+    applyItems(evidence, "", now);
+}
+
+void SharedSuspects::applyItems(const CrashEvidence &evidence, const std::string &peer, SteadyTime now)
+{
+    updateRole(now);
     for (const CrashReport &report : evidence.crashes) {
         applyItem(report, peer, now);
     }
@@ -343,10 +359,12 @@
     return !relevantPart(std::get<CrashReport>(item.content)).runs.empty();
 }
 
+// A trait that had responses is worth a message from the second crash on.
 bool SharedSuspects::isOpenSuspect(RequestTrait trait) const
 {
     constexpr std::size_t minRelevantCrashes = 2;
-    return m_table.crashCount({ trait }) >= minRelevantCrashes && !m_table.isQuarantined(trait);
+    const bool isRelevant = m_table.isSuspect({ trait }) || m_table.crashCount({ trait }) >= minRelevantCrashes;
+    return isRelevant && !m_table.isQuarantined(trait);
 }
 
 // Only these traits may get a response elsewhere that matters.
@@ -376,6 +394,26 @@
     return hasReport || isConcludedBy(trait, peer);
 }
 
+CrashEvidence SharedSuspects::openEvidence() const
+{
+    CrashEvidence evidence;
+    std::size_t bytes = 0;
+    for (auto item = m_items.rbegin(); item != m_items.rend() && bytes < maxEvidenceBytes; ++item) {
+        const auto *report = std::get_if<CrashReport>(&item->content);
+        const auto *conclusion = std::get_if<QuarantineConclusion>(&item->content);
+        if (conclusion) {
+            append(evidence, *conclusion);
+        } else if (report) {
+            const CrashReport part = relevantPart(*report);
+            if (!part.runs.empty()) {
+                append(evidence, part);
+            }
+        }
+        bytes += messageBytes(item->content);
+    }
+    return evidence;
+}
+
 std::size_t SharedSuspects::priority(const Item &item) const
 {
     const auto *report = std::get_if<CrashReport>(&item.content);
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -418,6 +418,11 @@
     return m_listener->port();
 }
 
+Awaitable<void> EngineSidecar::handOver()
+{
+    co_return;
+}
+
 bool EngineSidecar::isIdle() const
 {
     return m_pendingMoves.empty() && !m_moveInProgress && m_requestsInProgress == 0;
--- a/tests/unit/unit-storerestore.cpp
+++ b/tests/unit/unit-storerestore.cpp
@@ -290,19 +290,26 @@
     knowledge.configuration = std::string("\0\xff", 2);
     knowledge.departures = { { .server = "s", .startTimeMs = 5, .sequence = 6, .isDraining = true, .era = 2 },
                              { .server = "t", .isGone = true } };
-    const std::string bytes = encode(knowledge);
-    const auto decoded = decodeEntryKnowledge(bytes);
+    const SteadyTime now{ std::chrono::hours(100) };
+    knowledge.evidence.conclusions
+        = { { .trait = 4,
+              .crashes = { { .server = "s", .serverStartTimeMs = 5, .at = now - std::chrono::seconds(1) } } } };
+    const std::string bytes = encode(knowledge, now);
+    const auto decoded = decodeEntryKnowledge(bytes, now);
     REQUIRE(decoded);
     CHECK(decoded->configurationVersion == knowledge.configurationVersion);
     CHECK(decoded->configuration == knowledge.configuration);
     CHECK(decoded->departures == knowledge.departures);
+    REQUIRE(decoded->evidence.conclusions.size() == 1);
+    CHECK(decoded->evidence.conclusions[0].trait == 4);
+    CHECK(decoded->evidence.conclusions[0].crashes[0].at == now - std::chrono::seconds(1));
     for (std::size_t length = 0; length < bytes.size(); ++length) {
-        CHECK_FALSE(decodeEntryKnowledge(bytes.substr(0, length)));
+        CHECK_FALSE(decodeEntryKnowledge(bytes.substr(0, length), now));
     }
     for (std::size_t at = 0; at < bytes.size(); ++at) {
         std::string changed = bytes;
         changed[at] = static_cast<char>(changed[at] ^ 0x55);
-        static_cast<void>(decodeEntryKnowledge(changed));
+        static_cast<void>(decodeEntryKnowledge(changed, now));
     }
 }
 
