--- a/bench/publish/main.cpp
+++ b/bench/publish/main.cpp
@@ -20,9 +20,9 @@
 
 #include "figures.h"
 #include "processusage.h"
-#include "zinniadock/process/configurationeditor.h"
-#include "zinniadock/process/configurationfollower.h"
-#include "zinniadock/process/etcdstore.h"
+#include "zinniadock/process/store/configurationeditor.h"
+#include "zinniadock/process/store/configurationfollower.h"
+#include "zinniadock/process/store/etcdstore.h"
 
 ABSL_FLAG(std::string, store, "", "IP:port of the store");
 ABSL_FLAG(std::string, store_control, "", "IP:port whose /control sets the faults of the store; empty for no faults");
--- a/include/zinniadock/process/entry.h
+++ b/include/zinniadock/process/entry.h
@@ -10,13 +10,13 @@
 
 #include "zinniadock/connection/readwatch.h"
 #include "zinniadock/process/accountlimiter.h"
-#include "zinniadock/process/claims.h"
-#include "zinniadock/process/configurationfollower.h"
 #include "zinniadock/process/entryservices.h"
-#include "zinniadock/process/etcdstore.h"
 #include "zinniadock/process/linkpool.h"
 #include "zinniadock/process/metrics.h"
 #include "zinniadock/process/settings.h"
+#include "zinniadock/process/store/claims.h"
+#include "zinniadock/process/store/configurationfollower.h"
+#include "zinniadock/process/store/etcdstore.h"
 #include "zinniadock/process/timeline.h"
 #include "zinniadock/version/version.h"
 
--- a/include/zinniadock/process/entryregistration.h
+++ b/include/zinniadock/process/entryregistration.h
@@ -7,7 +7,7 @@
 
 #include "zinniadock/connection/httpclient.h"
 #include "zinniadock/connection/wireform.h"
-#include "zinniadock/process/readerchoice.h"
+#include "zinniadock/process/store/readerchoice.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -11,7 +11,7 @@
 #include "zinniadock/process/entryknowledge.h"
 #include "zinniadock/process/forwardingservices.h"
 #include "zinniadock/process/sidecarfeed.h"
-#include "zinniadock/process/storeview.h"
+#include "zinniadock/process/store/storeview.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/claims.h
+++ b/include/zinniadock/process/store/claims.h
@@ -9,7 +9,7 @@
 #include <thread>
 #include <vector>
 
-#include "zinniadock/process/store.h"
+#include "zinniadock/process/store/store.h"
 #include "zinniadock/request/requestid.h"
 
 namespace zinniadock
--- a/include/zinniadock/process/configurationeditor.h
+++ b/include/zinniadock/process/store/configurationeditor.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "zinniadock/process/publisher.h"
+#include "zinniadock/process/store/publisher.h"
 #include "zinniadock/version/changeset.h"
 #include "zinniadock/version/versiondelta.h"
 
--- a/include/zinniadock/process/configurationfollower.h
+++ b/include/zinniadock/process/store/configurationfollower.h
@@ -11,8 +11,8 @@
 #include <condition_variable>
 
 #include "zinniadock/process/log.h"
-#include "zinniadock/process/publisher.h"
-#include "zinniadock/process/store.h"
+#include "zinniadock/process/store/publisher.h"
+#include "zinniadock/process/store/store.h"
 #include "zinniadock/process/timeline.h"
 #include "zinniadock/request/requestid.h"
 #include "zinniadock/version/version.h"
--- a/include/zinniadock/process/etcdstore.h
+++ b/include/zinniadock/process/store/etcdstore.h
@@ -10,7 +10,7 @@
 #include <Poco/Net/HTTPClientSession.h>
 
 #include "zinniadock/detail/fieldtable.h"
-#include "zinniadock/process/store.h"
+#include "zinniadock/process/store/store.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/prefixwatch.h
+++ b/include/zinniadock/process/store/prefixwatch.h
@@ -9,8 +9,8 @@
 
 #include "zinniadock/connection/httpclient.h"
 #include "zinniadock/connection/wireform.h"
-#include "zinniadock/process/storecontact.h"
-#include "zinniadock/process/storemirror.h"
+#include "zinniadock/process/store/storecontact.h"
+#include "zinniadock/process/store/storemirror.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/publishedtext.h
+++ b/include/zinniadock/process/store/publishedtext.h
@@ -7,7 +7,7 @@
 
 #include <Poco/NumberParser.h>
 
-#include "zinniadock/process/store.h"
+#include "zinniadock/process/store/store.h"
 #include "zinniadock/version/configuration.h"
 
 namespace zinniadock
--- a/include/zinniadock/process/publisher.h
+++ b/include/zinniadock/process/store/publisher.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <thread>
 
-#include "zinniadock/process/publishedtext.h"
-#include "zinniadock/process/store.h"
+#include "zinniadock/process/store/publishedtext.h"
+#include "zinniadock/process/store/store.h"
 #include "zinniadock/version/configuration.h"
 
 namespace zinniadock
--- a/include/zinniadock/process/relaymessages.h
+++ b/include/zinniadock/process/store/relaymessages.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-#include "zinniadock/process/storemirror.h"
+#include "zinniadock/process/store/storemirror.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/storecontact.h
+++ b/include/zinniadock/process/store/storecontact.h
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string_view>
 
-#include "zinniadock/process/relaymessages.h"
+#include "zinniadock/process/store/relaymessages.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/storeview.h
+++ b/include/zinniadock/process/store/storeview.h
@@ -13,9 +13,9 @@
 #include "zinniadock/connection/httplistener.h"
 #include "zinniadock/process/entryregistration.h"
 #include "zinniadock/process/forwardingservices.h"
-#include "zinniadock/process/prefixwatch.h"
-#include "zinniadock/process/relaymessages.h"
-#include "zinniadock/process/storecontact.h"
+#include "zinniadock/process/store/prefixwatch.h"
+#include "zinniadock/process/store/relaymessages.h"
+#include "zinniadock/process/store/storecontact.h"
 
 namespace zinniadock
 {
--- a/src/cli/configcommands.cpp
+++ b/src/cli/configcommands.cpp
@@ -6,8 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include "zinniadock/process/configurationeditor.h"
-#include "zinniadock/process/etcdstore.h"
+#include "zinniadock/process/store/configurationeditor.h"
+#include "zinniadock/process/store/etcdstore.h"
 #include "zinniadock/request/requestid.h"
 
 namespace zinniadock::cli
--- a/src/process/serverlimiter.cpp
+++ b/src/process/serverlimiter.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "zinniadock/process/eventlog.h"
-#include "zinniadock/process/readerchoice.h"
+#include "zinniadock/process/store/readerchoice.h"
 
 namespace zinniadock
 {
--- a/src/process/sharedsuspects.cpp
+++ b/src/process/sharedsuspects.cpp
@@ -4,7 +4,7 @@
 #include <limits>
 
 #include "zinniadock/process/eventlog.h"
-#include "zinniadock/process/readerchoice.h"
+#include "zinniadock/process/store/readerchoice.h"
 
 namespace zinniadock
 {
--- a/src/process/claims.cpp
+++ b/src/process/store/claims.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/claims.h"
+#include "zinniadock/process/store/claims.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/process/etcdstore.cpp
+++ b/src/process/store/etcdstore.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/etcdstore.h"
+#include "zinniadock/process/store/etcdstore.h"
 
 #include <algorithm>
 #include <istream>
--- a/src/process/prefixwatch.cpp
+++ b/src/process/store/prefixwatch.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/prefixwatch.h"
+#include "zinniadock/process/store/prefixwatch.h"
 
 #include <algorithm>
 #include <random>
--- a/src/process/publisher.cpp
+++ b/src/process/store/publisher.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/publisher.h"
+#include "zinniadock/process/store/publisher.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/process/readerchoice.cpp
+++ b/src/process/store/readerchoice.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/readerchoice.h"
+#include "zinniadock/process/store/readerchoice.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/src/process/relaymessages.cpp
+++ b/src/process/store/relaymessages.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/relaymessages.h"
+#include "zinniadock/process/store/relaymessages.h"
 
 #include "zinniadock/detail/cbormessage.h"
 
--- a/src/process/storecontact.cpp
+++ b/src/process/store/storecontact.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/storecontact.h"
+#include "zinniadock/process/store/storecontact.h"
 
 #include <algorithm>
 
--- a/src/process/storemirror.cpp
+++ b/src/process/store/storemirror.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/storemirror.h"
+#include "zinniadock/process/store/storemirror.h"
 
 #include <algorithm>
 #include <set>
--- a/src/process/storeview.cpp
+++ b/src/process/store/storeview.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/storeview.h"
+#include "zinniadock/process/store/storeview.h"
 
 #include <algorithm>
 
--- a/tests/unit/fakestore.h
+++ b/tests/unit/fakestore.h
@@ -8,7 +8,7 @@
 #include <random>
 #include <string>
 
-#include "zinniadock/process/store.h"
+#include "zinniadock/process/store/store.h"
 
 namespace zinniadock::test
 {
--- a/tests/unit/fleet.cpp
+++ b/tests/unit/fleet.cpp
@@ -10,7 +10,7 @@
 #include <Poco/StreamCopier.h>
 #include <nlohmann/json.hpp>
 
-#include "zinniadock/process/configurationeditor.h"
+#include "zinniadock/process/store/configurationeditor.h"
 
 namespace zinniadock::test
 {
--- a/tests/unit/unit-claims.cpp
+++ b/tests/unit/unit-claims.cpp
@@ -5,7 +5,7 @@
 #include <thread>
 
 #include "fakestore.h"
-#include "zinniadock/process/claims.h"
+#include "zinniadock/process/store/claims.h"
 
 using namespace zinniadock;
 using namespace zinniadock::test;
--- a/tests/unit/unit-etcdstore.cpp
+++ b/tests/unit/unit-etcdstore.cpp
@@ -4,7 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "scriptedresponse.h"
-#include "zinniadock/process/etcdstore.h"
+#include "zinniadock/process/store/etcdstore.h"
 
 using namespace zinniadock;
 using namespace zinniadock::standin;
--- a/tests/unit/unit-publisher.cpp
+++ b/tests/unit/unit-publisher.cpp
@@ -3,7 +3,7 @@
 #include <thread>
 
 #include "fakestore.h"
-#include "zinniadock/process/configurationeditor.h"
+#include "zinniadock/process/store/configurationeditor.h"
 
 using namespace zinniadock;
 using namespace zinniadock::test;
--- a/tests/unit/unit-readerchoice.cpp
+++ b/tests/unit/unit-readerchoice.cpp
@@ -5,7 +5,7 @@
 #include <random>
 
 #include "zinniadock/process/entryregistration.h"
-#include "zinniadock/process/readerchoice.h"
+#include "zinniadock/process/store/readerchoice.h"
 
 using namespace zinniadock;
 
--- a/tests/unit/unit-storecontact.cpp
+++ b/tests/unit/unit-storecontact.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "zinniadock/process/storecontact.h"
+#include "zinniadock/process/store/storecontact.h"
 
 using namespace zinniadock;
 using std::chrono::milliseconds;
--- a/tests/unit/unit-storemirror.cpp
+++ b/tests/unit/unit-storemirror.cpp
@@ -2,8 +2,8 @@
 
 #include <rapidcheck.h>
 
-#include "zinniadock/process/relaymessages.h"
-#include "zinniadock/process/storemirror.h"
+#include "zinniadock/process/store/relaymessages.h"
+#include "zinniadock/process/store/storemirror.h"
 
 using namespace zinniadock;
 
--- a/tests/unit/unit-storewatch.cpp
+++ b/tests/unit/unit-storewatch.cpp
@@ -5,7 +5,7 @@
 #include "fleet.h"
 #include "forwardingfixture.h"
 #include "linkrelay.h"
-#include "zinniadock/process/readerchoice.h"
+#include "zinniadock/process/store/readerchoice.h"
 
 using namespace zinniadock;
 using namespace zinniadock::standin;
--- a/tests/unit/unit-versiondelta.cpp
+++ b/tests/unit/unit-versiondelta.cpp
@@ -4,7 +4,7 @@
 
 #include "fakestore.h"
 #include "fleet.h"
-#include "zinniadock/process/configurationeditor.h"
+#include "zinniadock/process/store/configurationeditor.h"
 #include "zinniadock/version/versiondelta.h"
 
 using namespace zinniadock;
