--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -8,8 +8,8 @@
 
 #include "zinniadock/connection/httplistener.h"
 #include "zinniadock/process/departedservers.h"
-#include "zinniadock/process/entryknowledge.h"
 #include "zinniadock/process/forwardingservices.h"
+#include "zinniadock/process/membership/entryknowledge.h"
 #include "zinniadock/process/sidecarfeed.h"
 #include "zinniadock/process/store/storeview.h"
 
--- a/include/zinniadock/process/limitbudget.h
+++ b/include/zinniadock/process/limitbudget.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "zinniadock/process/entrytree.h"
+#include "zinniadock/process/membership/entrytree.h"
 #include "zinniadock/process/placement.h"
 #include "zinniadock/process/serverlimit.h"
 
--- a/include/zinniadock/process/serverlimiter.h
+++ b/include/zinniadock/process/serverlimiter.h
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
-#include "zinniadock/process/entrymessages.h"
-#include "zinniadock/process/entrytree.h"
 #include "zinniadock/process/limitbudget.h"
+#include "zinniadock/process/membership/entrymessages.h"
+#include "zinniadock/process/membership/entrytree.h"
 #include "zinniadock/process/reportpacing.h"
 #include "zinniadock/process/serverlimit.h"
 
--- a/include/zinniadock/process/sharedsuspects.h
+++ b/include/zinniadock/process/sharedsuspects.h
@@ -9,7 +9,7 @@
 #include <variant>
 #include <vector>
 
-#include "zinniadock/process/entrytree.h"
+#include "zinniadock/process/membership/entrytree.h"
 #include "zinniadock/process/suspecttable.h"
 
 namespace zinniadock
--- a/include/zinniadock/process/store/storeview.h
+++ b/include/zinniadock/process/store/storeview.h
@@ -11,8 +11,8 @@
 #include <vector>
 
 #include "zinniadock/connection/httplistener.h"
-#include "zinniadock/process/entryregistration.h"
 #include "zinniadock/process/forwardingservices.h"
+#include "zinniadock/process/membership/entryregistration.h"
 #include "zinniadock/process/store/prefixwatch.h"
 #include "zinniadock/process/store/relaymessages.h"
 #include "zinniadock/process/store/storecontact.h"
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -1,8 +1,8 @@
 #include "zinniadock/process/forwardingentry.h"
 
 #include "zinniadock/process/crashwatch.h"
-#include "zinniadock/process/entryexchange.h"
 #include "zinniadock/process/eventlog.h"
+#include "zinniadock/process/membership/entryexchange.h"
 
 namespace zinniadock
 {
--- a/src/process/entryexchange.cpp
+++ b/src/process/membership/entryexchange.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/entryexchange.h"
+#include "zinniadock/process/membership/entryexchange.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/src/process/entryknowledge.cpp
+++ b/src/process/membership/entryknowledge.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/entryknowledge.h"
+#include "zinniadock/process/membership/entryknowledge.h"
 
 #include <algorithm>
 #include <array>
--- a/src/process/entrymessages.cpp
+++ b/src/process/membership/entrymessages.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/entrymessages.h"
+#include "zinniadock/process/membership/entrymessages.h"
 
 #include <cmath>
 
--- a/src/process/entryregistration.cpp
+++ b/src/process/membership/entryregistration.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/entryregistration.h"
+#include "zinniadock/process/membership/entryregistration.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/src/process/entrytree.cpp
+++ b/src/process/membership/entrytree.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/entrytree.h"
+#include "zinniadock/process/membership/entrytree.h"
 
 #include <algorithm>
 
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -6,7 +6,7 @@
 #include <boost/algorithm/string/join.hpp>
 
 #include "zinniadock/process/crashwatch.h"
-#include "zinniadock/process/entryexchange.h"
+#include "zinniadock/process/membership/entryexchange.h"
 #include "zinniadock/process/routing.h"
 #include "zinniadock/request/callforward.h"
 #include "zinniadock/request/generationforward.h"
--- a/tests/unit/suspectfleet.h
+++ b/tests/unit/suspectfleet.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "zinniadock/process/abandonedruns.h"
-#include "zinniadock/process/entrymessages.h"
+#include "zinniadock/process/membership/entrymessages.h"
 #include "zinniadock/process/sharedsuspects.h"
 
 namespace zinniadock::test
--- a/tests/unit/unit-readerchoice.cpp
+++ b/tests/unit/unit-readerchoice.cpp
@@ -4,7 +4,7 @@
 #include <map>
 #include <random>
 
-#include "zinniadock/process/entryregistration.h"
+#include "zinniadock/process/membership/entryregistration.h"
 #include "zinniadock/process/store/readerchoice.h"
 
 using namespace zinniadock;
--- a/tests/unit/unit-wireform.cpp
+++ b/tests/unit/unit-wireform.cpp
@@ -3,7 +3,7 @@
 #include <rapidcheck.h>
 
 #include "zinniadock/connection/wireform.h"
-#include "zinniadock/process/entrymessages.h"
+#include "zinniadock/process/membership/entrymessages.h"
 #include "zinniadock/process/sidecarmessages.h"
 
 using namespace zinniadock;
