--- a/include/zinniadock/connection/wireform.h
+++ b/include/zinniadock/connection/wireform.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "zinniadock/connection/httpmessage.h"
-#include "zinniadock/process/serverdirectory.h"
+#include "zinniadock/process/servers/serverdirectory.h"
 #include "zinniadock/version/routetable.h"
 
 /// Names and formats of the platform that a forwarding entry and its sidecars run on. The functions are defined in
--- a/include/zinniadock/process/crashreport.h
+++ b/include/zinniadock/process/crashreport.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "zinniadock/process/serverdirectory.h"
+#include "zinniadock/process/servers/serverdirectory.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/engineadmission.h
+++ b/include/zinniadock/process/engineadmission.h
@@ -5,7 +5,7 @@
 #include <map>
 #include <string>
 
-#include "zinniadock/process/serverdirectory.h"
+#include "zinniadock/process/servers/serverdirectory.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -7,9 +7,9 @@
 #include <system_error>
 
 #include "zinniadock/connection/httplistener.h"
-#include "zinniadock/process/departedservers.h"
 #include "zinniadock/process/forwardingservices.h"
 #include "zinniadock/process/membership/entryknowledge.h"
+#include "zinniadock/process/servers/departedservers.h"
 #include "zinniadock/process/sidecarfeed.h"
 #include "zinniadock/process/store/storeview.h"
 
--- a/include/zinniadock/process/generationpace.h
+++ b/include/zinniadock/process/generationpace.h
@@ -3,7 +3,7 @@
 #include <chrono>
 #include <cstdint>
 
-#include "zinniadock/process/serverdirectory.h"
+#include "zinniadock/process/servers/serverdirectory.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/membership/entryknowledge.h
+++ b/include/zinniadock/process/membership/entryknowledge.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "zinniadock/connection/httplistener.h"
-#include "zinniadock/process/departedservers.h"
 #include "zinniadock/process/forwardingservices.h"
+#include "zinniadock/process/servers/departedservers.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/placement.h
+++ b/include/zinniadock/process/placement.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "zinniadock/process/serverdirectory.h"
+#include "zinniadock/process/servers/serverdirectory.h"
 #include "zinniadock/version/routetable.h"
 
 namespace zinniadock
--- a/include/zinniadock/process/reportpacing.h
+++ b/include/zinniadock/process/reportpacing.h
@@ -2,7 +2,7 @@
 
 #include <chrono>
 
-#include "zinniadock/process/serverdirectory.h"
+#include "zinniadock/process/servers/serverdirectory.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/retrywindow.h
+++ b/include/zinniadock/process/retrywindow.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <deque>
 
-#include "zinniadock/process/serverdirectory.h"
+#include "zinniadock/process/servers/serverdirectory.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/serverlimit.h
+++ b/include/zinniadock/process/serverlimit.h
@@ -9,7 +9,7 @@
 #include <tuple>
 #include <vector>
 
-#include "zinniadock/process/serverdirectory.h"
+#include "zinniadock/process/servers/serverdirectory.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/sidecarmessages.h
+++ b/include/zinniadock/process/sidecarmessages.h
@@ -8,7 +8,7 @@
 
 #include "zinniadock/connection/wireform.h"
 #include "zinniadock/process/engineadmission.h"
-#include "zinniadock/process/serverdirectory.h"
+#include "zinniadock/process/servers/serverdirectory.h"
 
 namespace zinniadock
 {
--- a/src/process/backendwatch.cpp
+++ b/src/process/servers/backendwatch.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/backendwatch.h"
+#include "zinniadock/process/servers/backendwatch.h"
 
 #include "zinniadock/connection/servicecall.h"
 #include "zinniadock/process/log.h"
--- a/src/process/departedservers.cpp
+++ b/src/process/servers/departedservers.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/departedservers.h"
+#include "zinniadock/process/servers/departedservers.h"
 
 #include <algorithm>
 
--- a/src/process/serverdirectory.cpp
+++ b/src/process/servers/serverdirectory.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/serverdirectory.h"
+#include "zinniadock/process/servers/serverdirectory.h"
 
 #include <algorithm>
 
--- a/src/process/serverhealth.cpp
+++ b/src/process/servers/serverhealth.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/serverhealth.h"
+#include "zinniadock/process/servers/serverhealth.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/process/sidecar.cpp
+++ b/src/process/sidecar.cpp
@@ -1,8 +1,8 @@
 #include "zinniadock/process/sidecar.h"
 
-#include "zinniadock/process/backendwatch.h"
 #include "zinniadock/process/log.h"
 #include "zinniadock/process/pausewatch.h"
+#include "zinniadock/process/servers/backendwatch.h"
 #include "zinniadock/version/versiondelta.h"
 
 namespace zinniadock
--- a/tests/unit/unit-departedservers.cpp
+++ b/tests/unit/unit-departedservers.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "zinniadock/process/departedservers.h"
+#include "zinniadock/process/servers/departedservers.h"
 
 using namespace zinniadock;
 
--- a/tests/unit/unit-serverdirectory.cpp
+++ b/tests/unit/unit-serverdirectory.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "zinniadock/process/retrywindow.h"
-#include "zinniadock/process/serverdirectory.h"
+#include "zinniadock/process/servers/serverdirectory.h"
 
 using namespace zinniadock;
 
--- a/tests/unit/unit-serverhealth.cpp
+++ b/tests/unit/unit-serverhealth.cpp
@@ -5,7 +5,7 @@
 #include <rapidcheck.h>
 
 #include "fleet.h"
-#include "zinniadock/process/serverhealth.h"
+#include "zinniadock/process/servers/serverhealth.h"
 
 using namespace zinniadock;
 using namespace zinniadock::test;
