--- a/bench/crowded/simulation.h
+++ b/bench/crowded/simulation.h
@@ -13,7 +13,7 @@
 #include "figures.h"
 #include "gates.h"
 #include "workload.h"
-#include "zinniadock/process/routing.h"
+#include "zinniadock/process/placing/routing.h"
 
 namespace zinniadock::crowded
 {
--- a/bench/micro/main.cpp
+++ b/bench/micro/main.cpp
@@ -13,7 +13,7 @@
 #include "zinniadock/process/accountlimiter.h"
 #include "zinniadock/process/admission.h"
 #include "zinniadock/process/metrics.h"
-#include "zinniadock/process/routing.h"
+#include "zinniadock/process/placing/routing.h"
 #include "zinniadock/process/serverlimiter.h"
 #include "zinniadock/process/servers/serverhealth.h"
 #include "zinniadock/process/store/claims.h"
--- a/include/zinniadock/process/admission.h
+++ b/include/zinniadock/process/admission.h
@@ -10,8 +10,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "zinniadock/process/lengthstatistics.h"
 #include "zinniadock/process/memoryforecast.h"
+#include "zinniadock/process/placing/lengthstatistics.h"
 #include "zinniadock/request/error.h"
 #include "zinniadock/request/requestid.h"
 
--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -9,10 +9,10 @@
 #include <string>
 
 #include "zinniadock/connection/httpclient.h"
-#include "zinniadock/process/generationpace.h"
-#include "zinniadock/process/hintedlength.h"
 #include "zinniadock/process/metrics.h"
-#include "zinniadock/process/placement.h"
+#include "zinniadock/process/placing/generationpace.h"
+#include "zinniadock/process/placing/hintedlength.h"
+#include "zinniadock/process/placing/placement.h"
 #include "zinniadock/process/retrywindow.h"
 #include "zinniadock/process/serverlimiter.h"
 #include "zinniadock/process/servers/serverdirectory.h"
--- a/include/zinniadock/process/limitbudget.h
+++ b/include/zinniadock/process/limitbudget.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "zinniadock/process/membership/entrytree.h"
-#include "zinniadock/process/placement.h"
+#include "zinniadock/process/placing/placement.h"
 #include "zinniadock/process/serverlimit.h"
 
 namespace zinniadock
--- a/include/zinniadock/process/linkpool.h
+++ b/include/zinniadock/process/linkpool.h
@@ -14,7 +14,7 @@
 
 #include "zinniadock/connection/linkmessage.h"
 #include "zinniadock/connection/linktransport.h"
-#include "zinniadock/process/routing.h"
+#include "zinniadock/process/placing/routing.h"
 #include "zinniadock/process/servers/serverhealth.h"
 #include "zinniadock/process/suspecttable.h"
 #include "zinniadock/process/timeline.h"
--- a/include/zinniadock/process/memoryforecast.h
+++ b/include/zinniadock/process/memoryforecast.h
@@ -6,7 +6,7 @@
 #include <map>
 #include <memory>
 
-#include "zinniadock/process/lengthstatistics.h"
+#include "zinniadock/process/placing/lengthstatistics.h"
 
 namespace zinniadock
 {
--- a/src/process/crashwatch.cpp
+++ b/src/process/crashwatch.cpp
@@ -6,7 +6,7 @@
 
 #include "zinniadock/process/eventlog.h"
 #include "zinniadock/process/forwardingservices.h"
-#include "zinniadock/process/routing.h"
+#include "zinniadock/process/placing/routing.h"
 
 namespace zinniadock
 {
--- a/src/process/evidencejson.cpp
+++ b/src/process/evidencejson.cpp
@@ -1,6 +1,6 @@
 #include "zinniadock/detail/evidencejson.h"
 
-#include "zinniadock/process/routing.h"
+#include "zinniadock/process/placing/routing.h"
 
 namespace zinniadock::detail
 {
--- a/src/process/membership/entrytree.cpp
+++ b/src/process/membership/entrytree.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "zinniadock/process/routing.h"
+#include "zinniadock/process/placing/routing.h"
 
 namespace zinniadock
 {
--- a/src/process/generationpace.cpp
+++ b/src/process/placing/generationpace.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/generationpace.h"
+#include "zinniadock/process/placing/generationpace.h"
 
 #include <algorithm>
 
--- a/src/process/hintedlength.cpp
+++ b/src/process/placing/hintedlength.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/hintedlength.h"
+#include "zinniadock/process/placing/hintedlength.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/process/lengthstatistics.cpp
+++ b/src/process/placing/lengthstatistics.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/lengthstatistics.h"
+#include "zinniadock/process/placing/lengthstatistics.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/process/placement.cpp
+++ b/src/process/placing/placement.cpp
@@ -1,9 +1,9 @@
-#include "zinniadock/process/placement.h"
+#include "zinniadock/process/placing/placement.h"
 
 #include <algorithm>
 #include <limits>
 
-#include "zinniadock/process/routing.h"
+#include "zinniadock/process/placing/routing.h"
 
 namespace zinniadock
 {
--- a/src/process/routing.cpp
+++ b/src/process/placing/routing.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/routing.h"
+#include "zinniadock/process/placing/routing.h"
 
 #include <vector>
 
--- a/src/process/sidecarrequests.cpp
+++ b/src/process/sidecarrequests.cpp
@@ -10,7 +10,7 @@
 
 #include "zinniadock/connection/servicecall.h"
 #include "zinniadock/process/log.h"
-#include "zinniadock/process/routing.h"
+#include "zinniadock/process/placing/routing.h"
 
 namespace zinniadock
 {
--- a/src/request/callerrequest.cpp
+++ b/src/request/callerrequest.cpp
@@ -5,7 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "zinniadock/process/routing.h"
+#include "zinniadock/process/placing/routing.h"
 
 namespace zinniadock
 {
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -7,7 +7,7 @@
 
 #include "zinniadock/process/crashwatch.h"
 #include "zinniadock/process/membership/entryexchange.h"
-#include "zinniadock/process/routing.h"
+#include "zinniadock/process/placing/routing.h"
 #include "zinniadock/request/callforward.h"
 #include "zinniadock/request/generationforward.h"
 
--- a/src/request/generationattempts.cpp
+++ b/src/request/generationattempts.cpp
@@ -4,7 +4,7 @@
 #include <numeric>
 
 #include "zinniadock/process/log.h"
-#include "zinniadock/process/routing.h"
+#include "zinniadock/process/placing/routing.h"
 
 namespace zinniadock
 {
--- a/tests/unit/unit-hintedlength.cpp
+++ b/tests/unit/unit-hintedlength.cpp
@@ -3,7 +3,7 @@
 #include <cmath>
 #include <random>
 
-#include "zinniadock/process/hintedlength.h"
+#include "zinniadock/process/placing/hintedlength.h"
 
 using namespace zinniadock;
 
--- a/tests/unit/unit-placement.cpp
+++ b/tests/unit/unit-placement.cpp
@@ -2,7 +2,7 @@
 
 #include <random>
 
-#include "zinniadock/process/placement.h"
+#include "zinniadock/process/placing/placement.h"
 
 using namespace zinniadock;
 
--- a/tests/unit/unit-routing.cpp
+++ b/tests/unit/unit-routing.cpp
@@ -5,7 +5,7 @@
 #include <rapidcheck.h>
 
 #include "zinniadock/process/accountlimiter.h"
-#include "zinniadock/process/routing.h"
+#include "zinniadock/process/placing/routing.h"
 
 using namespace zinniadock;
 
--- a/tests/unit/unit-stopadmission.cpp
+++ b/tests/unit/unit-stopadmission.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "zinniadock/process/generationpace.h"
+#include "zinniadock/process/placing/generationpace.h"
 #include "zinniadock/process/runmover.h"
 #include "zinniadock/process/stopadmission.h"
 
