--- a/bench/crowded/gates.h
+++ b/bench/crowded/gates.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "workload.h"
-#include "zinniadock/process/admission.h"
+#include "zinniadock/process/admission/admission.h"
 
 namespace zinniadock::crowded
 {
--- a/bench/micro/main.cpp
+++ b/bench/micro/main.cpp
@@ -11,7 +11,7 @@
 #include "zinniadock/connection/linkmessage.h"
 #include "zinniadock/connection/linktransport.h"
 #include "zinniadock/process/accountlimiter.h"
-#include "zinniadock/process/admission.h"
+#include "zinniadock/process/admission/admission.h"
 #include "zinniadock/process/metrics.h"
 #include "zinniadock/process/placing/routing.h"
 #include "zinniadock/process/serverlimiter.h"
--- a/include/zinniadock/process/admission.h
+++ b/include/zinniadock/process/admission/admission.h
@@ -10,7 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "zinniadock/process/memoryforecast.h"
+#include "zinniadock/process/admission/memoryforecast.h"
 #include "zinniadock/process/placing/lengthstatistics.h"
 #include "zinniadock/request/error.h"
 #include "zinniadock/request/requestid.h"
--- a/include/zinniadock/process/entryservices.h
+++ b/include/zinniadock/process/entryservices.h
@@ -3,10 +3,10 @@
 #include <atomic>
 
 #include "zinniadock/process/accountlimiter.h"
+#include "zinniadock/process/admission/stopadmission.h"
 #include "zinniadock/process/linkpool.h"
 #include "zinniadock/process/metrics.h"
 #include "zinniadock/process/settings.h"
-#include "zinniadock/process/stopadmission.h"
 #include "zinniadock/process/store/claims.h"
 #include "zinniadock/process/store/etcdstore.h"
 #include "zinniadock/process/timeline.h"
--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "zinniadock/connection/httpclient.h"
+#include "zinniadock/process/admission/stopadmission.h"
 #include "zinniadock/process/metrics.h"
 #include "zinniadock/process/placing/generationpace.h"
 #include "zinniadock/process/placing/hintedlength.h"
@@ -18,7 +19,6 @@
 #include "zinniadock/process/servers/serverdirectory.h"
 #include "zinniadock/process/settings.h"
 #include "zinniadock/process/sharedsuspects.h"
-#include "zinniadock/process/stopadmission.h"
 #include "zinniadock/version/routetable.h"
 
 namespace zinniadock
--- a/include/zinniadock/process/sidecar.h
+++ b/include/zinniadock/process/sidecar.h
@@ -17,7 +17,7 @@
 
 #include "zinniadock/connection/enginestream.h"
 #include "zinniadock/connection/linkmessage.h"
-#include "zinniadock/process/admission.h"
+#include "zinniadock/process/admission/admission.h"
 #include "zinniadock/process/settings.h"
 #include "zinniadock/process/sidecarlinks.h"
 #include "zinniadock/process/timeline.h"
--- a/include/zinniadock/process/sidecarmessages.h
+++ b/include/zinniadock/process/sidecarmessages.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "zinniadock/connection/wireform.h"
-#include "zinniadock/process/engineadmission.h"
+#include "zinniadock/process/admission/engineadmission.h"
 #include "zinniadock/process/servers/serverdirectory.h"
 
 namespace zinniadock
--- a/include/zinniadock/process/watchingsidecar.h
+++ b/include/zinniadock/process/watchingsidecar.h
@@ -10,11 +10,11 @@
 
 #include "zinniadock/connection/httpclient.h"
 #include "zinniadock/connection/httplistener.h"
-#include "zinniadock/process/preemptionwatch.h"
+#include "zinniadock/process/admission/preemptionwatch.h"
+#include "zinniadock/process/admission/stopadmission.h"
 #include "zinniadock/process/serverlimit.h"
 #include "zinniadock/process/settings.h"
 #include "zinniadock/process/sidecarmessages.h"
-#include "zinniadock/process/stopadmission.h"
 
 namespace zinniadock
 {
--- a/src/process/admission.cpp
+++ b/src/process/admission/admission.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/admission.h"
+#include "zinniadock/process/admission/admission.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/process/engineadmission.cpp
+++ b/src/process/admission/engineadmission.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/engineadmission.h"
+#include "zinniadock/process/admission/engineadmission.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/process/memoryforecast.cpp
+++ b/src/process/admission/memoryforecast.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/memoryforecast.h"
+#include "zinniadock/process/admission/memoryforecast.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/process/preemptionwatch.cpp
+++ b/src/process/admission/preemptionwatch.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/preemptionwatch.h"
+#include "zinniadock/process/admission/preemptionwatch.h"
 
 namespace zinniadock
 {
--- a/src/process/stopadmission.cpp
+++ b/src/process/admission/stopadmission.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/stopadmission.h"
+#include "zinniadock/process/admission/stopadmission.h"
 
 namespace zinniadock
 {
--- a/src/process/linkpool.cpp
+++ b/src/process/linkpool.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
+#include "zinniadock/process/admission/pausewatch.h"
 #include "zinniadock/process/log.h"
-#include "zinniadock/process/pausewatch.h"
 #include "zinniadock/process/stampedsend.h"
 
 namespace zinniadock
--- a/tests/unit/unit-admission.cpp
+++ b/tests/unit/unit-admission.cpp
@@ -6,7 +6,7 @@
 
 #include <rapidcheck.h>
 
-#include "zinniadock/process/admission.h"
+#include "zinniadock/process/admission/admission.h"
 
 using namespace zinniadock;
 
--- a/tests/unit/unit-engineadmission.cpp
+++ b/tests/unit/unit-engineadmission.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "zinniadock/process/engineadmission.h"
+#include "zinniadock/process/admission/engineadmission.h"
 
 using namespace zinniadock;
 
--- a/tests/unit/unit-preemptionwatch.cpp
+++ b/tests/unit/unit-preemptionwatch.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "zinniadock/process/preemptionwatch.h"
+#include "zinniadock/process/admission/preemptionwatch.h"
 
 using namespace zinniadock;
 
