--- a/include/zinniadock/process/entry.h
+++ b/include/zinniadock/process/entry.h
@@ -9,8 +9,8 @@
 #include <Poco/ThreadPool.h>
 
 #include "zinniadock/connection/readwatch.h"
-#include "zinniadock/process/accountlimiter.h"
 #include "zinniadock/process/entryservices.h"
+#include "zinniadock/process/limits/accountlimiter.h"
 #include "zinniadock/process/linkpool.h"
 #include "zinniadock/process/metrics.h"
 #include "zinniadock/process/settings.h"
--- a/include/zinniadock/process/entryservices.h
+++ b/include/zinniadock/process/entryservices.h
@@ -2,8 +2,8 @@
 
 #include <atomic>
 
-#include "zinniadock/process/accountlimiter.h"
 #include "zinniadock/process/admission/stopadmission.h"
+#include "zinniadock/process/limits/accountlimiter.h"
 #include "zinniadock/process/linkpool.h"
 #include "zinniadock/process/metrics.h"
 #include "zinniadock/process/settings.h"
--- a/include/zinniadock/process/limitbudget.h
+++ b/include/zinniadock/process/limits/limitbudget.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
+#include "zinniadock/process/limits/serverlimit.h"
 #include "zinniadock/process/membership/entrytree.h"
 #include "zinniadock/process/placing/placement.h"
-#include "zinniadock/process/serverlimit.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/serverlimiter.h
+++ b/include/zinniadock/process/limits/serverlimiter.h
@@ -8,11 +8,11 @@
 #include <string>
 #include <vector>
 
-#include "zinniadock/process/limitbudget.h"
+#include "zinniadock/process/limits/limitbudget.h"
+#include "zinniadock/process/limits/reportpacing.h"
+#include "zinniadock/process/limits/serverlimit.h"
 #include "zinniadock/process/membership/entrymessages.h"
 #include "zinniadock/process/membership/entrytree.h"
-#include "zinniadock/process/reportpacing.h"
-#include "zinniadock/process/serverlimit.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/membership/entryexchange.h
+++ b/include/zinniadock/process/membership/entryexchange.h
@@ -5,7 +5,7 @@
 
 #include "zinniadock/connection/httplistener.h"
 #include "zinniadock/process/forwardingservices.h"
-#include "zinniadock/process/serverlimiter.h"
+#include "zinniadock/process/limits/serverlimiter.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/membership/entrymessages.h
+++ b/include/zinniadock/process/membership/entrymessages.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "zinniadock/process/limitbudget.h"
+#include "zinniadock/process/limits/limitbudget.h"
 #include "zinniadock/process/sharedsuspects.h"
 
 namespace zinniadock
--- a/include/zinniadock/process/watchingsidecar.h
+++ b/include/zinniadock/process/watchingsidecar.h
@@ -12,7 +12,7 @@
 #include "zinniadock/connection/httplistener.h"
 #include "zinniadock/process/admission/preemptionwatch.h"
 #include "zinniadock/process/admission/stopadmission.h"
-#include "zinniadock/process/serverlimit.h"
+#include "zinniadock/process/limits/serverlimit.h"
 #include "zinniadock/process/settings.h"
 #include "zinniadock/process/sidecarmessages.h"
 
--- a/src/process/accountlimiter.cpp
+++ b/src/process/limits/accountlimiter.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/accountlimiter.h"
+#include "zinniadock/process/limits/accountlimiter.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/process/limitbudget.cpp
+++ b/src/process/limits/limitbudget.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/limitbudget.h"
+#include "zinniadock/process/limits/limitbudget.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/process/reportpacing.cpp
+++ b/src/process/limits/reportpacing.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/reportpacing.h"
+#include "zinniadock/process/limits/reportpacing.h"
 
 #include <algorithm>
 
--- a/src/process/retrywindow.cpp
+++ b/src/process/limits/retrywindow.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/retrywindow.h"
+#include "zinniadock/process/limits/retrywindow.h"
 
 namespace zinniadock
 {
--- a/src/process/serverlimit.cpp
+++ b/src/process/limits/serverlimit.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/serverlimit.h"
+#include "zinniadock/process/limits/serverlimit.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/process/serverlimiter.cpp
+++ b/src/process/limits/serverlimiter.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/serverlimiter.h"
+#include "zinniadock/process/limits/serverlimiter.h"
 
 #include <algorithm>
 
--- a/tests/unit/limitfleet.h
+++ b/tests/unit/limitfleet.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "zinniadock/process/serverlimiter.h"
+#include "zinniadock/process/limits/serverlimiter.h"
 
 namespace zinniadock::test
 {
--- a/tests/unit/unit-routing.cpp
+++ b/tests/unit/unit-routing.cpp
@@ -4,7 +4,7 @@
 
 #include <rapidcheck.h>
 
-#include "zinniadock/process/accountlimiter.h"
+#include "zinniadock/process/limits/accountlimiter.h"
 #include "zinniadock/process/placing/routing.h"
 
 using namespace zinniadock;
--- a/tests/unit/unit-serverdirectory.cpp
+++ b/tests/unit/unit-serverdirectory.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "zinniadock/process/retrywindow.h"
+#include "zinniadock/process/limits/retrywindow.h"
 #include "zinniadock/process/servers/serverdirectory.h"
 
 using namespace zinniadock;
--- a/tests/unit/unit-serverlimit.cpp
+++ b/tests/unit/unit-serverlimit.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "zinniadock/process/serverlimit.h"
+#include "zinniadock/process/limits/serverlimit.h"
 
 using namespace zinniadock;
 
