Move the sources of requests that crash servers into process/crashes

Cause: process/ holds 60 sources of ten duties in one folder. Change: the files of this duty move as they are into a folder of their own; includes and pages follow. No behaviour changes.

--- a/include/zinniadock/detail/evidencejson.h
+++ b/include/zinniadock/detail/evidencejson.h
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "zinniadock/process/sharedsuspects.h"
+#include "zinniadock/process/crashes/sharedsuspects.h"
 
 namespace zinniadock::detail
 {
--- a/include/zinniadock/process/abandonedruns.h
+++ b/include/zinniadock/process/crashes/abandonedruns.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "zinniadock/process/crashreport.h"
+#include "zinniadock/process/crashes/crashreport.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/crashwatch.h
+++ b/include/zinniadock/process/crashes/crashwatch.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "zinniadock/connection/asynctypes.h"
-#include "zinniadock/process/abandonedruns.h"
-#include "zinniadock/process/crashreport.h"
+#include "zinniadock/process/crashes/abandonedruns.h"
+#include "zinniadock/process/crashes/crashreport.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/quarantinechoice.h
+++ b/include/zinniadock/process/crashes/quarantinechoice.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <vector>
 
-#include "zinniadock/process/crashreport.h"
+#include "zinniadock/process/crashes/crashreport.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/responsehistory.h
+++ b/include/zinniadock/process/crashes/responsehistory.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <unordered_map>
 
-#include "zinniadock/process/crashreport.h"
+#include "zinniadock/process/crashes/crashreport.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/sharedsuspects.h
+++ b/include/zinniadock/process/crashes/sharedsuspects.h
@@ -9,8 +9,8 @@
 #include <variant>
 #include <vector>
 
+#include "zinniadock/process/crashes/suspecttable.h"
 #include "zinniadock/process/membership/entrytree.h"
-#include "zinniadock/process/suspecttable.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/suspecttable.h
+++ b/include/zinniadock/process/crashes/suspecttable.h
@@ -8,9 +8,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "zinniadock/process/crashreport.h"
-#include "zinniadock/process/quarantinechoice.h"
-#include "zinniadock/process/responsehistory.h"
+#include "zinniadock/process/crashes/crashreport.h"
+#include "zinniadock/process/crashes/quarantinechoice.h"
+#include "zinniadock/process/crashes/responsehistory.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -10,6 +10,7 @@
 
 #include "zinniadock/connection/httpclient.h"
 #include "zinniadock/process/admission/stopadmission.h"
+#include "zinniadock/process/crashes/sharedsuspects.h"
 #include "zinniadock/process/limits/retrywindow.h"
 #include "zinniadock/process/limits/serverlimiter.h"
 #include "zinniadock/process/metrics.h"
@@ -18,7 +19,6 @@
 #include "zinniadock/process/placing/placement.h"
 #include "zinniadock/process/servers/serverdirectory.h"
 #include "zinniadock/process/settings.h"
-#include "zinniadock/process/sharedsuspects.h"
 #include "zinniadock/version/routetable.h"
 
 namespace zinniadock
--- a/include/zinniadock/process/membership/entrymessages.h
+++ b/include/zinniadock/process/membership/entrymessages.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "zinniadock/process/crashes/sharedsuspects.h"
 #include "zinniadock/process/limits/limitbudget.h"
-#include "zinniadock/process/sharedsuspects.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/request/forwardscope.h
+++ b/include/zinniadock/request/forwardscope.h
@@ -7,7 +7,7 @@
 
 #include "zinniadock/connection/httplistener.h"
 #include "zinniadock/connection/wireform.h"
-#include "zinniadock/process/crashreport.h"
+#include "zinniadock/process/crashes/crashreport.h"
 #include "zinniadock/process/eventlog.h"
 #include "zinniadock/process/forwardingservices.h"
 #include "zinniadock/request/verdict.h"
--- a/src/process/abandonedruns.cpp
+++ b/src/process/crashes/abandonedruns.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/abandonedruns.h"
+#include "zinniadock/process/crashes/abandonedruns.h"
 
 #include <algorithm>
 
--- a/src/process/crashreport.cpp
+++ b/src/process/crashes/crashreport.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/crashreport.h"
+#include "zinniadock/process/crashes/crashreport.h"
 
 #include <array>
 #include <cinttypes>
--- a/src/process/crashwatch.cpp
+++ b/src/process/crashes/crashwatch.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/crashwatch.h"
+#include "zinniadock/process/crashes/crashwatch.h"
 
 #include <boost/algorithm/string/join.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/src/process/quarantinechoice.cpp
+++ b/src/process/crashes/quarantinechoice.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/quarantinechoice.h"
+#include "zinniadock/process/crashes/quarantinechoice.h"
 
 #include <algorithm>
 #include <map>
--- a/src/process/responsehistory.cpp
+++ b/src/process/crashes/responsehistory.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/responsehistory.h"
+#include "zinniadock/process/crashes/responsehistory.h"
 
 #include <utility>
 
--- a/src/process/sharedsuspects.cpp
+++ b/src/process/crashes/sharedsuspects.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/sharedsuspects.h"
+#include "zinniadock/process/crashes/sharedsuspects.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/process/suspecttable.cpp
+++ b/src/process/crashes/suspecttable.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/suspecttable.h"
+#include "zinniadock/process/crashes/suspecttable.h"
 
 #include <algorithm>
 #include <functional>
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -3,7 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "zinniadock/process/crashwatch.h"
+#include "zinniadock/process/crashes/crashwatch.h"
 #include "zinniadock/process/eventlog.h"
 #include "zinniadock/process/membership/entryexchange.h"
 #include "zinniadock/request/engineprobe.h"
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -1,6 +1,6 @@
 #include "zinniadock/process/forwardingentry.h"
 
-#include "zinniadock/process/crashwatch.h"
+#include "zinniadock/process/crashes/crashwatch.h"
 #include "zinniadock/process/eventlog.h"
 #include "zinniadock/process/membership/entryexchange.h"
 
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -5,7 +5,7 @@
 
 #include <boost/algorithm/string/join.hpp>
 
-#include "zinniadock/process/crashwatch.h"
+#include "zinniadock/process/crashes/crashwatch.h"
 #include "zinniadock/process/membership/entryexchange.h"
 #include "zinniadock/process/placing/routing.h"
 #include "zinniadock/request/callforward.h"
--- a/tests/unit/suspectfleet.h
+++ b/tests/unit/suspectfleet.h
@@ -10,9 +10,9 @@
 #include <string>
 #include <vector>
 
-#include "zinniadock/process/abandonedruns.h"
+#include "zinniadock/process/crashes/abandonedruns.h"
+#include "zinniadock/process/crashes/sharedsuspects.h"
 #include "zinniadock/process/membership/entrymessages.h"
-#include "zinniadock/process/sharedsuspects.h"
 
 namespace zinniadock::test
 {
--- a/tests/unit/unit-abandonedruns.cpp
+++ b/tests/unit/unit-abandonedruns.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "zinniadock/process/abandonedruns.h"
+#include "zinniadock/process/crashes/abandonedruns.h"
 
 using namespace zinniadock;
 using std::chrono::milliseconds;
