--- a/src/process/runmover.cpp
+++ b/src/process/moving/runmover.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/runmover.h"
+#include "zinniadock/process/moving/runmover.h"
 
 namespace zinniadock
 {
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -7,7 +7,7 @@
 
 #include "zinniadock/process/eventlog.h"
 #include "zinniadock/process/metrics.h"
-#include "zinniadock/process/runmover.h"
+#include "zinniadock/process/moving/runmover.h"
 
 namespace zinniadock
 {
--- a/src/request/generationmoves.cpp
+++ b/src/request/generationmoves.cpp
@@ -5,7 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "zinniadock/process/runmover.h"
+#include "zinniadock/process/moving/runmover.h"
 #include "zinniadock/request/engineprobe.h"
 
 namespace zinniadock
--- a/tests/unit/unit-stopadmission.cpp
+++ b/tests/unit/unit-stopadmission.cpp
@@ -1,8 +1,8 @@
 #include <catch2/catch.hpp>
 
 #include "zinniadock/process/admission/stopadmission.h"
+#include "zinniadock/process/moving/runmover.h"
 #include "zinniadock/process/placing/generationpace.h"
-#include "zinniadock/process/runmover.h"
 
 using namespace zinniadock;
 using std::chrono::milliseconds;
