--- a/include/zinniadock/process/entry.h
+++ b/include/zinniadock/process/entry.h
@@ -11,7 +11,7 @@
 #include "zinniadock/connection/readwatch.h"
 #include "zinniadock/process/entryservices.h"
 #include "zinniadock/process/limits/accountlimiter.h"
-#include "zinniadock/process/linkpool.h"
+#include "zinniadock/process/links/linkpool.h"
 #include "zinniadock/process/metrics.h"
 #include "zinniadock/process/settings.h"
 #include "zinniadock/process/store/claims.h"
--- a/include/zinniadock/process/entryservices.h
+++ b/include/zinniadock/process/entryservices.h
@@ -4,7 +4,7 @@
 
 #include "zinniadock/process/admission/stopadmission.h"
 #include "zinniadock/process/limits/accountlimiter.h"
-#include "zinniadock/process/linkpool.h"
+#include "zinniadock/process/links/linkpool.h"
 #include "zinniadock/process/metrics.h"
 #include "zinniadock/process/settings.h"
 #include "zinniadock/process/store/claims.h"
--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -8,9 +8,9 @@
 
 #include "zinniadock/connection/httplistener.h"
 #include "zinniadock/process/forwardingservices.h"
+#include "zinniadock/process/links/sidecarfeed.h"
 #include "zinniadock/process/membership/entryknowledge.h"
 #include "zinniadock/process/servers/departedservers.h"
-#include "zinniadock/process/sidecarfeed.h"
 #include "zinniadock/process/store/storeview.h"
 
 namespace zinniadock
--- a/include/zinniadock/process/sidecarfeed.h
+++ b/include/zinniadock/process/links/sidecarfeed.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "zinniadock/process/forwardingservices.h"
-#include "zinniadock/process/sidecarmessages.h"
+#include "zinniadock/process/links/sidecarmessages.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/moving/runmover.h
+++ b/include/zinniadock/process/moving/runmover.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "zinniadock/connection/httpclient.h"
-#include "zinniadock/process/sidecarmessages.h"
+#include "zinniadock/process/links/sidecarmessages.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/watchingsidecar.h
+++ b/include/zinniadock/process/watchingsidecar.h
@@ -13,8 +13,8 @@
 #include "zinniadock/process/admission/preemptionwatch.h"
 #include "zinniadock/process/admission/stopadmission.h"
 #include "zinniadock/process/limits/serverlimit.h"
+#include "zinniadock/process/links/sidecarmessages.h"
 #include "zinniadock/process/settings.h"
-#include "zinniadock/process/sidecarmessages.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/request/exchange.h
+++ b/include/zinniadock/request/exchange.h
@@ -6,7 +6,7 @@
 #include <variant>
 
 #include "zinniadock/connection/linkmessage.h"
-#include "zinniadock/process/boundedring.h"
+#include "zinniadock/process/links/boundedring.h"
 #include "zinniadock/request/sidecarsession.h"
 
 namespace zinniadock
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -7,7 +7,7 @@
 #include <set>
 #include <string>
 
-#include "zinniadock/process/sidecarmessages.h"
+#include "zinniadock/process/links/sidecarmessages.h"
 #include "zinniadock/request/eventsplitter.h"
 #include "zinniadock/request/forwardscope.h"
 #include "zinniadock/request/streamstep.h"
--- a/src/process/eventlog.cpp
+++ b/src/process/eventlog.cpp
@@ -9,7 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
-#include "zinniadock/process/boundedring.h"
+#include "zinniadock/process/links/boundedring.h"
 
 namespace zinniadock
 {
--- a/src/process/linkpool.cpp
+++ b/src/process/links/linkpool.cpp
@@ -1,10 +1,10 @@
-#include "zinniadock/process/linkpool.h"
+#include "zinniadock/process/links/linkpool.h"
 
 #include <algorithm>
 
 #include "zinniadock/process/admission/pausewatch.h"
+#include "zinniadock/process/links/stampedsend.h"
 #include "zinniadock/process/log.h"
-#include "zinniadock/process/stampedsend.h"
 
 namespace zinniadock
 {
--- a/src/process/sidecarfeed.cpp
+++ b/src/process/links/sidecarfeed.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/sidecarfeed.h"
+#include "zinniadock/process/links/sidecarfeed.h"
 
 #include <algorithm>
 
--- a/src/process/sidecarlinks.cpp
+++ b/src/process/links/sidecarlinks.cpp
@@ -1,8 +1,8 @@
-#include "zinniadock/process/sidecarlinks.h"
+#include "zinniadock/process/links/sidecarlinks.h"
 
 #include <utility>
 
-#include "zinniadock/process/stampedsend.h"
+#include "zinniadock/process/links/stampedsend.h"
 
 namespace zinniadock
 {
--- a/src/process/sidecarmessages.cpp
+++ b/src/process/links/sidecarmessages.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/sidecarmessages.h"
+#include "zinniadock/process/links/sidecarmessages.h"
 
 #include "zinniadock/detail/cbormessage.h"
 
--- a/tests/unit/unit-wireform.cpp
+++ b/tests/unit/unit-wireform.cpp
@@ -3,8 +3,8 @@
 #include <rapidcheck.h>
 
 #include "zinniadock/connection/wireform.h"
+#include "zinniadock/process/links/sidecarmessages.h"
 #include "zinniadock/process/membership/entrymessages.h"
-#include "zinniadock/process/sidecarmessages.h"
 
 using namespace zinniadock;
 
