Move the sources of logs, metrics and the timeline into process/observing

Cause: process/ holds 60 sources of ten duties in one folder. Change: the files of this duty move as they are into a folder of their own; includes and pages follow. No behaviour changes.

--- a/bench/micro/main.cpp
+++ b/bench/micro/main.cpp
@@ -14,11 +14,11 @@
 #include "zinniadock/process/crashes/suspecttable.h"
 #include "zinniadock/process/limits/accountlimiter.h"
 #include "zinniadock/process/limits/serverlimiter.h"
-#include "zinniadock/process/metrics.h"
+#include "zinniadock/process/observing/metrics.h"
+#include "zinniadock/process/observing/timeline.h"
 #include "zinniadock/process/placing/routing.h"
 #include "zinniadock/process/servers/serverhealth.h"
 #include "zinniadock/process/store/claims.h"
-#include "zinniadock/process/timeline.h"
 #include "zinniadock/version/versiondelta.h"
 
 ABSL_FLAG(int, seed, 1, "seed of the generated load");
--- a/include/zinniadock/process/admission/pausewatch.h
+++ b/include/zinniadock/process/admission/pausewatch.h
@@ -2,7 +2,7 @@
 
 #include <chrono>
 
-#include "zinniadock/process/timeline.h"
+#include "zinniadock/process/observing/timeline.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/entry.h
+++ b/include/zinniadock/process/entry.h
@@ -12,12 +12,12 @@
 #include "zinniadock/process/entryservices.h"
 #include "zinniadock/process/limits/accountlimiter.h"
 #include "zinniadock/process/links/linkpool.h"
-#include "zinniadock/process/metrics.h"
+#include "zinniadock/process/observing/metrics.h"
+#include "zinniadock/process/observing/timeline.h"
 #include "zinniadock/process/settings.h"
 #include "zinniadock/process/store/claims.h"
 #include "zinniadock/process/store/configurationfollower.h"
 #include "zinniadock/process/store/etcdstore.h"
-#include "zinniadock/process/timeline.h"
 #include "zinniadock/version/version.h"
 
 namespace zinniadock
--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -13,7 +13,7 @@
 #include "zinniadock/process/crashes/sharedsuspects.h"
 #include "zinniadock/process/limits/retrywindow.h"
 #include "zinniadock/process/limits/serverlimiter.h"
-#include "zinniadock/process/metrics.h"
+#include "zinniadock/process/observing/metrics.h"
 #include "zinniadock/process/placing/generationpace.h"
 #include "zinniadock/process/placing/hintedlength.h"
 #include "zinniadock/process/placing/placement.h"
--- a/include/zinniadock/process/links/linkpool.h
+++ b/include/zinniadock/process/links/linkpool.h
@@ -15,9 +15,9 @@
 #include "zinniadock/connection/linkmessage.h"
 #include "zinniadock/connection/linktransport.h"
 #include "zinniadock/process/crashes/suspecttable.h"
+#include "zinniadock/process/observing/timeline.h"
 #include "zinniadock/process/placing/routing.h"
 #include "zinniadock/process/servers/serverhealth.h"
-#include "zinniadock/process/timeline.h"
 #include "zinniadock/request/exchange.h"
 #include "zinniadock/version/version.h"
 
--- a/include/zinniadock/process/links/sidecarlinks.h
+++ b/include/zinniadock/process/links/sidecarlinks.h
@@ -11,7 +11,7 @@
 
 #include "zinniadock/connection/linkmessage.h"
 #include "zinniadock/connection/linktransport.h"
-#include "zinniadock/process/timeline.h"
+#include "zinniadock/process/observing/timeline.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/timelinerecord.h
+++ b/include/zinniadock/process/observing/timelinerecord.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "zinniadock/process/timeline.h"
+#include "zinniadock/process/observing/timeline.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/servers/backendwatch.h
+++ b/include/zinniadock/process/servers/backendwatch.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "zinniadock/connection/enginestream.h"
-#include "zinniadock/process/timeline.h"
+#include "zinniadock/process/observing/timeline.h"
 
 namespace zinniadock
 {
--- a/include/zinniadock/process/store/configurationfollower.h
+++ b/include/zinniadock/process/store/configurationfollower.h
@@ -10,10 +10,10 @@
 
 #include <condition_variable>
 
-#include "zinniadock/process/log.h"
+#include "zinniadock/process/observing/log.h"
+#include "zinniadock/process/observing/timeline.h"
 #include "zinniadock/process/store/publisher.h"
 #include "zinniadock/process/store/store.h"
-#include "zinniadock/process/timeline.h"
 #include "zinniadock/request/requestid.h"
 #include "zinniadock/version/version.h"
 #include "zinniadock/version/versiondelta.h"
--- a/include/zinniadock/request/forwardscope.h
+++ b/include/zinniadock/request/forwardscope.h
@@ -8,8 +8,8 @@
 #include "zinniadock/connection/httplistener.h"
 #include "zinniadock/connection/wireform.h"
 #include "zinniadock/process/crashes/crashreport.h"
-#include "zinniadock/process/eventlog.h"
 #include "zinniadock/process/forwardingservices.h"
+#include "zinniadock/process/observing/eventlog.h"
 #include "zinniadock/request/verdict.h"
 
 namespace zinniadock
--- a/include/zinniadock/request/generationrunner.h
+++ b/include/zinniadock/request/generationrunner.h
@@ -5,7 +5,7 @@
 #include <memory>
 
 #include "zinniadock/connection/enginestream.h"
-#include "zinniadock/process/timeline.h"
+#include "zinniadock/process/observing/timeline.h"
 #include "zinniadock/request/sidecarsession.h"
 
 namespace zinniadock
--- a/src/cli/timelinecommands.cpp
+++ b/src/cli/timelinecommands.cpp
@@ -5,7 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "zinniadock/process/timelinerecord.h"
+#include "zinniadock/process/observing/timelinerecord.h"
 
 namespace zinniadock::cli
 {
--- a/src/connection/callerconnection.cpp
+++ b/src/connection/callerconnection.cpp
@@ -12,7 +12,7 @@
 #include <Poco/URI.h>
 
 #include "zinniadock/detail/httptime.h"
-#include "zinniadock/process/log.h"
+#include "zinniadock/process/observing/log.h"
 #include "zinniadock/request/answerwriter.h"
 #include "zinniadock/request/requestrunner.h"
 
--- a/src/daemon/forwarding.cpp
+++ b/src/daemon/forwarding.cpp
@@ -7,9 +7,9 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 
-#include "zinniadock/process/eventlog.h"
 #include "zinniadock/process/forwardingentry.h"
 #include "zinniadock/process/gracefulstop.h"
+#include "zinniadock/process/observing/eventlog.h"
 #include "zinniadock/process/watchingsidecar.h"
 
 namespace zinniadock
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -11,10 +11,10 @@
 #include <nlohmann/json.hpp>
 
 #include "forwarding.h"
-#include "zinniadock/process/adminserver.h"
 #include "zinniadock/process/entry.h"
 #include "zinniadock/process/exitcode.h"
-#include "zinniadock/process/log.h"
+#include "zinniadock/process/observing/adminserver.h"
+#include "zinniadock/process/observing/log.h"
 #include "zinniadock/process/settings.h"
 #include "zinniadock/process/sidecar.h"
 
--- a/src/process/crashes/crashwatch.cpp
+++ b/src/process/crashes/crashwatch.cpp
@@ -4,8 +4,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "zinniadock/process/eventlog.h"
 #include "zinniadock/process/forwardingservices.h"
+#include "zinniadock/process/observing/eventlog.h"
 #include "zinniadock/process/placing/routing.h"
 
 namespace zinniadock
--- a/src/process/crashes/sharedsuspects.cpp
+++ b/src/process/crashes/sharedsuspects.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <limits>
 
-#include "zinniadock/process/eventlog.h"
+#include "zinniadock/process/observing/eventlog.h"
 #include "zinniadock/process/store/readerchoice.h"
 
 namespace zinniadock
--- a/src/process/entry.cpp
+++ b/src/process/entry.cpp
@@ -6,7 +6,7 @@
 #include <Poco/Net/ServerSocket.h>
 
 #include "zinniadock/connection/callerconnection.h"
-#include "zinniadock/process/log.h"
+#include "zinniadock/process/observing/log.h"
 
 namespace zinniadock
 {
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -4,8 +4,8 @@
 #include <boost/asio/detached.hpp>
 
 #include "zinniadock/process/crashes/crashwatch.h"
-#include "zinniadock/process/eventlog.h"
 #include "zinniadock/process/membership/entryexchange.h"
+#include "zinniadock/process/observing/eventlog.h"
 #include "zinniadock/request/engineprobe.h"
 #include "zinniadock/request/forwardscope.h"
 #include "zinniadock/request/generationforward.h"
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -1,8 +1,8 @@
 #include "zinniadock/process/forwardingentry.h"
 
 #include "zinniadock/process/crashes/crashwatch.h"
-#include "zinniadock/process/eventlog.h"
 #include "zinniadock/process/membership/entryexchange.h"
+#include "zinniadock/process/observing/eventlog.h"
 
 namespace zinniadock
 {
--- a/src/process/limits/serverlimit.cpp
+++ b/src/process/limits/serverlimit.cpp
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <cmath>
 
-#include "zinniadock/process/eventlog.h"
+#include "zinniadock/process/observing/eventlog.h"
 
 namespace zinniadock
 {
--- a/src/process/limits/serverlimiter.cpp
+++ b/src/process/limits/serverlimiter.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "zinniadock/process/eventlog.h"
+#include "zinniadock/process/observing/eventlog.h"
 #include "zinniadock/process/store/readerchoice.h"
 
 namespace zinniadock
--- a/src/process/links/linkpool.cpp
+++ b/src/process/links/linkpool.cpp
@@ -4,7 +4,7 @@
 
 #include "zinniadock/process/admission/pausewatch.h"
 #include "zinniadock/process/links/stampedsend.h"
-#include "zinniadock/process/log.h"
+#include "zinniadock/process/observing/log.h"
 
 namespace zinniadock
 {
--- a/src/process/links/sidecarfeed.cpp
+++ b/src/process/links/sidecarfeed.cpp
@@ -5,7 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "zinniadock/process/eventlog.h"
+#include "zinniadock/process/observing/eventlog.h"
 #include "zinniadock/request/engineprobe.h"
 
 namespace zinniadock
--- a/src/process/membership/entryknowledge.cpp
+++ b/src/process/membership/entryknowledge.cpp
@@ -9,7 +9,7 @@
 
 #include "zinniadock/detail/cbormessage.h"
 #include "zinniadock/detail/evidencejson.h"
-#include "zinniadock/process/eventlog.h"
+#include "zinniadock/process/observing/eventlog.h"
 
 namespace zinniadock
 {
--- a/src/process/membership/entryregistration.cpp
+++ b/src/process/membership/entryregistration.cpp
@@ -4,7 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
-#include "zinniadock/process/eventlog.h"
+#include "zinniadock/process/observing/eventlog.h"
 
 namespace zinniadock
 {
--- a/src/process/adminserver.cpp
+++ b/src/process/observing/adminserver.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/adminserver.h"
+#include "zinniadock/process/observing/adminserver.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
--- a/src/process/eventlog.cpp
+++ b/src/process/observing/eventlog.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/eventlog.h"
+#include "zinniadock/process/observing/eventlog.h"
 
 #include <array>
 #include <atomic>
--- a/src/process/log.cpp
+++ b/src/process/observing/log.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/log.h"
+#include "zinniadock/process/observing/log.h"
 
 #include <atomic>
 #include <iostream>
--- a/src/process/metrics.cpp
+++ b/src/process/observing/metrics.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/metrics.h"
+#include "zinniadock/process/observing/metrics.h"
 
 #include <cmath>
 
--- a/src/process/timeline.cpp
+++ b/src/process/observing/timeline.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/timeline.h"
+#include "zinniadock/process/observing/timeline.h"
 
 #include <algorithm>
 
--- a/src/process/timelinepage.cpp
+++ b/src/process/observing/timelinepage.cpp
@@ -1,4 +1,4 @@
-#include "zinniadock/process/timelinerecord.h"
+#include "zinniadock/process/observing/timelinerecord.h"
 
 #include <algorithm>
 #include <map>
--- a/src/process/servers/backendwatch.cpp
+++ b/src/process/servers/backendwatch.cpp
@@ -1,7 +1,7 @@
 #include "zinniadock/process/servers/backendwatch.h"
 
 #include "zinniadock/connection/servicecall.h"
-#include "zinniadock/process/log.h"
+#include "zinniadock/process/observing/log.h"
 
 namespace zinniadock
 {
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -2,7 +2,7 @@
 
 #include <array>
 
-#include "zinniadock/process/log.h"
+#include "zinniadock/process/observing/log.h"
 
 namespace zinniadock
 {
--- a/src/process/sidecar.cpp
+++ b/src/process/sidecar.cpp
@@ -1,7 +1,7 @@
 #include "zinniadock/process/sidecar.h"
 
 #include "zinniadock/process/admission/pausewatch.h"
-#include "zinniadock/process/log.h"
+#include "zinniadock/process/observing/log.h"
 #include "zinniadock/process/servers/backendwatch.h"
 #include "zinniadock/version/versiondelta.h"
 
--- a/src/process/sidecarrequests.cpp
+++ b/src/process/sidecarrequests.cpp
@@ -9,7 +9,7 @@
 #include <Poco/Runnable.h>
 
 #include "zinniadock/connection/servicecall.h"
-#include "zinniadock/process/log.h"
+#include "zinniadock/process/observing/log.h"
 #include "zinniadock/process/placing/routing.h"
 
 namespace zinniadock
--- a/src/process/store/prefixwatch.cpp
+++ b/src/process/store/prefixwatch.cpp
@@ -6,7 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "zinniadock/process/eventlog.h"
+#include "zinniadock/process/observing/eventlog.h"
 
 namespace zinniadock
 {
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -5,9 +5,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "zinniadock/process/eventlog.h"
-#include "zinniadock/process/metrics.h"
 #include "zinniadock/process/moving/runmover.h"
+#include "zinniadock/process/observing/eventlog.h"
+#include "zinniadock/process/observing/metrics.h"
 
 namespace zinniadock
 {
--- a/src/request/callattempts.cpp
+++ b/src/request/callattempts.cpp
@@ -1,6 +1,6 @@
 #include "zinniadock/request/callattempts.h"
 
-#include "zinniadock/process/log.h"
+#include "zinniadock/process/observing/log.h"
 #include "zinniadock/request/answerwriter.h"
 
 namespace zinniadock
--- a/src/request/generationattempts.cpp
+++ b/src/request/generationattempts.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <numeric>
 
-#include "zinniadock/process/log.h"
+#include "zinniadock/process/observing/log.h"
 #include "zinniadock/process/placing/routing.h"
 
 namespace zinniadock
--- a/src/request/requestrunner.cpp
+++ b/src/request/requestrunner.cpp
@@ -4,7 +4,7 @@
 
 #include <Poco/Exception.h>
 
-#include "zinniadock/process/log.h"
+#include "zinniadock/process/observing/log.h"
 #include "zinniadock/request/callattempts.h"
 #include "zinniadock/request/generationattempts.h"
 
--- a/tests/unit/main.cpp
+++ b/tests/unit/main.cpp
@@ -4,7 +4,7 @@
 #include <csignal>
 #include <cstdlib>
 
-#include "zinniadock/process/log.h"
+#include "zinniadock/process/observing/log.h"
 
 int main(int argc, char **argv)
 {
--- a/tests/unit/unit-timeline.cpp
+++ b/tests/unit/unit-timeline.cpp
@@ -7,7 +7,7 @@
 #include <rapidcheck.h>
 
 #include "fleet.h"
-#include "zinniadock/process/timelinerecord.h"
+#include "zinniadock/process/observing/timelinerecord.h"
 
 using namespace zinniadock;
 using namespace zinniadock::test;
