Send nothing new to the servers of an evacuated data centre

Cause: the key op/evacuate/ZONE was not read. Requests, moves and health checks went to servers that the operators had asked to leave alone.

Change: each entry keeps the set of evacuated data centres from its mirror of op/ and, until it has read the store, from what other entries report. The server directory marks their servers, and placement, move targets, probes, reservations, continuations and health checks skip them. Generations that run there move to engines elsewhere, those with the longest rest first, through the sidecar of their engine only; without a target they stay. If all data centres of a pool are evacuated, its requests are refused at once with 503 and Retry-After. An entry is ready only after it has read the keys under op/. A silent watch of op/ is found dead within half of the new setting evacuation_within_ms.

--- a/include/zinniadock/connection/wireform.h
+++ b/include/zinniadock/connection/wireform.h
@@ -109,6 +109,10 @@
 
 std::string configurationPrefix();
 std::string configurationKey();
+
+/// Returns the prefix of the keys that request the evacuation of a data centre. The name of the data centre follows it.
+std::string evacuationPrefix();
+
 std::string serverPrefix();
 
 /// Returns the request target to read all keys after \p after. An empty \p after starts at the first key.
--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -69,6 +69,8 @@
     std::shared_ptr<HttpListener> startListener(const Endpoint &address, HttpHandler handler, std::error_code &error);
     StoreViewCallbacks makeViewCallbacks();
     void applyConfiguration(const std::string &text, const std::string &source);
+    void applyStoredEvacuations(const std::string &source);
+    void applyEvacuationChanges(const std::vector<EvacuationChange> &changes, const std::string &source);
     void applyServerItem(const wire::StoreItem &item, const RemovalGrace &grace);
     void applyServerRecord(ServerRecord record, const RecordOrigin &origin);
     void holdBackServer(const ServerRecord &record);
--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -17,6 +17,7 @@
 #include "zinniadock/process/placing/generationpace.h"
 #include "zinniadock/process/placing/hintedlength.h"
 #include "zinniadock/process/placing/placement.h"
+#include "zinniadock/process/servers/evacuations.h"
 #include "zinniadock/process/servers/serverdirectory.h"
 #include "zinniadock/process/settings.h"
 #include "zinniadock/version/routetable.h"
@@ -44,6 +45,7 @@
     std::uint64_t activeRequests = 0; ///< requests in progress
     std::uint64_t quarantinedRequests = 0; ///< requests refused, or not retried, since they may crash servers
     std::uint64_t stopRefusals = 0; ///< requests refused since they might outlast the stop of the process
+    std::uint64_t evacuationRefusals = 0; ///< requests refused since all data centres of their pool are evacuated
     std::uint64_t endedRequests = 0; ///< requests that were still in progress when the process ended
 };
 
@@ -70,6 +72,7 @@
     ConnectionPool controlPool;
     std::shared_ptr<const RouteTable> routes; ///< null before the first configuration
     ServerDirectory directory;
+    Evacuations evacuations;
     EntryTree entryTree;
     ServerLimiter serverLimiter;
     SharedSuspects suspects;
--- a/include/zinniadock/process/links/sidecarmessages.h
+++ b/include/zinniadock/process/links/sidecarmessages.h
@@ -38,6 +38,8 @@
     /// first.
     double priority = 0;
     std::chrono::milliseconds estimatedCopyTime{ 0 }; ///< time to copy the whole KV cache on an idle link
+    /// Time for the move if the engine is not draining; nothing if the sidecar knows the time.
+    std::optional<std::chrono::milliseconds> timeLeft;
 };
 
 /// The result of a MoveOrder.
--- a/include/zinniadock/process/membership/entryknowledge.h
+++ b/include/zinniadock/process/membership/entryknowledge.h
@@ -10,6 +10,7 @@
 #include "zinniadock/connection/httplistener.h"
 #include "zinniadock/process/forwardingservices.h"
 #include "zinniadock/process/servers/departedservers.h"
+#include "zinniadock/process/servers/evacuations.h"
 
 namespace zinniadock
 {
@@ -22,6 +23,7 @@
     std::string configuration; ///< text of the version in force; empty if the receiver has it or a later one
     std::vector<Departure> departures;
     CrashEvidence evidence;
+    std::vector<Evacuation> evacuations; ///< in force
 };
 
 /// Target of EntryKnowledge requests at an entry's peer address. The response is an EntryKnowledge too.
--- a/include/zinniadock/process/placing/placement.h
+++ b/include/zinniadock/process/placing/placement.h
@@ -64,9 +64,9 @@
 std::size_t sampleSizeFor(std::size_t servers, std::uint32_t entries);
 
 /// Chooses the least loaded server with enough free memory and a free slot for a generation. Skips servers that are
-/// draining, paused, in backoff, excluded, or were full a moment ago. Returns nothing if no server is left. \p draw
-/// adds a random part to each load, so that entries that read the same reports don't all choose the same server.
-/// Complexity: linear in the servers.
+/// draining, in an evacuated data centre, paused, in backoff, excluded, or were full a moment ago. Returns nothing if
+/// no server is left. \p draw adds a random part to each load, so that entries that read the same reports don't all
+/// choose the same server. Complexity: linear in the servers.
 std::optional<std::string> placeGeneration(const ServerDirectory &directory, const PlacementRequest &request,
                                            const EngineCapacity &limits, const std::set<std::string> &excluded,
                                            SteadyTime now, const RandomSource &draw);
@@ -77,15 +77,19 @@
 std::optional<std::string> placeCall(const ServerDirectory &directory, const PlacementRequest &request,
                                      const std::set<std::string> &excluded, SteadyTime now, const RandomSource &draw);
 
-/// Returns the earliest end of a pause among the servers of a pool that are not draining. Returns nothing if one of
-/// them is not paused, or if there are none. Complexity: linear in the servers.
+/// Returns the earliest end of a pause among the servers of a pool that accept work. Returns nothing if one of them is
+/// not paused, or if there are none. Complexity: linear in the servers.
 std::optional<SteadyTime> earliestPauseEnd(const ServerDirectory &directory, const std::string &pool, SteadyTime now);
 
-/// Returns whether each server of a pool that is not draining is paused or rejected by \p maySend, and at least one is
+/// Returns whether each server of a pool that accepts work is paused or rejected by \p maySend, and at least one is
 /// rejected. Complexity: linear in the servers.
 bool isPoolLimited(const ServerDirectory &directory, const std::string &pool, const ServerFilter &maySend,
                    SteadyTime now);
 
+/// Returns whether each server of a pool that is not draining is in an evacuated data centre, and there is at least
+/// one. Complexity: linear in the servers.
+bool isPoolEvacuated(const ServerDirectory &directory, const std::string &pool);
+
 /// Returns up to \p count targets for a running generation, best first. \copydetails placeGeneration
 std::vector<std::string> moveTargets(const ServerDirectory &directory, const PlacementRequest &request,
                                      const EngineCapacity &limits, const std::string &source, std::size_t count,
--- a/include/zinniadock/process/servers/serverdirectory.h
+++ b/include/zinniadock/process/servers/serverdirectory.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -69,6 +70,7 @@
     std::optional<SteadyTime> loadReceivedAt; ///< nothing before the first report
     std::optional<SteadyTime> unlistedSince; ///< when the platform removed the server; nothing while it is listed
     bool replaced = false; ///< a later incarnation has the address of the server
+    bool isEvacuated = false; ///< the data centre of the server is evacuated
     bool announcedDraining = false; ///< a response of the server itself states that it is draining
     SteadyTime listedAt;
     std::map<std::uint64_t, Assignment> assignments;
@@ -83,6 +85,12 @@
         return record.isDraining || load.isDraining || replaced || announcedDraining || unlistedSince.has_value();
     }
 
+    /// Returns whether the server may get new work.
+    bool acceptsWork() const
+    {
+        return !isDraining() && !isEvacuated;
+    }
+
     /// Returns whether a pause that the server requested is not over, or the server is half-open with a request in
     /// flight.
     bool isPaused(SteadyTime now) const
@@ -116,6 +124,13 @@
     /// gets one request at a time until one succeeds.
     void pause(const std::string &id, SteadyTime until);
 
+    /// Starts or ends the evacuation of a data centre, whose servers get no new work. Returns the number of its listed
+    /// servers. Complexity: linear in the servers.
+    std::size_t setEvacuated(const std::string &dataCentre, bool isEvacuated);
+
+    /// Returns whether a data centre is evacuated.
+    bool isEvacuated(const std::string &dataCentre) const;
+
     /// Applies a load report. Returns whether the server has just begun to drain. A report of another incarnation is
     /// not applied; if that incarnation is later, the server is marked as replaced.
     bool updateLoad(const std::string &id, EngineLoad load, SteadyTime now);
@@ -149,6 +164,7 @@
     void markReplacedAt(const Endpoint &address);
 
     std::map<std::string, TrackedServer> m_servers;
+    std::set<std::string> m_evacuated; ///< data centres
     std::uint64_t m_nextAssignment = 1;
 };
 
--- a/include/zinniadock/process/settings.h
+++ b/include/zinniadock/process/settings.h
@@ -74,6 +74,8 @@
     std::chrono::milliseconds drainWithin{ 2000 };
     /// An accepted configuration is in force after this time.
     std::chrono::milliseconds configurationWithin{ 2000 };
+    /// The servers of an evacuated data centre get no requests after this time.
+    std::chrono::milliseconds evacuationWithin{ 5000 };
     double capacity = 1; ///< number of processors of this instance; fractions are allowed
     double stopWithinSeconds = 8; ///< time from the request to stop until the platform kills the process
 
--- a/include/zinniadock/process/store/storeview.h
+++ b/include/zinniadock/process/store/storeview.h
@@ -62,6 +62,9 @@
     /// Returns whether the list of servers was read, by this entry or through another one.
     bool hasServerList() const;
 
+    /// Returns whether the keys of the operators have been read, so that evacuations are known.
+    bool hasConfigurationList() const;
+
     /// Returns whether the list of entries was read, by this entry or through another one.
     bool hasEntryList() const;
 
--- a/include/zinniadock/request/forwardscope.h
+++ b/include/zinniadock/request/forwardscope.h
@@ -98,6 +98,12 @@
     /// time until the limits of the pool allow the request.
     std::chrono::milliseconds retryDelay(std::chrono::milliseconds baseDelay, bool isLimited) const;
 
+    /// Returns whether all data centres of the pool are evacuated, so that the request can't be sent.
+    bool isBlockedByEvacuation() const;
+
+    /// Returns the reason of the refusal of a request that isBlockedByEvacuation().
+    std::string evacuationReason() const;
+
     /// Returns a filter of the servers whose limit allows a request now.
     ServerFilter limitFilter() const;
 
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -31,6 +31,12 @@
     /// supports moves, no move is in progress and the delay after the last move is over.
     void handleServerDraining();
 
+    /// Starts a move under the conditions of handleServerDraining() if the data centre of the engine is evacuated.
+    void handleEvacuation();
+
+    /// Returns the expected rest of the output in tokens.
+    double expectedRest() const;
+
 private:
     enum class MoveState {
         None,
@@ -90,6 +96,7 @@
     void logStreamEnd(const HttpExchange &exchange) const;
     bool mayContinue(SegmentEnd segmentEnd) const;
     Awaitable<SegmentEnd> continueAfterMove(SegmentEnd segmentEnd);
+    Awaitable<SegmentEnd> continueElsewhere(std::string source, std::string refusedBy);
     Awaitable<void> requestMove(std::string server);
     Awaitable<void> finish(SegmentEnd segmentEnd);
     Awaitable<void> finishStream(SegmentEnd segmentEnd);
@@ -101,6 +108,10 @@
     GenerationSpeed assumedSpeed() const;
     void recordWaitingGenerations() const;
     bool checkQuarantine();
+    bool isServerEvacuated() const;
+    bool shouldLeaveServer() const;
+    void startMove();
+    double heldTokens() const;
     MoveOrder moveOrder(const TrackedServer &source) const;
     PlacementRequest placementRequest() const;
     void attach(const std::string &server);
@@ -150,4 +161,8 @@
 /// Notifies the generations that run on a server that the server is draining.
 void notifyServerDraining(ForwardingServices &services, const std::string &server);
 
+/// Notifies the generations in evacuated data centres that they should move to other engines. Those with the longest
+/// expected rest of the output are first to ask for the room that is left.
+void notifyEvacuation(ForwardingServices &services);
+
 } // namespace zinniadock
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -63,6 +63,8 @@
                  [this](const wire::StoreItem &item, const std::string &source) {
                      if (item.key == wire::configurationKey() && item.value) {
                          applyConfiguration(*item.value, source);
+                     } else if (item.key.starts_with(wire::evacuationPrefix())) {
+                         applyStoredEvacuations(source);
                      }
                  },
              .onServerItems =
@@ -174,6 +176,42 @@
                { "keys", table.keys.size() } });
 }
 
+// Takes the whole state of the mirror, so that a key which is missing after a full read ends its evacuation. The value
+// of a key is not read.
+void ForwardingEntry::applyStoredEvacuations(const std::string &source)
+{
+    const StoreMirror &mirror = m_storeView.mirror(StorePart::Configuration);
+    const std::string prefix = wire::evacuationPrefix();
+    const StorePosition position = mirror.position();
+    std::vector<Evacuation> listed;
+    for (const wire::StoreItem &item : mirror.items()) {
+        if (item.key.starts_with(prefix) && item.key.size() > prefix.size()) {
+            listed.push_back({ .dataCentre = item.key.substr(prefix.size()),
+                               .position = { .era = position.era, .revision = item.revision } });
+        }
+    }
+    const auto now = std::chrono::steady_clock::now();
+    applyEvacuationChanges(m_services.evacuations.applyStore(listed, position, now), source);
+}
+
+void ForwardingEntry::applyEvacuationChanges(const std::vector<EvacuationChange> &changes, const std::string &source)
+{
+    for (const EvacuationChange &change : changes) {
+        const std::size_t servers = m_services.directory.setEvacuated(change.dataCentre, change.isEvacuated);
+        logEvent("evacuation", change.isEvacuated ? "started" : "ended",
+                 { { "data_centre", change.dataCentre },
+                   { "revision", change.revision },
+                   { "era", m_storeView.storeEra() },
+                   { "servers", servers },
+                   { "source", source },
+                   { "reason", servers == 0 ? "no listed server is in this data centre" : "" } });
+    }
+    if (!changes.empty()) {
+        notifyEvacuation(m_services);
+        m_services.capacityChanged.notify();
+    }
+}
+
 void ForwardingEntry::applyServerItem(const wire::StoreItem &item, const RemovalGrace &grace)
 {
     const std::string id = serverIdOfKey(item.key);
@@ -267,6 +305,7 @@
     knowledge.configuration = knownVersion < knowledge.configurationVersion ? m_configuration : "";
     knowledge.departures = m_departed.latest(maxSentDepartures);
     knowledge.evidence = m_services.suspects.openEvidence();
+    knowledge.evacuations = m_services.evacuations.list();
     return knowledge;
 }
 
@@ -279,6 +318,8 @@
     for (const Departure &departure : knowledge.departures) {
         applyDeparture(departure);
     }
+    applyEvacuationChanges(m_services.evacuations.learn(knowledge.evacuations, std::chrono::steady_clock::now()),
+                           source);
     m_services.suspects.learn(knowledge.evidence, std::chrono::steady_clock::now());
 }
 
@@ -336,6 +377,9 @@
 // Reads the server ID from the engine's response to a health check, since the announcement of a sidecar has no ID.
 Awaitable<void> ForwardingEntry::resolveAnnouncement(ServerAnnouncement announcement)
 {
+    if (m_services.directory.isEvacuated(announcement.dataCentre)) {
+        co_return; // The sidecar announces the engine again after the evacuation.
+    }
     const std::string healthPath = m_services.routes->pools.at(announcement.pool).healthPath;
     const CallResult result
         = co_await call(m_services.controlPool, announcement.address, makeGet(healthPath), healthTimeout);
@@ -453,6 +497,9 @@
         co_await sleepFor(maintenanceInterval);
         applyDueRemovals();
         reviewHeldBackServers();
+        if (m_services.evacuations.hasUnconfirmed()) {
+            applyStoredEvacuations("store");
+        }
         updateLoadFeeds();
         m_services.crashWatch->maintain();
         m_services.entryExchange->maintain();
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -87,6 +87,8 @@
     appendMetric("zinniadock_quarantined_requests_total", m_services.counters.quarantinedRequests, out);
     appendMetric("zinniadock_stop_refusals_total", m_services.counters.stopRefusals, out);
     appendMetric("zinniadock_ended_requests_total", m_services.counters.endedRequests, out);
+    appendMetric("zinniadock_evacuated_data_centres", m_services.evacuations.all().size(), out);
+    appendMetric("zinniadock_evacuation_refusals_total", m_services.counters.evacuationRefusals, out);
     appendMetric("zinniadock_server_connects_total",
                  m_services.pool.connectCount() + m_services.controlPool.connectCount(), out);
     appendMetric("zinniadock_store_calls_total", m_storeView.storeCalls(), out);
@@ -107,7 +109,8 @@
 
 bool ForwardingEntry::isReady() const
 {
-    return m_services.routes && m_storeView.hasServerList() && m_hasAskedEntries && !m_services.stop.isStopping();
+    return m_services.routes && m_storeView.hasServerList() && m_storeView.hasConfigurationList() && m_hasAskedEntries
+        && !m_services.stop.isStopping();
 }
 
 } // namespace zinniadock
--- a/src/process/limits/serverlimiter.cpp
+++ b/src/process/limits/serverlimiter.cpp
@@ -116,7 +116,7 @@
     for (const auto &[incarnation, limit] : m_limits.all()) {
         const auto found = directory.servers().find(incarnation.id);
         const bool isInPool = found != directory.servers().end() && found->second.record.pool == pool
-            && incarnationOf(found->second.record) == incarnation && !found->second.isDraining();
+            && incarnationOf(found->second.record) == incarnation && found->second.acceptsWork();
         if (limit.perSecond && isInPool) {
             servers.push_back(incarnation);
         }
--- a/src/process/links/sidecarmessages.cpp
+++ b/src/process/links/sidecarmessages.cpp
@@ -122,11 +122,15 @@
     for (const Endpoint &target : order.targets) {
         targets.push_back(target.text());
     }
-    return toCbor({ { "request", order.request },
-                    { "targets", std::move(targets) },
-                    { "value", order.priority },
-                    { "admission", toJson(order.admission) },
-                    { "copy_ms", order.estimatedCopyTime.count() } });
+    Json document{ { "request", order.request },
+                   { "targets", std::move(targets) },
+                   { "value", order.priority },
+                   { "admission", toJson(order.admission) },
+                   { "copy_ms", order.estimatedCopyTime.count() } };
+    if (order.timeLeft) {
+        document["time_left_ms"] = order.timeLeft->count();
+    }
+    return toCbor(document);
 }
 
 std::string encode(const MoveResult &result)
@@ -200,6 +204,9 @@
         order.priority = document.at("value").get<double>();
         order.admission = admissionQueryFromJson(document.at("admission"));
         order.estimatedCopyTime = std::chrono::milliseconds(document.at("copy_ms").get<std::int64_t>());
+        if (document.contains("time_left_ms")) {
+            order.timeLeft = std::chrono::milliseconds(document.at("time_left_ms").get<std::int64_t>());
+        }
         for (const Json &target : document.at("targets")) {
             if (const auto endpoint = parseEndpoint(target.get<std::string>())) {
                 order.targets.push_back(*endpoint);
--- a/src/process/membership/entryknowledge.cpp
+++ b/src/process/membership/entryknowledge.cpp
@@ -46,6 +46,17 @@
              .era = row.at(5).get<wire::StoreEra>() };
 }
 
+Json toRow(const Evacuation &evacuation)
+{
+    return Json::array({ evacuation.dataCentre, evacuation.position.era, evacuation.position.revision });
+}
+
+Evacuation evacuationFromRow(const Json &row)
+{
+    return { .dataCentre = row.at(0).get<std::string>(),
+             .position = { .era = row.at(1).get<wire::StoreEra>(), .revision = row.at(2).get<std::int64_t>() } };
+}
+
 } // namespace
 
 std::string encode(const EntryKnowledge &knowledge, SteadyTime now)
@@ -54,11 +65,16 @@
     for (const Departure &departure : knowledge.departures) {
         departures.push_back(toRow(departure));
     }
+    Json evacuations = Json::array();
+    for (const Evacuation &evacuation : knowledge.evacuations) {
+        evacuations.push_back(toRow(evacuation));
+    }
     const std::string &text = knowledge.configuration;
     return detail::toCbor({ { "version", knowledge.configurationVersion },
                             { "configuration", Json::binary(std::vector<std::uint8_t>(text.begin(), text.end())) },
                             { "departed", std::move(departures) },
-                            { "crashes", detail::toJson(knowledge.evidence, now) } });
+                            { "crashes", detail::toJson(knowledge.evidence, now) },
+                            { "evacuations", std::move(evacuations) } });
 }
 
 std::optional<EntryKnowledge> decodeEntryKnowledge(const std::string &bytes, SteadyTime now)
@@ -74,6 +90,12 @@
         if (document.contains("crashes")) {
             knowledge.evidence = detail::evidenceFromJson(document.at("crashes"), now);
         }
+        // An entry of an earlier version does not send the field.
+        if (document.contains("evacuations")) {
+            for (const Json &row : document.at("evacuations")) {
+                knowledge.evacuations.push_back(evacuationFromRow(row));
+            }
+        }
         return knowledge;
     });
 }
--- a/src/process/placing/placement.cpp
+++ b/src/process/placing/placement.cpp
@@ -118,7 +118,7 @@
 {
     std::vector<Candidate> candidates;
     for (const auto &[id, server] : directory.servers()) {
-        const bool isEligible = server.record.pool == request.pool && !server.isDraining() && !excluded.contains(id);
+        const bool isEligible = server.record.pool == request.pool && server.acceptsWork() && !excluded.contains(id);
         if (!isEligible || server.backoffUntil > now || server.fullUntil > now || server.isPaused(now)
             || !passesFilter(request, server)
             || (request.maxLoadAge && !hasLoadWithin(server, *request.maxLoadAge, now))) {
@@ -216,7 +216,7 @@
 {
     std::vector<Candidate> candidates;
     for (const auto &[id, server] : directory.servers()) {
-        const bool isEligible = server.record.pool == request.pool && !server.isDraining() && !excluded.contains(id);
+        const bool isEligible = server.record.pool == request.pool && server.acceptsWork() && !excluded.contains(id);
         if (isEligible && server.backoffUntil <= now && !server.isPaused(now)) {
             candidates.push_back({ id, 0 });
         }
@@ -266,7 +266,7 @@
 {
     std::vector<Candidate> candidates;
     for (const auto &[id, server] : directory.servers()) {
-        const bool isEligible = server.record.pool == request.pool && !server.isDraining() && !excluded.contains(id);
+        const bool isEligible = server.record.pool == request.pool && server.acceptsWork() && !excluded.contains(id);
         if (!isEligible || server.isPaused(now) || !passesFilter(request, server)) {
             continue;
         }
@@ -286,7 +286,7 @@
 {
     std::optional<SteadyTime> first;
     for (const auto &[id, server] : directory.servers()) {
-        if (server.record.pool != pool || server.isDraining()) {
+        if (server.record.pool != pool || !server.acceptsWork()) {
             continue;
         }
         if (server.pausedUntil <= now) {
@@ -302,7 +302,7 @@
 {
     bool isLimited = false;
     for (const auto &[id, server] : directory.servers()) {
-        if (server.record.pool != pool || server.isDraining() || server.isPaused(now)) {
+        if (server.record.pool != pool || !server.acceptsWork() || server.isPaused(now)) {
             continue;
         }
         if (maySend(server.record)) {
@@ -313,6 +313,21 @@
     return isLimited;
 }
 
+bool isPoolEvacuated(const ServerDirectory &directory, const std::string &pool)
+{
+    bool hasEvacuated = false;
+    for (const auto &[id, server] : directory.servers()) {
+        if (server.record.pool != pool || server.isDraining()) {
+            continue;
+        }
+        if (!server.isEvacuated) {
+            return false;
+        }
+        hasEvacuated = true;
+    }
+    return hasEvacuated;
+}
+
 std::vector<std::string> moveTargets(const ServerDirectory &directory, const PlacementRequest &request,
                                      const EngineCapacity &limits, const std::string &source, std::size_t count,
                                      SteadyTime now, const RandomSource &draw)
--- a/src/process/servers/serverdirectory.cpp
+++ b/src/process/servers/serverdirectory.cpp
@@ -41,6 +41,7 @@
         server.isHalfOpen = false;
     }
     server.record = record;
+    server.isEvacuated = isEvacuated(record.dataCentre);
     server.unlistedSince.reset();
     markReplacedAt(record.address);
     return isNew || (record.isDraining && !wasDraining);
@@ -115,6 +116,28 @@
     }
 }
 
+std::size_t ServerDirectory::setEvacuated(const std::string &dataCentre, bool isEvacuated)
+{
+    if (isEvacuated) {
+        m_evacuated.insert(dataCentre);
+    } else {
+        m_evacuated.erase(dataCentre);
+    }
+    std::size_t listed = 0;
+    for (auto &[id, server] : m_servers) {
+        if (server.record.dataCentre == dataCentre) {
+            server.isEvacuated = isEvacuated;
+            listed += server.unlistedSince ? 0 : 1;
+        }
+    }
+    return listed;
+}
+
+bool ServerDirectory::isEvacuated(const std::string &dataCentre) const
+{
+    return m_evacuated.contains(dataCentre);
+}
+
 bool ServerDirectory::updateLoad(const std::string &id, EngineLoad load, SteadyTime now)
 {
     TrackedServer *server = find(id);
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -120,6 +120,9 @@
     fieldRule<&ForwardingSection::configurationWithin>(
         "configuration_within_ms", false, Range{ 100, 600000 }, "milliseconds from 100 to 600000",
         "A configuration that the store has accepted is in force after this time."),
+    fieldRule<&ForwardingSection::evacuationWithin>(
+        "evacuation_within_ms", false, Range{ 100, 600000 }, "milliseconds from 100 to 600000",
+        "Servers of a data centre that the store marks as evacuated get no requests after this time."),
     fieldRule<&ForwardingSection::capacity>(
         "capacity", false, Range{ 0.001, 1024 }, "a number from 0.001 to 1024",
         "Number of processors of this instance; the instances with the most processors read the store for the others."),
--- a/src/process/store/storeview.cpp
+++ b/src/process/store/storeview.cpp
@@ -166,11 +166,12 @@
 }
 
 // Returns the time within which a change of a part must reach this entry. Registrations of entries decide how the retry
-// budget is shared, so they must be known within its window.
+// budget is shared, so they must be known within its window. Evacuations are in the same part as the configuration.
+// Half of their time is left for requests that are underway and for entries that follow this one.
 std::chrono::milliseconds StoreView::boundOf(StorePart part) const
 {
     const ForwardingSection &settings = m_services.settings.forwarding;
-    return part == StorePart::Configuration ? settings.configurationWithin
+    return part == StorePart::Configuration ? std::min(settings.configurationWithin, settings.evacuationWithin / 2)
         : part == StorePart::Servers        ? settings.drainWithin
                                             : settings.retryWindow();
 }
@@ -388,6 +389,11 @@
     return m_mirrors[indexOf(StorePart::Servers)].position().revision > 0;
 }
 
+bool StoreView::hasConfigurationList() const
+{
+    return m_mirrors[indexOf(StorePart::Configuration)].position().revision > 0;
+}
+
 bool StoreView::hasEntryList() const
 {
     return m_mirrors[indexOf(StorePart::Entries)].position().revision > 0;
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -330,7 +330,9 @@
     }
     const auto move = std::make_shared<PendingMove>();
     move->order = std::move(order);
-    m_firstMoveOrderAt = m_firstMoveOrderAt.value_or(std::chrono::steady_clock::now());
+    if (!move->order.timeLeft) {
+        m_firstMoveOrderAt = m_firstMoveOrderAt.value_or(std::chrono::steady_clock::now());
+    }
     m_pendingMoves.push_back(move);
     m_moveChanged.notify();
     while (!move->done) {
@@ -374,7 +376,8 @@
         std::erase(m_pendingMoves, move);
         m_moveInProgress = move;
         const auto startedAt = std::chrono::steady_clock::now();
-        const std::chrono::milliseconds left = timeLeft();
+        const std::chrono::milliseconds left
+            = m_load.isDraining ? timeLeft() : move->order.timeLeft.value_or(timeLeft());
         move->result = co_await moveGeneration(m_pool, m_settings.sidecar.backend, move->order, left,
                                                m_settings.forwarding.sidecarPort());
         const auto took = std::chrono::steady_clock::now() - startedAt;
--- a/src/request/callforward.cpp
+++ b/src/request/callforward.cpp
@@ -57,6 +57,11 @@
             last.reason = m_possibleRuns == 0 ? toText(*m_quarantine) : last.reason;
             break;
         }
+        if (m_context->isBlockedByEvacuation()) {
+            services.counters.evacuationRefusals += m_context->attempts == 0 ? 1 : 0;
+            last.reason = m_context->attempts == 0 ? m_context->evacuationReason() : last.reason;
+            break;
+        }
         services.serverLimiter.recordDemand(services.directory, m_context->poolName, std::chrono::steady_clock::now());
         const bool isLimited = co_await m_context->isBlockedByLimit();
         if (isLimited && m_context->attempts == 0) {
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -21,6 +21,10 @@
 constexpr std::chrono::milliseconds retryAfterNoConfiguration{ 500 };
 constexpr std::chrono::milliseconds retryAfterStopping{ 50 };
 
+/// An evacuation ends by an operator's order, at a time that is not known. The random part spreads the retries.
+constexpr std::chrono::milliseconds retryAfterEvacuation{ 2000 };
+constexpr std::chrono::milliseconds evacuationRetryJitter{ 1000 };
+
 /// Maximum random extension of a pause that a server requested. It prevents all entries from sending requests to the
 /// server at the same moment after the pause.
 constexpr std::chrono::milliseconds pauseJitter{ 300 };
@@ -273,6 +277,16 @@
     return !services.stop.mayTake(deadline);
 }
 
+bool ForwardContext::isBlockedByEvacuation() const
+{
+    return !services.evacuations.all().empty() && isPoolEvacuated(services.directory, poolName);
+}
+
+std::string ForwardContext::evacuationReason() const
+{
+    return "all data centres of pool " + poolName + " are evacuated";
+}
+
 ServerFilter ForwardContext::limitFilter() const
 {
     const auto now = std::chrono::steady_clock::now();
@@ -299,6 +313,11 @@
     if (services.stop.isStopping()) {
         return retryAfterStopping;
     }
+    if (isBlockedByEvacuation()) {
+        const auto jitter
+            = std::chrono::duration_cast<std::chrono::milliseconds>(services.randomFraction() * evacuationRetryJitter);
+        return retryAfterEvacuation + jitter;
+    }
     const auto now = std::chrono::steady_clock::now();
     if (isLimited) {
         const auto wait = services.serverLimiter.refuse(services.directory, poolName, now);
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -209,6 +209,11 @@
         if (refusesBecauseOfStop()) {
             break;
         }
+        if (m_context->isBlockedByEvacuation()) {
+            ++m_services.counters.evacuationRefusals;
+            m_reason = m_context->evacuationReason();
+            break;
+        }
         m_isLimited = co_await m_context->isBlockedByLimit();
         if (m_isLimited) {
             m_reason = "each engine of pool " + m_context->poolName + " has reached its limit of requests per second";
@@ -359,7 +364,7 @@
 Awaitable<std::optional<GenerationForwarder::EnginePlacement>> GenerationForwarder::reserveAtEngine(std::string server)
 {
     const TrackedServer *tracked = m_services.directory.find(server);
-    if (!tracked) {
+    if (!tracked || tracked->isEvacuated) {
         co_return std::nullopt;
     }
     const std::chrono::milliseconds lifetime = reservationDuration(tracked->record);
@@ -445,6 +450,10 @@
     if (!tracked) {
         co_return SegmentEnd::Refused;
     }
+    if (tracked->isEvacuated) {
+        m_reason = "the data centre " + tracked->record.dataCentre + " is evacuated";
+        co_return SegmentEnd::Refused;
+    }
     const ServerRecord record = tracked->record;
     attach(server);
     m_mayHaveStopped = false;
@@ -715,8 +724,8 @@
     }
     m_lastEventAt = now;
     m_services.directory.markStarted(m_server, m_assignment);
-    if (m_engineDraining && m_moveState == MoveState::None) {
-        handleServerDraining();
+    if (m_moveState == MoveState::None && shouldLeaveServer()) {
+        startMove();
     }
 }
 
--- a/src/request/generationmoves.cpp
+++ b/src/request/generationmoves.cpp
@@ -30,6 +30,15 @@
 /// Timeout of a move request to a sidecar, including the time that it is queued behind other moves.
 constexpr std::chrono::milliseconds moveTimeout{ 5000 };
 
+/// As moveTimeout and moveRetryDelay, for a generation that leaves an evacuated data centre. Its engine goes on
+/// running, and all engines of a data centre are left at the same time, so that the queues are longer and room is
+/// scarce.
+constexpr std::chrono::milliseconds evacuationMoveTimeout{ 15000 };
+constexpr std::chrono::milliseconds evacuationMoveRetryDelay{ 2000 };
+
+/// Engines that are asked to continue a generation which has left an evacuated data centre, after its target refused.
+constexpr std::size_t maxOtherTargets = 3;
+
 /// Returns the time to copy a generation's KV cache over an idle link inside a data centre.
 std::chrono::milliseconds estimateCopyTime(double tokens, const EngineCapacity &limits)
 {
@@ -51,9 +60,34 @@
 
 } // namespace
 
+// A failed move out of an evacuated data centre must not delay the move away from an engine that is about to stop.
 void GenerationForwarder::handleServerDraining()
 {
     m_engineDraining = true;
+    m_nextMoveAt = std::min(m_nextMoveAt, std::chrono::steady_clock::now() + moveRetryDelay);
+    startMove();
+}
+
+void GenerationForwarder::handleEvacuation()
+{
+    if (isServerEvacuated()) {
+        startMove();
+    }
+}
+
+bool GenerationForwarder::isServerEvacuated() const
+{
+    const TrackedServer *server = m_services.directory.find(m_server);
+    return server && server->isEvacuated;
+}
+
+bool GenerationForwarder::shouldLeaveServer() const
+{
+    return m_engineDraining || isServerEvacuated();
+}
+
+void GenerationForwarder::startMove()
+{
     const bool started = m_headSent || m_lastEventAt != SteadyTime();
     const bool isTooEarly = std::chrono::steady_clock::now() < m_nextMoveAt;
     if (m_server.empty() || !started || isTooEarly || m_moveState != MoveState::None
@@ -82,13 +116,42 @@
     }
 }
 
+void notifyEvacuation(ForwardingServices &services)
+{
+    std::vector<GenerationForwarder *> running;
+    for (const auto &[id, generations] : services.activeGenerations) {
+        const TrackedServer *server = services.directory.find(id);
+        if (server && server->isEvacuated) {
+            running.insert(running.end(), generations.begin(), generations.end());
+        }
+    }
+    std::sort(running.begin(), running.end(), [](const auto *left, const auto *right) {
+        return left->expectedRest() > right->expectedRest();
+    });
+    for (GenerationForwarder *generation : running) {
+        generation->handleEvacuation();
+    }
+}
+
+double GenerationForwarder::heldTokens() const
+{
+    const EngineCapacity &limits = *m_context->pool.engine;
+    return m_context->fields.promptTokens + static_cast<double>(limits.tokensPerEvent * m_eventCount);
+}
+
+double GenerationForwarder::expectedRest() const
+{
+    return std::max(0.0, m_expectedTokens - heldTokens());
+}
+
 MoveOrder GenerationForwarder::moveOrder(const TrackedServer &source) const
 {
     const EngineCapacity &limits = *m_context->pool.engine;
-    const double tokens = m_context->fields.promptTokens + static_cast<double>(limits.tokensPerEvent * m_eventCount);
+    const double tokens = heldTokens();
     MoveOrder order;
     order.request = m_context->fields.requestId;
-    order.priority = std::max(0.0, m_expectedTokens - tokens);
+    order.priority = expectedRest();
+    order.timeLeft = source.isEvacuated ? std::optional(evacuationMoveTimeout) : std::nullopt;
     order.estimatedCopyTime = estimateCopyTime(tokens, limits);
     order.admission = admissionQuery();
     order.admission.heldTokens = static_cast<std::uint32_t>(tokens);
@@ -132,11 +195,18 @@
         const auto drainTimeLeft = source->load.drainTimeLeft.value_or(std::chrono::milliseconds(1000));
         const HttpRequest request = makePost(moveOrderTarget, encode(order));
         // A kept connection may be silent, and an engine that is draining leaves no time to find out.
-        const CallOptions options{ .timeout = moveTimeout, .usesNewConnection = true };
+        const bool wasEvacuated = source->isEvacuated;
+        const CallOptions options{ .timeout = wasEvacuated ? evacuationMoveTimeout : moveTimeout,
+                                   .usesNewConnection = true };
         const CallResult callResult = co_await call(m_services.pool, sidecar, request, options);
         const auto decoded = callResult.succeeded() ? decodeMoveResult(callResult.body) : std::nullopt;
+        const TrackedServer *sourceNow = m_services.directory.find(server);
         if (decoded) {
             result = *decoded;
+        } else if (sourceNow && sourceNow->isEvacuated) {
+            // Orders to the engine itself would be requests to an evacuated data centre.
+            result.mayHaveStopped = callResult.error && callResult.sendState == SendState::Sent;
+            result.reason = "the sidecar does not move the generation out of the evacuated data centre";
         } else {
             result = co_await moveGeneration(m_services.pool, engine, order, drainTimeLeft,
                                              m_services.settings.forwarding.sidecarPort());
@@ -149,7 +219,8 @@
     m_mayHaveStopped = m_mayHaveStopped || result.mayHaveStopped;
     m_moveState = result.stopped ? MoveState::Stopped : MoveState::None;
     m_services.counters.failedMoves += result.stopped ? 0 : 1;
-    m_nextMoveAt = std::chrono::steady_clock::now() + moveRetryDelay;
+    const bool isUrgent = m_engineDraining || !isServerEvacuated();
+    m_nextMoveAt = std::chrono::steady_clock::now() + (isUrgent ? moveRetryDelay : evacuationMoveRetryDelay);
     logEvent("move", result.stopped ? "run stopped" : "failed",
              { { "id", order.request },
                { "source", server },
@@ -193,7 +264,10 @@
         fields.copy = m_move.copy;
         segmentEnd = co_await runSegment(fields, StreamAttempt::Move);
     }
-    if (segmentEnd == SegmentEnd::Refused) {
+    const TrackedServer *sourceServer = m_services.directory.find(source);
+    if (segmentEnd == SegmentEnd::Refused && sourceServer && sourceServer->isEvacuated) {
+        segmentEnd = co_await continueElsewhere(source, target.value_or(""));
+    } else if (segmentEnd == SegmentEnd::Refused) {
         logEvent("move", "generation resumes at the source engine",
                  { { "id", m_context->fields.requestId }, { "source", source }, { "reason", m_reason } });
         wire::ServerFields fields = m_context->serverFields(source);
@@ -203,4 +277,33 @@
     co_return segmentEnd == SegmentEnd::Refused ? SegmentEnd::Broken : segmentEnd;
 }
 
+// Continues a generation that has stopped at an engine of an evacuated data centre, and that its target has refused. It
+// must not resume at its source. Returns Refused if no other engine continues it.
+Awaitable<GenerationForwarder::SegmentEnd> GenerationForwarder::continueElsewhere(std::string source,
+                                                                                  std::string refusedBy)
+{
+    const RandomSource draw = [this] {
+        return m_services.randomFraction();
+    };
+    const std::vector<std::string> targets
+        = moveTargets(m_services.directory, placementRequest(), *m_context->pool.engine, source, maxMoveTargets,
+                      std::chrono::steady_clock::now(), draw);
+    std::size_t tried = 0;
+    for (const std::string &target : targets) {
+        if (target == refusedBy || tried == maxOtherTargets || !m_context->isActive()) {
+            continue;
+        }
+        ++tried;
+        logEvent("move", "generation offered to another engine",
+                 { { "id", m_context->fields.requestId }, { "source", source }, { "target", target } });
+        wire::ServerFields fields = m_context->serverFields(target);
+        fields.copy = m_move.copy;
+        const SegmentEnd segmentEnd = co_await runSegment(fields, StreamAttempt::Move);
+        if (segmentEnd != SegmentEnd::Refused) {
+            co_return segmentEnd;
+        }
+    }
+    co_return SegmentEnd::Refused;
+}
+
 } // namespace zinniadock
--- a/tests/standin/platformstandin.cpp
+++ b/tests/standin/platformstandin.cpp
@@ -381,6 +381,11 @@
     m_startTimeMs = milliseconds;
 }
 
+void PlatformServer::setDataCentre(const std::string &name)
+{
+    m_dataCentre = name;
+}
+
 std::string PlatformServer::endpoint() const
 {
     return m_address + ":" + std::to_string(m_server.port());
@@ -389,8 +394,8 @@
 std::string PlatformServer::record(const std::string &service, const std::string &state) const
 {
     return Json{
-        { "service", service },   { "address", endpoint() }, { "zone", "north" }, { "version", "v1" },
-        { "slots", 8 },           { "state", state },        { "coldLeftMs", 0 }, { "seq", 1 },
+        { "service", service },   { "address", endpoint() }, { "zone", m_dataCentre }, { "version", "v1" },
+        { "slots", 8 },           { "state", state },        { "coldLeftMs", 0 },      { "seq", 1 },
         { "born", m_startTimeMs }
     }.dump();
 }
--- a/tests/standin/platformstandin.h
+++ b/tests/standin/platformstandin.h
@@ -185,6 +185,9 @@
     const std::string &id() const;
     std::uint16_t port() const;
 
+    /// Sets the data centre in record(). Initially "north".
+    void setDataCentre(const std::string &name);
+
     /// Sets the start time in record(), in Unix milliseconds.
     void setStartTime(std::int64_t milliseconds);
 
@@ -313,6 +316,7 @@
     const std::string m_id;
     const std::string m_address;
     std::int64_t m_startTimeMs = 1000;
+    std::string m_dataCentre = "north";
     std::mutex m_mutex;
     std::atomic<ServerBehavior> m_behavior{ ServerBehavior::Healthy };
     std::atomic<bool> m_rejectsReservations{ false };
