--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -1,10 +1,8 @@
 #include "zinniadock/request/generationforward.h"
 
 #include <algorithm>
-#include <array>
 
 #include "zinniadock/connection/strayresponse.h"
-#include "zinniadock/request/engineprobe.h"
 
 namespace zinniadock
 {
@@ -15,28 +13,8 @@
 constexpr std::chrono::milliseconds connectTimeout{ 500 };
 constexpr std::chrono::milliseconds maxIdle{ 1500 };
 constexpr std::chrono::milliseconds defaultIdleLimit{ 3000 };
-constexpr std::chrono::milliseconds placementRetryInterval{ 40 };
 constexpr std::size_t maxPlainResponseBytes = 8U << 20U;
 
-/// Lifetime of a reservation. A reservation is used immediately, so it only has to last for the transmission of
-/// the request and the processing of the prompt.
-constexpr std::chrono::milliseconds reservationLifetime{ 1000 };
-constexpr std::chrono::milliseconds reservationTimeout{ 400 };
-
-/// Share of the target latency that a generation may wait at the entry for an engine with free capacity. The rest is
-/// for the processing of the prompt.
-constexpr double maxPlacementWaitShare = 0.5;
-
-/// If a sidecar has sent no load report for this long, the entry requests the reservation from the engine itself.
-constexpr std::chrono::milliseconds maxSidecarSilence{ 1500 };
-constexpr std::chrono::milliseconds admissionTimeout{ 200 };
-
-constexpr std::size_t maxEnginesPerRound = 4;
-constexpr std::size_t probesPerRound = 4;
-
-/// Share of the maximum placement wait after which lateLimits apply.
-constexpr double lateWaitShare = 0.5;
-
 /// Expected output as a share of the maximum output, if the caller gives no estimate.
 constexpr double defaultOutputShare = 0.5;
 
@@ -56,15 +34,6 @@
 
 } // namespace
 
-// Limits of the rounds of findPlacement(); each later round uses the last element.
-const std::array<GenerationForwarder::AdmissionLimits, 3> GenerationForwarder::initialLimits{
-    { { .maxMemoryShare = 0.88, .maxWaitingTokens = 1500 },
-      { .maxMemoryShare = 0.88, .maxWaitingTokens = 4500 },
-      { .maxMemoryShare = 0.88, .maxWaitingTokens = 9000 } }
-};
-const GenerationForwarder::AdmissionLimits GenerationForwarder::lateLimits{ .maxMemoryShare = 0.9,
-                                                                            .maxWaitingTokens = 16000 };
-
 GenerationForwarder::GenerationForwarder(std::shared_ptr<ForwardContext> context)
     : m_context(std::move(context))
     , m_services(m_context->services)
@@ -86,17 +55,6 @@
     detach();
 }
 
-PlacementRequest GenerationForwarder::placementRequest() const
-{
-    return { .pool = m_context->poolName,
-             .promptTokens = m_context->fields.promptTokens,
-             .expectedTokens = m_expectedTokens,
-             .sampleSize = sampleSizeFor(m_services.directory.servers().size(), m_services.entryCount()),
-             .dataCentre = m_services.settings.daemon.dataCentre,
-             .maxLoadAge = {},
-             .maySend = m_context->limitFilter() };
-}
-
 Awaitable<void> GenerationForwarder::run()
 {
     SegmentEnd segmentEnd = SegmentEnd::Refused;
@@ -188,226 +146,6 @@
     }
 }
 
-// The load reports at the entries are slightly stale, and several entries may choose the same idle engine. Therefore
-// the engine's sidecar decides on the admission. The first round accepts only engines with few waiting prompt tokens;
-// each later round accepts busier engines.
-Awaitable<std::optional<GenerationForwarder::EnginePlacement>> GenerationForwarder::findPlacement()
-{
-    const auto maxWait = std::chrono::duration_cast<std::chrono::milliseconds>(maxPlacementWaitShare
-                                                                               * m_context->route->targetLatency);
-    const RandomSource draw = [this] {
-        return m_services.randomFraction();
-    };
-    if (refusesBecauseOfStop()) {
-        co_return std::nullopt;
-    }
-    std::size_t round = 0;
-    std::set<std::string> excluded = m_refusedBy;
-    m_services.serverLimiter.recordDemand(m_services.directory, m_context->poolName, std::chrono::steady_clock::now());
-    co_await refreshLoads(excluded);
-    while (m_context->isActive() && !checkQuarantine()) {
-        if (refusesBecauseOfStop()) {
-            break;
-        }
-        m_isLimited = co_await m_context->isBlockedByLimit();
-        if (m_isLimited) {
-            m_reason = "each engine of pool " + m_context->poolName + " has reached its limit of requests per second";
-            break;
-        }
-        const auto now = std::chrono::steady_clock::now();
-        const std::optional<std::string> server = chooseEngine(excluded, now, draw);
-        const std::size_t enginesTried = excluded.size() - m_refusedBy.size();
-        if (server && enginesTried < maxEnginesPerRound) {
-            const bool isLate = m_context->age() > lateWaitShare * maxWait;
-            AdmissionLimits limits = isLate ? lateLimits : initialLimits.at(std::min(round, initialLimits.size() - 1));
-            limits.maxWaitingTokens -= warmUpTokens(*m_services.directory.find(*server), now);
-            std::optional<EnginePlacement> reserved;
-            if (limits.maxWaitingTokens >= 0) {
-                reserved = co_await reserveEngine(*server, limits);
-            }
-            if (reserved) {
-                logPlacement(*reserved);
-                co_return reserved;
-            }
-            excluded.insert(*server);
-            continue;
-        }
-        if (m_context->age() > maxWait) {
-            break;
-        }
-        ++round;
-        excluded = m_refusedBy;
-        const bool nextRoundAcceptsMore = server && round < initialLimits.size();
-        co_await refreshLoads(excluded);
-        if (!nextRoundAcceptsMore) {
-            m_services.counters.waitedGenerations += m_hasWaited ? 0 : 1;
-            m_hasWaited = true;
-            co_await m_services.capacityChanged.wait(placementRetryInterval);
-        }
-    }
-    co_return std::nullopt;
-}
-
-Awaitable<void> GenerationForwarder::refreshLoads(std::set<std::string> excluded)
-{
-    if (usesLoadProbing(m_services)) {
-        co_await probeEngines(m_services, placementRequest(), std::move(excluded), probesPerRound);
-    }
-}
-
-// An entry that probes loads prefers engines whose load is at most maxProbedLoadAge old. It chooses another engine only
-// if none of these has free capacity, since the load of the other engines is unknown or outdated.
-std::optional<std::string> GenerationForwarder::chooseEngine(const std::set<std::string> &excluded, SteadyTime now,
-                                                             const RandomSource &draw) const
-{
-    PlacementRequest need = placementRequest();
-    const EngineCapacity &limits = *m_context->pool.engine;
-    if (usesLoadProbing(m_services)) {
-        need.sampleSize = 0;
-        need.maxLoadAge = maxProbedLoadAge;
-        if (auto server = placeGeneration(m_services.directory, need, limits, excluded, now, draw)) {
-            return server;
-        }
-        need = placementRequest();
-    }
-    return placeGeneration(m_services.directory, need, limits, excluded, now, draw);
-}
-
-AdmissionQuery GenerationForwarder::admissionQuery() const
-{
-    const EngineCapacity &limits = *m_context->pool.engine;
-    AdmissionQuery query;
-    query.request = m_context->fields.requestId;
-    query.promptTokens = m_context->fields.promptTokens;
-    query.expectedTokens = m_expectedTokens;
-    query.maxTokens = m_context->fields.promptTokens + m_context->fields.maxOutputTokens;
-    query.slots = limits.slots;
-    query.reservationDuration = std::min(limits.maxReservationDuration, reservationLifetime);
-    return query;
-}
-
-// An engine with a limit gets no reservation, which would be a second request.
-std::chrono::milliseconds GenerationForwarder::reservationDuration(const ServerRecord &server) const
-{
-    const bool isLimited = m_services.serverLimiter.isLimited(server);
-    return isLimited ? std::chrono::milliseconds(0)
-                     : std::min(m_context->pool.engine->maxReservationDuration, reservationLifetime);
-}
-
-// Uses the permit for the request itself before the admission, so that another generation can't use it meanwhile.
-Awaitable<std::optional<GenerationForwarder::EnginePlacement>> GenerationForwarder::reserveLimitedEngine(
-    std::string server, AdmissionLimits limits)
-{
-    const ServerRecord record = m_services.directory.find(server)->record;
-    recordSent(record, SendReason::FirstAttempt);
-    m_permitServer = server;
-    auto placement = co_await reserveAtSidecar(server, limits);
-    if (!placement) {
-        m_permitServer.clear();
-        m_services.serverLimiter.undoSent(record, std::chrono::steady_clock::now());
-    }
-    co_return placement;
-}
-
-void GenerationForwarder::recordSent(const ServerRecord &server, SendReason reason)
-{
-    if (m_permitServer == server.id) {
-        m_permitServer.clear();
-        return;
-    }
-    const bool isRetry = m_context->attempts > 1 && reason == SendReason::FirstAttempt;
-    m_services.serverLimiter.recordSent(server, isRetry ? SendReason::Retry : reason, std::chrono::steady_clock::now());
-}
-
-Awaitable<std::optional<GenerationForwarder::EnginePlacement>> GenerationForwarder::reserveEngine(
-    std::string server, AdmissionLimits limits)
-{
-    const TrackedServer *tracked = m_services.directory.find(server);
-    const auto now = std::chrono::steady_clock::now();
-    if (m_services.serverLimiter.isLimited(tracked->record)) {
-        return reserveLimitedEngine(std::move(server), limits);
-    }
-    const bool hasRecentReport = now - tracked->loadReceivedAt.value_or(tracked->listedAt) < maxSidecarSilence;
-    return hasRecentReport ? reserveAtSidecar(std::move(server), limits) : reserveAtEngine(std::move(server));
-}
-
-Awaitable<std::optional<GenerationForwarder::EnginePlacement>> GenerationForwarder::reserveAtSidecar(
-    std::string server, AdmissionLimits limits)
-{
-    const std::string address = m_services.directory.find(server)->record.address.address;
-    AdmissionQuery query = admissionQuery();
-    query.usableFraction = limits.maxMemoryShare;
-    query.maxWaitingTokens = static_cast<std::uint32_t>(limits.maxWaitingTokens);
-    query.reservationDuration = reservationDuration(m_services.directory.find(server)->record);
-    const HttpRequest request = makePost(admissionTarget, encode(query));
-    const Endpoint sidecar{ address, m_services.settings.forwarding.sidecarPort() };
-    const CallResult result = co_await call(m_services.pool, sidecar, request, admissionTimeout);
-    const auto response = result.succeeded() ? decodeAdmissionResponse(result.body) : std::nullopt;
-    if (!response) {
-        co_return co_await reserveAtEngine(std::move(server));
-    }
-    m_services.directory.updateEstimates(server, response->committedTokens, response->waitingTokens);
-    if (!response->admitted) {
-        ++m_services.counters.refusedReservations;
-        co_return std::nullopt;
-    }
-    co_return EnginePlacement{ .server = server, .reservation = response->reservationId };
-}
-
-// Requests the reservation from the engine itself. The engine grants a reservation only while it has free capacity.
-// Used if the sidecar sends no load reports or does not respond.
-Awaitable<std::optional<GenerationForwarder::EnginePlacement>> GenerationForwarder::reserveAtEngine(std::string server)
-{
-    const TrackedServer *tracked = m_services.directory.find(server);
-    if (!tracked) {
-        co_return std::nullopt;
-    }
-    const std::chrono::milliseconds lifetime = reservationDuration(tracked->record);
-    if (lifetime.count() == 0) {
-        co_return EnginePlacement{ .server = server, .reservation = "" };
-    }
-    const double tokens = neededTokens(m_context->fields.promptTokens, m_expectedTokens);
-    const Endpoint engine = tracked->record.address;
-    const HttpRequest request = wire::reserveRequest(static_cast<std::uint32_t>(tokens), lifetime);
-    m_services.serverLimiter.recordSent(tracked->record, SendReason::Control, std::chrono::steady_clock::now());
-    const CallResult result = co_await call(m_services.controlPool, engine, request, reservationTimeout);
-    const auto now = std::chrono::steady_clock::now();
-    if (result.error) {
-        m_services.directory.recordConnectionFailure(server, now);
-        co_return std::nullopt;
-    }
-    m_context->updateServerState(server, wire::parseResponseFields(result.head));
-    if (!result.succeeded()) {
-        ++m_services.counters.refusedReservations;
-        m_services.directory.markFull(server, now);
-        co_return std::nullopt;
-    }
-    co_return EnginePlacement{ .server = server, .reservation = wire::parseReservationId(result.body) };
-}
-
-void GenerationForwarder::logPlacement(const EnginePlacement &chosen) const
-{
-    const TrackedServer *server = m_services.directory.find(chosen.server);
-    if (!server) {
-        return;
-    }
-    const auto age = std::chrono::steady_clock::now() - server->loadReceivedAt.value_or(SteadyTime());
-    logEvent("request", "placed",
-             { { "id", m_context->fields.requestId },
-               { "server", chosen.server },
-               { "prompt_tokens", m_context->fields.promptTokens },
-               { "output_hint", m_context->fields.outputHint.value_or(0) },
-               { "most_output", m_context->fields.maxOutputTokens },
-               { "need_tokens", neededTokens(m_context->fields.promptTokens, m_expectedTokens) },
-               { "used_tokens", server->load.usedTokens },
-               { "committed_tokens", committedTokens(*server) },
-               { "waiting_prompt_tokens", waitingPromptTokens(*server) },
-               { "total_tokens", server->load.totalTokens },
-               { "load_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age) },
-               { "reservation", chosen.reservation },
-               { "waited_ms", m_context->age() } });
-}
-
 void GenerationForwarder::attach(const std::string &server)
 {
     detach();
