Limit unread prompts by the time until the first event is due

Cause: the limit on the unread prompt tokens of an engine rose from 1,500 to 9,000 within milliseconds for generations of each priority, and to 16,000 for those that had waited. Long prompts with time to spare filled the engines, and urgent prompts behind them had their first event late.

Change: process/admission/promptbudget decides the limit and the maximum wait. If generations of several priorities have arrived at the entry within 5 s, the limit is what an engine reads until the first event is due. One with more time to spare leaves room for an urgent prompt on each engine for 0.4 of its target latency, and may wait longer at the entry. With one priority nothing changes. The log line "placed" has the priority and the limit.

Should improve: the share of urgent generations in time during bursts of others.

Measured: with the limits from before in place of the new ones, 3 cases of unit-promptbudget fail.

--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "zinniadock/connection/httpclient.h"
+#include "zinniadock/process/admission/promptbudget.h"
 #include "zinniadock/process/admission/stopadmission.h"
 #include "zinniadock/process/crashes/sharedsuspects.h"
 #include "zinniadock/process/limits/retrywindow.h"
@@ -83,6 +84,7 @@
     std::set<std::string> peerAddresses; ///< addresses on which the other entries listen for entries
     std::map<std::string, std::set<GenerationForwarder *>> activeGenerations; ///< by server ID
     std::map<std::string, GenerationPace> paces; ///< by pool
+    std::map<std::string, PromptBudget> promptBudgets; ///< by pool
     std::set<ForwardContext *> activeContexts; ///< requests in progress that were admitted
     StopAdmission stop;
 
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <array>
 #include <chrono>
 #include <memory>
 #include <optional>
@@ -62,10 +61,8 @@
         std::string reservation; ///< empty if the pool's engines do not support reservations
     };
 
-    static const std::array<AdmissionLimits, 3> initialLimits;
-    static const AdmissionLimits lateLimits;
-
     Awaitable<std::optional<EnginePlacement>> findPlacement();
+    Awaitable<void> waitForCapacity();
     Awaitable<void> refreshLoads(std::set<std::string> excluded);
     std::optional<std::string> chooseEngine(const std::set<std::string> &excluded, SteadyTime now,
                                             const RandomSource &draw) const;
@@ -74,6 +71,8 @@
     Awaitable<std::optional<EnginePlacement>> reserveAtEngine(std::string server);
     Awaitable<std::optional<EnginePlacement>> reserveLimitedEngine(std::string server, AdmissionLimits limits);
     AdmissionQuery admissionQuery() const;
+    UnplacedPrompt unplacedPrompt() const;
+    AdmissionLimits admissionLimits(const std::string &server, std::size_t round, SteadyTime now) const;
     std::chrono::milliseconds reservationDuration(const ServerRecord &server) const;
     Awaitable<SegmentEnd> runSegment(wire::ServerFields fields, StreamAttempt attempt);
     Awaitable<SegmentEnd> readPlainResponse(HttpExchange &exchange, const wire::ResponseFields &fields,
@@ -106,7 +105,7 @@
     void attach(const std::string &server);
     void detach();
     void recordSent(const ServerRecord &server, SendReason reason);
-    void logPlacement(const EnginePlacement &chosen) const;
+    void logPlacement(const EnginePlacement &chosen, const AdmissionLimits &limits) const;
     void recordEvents();
     void recordFailedContinuation();
     void recordOutputLength();
@@ -115,6 +114,7 @@
     const std::shared_ptr<ForwardContext> m_context;
     ForwardingServices &m_services;
     GenerationPace &m_pace; ///< of the pool
+    PromptBudget &m_promptBudget; ///< of the pool
     std::uint32_t m_expectedTokens = 0;
     std::set<std::string> m_refusedBy;
     bool m_hasWaited = false; ///< whether the generation has waited for an engine with free capacity
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -38,6 +38,7 @@
     : m_context(std::move(context))
     , m_services(m_context->services)
     , m_pace(m_services.paces[m_context->poolName])
+    , m_promptBudget(m_services.promptBudgets[m_context->poolName])
     , m_moveChanged(m_services.context)
 {
     const wire::CallerFields &fields = m_context->fields;
@@ -48,6 +49,10 @@
         output = length.expectedLength(*fields.outputHint, fields.maxOutputTokens);
     }
     m_expectedTokens = fields.promptTokens + static_cast<std::uint32_t>(output);
+    m_promptBudget.recordArrival({ .priority = m_context->priority,
+                                   .tokens = fields.promptTokens,
+                                   .targetLatency = m_context->route->targetLatency },
+                                 m_context->arrived);
 }
 
 GenerationForwarder::~GenerationForwarder()
--- a/src/request/generationplacement.cpp
+++ b/src/request/generationplacement.cpp
@@ -1,7 +1,6 @@
 #include "zinniadock/request/generationforward.h"
 
 #include <algorithm>
-#include <array>
 
 #include "zinniadock/request/engineprobe.h"
 
@@ -18,10 +17,6 @@
 constexpr std::chrono::milliseconds reservationLifetime{ 1000 };
 constexpr std::chrono::milliseconds reservationTimeout{ 400 };
 
-/// Share of the target latency that a generation may wait at the entry for an engine with free capacity. The rest is
-/// for the processing of the prompt.
-constexpr double maxPlacementWaitShare = 0.5;
-
 /// If a sidecar has sent no load report for this long, the entry requests the reservation from the engine itself.
 constexpr std::chrono::milliseconds maxSidecarSilence{ 1500 };
 constexpr std::chrono::milliseconds admissionTimeout{ 200 };
@@ -29,20 +24,12 @@
 constexpr std::size_t maxEnginesPerRound = 4;
 constexpr std::size_t probesPerRound = 4;
 
-/// Share of the maximum placement wait after which lateLimits apply.
-constexpr double lateWaitShare = 0.5;
+/// Share of an engine's memory that generations may fill. The rest is for longer outputs than expected.
+constexpr double maxMemoryShare = 0.88;
+constexpr double lateMemoryShare = 0.9;
 
 } // namespace
 
-// Limits of the rounds of findPlacement(); each later round uses the last element.
-const std::array<GenerationForwarder::AdmissionLimits, 3> GenerationForwarder::initialLimits{
-    { { .maxMemoryShare = 0.88, .maxWaitingTokens = 1500 },
-      { .maxMemoryShare = 0.88, .maxWaitingTokens = 4500 },
-      { .maxMemoryShare = 0.88, .maxWaitingTokens = 9000 } }
-};
-const GenerationForwarder::AdmissionLimits GenerationForwarder::lateLimits{ .maxMemoryShare = 0.9,
-                                                                            .maxWaitingTokens = 16000 };
-
 PlacementRequest GenerationForwarder::placementRequest() const
 {
     return { .pool = m_context->poolName,
@@ -54,13 +41,28 @@
              .maySend = m_context->limitFilter() };
 }
 
+UnplacedPrompt GenerationForwarder::unplacedPrompt() const
+{
+    return { .priority = m_context->priority,
+             .tokens = m_context->fields.promptTokens,
+             .targetLatency = m_context->route->targetLatency,
+             .age = m_context->age() };
+}
+
+GenerationForwarder::AdmissionLimits GenerationForwarder::admissionLimits(const std::string &server, std::size_t round,
+                                                                          SteadyTime now) const
+{
+    const UnplacedPrompt prompt = unplacedPrompt();
+    const double warmUp = warmUpTokens(*m_services.directory.find(server), now);
+    return { .maxMemoryShare = m_promptBudget.isLate(prompt, now) ? lateMemoryShare : maxMemoryShare,
+             .maxWaitingTokens = m_promptBudget.maxWaitingTokens(prompt, round, now) - warmUp };
+}
+
 // The load reports at the entries are slightly stale, and several entries may choose the same idle engine. Therefore
 // the engine's sidecar decides on the admission. The first round accepts only engines with few waiting prompt tokens;
 // each later round accepts busier engines.
 Awaitable<std::optional<GenerationForwarder::EnginePlacement>> GenerationForwarder::findPlacement()
 {
-    const auto maxWait = std::chrono::duration_cast<std::chrono::milliseconds>(maxPlacementWaitShare
-                                                                               * m_context->route->targetLatency);
     const RandomSource draw = [this] {
         return m_services.randomFraction();
     };
@@ -84,36 +86,41 @@
         const std::optional<std::string> server = chooseEngine(excluded, now, draw);
         const std::size_t enginesTried = excluded.size() - m_refusedBy.size();
         if (server && enginesTried < maxEnginesPerRound) {
-            const bool isLate = m_context->age() > lateWaitShare * maxWait;
-            AdmissionLimits limits = isLate ? lateLimits : initialLimits.at(std::min(round, initialLimits.size() - 1));
-            limits.maxWaitingTokens -= warmUpTokens(*m_services.directory.find(*server), now);
+            const AdmissionLimits limits = admissionLimits(*server, round, now);
             std::optional<EnginePlacement> reserved;
             if (limits.maxWaitingTokens >= 0) {
                 reserved = co_await reserveEngine(*server, limits);
             }
             if (reserved) {
-                logPlacement(*reserved);
+                logPlacement(*reserved, limits);
                 co_return reserved;
             }
             excluded.insert(*server);
             continue;
         }
-        if (m_context->age() > maxWait) {
+        const UnplacedPrompt prompt = unplacedPrompt();
+        if (prompt.age > m_promptBudget.maxWait(prompt, now)) {
             break;
         }
+        const double roundLimit = m_promptBudget.maxWaitingTokens(prompt, round, now);
         ++round;
         excluded = m_refusedBy;
-        const bool nextRoundAcceptsMore = server && round < initialLimits.size();
+        const bool nextRoundAcceptsMore = server && m_promptBudget.maxWaitingTokens(prompt, round, now) > roundLimit;
         co_await refreshLoads(excluded);
         if (!nextRoundAcceptsMore) {
-            m_services.counters.waitedGenerations += m_hasWaited ? 0 : 1;
-            m_hasWaited = true;
-            co_await m_services.capacityChanged.wait(placementRetryInterval);
+            co_await waitForCapacity();
         }
     }
     co_return std::nullopt;
 }
 
+Awaitable<void> GenerationForwarder::waitForCapacity()
+{
+    m_services.counters.waitedGenerations += m_hasWaited ? 0 : 1;
+    m_hasWaited = true;
+    co_await m_services.capacityChanged.wait(placementRetryInterval);
+}
+
 Awaitable<void> GenerationForwarder::refreshLoads(std::set<std::string> excluded)
 {
     if (usesLoadProbing(m_services)) {
@@ -251,7 +258,7 @@
     co_return EnginePlacement{ .server = server, .reservation = wire::parseReservationId(result.body) };
 }
 
-void GenerationForwarder::logPlacement(const EnginePlacement &chosen) const
+void GenerationForwarder::logPlacement(const EnginePlacement &chosen, const AdmissionLimits &limits) const
 {
     const TrackedServer *server = m_services.directory.find(chosen.server);
     if (!server) {
@@ -261,6 +268,7 @@
     logEvent("request", "placed",
              { { "id", m_context->fields.requestId },
                { "server", chosen.server },
+               { "priority", m_context->priority },
                { "prompt_tokens", m_context->fields.promptTokens },
                { "output_hint", m_context->fields.outputHint.value_or(0) },
                { "most_output", m_context->fields.maxOutputTokens },
@@ -268,6 +276,7 @@
                { "used_tokens", server->load.usedTokens },
                { "committed_tokens", committedTokens(*server) },
                { "waiting_prompt_tokens", waitingPromptTokens(*server) },
+               { "most_waiting_tokens", limits.maxWaitingTokens },
                { "total_tokens", server->load.totalTokens },
                { "load_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age) },
                { "reservation", chosen.reservation },
