Let waiting generations query engines in the order of urgency

Cause: all generations that waited for an engine queried engines at the same time, and chance decided which one got free capacity.

Change: process/admission/placementqueue orders them by priority, then accounts that got more than their share recently last, then by the time when the first event is due. A generation leaves the memory free that the largest waiting one of a higher priority needs. Metrics zinniadock_waiting_generations by priority and zinniadock_refused_admissions_total by reason.

Should improve: urgent generations in time when memory is short; the load of entries and sidecars by repeated queries.

--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "zinniadock/connection/httpclient.h"
+#include "zinniadock/process/admission/placementqueue.h"
 #include "zinniadock/process/admission/promptbudget.h"
 #include "zinniadock/process/admission/stopadmission.h"
 #include "zinniadock/process/crashes/sharedsuspects.h"
@@ -85,6 +86,8 @@
     std::map<std::string, std::set<GenerationForwarder *>> activeGenerations; ///< by server ID
     std::map<std::string, GenerationPace> paces; ///< by pool
     std::map<std::string, PromptBudget> promptBudgets; ///< by pool
+    std::map<std::string, PlacementQueue> placementQueues; ///< by pool
+    std::map<std::string, std::uint64_t> refusedAdmissions; ///< refusals of sidecars, by reason
     std::set<ForwardContext *> activeContexts; ///< requests in progress that were admitted
     StopAdmission stop;
 
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -62,7 +62,8 @@
     };
 
     Awaitable<std::optional<EnginePlacement>> findPlacement();
-    Awaitable<void> waitForCapacity();
+    Awaitable<std::optional<EnginePlacement>> queryEngines(PlacementQueue::Ticket ticket);
+    Awaitable<void> waitForTurn(PlacementQueue::Ticket ticket);
     Awaitable<void> refreshLoads(std::set<std::string> excluded);
     std::optional<std::string> chooseEngine(const std::set<std::string> &excluded, SteadyTime now,
                                             const RandomSource &draw) const;
@@ -104,6 +105,7 @@
     PlacementRequest placementRequest() const;
     void attach(const std::string &server);
     void detach();
+    void recordRefusal(const std::string &reason);
     void recordSent(const ServerRecord &server, SendReason reason);
     void logPlacement(const EnginePlacement &chosen, const AdmissionLimits &limits) const;
     void recordEvents();
@@ -115,6 +117,7 @@
     ForwardingServices &m_services;
     GenerationPace &m_pace; ///< of the pool
     PromptBudget &m_promptBudget; ///< of the pool
+    PlacementQueue &m_placementQueue; ///< of the pool
     std::uint32_t m_expectedTokens = 0;
     std::set<std::string> m_refusedBy;
     bool m_hasWaited = false; ///< whether the generation has waited for an engine with free capacity
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -78,6 +78,16 @@
     appendMetric("zinniadock_late_gaps_total", m_services.counters.lateGaps, out);
     appendMetric("zinniadock_waited_generations_total", m_services.counters.waitedGenerations, out);
     appendMetric("zinniadock_refused_reservations_total", m_services.counters.refusedReservations, out);
+    for (const auto &[reason, count] : m_services.refusedAdmissions) {
+        appendMetric("zinniadock_refused_admissions_total{reason=\"" + reason + "\"}", count, out);
+    }
+    for (const auto &[pool, queue] : m_services.placementQueues) {
+        for (const auto &[priority, count] : queue.waitingByPriority()) {
+            appendMetric("zinniadock_waiting_generations{pool=\"" + pool + "\",priority=\"" + std::to_string(priority)
+                             + "\"}",
+                         count, out);
+        }
+    }
     appendMetric("zinniadock_server_crashes_total", m_services.crashWatch->crashes(), out);
     const SuspectTable &suspects = m_services.suspects.table();
     appendMetric("zinniadock_crash_reports", suspects.reportCount(), out);
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -39,6 +39,7 @@
     , m_services(m_context->services)
     , m_pace(m_services.paces[m_context->poolName])
     , m_promptBudget(m_services.promptBudgets[m_context->poolName])
+    , m_placementQueue(m_services.placementQueues[m_context->poolName])
     , m_moveChanged(m_services.context)
 {
     const wire::CallerFields &fields = m_context->fields;
--- a/src/request/generationplacement.cpp
+++ b/src/request/generationplacement.cpp
@@ -10,7 +10,8 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds placementRetryInterval{ 40 };
+/// Maximum time until a waiting generation checks whether it may query engines.
+constexpr std::chrono::milliseconds turnCheckInterval{ 20 };
 
 /// Lifetime of a reservation. A reservation is used immediately, so it only has to last for the transmission of
 /// the request and the processing of the prompt.
@@ -24,10 +25,41 @@
 constexpr std::size_t maxEnginesPerRound = 4;
 constexpr std::size_t probesPerRound = 4;
 
+/// Maximum number of reasons of refusals that are counted separately. A sidecar of another version may send any.
+constexpr std::size_t maxRefusalReasons = 16;
+
 /// Share of an engine's memory that generations may fill. The rest is for longer outputs than expected.
 constexpr double maxMemoryShare = 0.88;
 constexpr double lateMemoryShare = 0.9;
 
+/// Place of a generation in the queue of its pool.
+class QueuePlace
+{
+public:
+    QueuePlace(PlacementQueue &queue, const WaitingGeneration &generation)
+        : m_queue(queue)
+        , m_ticket(queue.enter(generation))
+    {
+    }
+
+    ~QueuePlace()
+    {
+        m_queue.leave(m_ticket);
+    }
+
+    QueuePlace(const QueuePlace &) = delete;
+    QueuePlace &operator=(const QueuePlace &) = delete;
+
+    PlacementQueue::Ticket ticket() const
+    {
+        return m_ticket;
+    }
+
+private:
+    PlacementQueue &m_queue;
+    const PlacementQueue::Ticket m_ticket;
+};
+
 } // namespace
 
 PlacementRequest GenerationForwarder::placementRequest() const
@@ -53,25 +85,47 @@
                                                                           SteadyTime now) const
 {
     const UnplacedPrompt prompt = unplacedPrompt();
-    const double warmUp = warmUpTokens(*m_services.directory.find(server), now);
-    return { .maxMemoryShare = m_promptBudget.isLate(prompt, now) ? lateMemoryShare : maxMemoryShare,
-             .maxWaitingTokens = m_promptBudget.maxWaitingTokens(prompt, round, now) - warmUp };
+    const TrackedServer &tracked = *m_services.directory.find(server);
+    const double total = tracked.load.totalTokens > 0 ? tracked.load.totalTokens : m_context->pool.engine->memoryTokens;
+    const double reserved = m_placementQueue.moreUrgentTokens(m_context->priority);
+    const double reservedShare = total > 0 ? reserved / total : 0;
+    const double memoryShare = m_promptBudget.isLate(prompt, now) ? lateMemoryShare : maxMemoryShare;
+    return { .maxMemoryShare = std::max(memoryShare - reservedShare, 0.0),
+             .maxWaitingTokens = m_promptBudget.maxWaitingTokens(prompt, round, now) - warmUpTokens(tracked, now) };
+}
+
+Awaitable<std::optional<GenerationForwarder::EnginePlacement>> GenerationForwarder::findPlacement()
+{
+    if (refusesBecauseOfStop()) {
+        co_return std::nullopt;
+    }
+    const ForwardRoute &route = *m_context->route;
+    const QueuePlace place(m_placementQueue,
+                           { .priority = m_context->priority,
+                             .account = m_context->account,
+                             .due = m_context->arrived + route.targetLatency,
+                             .neededTokens = neededTokens(m_context->fields.promptTokens, m_expectedTokens) });
+    auto chosen = co_await queryEngines(place.ticket());
+    if (chosen) {
+        m_placementQueue.recordPlaced(place.ticket(), std::chrono::steady_clock::now());
+    }
+    m_services.capacityChanged.notify();
+    co_return chosen;
 }
 
 // The load reports at the entries are slightly stale, and several entries may choose the same idle engine. Therefore
 // the engine's sidecar decides on the admission. The first round accepts only engines with few waiting prompt tokens;
 // each later round accepts busier engines.
-Awaitable<std::optional<GenerationForwarder::EnginePlacement>> GenerationForwarder::findPlacement()
+Awaitable<std::optional<GenerationForwarder::EnginePlacement>> GenerationForwarder::queryEngines(
+    PlacementQueue::Ticket ticket)
 {
     const RandomSource draw = [this] {
         return m_services.randomFraction();
     };
-    if (refusesBecauseOfStop()) {
-        co_return std::nullopt;
-    }
     std::size_t round = 0;
     std::set<std::string> excluded = m_refusedBy;
     m_services.serverLimiter.recordDemand(m_services.directory, m_context->poolName, std::chrono::steady_clock::now());
+    co_await waitForTurn(ticket);
     co_await refreshLoads(excluded);
     while (m_context->isActive() && !checkQuarantine()) {
         if (refusesBecauseOfStop()) {
@@ -106,19 +160,30 @@
         ++round;
         excluded = m_refusedBy;
         const bool nextRoundAcceptsMore = server && m_promptBudget.maxWaitingTokens(prompt, round, now) > roundLimit;
-        co_await refreshLoads(excluded);
         if (!nextRoundAcceptsMore) {
-            co_await waitForCapacity();
+            m_services.counters.waitedGenerations += m_hasWaited ? 0 : 1;
+            m_hasWaited = true;
+            m_placementQueue.endTry(ticket, std::chrono::steady_clock::now());
+            m_services.capacityChanged.notify();
+            co_await waitForTurn(ticket);
         }
+        co_await refreshLoads(excluded);
     }
     co_return std::nullopt;
 }
 
-Awaitable<void> GenerationForwarder::waitForCapacity()
+// A generation that has waited for the maximum time queries engines a last time, whether it is its turn or not.
+Awaitable<void> GenerationForwarder::waitForTurn(PlacementQueue::Ticket ticket)
 {
-    m_services.counters.waitedGenerations += m_hasWaited ? 0 : 1;
-    m_hasWaited = true;
-    co_await m_services.capacityChanged.wait(placementRetryInterval);
+    const auto mayTry = [this, ticket] {
+        const auto now = std::chrono::steady_clock::now();
+        const UnplacedPrompt prompt = unplacedPrompt();
+        return m_placementQueue.mayTry(ticket, now) || prompt.age > m_promptBudget.maxWait(prompt, now);
+    };
+    while (m_context->isActive() && !mayTry()) {
+        co_await m_services.capacityChanged.wait(turnCheckInterval);
+    }
+    m_placementQueue.beginTry(ticket, std::chrono::steady_clock::now());
 }
 
 Awaitable<void> GenerationForwarder::refreshLoads(std::set<std::string> excluded)
@@ -222,11 +287,20 @@
     m_services.directory.updateEstimates(server, response->committedTokens, response->waitingTokens);
     if (!response->admitted) {
         ++m_services.counters.refusedReservations;
+        recordRefusal(response->reason);
         co_return std::nullopt;
     }
     co_return EnginePlacement{ .server = server, .reservation = response->reservationId };
 }
 
+void GenerationForwarder::recordRefusal(const std::string &reason)
+{
+    std::map<std::string, std::uint64_t> &refusals = m_services.refusedAdmissions;
+    const bool isLabel = reason.find_first_of("\"\\\n") == std::string::npos;
+    const bool isCounted = isLabel && (refusals.contains(reason) || refusals.size() < maxRefusalReasons);
+    ++refusals[isCounted ? reason : "other"];
+}
+
 // Requests the reservation from the engine itself. The engine grants a reservation only while it has free capacity.
 // Used if the sidecar sends no load reports or does not respond.
 Awaitable<std::optional<GenerationForwarder::EnginePlacement>> GenerationForwarder::reserveAtEngine(std::string server)
