Admit short outputs by a forecast of the memory until their end

Cause: a sidecar refused a generation if the memory in use and a share of all expected growth exceeded 0.88, also if the generation would end long before the growth.

Change: process/admission/memorypeak computes the memory until the generation ends; up to 0.95 it is admitted. Ends of running generations are not counted on, so long outputs are admitted as before. The entry sends the fraction in a new field of the query, which sidecars of earlier versions ignore. Placement skips engines above 0.95 instead of 0.9.

Should improve: short generations that are refused for lack of memory, without more preemptions.

--- a/include/zinniadock/process/admission/engineadmission.h
+++ b/include/zinniadock/process/admission/engineadmission.h
@@ -20,6 +20,9 @@
     std::uint32_t maxTokens = 0; ///< upper bound of prompt and output together; 0 if unknown
     std::uint32_t slots = 0; ///< maximum number of concurrent generations on the engine; 0 for no limit
     double usableFraction = 1; ///< fraction of the engine's memory that may be committed, including this work
+    /// Fraction of the engine's memory that a forecast until the end of this work may reach. A new generation is also
+    /// admitted if it exceeds usableFraction, but not this fraction; 0 for no forecast.
+    double forecastFraction = 0;
     /// A new generation is refused if the engine has more unread prompt tokens than this.
     std::uint32_t maxWaitingTokens = 0;
     std::chrono::milliseconds reservationDuration{ 0 }; ///< how long the engine reserves slot and memory; 0 for none
@@ -80,6 +83,8 @@
         bool isRunning = false; ///< the engine lists the generation, so its prompt has been read
     };
 
+    bool fitsMemory(const AdmissionQuery &query) const;
+    double forecastTokens(const AdmissionQuery &query) const;
     std::size_t unreadPromptCount() const;
     void removeStaleWork(SteadyTime now);
     bool isInReport(const AdmittedWork &work) const;
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -51,6 +51,7 @@
     struct AdmissionLimits
     {
         double maxMemoryShare = 0; ///< usable share of memory; the rest is for longer outputs than expected
+        double maxForecastShare = 0; ///< share of memory that the sidecar's forecast may reach
         double maxWaitingTokens = 0; ///< tokens of prompts that the engine processes before this one
     };
 
--- a/src/process/admission/engineadmission.cpp
+++ b/src/process/admission/engineadmission.cpp
@@ -1,9 +1,12 @@
 #include "zinniadock/process/admission/engineadmission.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
+#include "zinniadock/process/admission/memorypeak.h"
+
 namespace zinniadock
 {
 
@@ -32,6 +35,15 @@
 constexpr std::chrono::milliseconds maxPromptReadTime{ 6000 };
 constexpr std::chrono::milliseconds maxCopyTime{ 3000 };
 
+/// Returns the memory of the work of a query that holds \p held tokens, for the forecast.
+GenerationMemory memoryOf(const AdmissionQuery &query, double held)
+{
+    const double bound = query.maxTokens > 0 ? query.maxTokens - held : HUGE_VAL;
+    return { .held = held,
+             .growth = expectedGrowth(query.promptTokens, held, query.expectedTokens, query.maxTokens),
+             .maxGrowth = std::max(bound, 0.0) };
+}
+
 } // namespace
 
 double expectedGrowth(double promptTokens, double heldTokens, double expectedTokens, double maxTokens)
@@ -138,6 +150,36 @@
     return tokens + externalPromptTokens * static_cast<double>(external);
 }
 
+// The memory that a generation of this admission holds is part of the used memory once a report includes it.
+double EngineAdmission::forecastTokens(const AdmissionQuery &query) const
+{
+    std::vector<GenerationMemory> running;
+    double held = 0;
+    std::size_t accountedGenerations = 0;
+    for (const auto &[request, work] : m_work) {
+        running.push_back(
+            memoryOf(work.query, std::max({ work.tokens, work.query.heldTokens, work.query.promptTokens })));
+        if (isInReport(work)) {
+            held += running.back().held;
+            accountedGenerations += work.isRunning || work.query.heldTokens == 0 ? 1 : 0;
+        }
+    }
+    const std::size_t external = m_load.running - std::min<std::size_t>(accountedGenerations, m_load.running);
+    const double fixedTokens = std::max(m_load.usedTokens - held, 0.0)
+        + externalGrowthTokens * static_cast<double>(external) + externalPromptTokens * m_load.queued;
+    return peakTokens(running, memoryOf(query, query.promptTokens), fixedTokens, waitingTokens() + query.promptTokens);
+}
+
+// A generation with a short output may use memory that is kept for growth that comes after its end. A generation that
+// moves here is not subject to the forecast, since it is lost if it is refused.
+bool EngineAdmission::fitsMemory(const AdmissionQuery &query) const
+{
+    if (committedTokens() + neededTokens(query) <= query.usableFraction * m_load.totalTokens) {
+        return true;
+    }
+    return query.heldTokens == 0 && forecastTokens(query) <= std::min(query.forecastFraction, 1.0) * m_load.totalTokens;
+}
+
 AdmissionResponse EngineAdmission::admit(const AdmissionQuery &query, SteadyTime now)
 {
     AdmissionResponse response;
@@ -155,7 +197,7 @@
         response.reason = "no load report of the engine yet";
     } else if (query.slots > 0 && occupiedSlots >= query.slots) {
         response.reason = "no free slot";
-    } else if (response.committedTokens + neededTokens(query) > query.usableFraction * m_load.totalTokens) {
+    } else if (!fitsMemory(query)) {
         response.reason = "not enough free memory";
     } else if (query.heldTokens == 0 && response.waitingTokens > query.maxWaitingTokens) {
         response.reason = "too many prompts are waiting";
--- a/src/process/links/sidecarmessages.cpp
+++ b/src/process/links/sidecarmessages.cpp
@@ -70,6 +70,7 @@
              { "most", query.maxTokens },
              { "slots", query.slots },
              { "usable", query.usableFraction },
+             { "forecast_usable", query.forecastFraction },
              { "most_waiting", query.maxWaitingTokens },
              { "reservation_ms", query.reservationDuration.count() } };
 }
@@ -84,6 +85,8 @@
     query.maxTokens = document.at("most").get<std::uint32_t>();
     query.slots = document.at("slots").get<std::uint32_t>();
     query.usableFraction = document.at("usable").get<double>();
+    // An entry of an earlier version does not send the field.
+    query.forecastFraction = document.value("forecast_usable", 0.0);
     query.maxWaitingTokens = document.at("most_waiting").get<std::uint32_t>();
     query.reservationDuration = std::chrono::milliseconds(document.at("reservation_ms").get<std::int64_t>());
     return query;
--- a/src/process/placing/placement.cpp
+++ b/src/process/placing/placement.cpp
@@ -29,7 +29,8 @@
     double randomSpread = 0; ///< width of the random part of the load
 };
 
-constexpr PlacementWeights newWorkWeights{ .usableFraction = 0.9, .remotePenalty = 0.04, .randomSpread = 0.12 };
+// The sidecar decides by a forecast, which admits short outputs at an engine with much growth to come.
+constexpr PlacementWeights newWorkWeights{ .usableFraction = 0.95, .remotePenalty = 0.04, .randomSpread = 0.12 };
 
 // The penalty is larger, since a copy to another data centre takes twice as long. The spread is larger, since copies to
 // one target queue on its link: often two servers drain at the same time, and each entry chooses its targets
--- a/src/request/generationplacement.cpp
+++ b/src/request/generationplacement.cpp
@@ -32,6 +32,10 @@
 constexpr double maxMemoryShare = 0.88;
 constexpr double lateMemoryShare = 0.9;
 
+/// Share of an engine's memory that the forecast of its sidecar may reach, which has margins for longer outputs.
+constexpr double maxForecastShare = 0.95;
+constexpr double minForecastShare = 0.01;
+
 /// Place of a generation in the queue of its pool.
 class QueuePlace
 {
@@ -91,6 +95,7 @@
     const double reservedShare = total > 0 ? reserved / total : 0;
     const double memoryShare = m_promptBudget.isLate(prompt, now) ? lateMemoryShare : maxMemoryShare;
     return { .maxMemoryShare = std::max(memoryShare - reservedShare, 0.0),
+             .maxForecastShare = std::max(maxForecastShare - reservedShare, minForecastShare),
              .maxWaitingTokens = m_promptBudget.maxWaitingTokens(prompt, round, now) - warmUpTokens(tracked, now) };
 }
 
@@ -275,6 +280,7 @@
     const std::string address = m_services.directory.find(server)->record.address.address;
     AdmissionQuery query = admissionQuery();
     query.usableFraction = limits.maxMemoryShare;
+    query.forecastFraction = limits.maxForecastShare;
     query.maxWaitingTokens = static_cast<std::uint32_t>(limits.maxWaitingTokens);
     query.reservationDuration = reservationDuration(m_services.directory.find(server)->record);
     const HttpRequest request = makePost(admissionTarget, encode(query));
