State retry times at which capacity is expected

Cause: clients of refused generations came back after 400 to 1,200 ms, whatever the load, and were refused again.

Change: process/admission/retryadvice states the expected end of a running generation of the entry, a later one for each client that waits or was told to come back, between 0.4 s and 3 s, with a random part. A generation is refused at once if too many wait ahead of it for the generations that are expected to end in time; metric zinniadock_hopeless_generations_total.

Should improve: clients that find capacity at their first return; time that hopeless requests wait.

--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -11,6 +11,7 @@
 #include "zinniadock/connection/httpclient.h"
 #include "zinniadock/process/admission/placementqueue.h"
 #include "zinniadock/process/admission/promptbudget.h"
+#include "zinniadock/process/admission/retryadvice.h"
 #include "zinniadock/process/admission/stopadmission.h"
 #include "zinniadock/process/crashes/sharedsuspects.h"
 #include "zinniadock/process/limits/retrywindow.h"
@@ -42,6 +43,7 @@
     std::uint64_t unframedResponses = 0; ///< responses of servers that ended without a stated end, with FIN
     std::uint64_t lateGaps = 0; ///< gaps between events of a stream that exceed the limit of the route
     std::uint64_t waitedGenerations = 0; ///< generations that waited for capacity
+    std::uint64_t hopelessGenerations = 0; ///< refused at once, since too many wait ahead of them
     std::uint64_t refusedReservations = 0; ///< admissions refused by a sidecar, and reservations refused by an engine
     std::uint64_t activeRequests = 0; ///< requests in progress
     std::uint64_t quarantinedRequests = 0; ///< requests refused, or not retried, since they may crash servers
@@ -87,6 +89,7 @@
     std::map<std::string, GenerationPace> paces; ///< by pool
     std::map<std::string, PromptBudget> promptBudgets; ///< by pool
     std::map<std::string, PlacementQueue> placementQueues; ///< by pool
+    std::map<std::string, RetryAdvice> retryAdvice; ///< by pool
     std::map<std::string, std::uint64_t> refusedAdmissions; ///< refusals of sidecars, by reason
     std::set<ForwardContext *> activeContexts; ///< requests in progress that were admitted
     StopAdmission stop;
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -101,6 +101,10 @@
     bool refusesBecauseOfStop();
     GenerationSpeed assumedSpeed() const;
     void recordWaitingGenerations() const;
+    std::chrono::milliseconds expectedTimeLeft() const;
+    ExpectedEnds expectedEnds() const;
+    bool mayWaitingHelp(PlacementQueue::Ticket ticket, std::chrono::milliseconds maxWait) const;
+    std::chrono::milliseconds refusalDelay();
     bool checkQuarantine();
     MoveOrder moveOrder(const TrackedServer &source) const;
     PlacementRequest placementRequest() const;
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -78,6 +78,7 @@
     appendMetric("zinniadock_late_gaps_total", m_services.counters.lateGaps, out);
     appendMetric("zinniadock_waited_generations_total", m_services.counters.waitedGenerations, out);
     appendMetric("zinniadock_refused_reservations_total", m_services.counters.refusedReservations, out);
+    appendMetric("zinniadock_hopeless_generations_total", m_services.counters.hopelessGenerations, out);
     for (const auto &[reason, count] : m_services.refusedAdmissions) {
         appendMetric("zinniadock_refused_admissions_total{reason=\"" + reason + "\"}", count, out);
     }
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -29,9 +29,6 @@
 constexpr std::chrono::milliseconds promptTime{ 1200 };
 constexpr std::chrono::milliseconds tokenTime{ 12 };
 
-constexpr std::chrono::milliseconds minRetryAfter{ 400 };
-constexpr std::chrono::milliseconds retryAfterJitter{ 800 };
-
 } // namespace
 
 GenerationForwarder::GenerationForwarder(std::shared_ptr<ForwardContext> context)
@@ -152,6 +149,52 @@
     }
 }
 
+// Returns the expected time until the end of the generation, at the pace of its events so far.
+std::chrono::milliseconds GenerationForwarder::expectedTimeLeft() const
+{
+    const double tokensPerEvent = std::max(m_context->pool.engine->tokensPerEvent, 1U);
+    const double output = m_expectedTokens - m_context->fields.promptTokens;
+    const double eventsLeft = std::max(output / tokensPerEvent - static_cast<double>(m_eventCount), 0.0);
+    const bool hasPace = m_eventCount > m_firstEventCount;
+    const std::chrono::duration<double, std::milli> eventTime = hasPace
+        ? std::chrono::duration<double, std::milli>(m_lastEventAt - m_firstEventAt)
+            / static_cast<double>(m_eventCount - m_firstEventCount)
+        : std::chrono::duration<double, std::milli>(tokensPerEvent * tokenTime);
+    const std::chrono::milliseconds firstEvent = m_headSent ? std::chrono::milliseconds(0) : promptTime;
+    return firstEvent + std::chrono::duration_cast<std::chrono::milliseconds>(eventsLeft * eventTime);
+}
+
+// The memory of a generation that leaves a draining engine is not free afterwards.
+ExpectedEnds GenerationForwarder::expectedEnds() const
+{
+    ExpectedEnds ends;
+    for (const auto &[server, generations] : m_services.activeGenerations) {
+        for (const GenerationForwarder *generation : generations) {
+            if (generation->m_context->poolName == m_context->poolName && !generation->m_engineDraining) {
+                ends.push_back(generation->expectedTimeLeft());
+            }
+        }
+    }
+    return ends;
+}
+
+bool GenerationForwarder::mayWaitingHelp(PlacementQueue::Ticket ticket, std::chrono::milliseconds maxWait) const
+{
+    const std::size_t ahead = m_placementQueue.waitingAhead(ticket);
+    return ahead == 0 || zinniadock::mayWaitingHelp(expectedEnds(), ahead, maxWait);
+}
+
+// Returns when the client of a refused generation should come back for free capacity.
+std::chrono::milliseconds GenerationForwarder::refusalDelay()
+{
+    std::size_t ahead = 0;
+    for (const auto &[priority, count] : m_placementQueue.waitingByPriority()) {
+        ahead += priority <= m_context->priority ? count : 0;
+    }
+    return m_services.retryAdvice[m_context->poolName].retryAfter(
+        expectedEnds(), ahead, m_context->priority, std::chrono::steady_clock::now(), m_services.randomFraction());
+}
+
 void GenerationForwarder::attach(const std::string &server)
 {
     detach();
@@ -552,11 +595,8 @@
 {
     ++m_services.metrics.refused;
     m_context->logOutcome("refused", m_reason, Verdict::NotRun);
-    const auto jitter
-        = std::chrono::duration_cast<std::chrono::milliseconds>(m_services.randomFraction() * retryAfterJitter);
     m_services.counters.quarantinedRequests += m_quarantine ? 1 : 0;
-    const auto retryAfter
-        = m_quarantine ? m_quarantine->timeLeft : m_context->retryDelay(minRetryAfter + jitter, m_isLimited);
+    const auto retryAfter = m_quarantine ? m_quarantine->timeLeft : m_context->retryDelay(refusalDelay(), m_isLimited);
     co_await m_context->connection->respond(m_context->makeRefusal(m_reason, retryAfter));
 }
 
--- a/src/request/generationplacement.cpp
+++ b/src/request/generationplacement.cpp
@@ -166,6 +166,11 @@
         excluded = m_refusedBy;
         const bool nextRoundAcceptsMore = server && m_promptBudget.maxWaitingTokens(prompt, round, now) > roundLimit;
         if (!nextRoundAcceptsMore) {
+            if (!m_hasWaited && !mayWaitingHelp(ticket, m_promptBudget.maxWait(prompt, now))) {
+                ++m_services.counters.hopelessGenerations;
+                m_reason = "no engine has free capacity, and too many generations wait for it";
+                break;
+            }
             m_services.counters.waitedGenerations += m_hasWaited ? 0 : 1;
             m_hasWaited = true;
             m_placementQueue.endTry(ticket, std::chrono::steady_clock::now());
