Check the priority that engines get

Cause: no test covers that the priority of a client account goes before that of the route.

Change: a section of "forwarding generations".

--- a/tests/unit/unit-forwarding.cpp
+++ b/tests/unit/unit-forwarding.cpp
@@ -341,6 +341,23 @@
         REQUIRE(first.startedRequests().size() == 1);
         CHECK(first.startedRequests()[0].fields.count("x-hold") == 1);
     }
+    // Guards against urgent requests of an account that an engine treats as those of its route.
+    SECTION("an engine gets the priority of the client account, else that of the route")
+    {
+        CHECK(sendRequest(entry->port(), generation).status == 200);
+        CHECK(first.startedRequests().back().fields.at("x-request-priority") == "1");
+        Json document = Json::parse(configuration(4));
+        document["tenants"][0]["priority"] = 0;
+        store.put("op/config", document.dump());
+        int sent = 0;
+        CHECK(eventually([&] {
+            const TestRequest next{ .target = "/stream/1",
+                                    .id = "next-" + std::to_string(++sent),
+                                    .isGeneration = true };
+            return sendRequest(entry->port(), next).status == 200
+                && first.startedRequests().back().fields.at("x-request-priority") == "0";
+        }));
+    }
     SECTION("a generation continues on another engine when its own is draining, and each event arrives once")
     {
         first.setEventInterval(std::chrono::milliseconds(30));
