--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -9,6 +9,9 @@
 #include <string>
 
 #include "zinniadock/connection/httpclient.h"
+#include "zinniadock/process/admission/placementqueue.h"
+#include "zinniadock/process/admission/promptbudget.h"
+#include "zinniadock/process/admission/retryadvice.h"
 #include "zinniadock/process/admission/stopadmission.h"
 #include "zinniadock/process/crashes/sharedsuspects.h"
 #include "zinniadock/process/limits/retrywindow.h"
@@ -41,6 +44,7 @@
     std::uint64_t unframedResponses = 0; ///< responses of servers that ended without a stated end, with FIN
     std::uint64_t lateGaps = 0; ///< gaps between events of a stream that exceed the limit of the route
     std::uint64_t waitedGenerations = 0; ///< generations that waited for capacity
+    std::uint64_t hopelessGenerations = 0; ///< refused at once, since too many wait ahead of them
     std::uint64_t refusedReservations = 0; ///< admissions refused by a sidecar, and reservations refused by an engine
     std::uint64_t activeRequests = 0; ///< requests in progress
     std::uint64_t quarantinedRequests = 0; ///< requests refused, or not retried, since they may crash servers
@@ -86,6 +90,10 @@
     std::set<std::string> peerAddresses; ///< addresses on which the other entries listen for entries
     std::map<std::string, std::set<GenerationForwarder *>> activeGenerations; ///< by server ID
     std::map<std::string, GenerationPace> paces; ///< by pool
+    std::map<std::string, PromptBudget> promptBudgets; ///< by pool
+    std::map<std::string, PlacementQueue> placementQueues; ///< by pool
+    std::map<std::string, RetryAdvice> retryAdvice; ///< by pool
+    std::map<std::string, std::uint64_t> refusedAdmissions; ///< refusals of sidecars, by reason
     std::set<ForwardContext *> activeContexts; ///< requests in progress that were admitted
     StopAdmission stop;
 
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <array>
 #include <chrono>
 #include <memory>
 #include <optional>
@@ -58,6 +57,7 @@
     struct AdmissionLimits
     {
         double maxMemoryShare = 0; ///< usable share of memory; the rest is for longer outputs than expected
+        double maxForecastShare = 0; ///< share of memory that the sidecar's forecast may reach
         double maxWaitingTokens = 0; ///< tokens of prompts that the engine processes before this one
     };
 
@@ -68,10 +68,9 @@
         std::string reservation; ///< empty if the pool's engines do not support reservations
     };
 
-    static const std::array<AdmissionLimits, 3> initialLimits;
-    static const AdmissionLimits lateLimits;
-
     Awaitable<std::optional<EnginePlacement>> findPlacement();
+    Awaitable<std::optional<EnginePlacement>> queryEngines(PlacementQueue::Ticket ticket);
+    Awaitable<void> waitForTurn(PlacementQueue::Ticket ticket);
     Awaitable<void> refreshLoads(std::set<std::string> excluded);
     std::optional<std::string> chooseEngine(const std::set<std::string> &excluded, SteadyTime now,
                                             const RandomSource &draw) const;
@@ -80,6 +79,8 @@
     Awaitable<std::optional<EnginePlacement>> reserveAtEngine(std::string server);
     Awaitable<std::optional<EnginePlacement>> reserveLimitedEngine(std::string server, AdmissionLimits limits);
     AdmissionQuery admissionQuery() const;
+    UnplacedPrompt unplacedPrompt() const;
+    AdmissionLimits admissionLimits(const std::string &server, std::size_t round, SteadyTime now) const;
     std::chrono::milliseconds reservationDuration(const ServerRecord &server) const;
     Awaitable<SegmentEnd> runSegment(wire::ServerFields fields, StreamAttempt attempt);
     Awaitable<SegmentEnd> readPlainResponse(HttpExchange &exchange, const wire::ResponseFields &fields,
@@ -107,6 +108,10 @@
     bool refusesBecauseOfStop();
     GenerationSpeed assumedSpeed() const;
     void recordWaitingGenerations() const;
+    std::chrono::milliseconds expectedTimeLeft() const;
+    ExpectedEnds expectedEnds() const;
+    bool mayWaitingHelp(PlacementQueue::Ticket ticket, std::chrono::milliseconds maxWait) const;
+    std::chrono::milliseconds refusalDelay();
     bool checkQuarantine();
     bool isServerEvacuated() const;
     bool shouldLeaveServer() const;
@@ -116,8 +121,9 @@
     PlacementRequest placementRequest() const;
     void attach(const std::string &server);
     void detach();
+    void recordRefusal(const std::string &reason);
     void recordSent(const ServerRecord &server, SendReason reason);
-    void logPlacement(const EnginePlacement &chosen) const;
+    void logPlacement(const EnginePlacement &chosen, const AdmissionLimits &limits) const;
     void recordEvents();
     void recordFailedContinuation();
     void recordOutputLength();
@@ -126,6 +132,8 @@
     const std::shared_ptr<ForwardContext> m_context;
     ForwardingServices &m_services;
     GenerationPace &m_pace; ///< of the pool
+    PromptBudget &m_promptBudget; ///< of the pool
+    PlacementQueue &m_placementQueue; ///< of the pool
     std::uint32_t m_expectedTokens = 0;
     std::set<std::string> m_refusedBy;
     bool m_hasWaited = false; ///< whether the generation has waited for an engine with free capacity
