Bound the requests to cold servers by what their pool states

Cause: coldPerS of a pool and X-Cold-Ms were not read. A server that came back cold, or became cold again, got as many requests as a warm one as soon as its expected load allowed it, from all entries at once.

Change: the sidecar of a cold engine admits at most coldPerS generations and moves per second, counted also before the engine became cold. The entries state the time left, the limit and the sequence number of the record in their admission queries and move orders, in fields that earlier versions ignore. A cold engine gets no reservations. A later record or a response ends the cold time or starts a new one. After an evacuation the servers of the data centre count as cold for coldS. Pools without coldPerS are not limited.

--- a/include/zinniadock/connection/wireform.h
+++ b/include/zinniadock/connection/wireform.h
@@ -64,6 +64,7 @@
     bool isDraining = false; ///< the server is about to stop and must not get new requests
     std::optional<std::chrono::milliseconds> retryAfter; ///< pause that the server requests with a refusal
     std::vector<std::string> limits; ///< values of the fields that limit the requests per second from all callers
+    std::optional<std::chrono::milliseconds> coldLeft; ///< time for which the server stays cold; nothing if not stated
     std::optional<std::chrono::milliseconds> idleTimeout; ///< time for which the server keeps an idle connection open
 };
 
--- a/include/zinniadock/process/admission/engineadmission.h
+++ b/include/zinniadock/process/admission/engineadmission.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "zinniadock/process/admission/coldadmission.h"
 #include "zinniadock/process/servers/serverdirectory.h"
 
 namespace zinniadock
@@ -22,6 +23,7 @@
     double usableFraction = 1; ///< fraction of the engine's memory that may be committed, including this work
     /// A new generation is refused if the engine has more unread prompt tokens than this.
     std::uint32_t maxWaitingTokens = 0;
+    ColdState cold; ///< of the engine, as the entry knows it
     std::chrono::milliseconds reservationDuration{ 0 }; ///< how long the engine reserves slot and memory; 0 for none
 };
 
@@ -61,6 +63,15 @@
     /// Refuses all work until \p until, since the engine has requested a pause.
     void pause(SteadyTime until);
 
+    /// Applies the time for which the engine is cold, as it states it in a response.
+    void observeCold(std::chrono::milliseconds left, SteadyTime now);
+
+    /// Returns whether the engine is cold and limits its requests.
+    bool isCold(SteadyTime now) const;
+
+    /// Returns the number of queries that were refused since the engine is cold.
+    std::uint64_t coldRefusals() const;
+
     /// Removes admitted work that will not arrive at the engine.
     void cancel(const std::string &request);
 
@@ -87,6 +98,8 @@
     EngineLoad m_load;
     SteadyTime m_loadReceivedAt;
     SteadyTime m_pausedUntil;
+    ColdAdmission m_cold;
+    std::uint64_t m_coldRefusals = 0;
     std::map<std::string, AdmittedWork> m_work; ///< by request
 };
 
--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -71,6 +71,7 @@
     void applyConfiguration(const std::string &text, const std::string &source);
     void applyStoredEvacuations(const std::string &source);
     void applyEvacuationChanges(const std::vector<EvacuationChange> &changes, const std::string &source);
+    void startReturn(const std::string &dataCentre);
     void applyServerItem(const wire::StoreItem &item, const RemovalGrace &grace);
     void applyServerRecord(ServerRecord record, const RecordOrigin &origin);
     void holdBackServer(const ServerRecord &record);
--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -9,8 +9,10 @@
 #include <string>
 
 #include "zinniadock/connection/httpclient.h"
+#include "zinniadock/process/admission/coldadmission.h"
 #include "zinniadock/process/admission/stopadmission.h"
 #include "zinniadock/process/crashes/sharedsuspects.h"
+#include "zinniadock/process/limits/coldshare.h"
 #include "zinniadock/process/limits/retrywindow.h"
 #include "zinniadock/process/limits/serverlimiter.h"
 #include "zinniadock/process/observing/metrics.h"
@@ -46,6 +48,7 @@
     std::uint64_t quarantinedRequests = 0; ///< requests refused, or not retried, since they may crash servers
     std::uint64_t stopRefusals = 0; ///< requests refused since they might outlast the stop of the process
     std::uint64_t evacuationRefusals = 0; ///< requests refused since all data centres of their pool are evacuated
+    std::uint64_t coldRefusals = 0; ///< requests that were not sent since the server is cold
     std::uint64_t endedRequests = 0; ///< requests that were still in progress when the process ended
 };
 
@@ -64,6 +67,23 @@
     /// Returns the number of entries that share the limits, including this entry.
     std::uint32_t entryCount() const;
 
+    /// Returns the number of entries among which the requests to a cold server are divided. It is not lower than any
+    /// number that was known since the start, and not low while the entries are not known.
+    std::uint32_t coldDivisor() const;
+
+    /// Returns whether a request may be sent to a server, as far as the server is cold. A sidecar that responds decides
+    /// for its engine.
+    bool maySendCold(const ServerRecord &server, const ServerPool &serverPool, SteadyTime now);
+
+    /// Returns whether this entry's own share allows a request to a cold server whose sidecar does not decide.
+    bool hasColdShare(const TrackedServer &server, const ServerPool &serverPool, SteadyTime now) const;
+
+    /// Records that a request is sent to a server whose sidecar does not decide. Does nothing if it is not cold.
+    void recordColdSent(const ServerRecord &server, const ServerPool &serverPool, SteadyTime now);
+
+    /// Returns what a sidecar is told of the cold time of its engine.
+    ColdState coldStateOf(const TrackedServer &server, SteadyTime now) const;
+
     asio::io_context &context;
     Settings settings;
     ConnectionPool pool; ///< for requests to backend servers, and for calls to the system's own processes and the store
@@ -76,6 +96,8 @@
     EntryTree entryTree;
     ServerLimiter serverLimiter;
     SharedSuspects suspects;
+    ColdShare coldShare;
+    std::uint32_t mostEntries = 0; ///< highest number of entries that was known; 0 before the first list
     std::shared_ptr<EntryExchange> entryExchange; ///< null before the entry starts
     std::shared_ptr<CrashWatch> crashWatch; ///< null before the entry starts
     AsyncCondition capacityChanged; ///< notified when a server may have gained free capacity
--- a/include/zinniadock/process/links/sidecarmessages.h
+++ b/include/zinniadock/process/links/sidecarmessages.h
@@ -34,6 +34,7 @@
     std::string request; ///< ID of the request that the generation serves
     std::vector<Endpoint> targets; ///< engines, best first
     AdmissionQuery admission; ///< sent to each target before the move
+    std::vector<ColdState> cold; ///< of the targets, in their order; empty if not known
     /// Expected remaining output in tokens. The generation with the highest value has the most to lose and is moved
     /// first.
     double priority = 0;
--- a/include/zinniadock/process/placing/placement.h
+++ b/include/zinniadock/process/placing/placement.h
@@ -45,6 +45,13 @@
 /// Returns the prompt tokens that an engine could read in the time until its warm-up ends.
 double warmUpTokens(const TrackedServer &server, SteadyTime now);
 
+/// If a sidecar has sent no load report for this long, it counts as silent.
+constexpr std::chrono::milliseconds maxSidecarSilence{ 1500 };
+
+/// Returns whether the sidecar of an engine has sent a load report within maxSidecarSilence, or the engine was listed
+/// within it.
+bool hasRecentReport(const TrackedServer &server, SteadyTime now);
+
 /// Maximum number of servers at which an entry follows the load of each engine. With more servers, the entry follows
 /// only the engines that run its generations, and probes a few engines before it places a generation.
 constexpr std::size_t maxFollowedServers = 64;
--- a/include/zinniadock/process/servers/serverdirectory.h
+++ b/include/zinniadock/process/servers/serverdirectory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -24,7 +25,7 @@
     std::string dataCentre;
     std::uint32_t slots = 1;
     bool isDraining = false;
-    std::chrono::milliseconds warmUpDuration{ 0 }; ///< the server is slow for this time after it is listed
+    std::chrono::milliseconds warmUpDuration{ 0 }; ///< the server is cold for this time after it has written the record
     std::int64_t startTimeMs = 0; ///< start of the incarnation, in Unix milliseconds
     std::uint64_t sequence = 0; ///< rises with each record that the incarnation writes; 0 if not stated
 };
@@ -73,6 +74,8 @@
     bool isEvacuated = false; ///< the data centre of the server is evacuated
     bool announcedDraining = false; ///< a response of the server itself states that it is draining
     SteadyTime listedAt;
+    SteadyTime coldUntil; ///< the server is slow until then, as it states itself
+    SteadyTime returnsUntil; ///< limited like a cold server until then, after the evacuation of its data centre
     std::map<std::uint64_t, Assignment> assignments;
     std::uint32_t consecutiveFailures = 0;
     SteadyTime fullUntil; ///< skipped until then, after a reservation was refused for lack of capacity
@@ -91,6 +94,13 @@
         return !isDraining() && !isEvacuated;
     }
 
+    /// Returns the time for which the server counts as cold; 0 if it does not.
+    std::chrono::milliseconds coldLeft(SteadyTime now) const
+    {
+        const auto left = std::max(coldUntil, returnsUntil) - now;
+        return std::max(std::chrono::ceil<std::chrono::milliseconds>(left), std::chrono::milliseconds(0));
+    }
+
     /// Returns whether a pause that the server requested is not over, or the server is half-open with a request in
     /// flight.
     bool isPaused(SteadyTime now) const
@@ -128,6 +138,16 @@
     /// servers. Complexity: linear in the servers.
     std::size_t setEvacuated(const std::string &dataCentre, bool isEvacuated);
 
+    /// Sets the time for which a server is cold, as the server states it in a response.
+    void setCold(const std::string &id, std::chrono::milliseconds left, SteadyTime now);
+
+    /// Counts the servers of a pool and a data centre as cold for a time, after the evacuation of the data centre.
+    void startReturn(const std::string &dataCentre, const std::string &pool, std::chrono::milliseconds duration,
+                     SteadyTime now);
+
+    /// Returns the number of listed servers that count as cold. Complexity: linear in the servers.
+    std::size_t coldServers(SteadyTime now) const;
+
     /// Returns whether a data centre is evacuated.
     bool isEvacuated(const std::string &dataCentre) const;
 
--- a/include/zinniadock/process/watchingsidecar.h
+++ b/include/zinniadock/process/watchingsidecar.h
@@ -72,6 +72,7 @@
     void applyLoad(EngineLoad load);
     ServerIncarnation engineIncarnation() const;
     void observeEngineLimit(const ResponseHead &head, const std::string &source);
+    void observeColdTime(const ResponseHead &head);
     std::chrono::milliseconds pauseBetweenReports() const;
     std::vector<std::string> activePeers();
     std::chrono::milliseconds timeLeft() const;
--- a/include/zinniadock/request/forwardscope.h
+++ b/include/zinniadock/request/forwardscope.h
@@ -104,7 +104,8 @@
     /// Returns the reason of the refusal of a request that isBlockedByEvacuation().
     std::string evacuationReason() const;
 
-    /// Returns a filter of the servers whose limit allows a request now.
+    /// Returns a filter of the servers whose limit allows a request now, also while they are cold. It is used only
+    /// while this object exists.
     ServerFilter limitFilter() const;
 
     /// Asks for permits if the limits of the servers leave none for the request. Returns whether the request can't be
--- a/include/zinniadock/version/routetable.h
+++ b/include/zinniadock/version/routetable.h
@@ -59,6 +59,8 @@
 {
     std::string healthPath;
     std::optional<EngineCapacity> engine; ///< nothing for a plain service
+    std::chrono::milliseconds coldDuration{ 0 }; ///< time for which a server is cold after its start
+    double coldRate = 0; ///< requests per second that a cold server tolerates from all entries; 0 if not stated
 };
 
 /// Limits on the size and the duration of requests that callers send.
--- a/src/process/admission/engineadmission.cpp
+++ b/src/process/admission/engineadmission.cpp
@@ -52,6 +52,7 @@
 {
     if (load.startTimeMs != m_load.startTimeMs) {
         m_work.clear();
+        m_cold.reset();
     }
     m_load = load;
     m_loadReceivedAt = now;
@@ -140,6 +141,7 @@
 
 AdmissionResponse EngineAdmission::admit(const AdmissionQuery &query, SteadyTime now)
 {
+    m_cold.learn(query.cold, now);
     AdmissionResponse response;
     response.committedTokens = committedTokens();
     response.waitingTokens = waitingTokens();
@@ -151,6 +153,9 @@
         response.reason = "the engine is draining";
     } else if (now < m_pausedUntil) {
         response.reason = "the engine requested a pause";
+    } else if (!m_cold.mayAdmit(now)) {
+        response.reason = "the engine is cold";
+        ++m_coldRefusals;
     } else if (m_load.totalTokens == 0) {
         response.reason = "no load report of the engine yet";
     } else if (query.slots > 0 && occupiedSlots >= query.slots) {
@@ -161,6 +166,7 @@
         response.reason = "too many prompts are waiting";
     } else {
         response.admitted = true;
+        m_cold.recordAdmitted(now);
         m_work[query.request] = { .query = query, .admittedAt = now };
     }
     return response;
@@ -171,6 +177,21 @@
     m_pausedUntil = std::max(m_pausedUntil, until);
 }
 
+void EngineAdmission::observeCold(std::chrono::milliseconds left, SteadyTime now)
+{
+    m_cold.observe(left, now);
+}
+
+bool EngineAdmission::isCold(SteadyTime now) const
+{
+    return m_cold.isCold(now);
+}
+
+std::uint64_t EngineAdmission::coldRefusals() const
+{
+    return m_coldRefusals;
+}
+
 void EngineAdmission::cancel(const std::string &request)
 {
     m_work.erase(request);
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -198,6 +198,9 @@
 {
     for (const EvacuationChange &change : changes) {
         const std::size_t servers = m_services.directory.setEvacuated(change.dataCentre, change.isEvacuated);
+        if (!change.isEvacuated) {
+            startReturn(change.dataCentre);
+        }
         logEvent("evacuation", change.isEvacuated ? "started" : "ended",
                  { { "data_centre", change.dataCentre },
                    { "revision", change.revision },
@@ -212,6 +215,19 @@
     }
 }
 
+// The servers of a data centre have been idle during its evacuation, so that work returns to them as to cold ones.
+void ForwardingEntry::startReturn(const std::string &dataCentre)
+{
+    if (!m_services.routes) {
+        return;
+    }
+    for (const auto &[name, pool] : m_services.routes->pools) {
+        if (pool.coldRate > 0) {
+            m_services.directory.startReturn(dataCentre, name, pool.coldDuration, std::chrono::steady_clock::now());
+        }
+    }
+}
+
 void ForwardingEntry::applyServerItem(const wire::StoreItem &item, const RemovalGrace &grace)
 {
     const std::string id = serverIdOfKey(item.key);
@@ -411,6 +427,9 @@
 void ForwardingEntry::addServer(const ServerRecord &record)
 {
     m_removalTimes.erase(record.id);
+    const auto now = std::chrono::steady_clock::now();
+    const TrackedServer *known = m_services.directory.find(record.id);
+    const bool wasCold = known && known->coldLeft(now).count() > 0;
     const bool changed = m_services.directory.addOrUpdate(record, std::chrono::steady_clock::now());
     if (changed) {
         logEvent("server", record.isDraining ? "leaves" : "listed",
@@ -420,6 +439,14 @@
                    { "data_centre", record.dataCentre },
                    { "source", "store" } });
     }
+    if (!wasCold && record.warmUpDuration.count() > 0) {
+        logEvent("server", "cold",
+                 { { "server", record.id },
+                   { "pool", record.pool },
+                   { "ms", record.warmUpDuration },
+                   { "per_second", m_services.coldStateOf(*m_services.directory.find(record.id), now).perSecond },
+                   { "source", "store" } });
+    }
     startLoadFeed(record);
     if (record.isDraining) {
         notifyServerDraining(m_services, record.id);
@@ -503,6 +530,9 @@
         updateLoadFeeds();
         m_services.crashWatch->maintain();
         m_services.entryExchange->maintain();
+        if (m_storeView.hasEntryList()) {
+            m_services.mostEntries = std::max(m_services.mostEntries, m_services.entryCount());
+        }
         const auto now = std::chrono::steady_clock::now();
         if (now < nextCleanup) {
             continue;
@@ -511,6 +541,7 @@
         m_services.pool.closeStale();
         m_services.controlPool.closeStale();
         m_services.suspects.prune(now);
+        m_services.coldShare.prune(now);
         m_departed.prune(now);
         for (const std::string &id : m_services.directory.removeUnlisted(removedServerRetention, now)) {
             m_services.serverLimiter.forget(id);
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -87,6 +87,14 @@
     appendMetric("zinniadock_quarantined_requests_total", m_services.counters.quarantinedRequests, out);
     appendMetric("zinniadock_stop_refusals_total", m_services.counters.stopRefusals, out);
     appendMetric("zinniadock_ended_requests_total", m_services.counters.endedRequests, out);
+    appendMetric("zinniadock_cold_servers", m_services.directory.coldServers(std::chrono::steady_clock::now()), out);
+    appendMetric("zinniadock_cold_refusals_total", m_services.counters.coldRefusals, out);
+    const auto pools = m_services.routes ? m_services.routes->pools : std::map<std::string, ServerPool>();
+    for (const auto &[name, pool] : pools) {
+        if (pool.coldRate > 0) {
+            out += "zinniadock_cold_limit_per_second{pool=\"" + name + "\"} " + std::to_string(pool.coldRate) + "\n";
+        }
+    }
     appendMetric("zinniadock_evacuated_data_centres", m_services.evacuations.all().size(), out);
     appendMetric("zinniadock_evacuation_refusals_total", m_services.counters.evacuationRefusals, out);
     appendMetric("zinniadock_server_connects_total",
--- a/src/process/forwardingservices.cpp
+++ b/src/process/forwardingservices.cpp
@@ -1,5 +1,7 @@
 #include "zinniadock/process/forwardingservices.h"
 
+#include <algorithm>
+
 namespace zinniadock
 {
 
@@ -13,6 +15,13 @@
     return (std::uint64_t(device()) << 32U | device()) | 1U;
 }
 
+/// Number of entries that is assumed until the list of entries is known.
+constexpr std::uint32_t assumedEntries = 32;
+
+/// Part of its share that an entry uses for an engine whose sidecar does not respond to it. The sidecar may respond to
+/// other entries and admit all that the engine tolerates.
+constexpr double silentSidecarShare = 0.5;
+
 } // namespace
 
 ForwardingServices::ForwardingServices(asio::io_context &ioContext, Settings initialSettings)
@@ -30,6 +39,7 @@
           },
           entryTree)
     , suspects(entryTree, randomStart())
+    , coldShare(randomStart())
     , capacityChanged(ioContext)
     , m_random(std::random_device{}())
 {
@@ -53,4 +63,50 @@
     return static_cast<std::uint32_t>(peerAddresses.size()) + 1;
 }
 
+std::uint32_t ForwardingServices::coldDivisor() const
+{
+    return mostEntries == 0 ? std::max(assumedEntries, entryCount()) : std::max(mostEntries, entryCount());
+}
+
+bool ForwardingServices::maySendCold(const ServerRecord &server, const ServerPool &serverPool, SteadyTime now)
+{
+    if (serverPool.coldRate <= 0) {
+        return true;
+    }
+    const TrackedServer *tracked = directory.find(server.id);
+    const bool isDecidedBySidecar = tracked && serverPool.engine && hasRecentReport(*tracked, now);
+    return !tracked || isDecidedBySidecar || hasColdShare(*tracked, serverPool, now);
+}
+
+bool ForwardingServices::hasColdShare(const TrackedServer &server, const ServerPool &serverPool, SteadyTime now) const
+{
+    if (serverPool.coldRate <= 0 || server.coldLeft(now).count() == 0) {
+        return true;
+    }
+    const double perSecond = serverPool.coldRate * (serverPool.engine ? silentSidecarShare : 1);
+    return coldShare.maySend(server.record.id, perSecond, coldDivisor(), now);
+}
+
+void ForwardingServices::recordColdSent(const ServerRecord &server, const ServerPool &serverPool, SteadyTime now)
+{
+    if (serverPool.coldRate <= 0) {
+        return;
+    }
+    const TrackedServer *tracked = directory.find(server.id);
+    if (tracked && tracked->coldLeft(now).count() > 0) {
+        coldShare.recordSent(server.id, now);
+    }
+}
+
+ColdState ForwardingServices::coldStateOf(const TrackedServer &server, SteadyTime now) const
+{
+    ColdState state;
+    const auto found = routes ? routes->pools.find(server.record.pool) : std::map<std::string, ServerPool>::iterator();
+    if (routes && found != routes->pools.end() && found->second.coldRate > 0) {
+        state
+            = { .perSecond = found->second.coldRate, .left = server.coldLeft(now), .sequence = server.record.sequence };
+    }
+    return state;
+}
+
 } // namespace zinniadock
--- a/src/process/links/sidecarmessages.cpp
+++ b/src/process/links/sidecarmessages.cpp
@@ -61,6 +61,18 @@
     return load;
 }
 
+Json toJson(const ColdState &cold)
+{
+    return Json::array({ cold.perSecond, cold.left.count(), cold.sequence });
+}
+
+ColdState coldFromJson(const Json &row)
+{
+    return { .perSecond = row.at(0).get<double>(),
+             .left = std::chrono::milliseconds(row.at(1).get<std::int64_t>()),
+             .sequence = row.at(2).get<std::uint64_t>() };
+}
+
 Json toJson(const AdmissionQuery &query)
 {
     return { { "request", query.request },
@@ -71,7 +83,8 @@
              { "slots", query.slots },
              { "usable", query.usableFraction },
              { "most_waiting", query.maxWaitingTokens },
-             { "reservation_ms", query.reservationDuration.count() } };
+             { "reservation_ms", query.reservationDuration.count() },
+             { "cold", toJson(query.cold) } };
 }
 
 AdmissionQuery admissionQueryFromJson(const Json &document)
@@ -86,6 +99,10 @@
     query.usableFraction = document.at("usable").get<double>();
     query.maxWaitingTokens = document.at("most_waiting").get<std::uint32_t>();
     query.reservationDuration = std::chrono::milliseconds(document.at("reservation_ms").get<std::int64_t>());
+    // An entry of an earlier version does not send the field.
+    if (document.contains("cold")) {
+        query.cold = coldFromJson(document.at("cold"));
+    }
     return query;
 }
 
@@ -127,6 +144,9 @@
                    { "value", order.priority },
                    { "admission", toJson(order.admission) },
                    { "copy_ms", order.estimatedCopyTime.count() } };
+    for (const ColdState &cold : order.cold) {
+        document["cold"].push_back(toJson(cold));
+    }
     if (order.timeLeft) {
         document["time_left_ms"] = order.timeLeft->count();
     }
@@ -204,6 +224,9 @@
         order.priority = document.at("value").get<double>();
         order.admission = admissionQueryFromJson(document.at("admission"));
         order.estimatedCopyTime = std::chrono::milliseconds(document.at("copy_ms").get<std::int64_t>());
+        for (const Json &row : document.value("cold", Json::array())) {
+            order.cold.push_back(coldFromJson(row));
+        }
         if (document.contains("time_left_ms")) {
             order.timeLeft = std::chrono::milliseconds(document.at("time_left_ms").get<std::int64_t>());
         }
--- a/src/process/moving/runmover.cpp
+++ b/src/process/moving/runmover.cpp
@@ -78,8 +78,11 @@
     // the order for another generation.
     ConnectionPool orders(pool.context());
     MoveResult result;
-    for (const Endpoint &target : order.targets) {
-        const bool admitted = co_await isAdmitted(pool, target, order.admission, sidecarPort, result.reason);
+    for (std::size_t i = 0; i < order.targets.size(); ++i) {
+        const Endpoint target = order.targets[i];
+        AdmissionQuery query = order.admission;
+        query.cold = i < order.cold.size() ? order.cold[i] : ColdState();
+        const bool admitted = co_await isAdmitted(pool, target, query, sidecarPort, result.reason);
         if (!admitted) {
             continue;
         }
--- a/src/process/placing/placement.cpp
+++ b/src/process/placing/placement.cpp
@@ -206,10 +206,15 @@
 
 double warmUpTokens(const TrackedServer &server, SteadyTime now)
 {
-    const std::chrono::duration<double, std::milli> left = server.listedAt + server.record.warmUpDuration - now;
+    const std::chrono::duration<double, std::milli> left = server.coldUntil - now;
     return std::max(0.0, left.count()) * promptTokensPerMillisecond;
 }
 
+bool hasRecentReport(const TrackedServer &server, SteadyTime now)
+{
+    return now - server.loadReceivedAt.value_or(server.listedAt) < maxSidecarSilence;
+}
+
 std::vector<std::string> enginesToProbe(const ServerDirectory &directory, const PlacementRequest &request,
                                         const std::set<std::string> &excluded, std::size_t count,
                                         std::chrono::milliseconds age, SteadyTime now, const RandomSource &draw)
--- a/src/process/servers/serverdirectory.cpp
+++ b/src/process/servers/serverdirectory.cpp
@@ -29,6 +29,12 @@
     const auto [position, isNew] = m_servers.try_emplace(record.id);
     TrackedServer &server = position->second;
     const bool wasDraining = server.isDraining();
+    // The same record may be applied again, later than the server has written it.
+    const bool isSameRecord = !isNew && server.record.startTimeMs == record.startTimeMs && record.sequence > 0
+        && server.record.sequence == record.sequence;
+    if (!isSameRecord) {
+        server.coldUntil = now + record.warmUpDuration;
+    }
     if (isNew || server.record.startTimeMs != record.startTimeMs || server.record.address != record.address) {
         server.load = EngineLoad();
         server.loadReceivedAt.reset();
@@ -39,6 +45,7 @@
         server.announcedDraining = false;
         server.pausedUntil = SteadyTime();
         server.isHalfOpen = false;
+        server.returnsUntil = SteadyTime();
     }
     server.record = record;
     server.isEvacuated = isEvacuated(record.dataCentre);
@@ -133,6 +140,30 @@
     return listed;
 }
 
+void ServerDirectory::setCold(const std::string &id, std::chrono::milliseconds left, SteadyTime now)
+{
+    if (TrackedServer *server = find(id)) {
+        server->coldUntil = now + left;
+    }
+}
+
+void ServerDirectory::startReturn(const std::string &dataCentre, const std::string &pool,
+                                  std::chrono::milliseconds duration, SteadyTime now)
+{
+    for (auto &[id, server] : m_servers) {
+        if (server.record.dataCentre == dataCentre && server.record.pool == pool) {
+            server.returnsUntil = now + duration;
+        }
+    }
+}
+
+std::size_t ServerDirectory::coldServers(SteadyTime now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_servers.begin(), m_servers.end(), [now](const auto &entry) {
+        return !entry.second.unlistedSince && entry.second.coldLeft(now).count() > 0;
+    }));
+}
+
 bool ServerDirectory::isEvacuated(const std::string &dataCentre) const
 {
     return m_evacuated.contains(dataCentre);
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -107,6 +107,9 @@
         if (load) {
             applyLoad(std::move(*load));
         }
+        if (!result.error) {
+            observeColdTime(result.head);
+        }
         co_await sleepFor(pauseBetweenReports());
     }
 }
@@ -131,6 +134,13 @@
     }
 }
 
+void EngineSidecar::observeColdTime(const ResponseHead &head)
+{
+    if (const auto left = wire::parseResponseFields(head).coldLeft) {
+        m_admission.observeCold(*left, std::chrono::steady_clock::now());
+    }
+}
+
 std::chrono::milliseconds EngineSidecar::pauseBetweenReports() const
 {
     const auto limit = m_limits.find(engineIncarnation());
@@ -280,11 +290,12 @@
 
 // If the query asks for a reservation, the engine makes the final decision. Its reservation keeps a slot and memory
 // until the request arrives. The reservation fails if the engine has received work that this sidecar has not admitted.
-// An engine that limits its requests gets no reservation, since it counts as a request.
+// An engine that limits its requests or is cold gets no reservation, since it counts as a request.
 Awaitable<void> EngineSidecar::handleAdmissionQuery(std::shared_ptr<HttpConnection> connection, AdmissionQuery query)
 {
     AdmissionResponse response = m_admission.admit(query, std::chrono::steady_clock::now());
-    const bool isLimited = m_limits.find(engineIncarnation()).has_value();
+    const bool isLimited
+        = m_limits.find(engineIncarnation()).has_value() || m_admission.isCold(std::chrono::steady_clock::now());
     if (response.admitted && query.reservationDuration.count() > 0 && !isLimited) {
         const HttpRequest request
             = wire::reserveRequest(static_cast<std::uint32_t>(neededTokens(query)), query.reservationDuration);
@@ -407,6 +418,8 @@
     appendMetric("zinniadock_engine_queued", m_load.queued, out);
     appendMetric("zinniadock_engine_used_tokens", m_load.usedTokens, out);
     appendMetric("zinniadock_engine_leaving", m_load.isDraining ? 1 : 0, out);
+    appendMetric("zinniadock_engine_cold", m_admission.isCold(std::chrono::steady_clock::now()) ? 1 : 0, out);
+    appendMetric("zinniadock_cold_refusals_total", m_admission.coldRefusals(), out);
     appendMetric("zinniadock_moves_total", m_movesDone, out);
     appendMetric("zinniadock_failed_moves_total", m_movesFailed, out);
     appendMetric("zinniadock_preempted_runs_total", m_preemptions, out);
--- a/src/request/callforward.cpp
+++ b/src/request/callforward.cpp
@@ -154,6 +154,7 @@
                                       m_context->attempts > 1 ? SendReason::Retry : SendReason::FirstAttempt,
                                       std::chrono::steady_clock::now());
     const auto sentAt = std::chrono::steady_clock::now();
+    services.recordColdSent(target.record, m_context->pool, sentAt);
     IoError error = co_await exchange->send(request, std::min(connectTimeout, m_context->timeLeft()));
     if (error) {
         if (exchange->sendState() == SendState::NotSent) {
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -169,6 +169,9 @@
         services.serverLimiter.observe(tracked->record, responseFields.limits, fields.requestId,
                                        std::chrono::steady_clock::now());
     }
+    if (responseFields.coldLeft) {
+        services.directory.setCold(serverId, *responseFields.coldLeft, std::chrono::steady_clock::now());
+    }
     if (responseFields.isDraining && services.directory.markDraining(serverId)) {
         logEvent("server", "leaves", { { "server", serverId }, { "source", "answer" }, { "id", fields.requestId } });
         notifyServerDraining(services, serverId);
@@ -290,8 +293,8 @@
 ServerFilter ForwardContext::limitFilter() const
 {
     const auto now = std::chrono::steady_clock::now();
-    return [&limiter = services.serverLimiter, now](const ServerRecord &server) {
-        return limiter.maySend(server, now);
+    return [this, now](const ServerRecord &server) {
+        return services.serverLimiter.maySend(server, now) && services.maySendCold(server, pool, now);
     };
 }
 
@@ -305,7 +308,14 @@
     }
     services.serverLimiter.recordWaiting(services.directory, poolName);
     co_await services.entryExchange->refresh();
-    co_return isBlocked();
+    const bool isStillBlocked = isBlocked();
+    const auto now = std::chrono::steady_clock::now();
+    const ServerFilter coldFilter = [this, now](const ServerRecord &server) {
+        return services.maySendCold(server, pool, now);
+    };
+    const bool isCold = isStillBlocked && isPoolLimited(services.directory, poolName, coldFilter, now);
+    services.counters.coldRefusals += isCold ? 1 : 0;
+    co_return isStillBlocked;
 }
 
 std::chrono::milliseconds ForwardContext::retryDelay(std::chrono::milliseconds baseDelay, bool isLimited) const
@@ -321,7 +331,9 @@
     const auto now = std::chrono::steady_clock::now();
     if (isLimited) {
         const auto wait = services.serverLimiter.refuse(services.directory, poolName, now);
-        return std::max(baseDelay, wait.value_or(baseDelay));
+        const auto coldWait = std::chrono::duration_cast<std::chrono::milliseconds>((0.5 + services.randomFraction())
+                                                                                    * std::chrono::seconds(1));
+        return std::max(baseDelay, wait.value_or(pool.coldRate > 0 ? coldWait : baseDelay));
     }
     const auto end = earliestPauseEnd(services.directory, poolName, now);
     return baseDelay + std::chrono::ceil<std::chrono::milliseconds>(end.value_or(now) - now);
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -27,8 +27,6 @@
 /// for the processing of the prompt.
 constexpr double maxPlacementWaitShare = 0.5;
 
-/// If a sidecar has sent no load report for this long, the entry requests the reservation from the engine itself.
-constexpr std::chrono::milliseconds maxSidecarSilence{ 1500 };
 constexpr std::chrono::milliseconds admissionTimeout{ 200 };
 
 constexpr std::size_t maxEnginesPerRound = 4;
@@ -291,10 +289,13 @@
     return query;
 }
 
-// An engine with a limit gets no reservation, which would be a second request.
+// An engine with a limit or a cold engine gets no reservation, which would be a second request.
 std::chrono::milliseconds GenerationForwarder::reservationDuration(const ServerRecord &server) const
 {
-    const bool isLimited = m_services.serverLimiter.isLimited(server);
+    const TrackedServer *tracked = m_services.directory.find(server.id);
+    const bool isCold
+        = m_context->pool.coldRate > 0 && tracked && tracked->coldLeft(std::chrono::steady_clock::now()).count() > 0;
+    const bool isLimited = isCold || m_services.serverLimiter.isLimited(server);
     return isLimited ? std::chrono::milliseconds(0)
                      : std::min(m_context->pool.engine->maxReservationDuration, reservationLifetime);
 }
@@ -332,8 +333,8 @@
     if (m_services.serverLimiter.isLimited(tracked->record)) {
         return reserveLimitedEngine(std::move(server), limits);
     }
-    const bool hasRecentReport = now - tracked->loadReceivedAt.value_or(tracked->listedAt) < maxSidecarSilence;
-    return hasRecentReport ? reserveAtSidecar(std::move(server), limits) : reserveAtEngine(std::move(server));
+    return hasRecentReport(*tracked, now) ? reserveAtSidecar(std::move(server), limits)
+                                          : reserveAtEngine(std::move(server));
 }
 
 Awaitable<std::optional<GenerationForwarder::EnginePlacement>> GenerationForwarder::reserveAtSidecar(
@@ -343,7 +344,9 @@
     AdmissionQuery query = admissionQuery();
     query.usableFraction = limits.maxMemoryShare;
     query.maxWaitingTokens = static_cast<std::uint32_t>(limits.maxWaitingTokens);
-    query.reservationDuration = reservationDuration(m_services.directory.find(server)->record);
+    const TrackedServer *tracked = m_services.directory.find(server);
+    query.reservationDuration = reservationDuration(tracked->record);
+    query.cold = m_services.coldStateOf(*tracked, std::chrono::steady_clock::now());
     const HttpRequest request = makePost(admissionTarget, encode(query));
     const Endpoint sidecar{ address, m_services.settings.forwarding.sidecarPort() };
     const CallResult result = co_await call(m_services.pool, sidecar, request, admissionTimeout);
@@ -367,6 +370,12 @@
     if (!tracked || tracked->isEvacuated) {
         co_return std::nullopt;
     }
+    const auto askedAt = std::chrono::steady_clock::now();
+    if (!m_services.hasColdShare(*tracked, m_context->pool, askedAt)) {
+        ++m_services.counters.coldRefusals;
+        co_return std::nullopt;
+    }
+    m_services.recordColdSent(tracked->record, m_context->pool, askedAt);
     const std::chrono::milliseconds lifetime = reservationDuration(tracked->record);
     if (lifetime.count() == 0) {
         co_return EnginePlacement{ .server = server, .reservation = "" };
--- a/src/request/generationmoves.cpp
+++ b/src/request/generationmoves.cpp
@@ -171,7 +171,9 @@
         targets = moveTargets(m_services.directory, need, limits, source.record.id, maxMoveTargets, now, draw);
     }
     for (const std::string &target : targets) {
-        order.targets.push_back(m_services.directory.find(target)->record.address);
+        const TrackedServer &tracked = *m_services.directory.find(target);
+        order.targets.push_back(tracked.record.address);
+        order.cold.push_back(m_services.coldStateOf(tracked, now));
     }
     return order;
 }
--- a/tests/standin/platformstandin.cpp
+++ b/tests/standin/platformstandin.cpp
@@ -386,6 +386,12 @@
     m_dataCentre = name;
 }
 
+void PlatformServer::setColdTime(std::chrono::milliseconds left)
+{
+    m_coldMs = left.count();
+    ++m_sequence;
+}
+
 std::string PlatformServer::endpoint() const
 {
     return m_address + ":" + std::to_string(m_server.port());
@@ -394,8 +400,8 @@
 std::string PlatformServer::record(const std::string &service, const std::string &state) const
 {
     return Json{
-        { "service", service },   { "address", endpoint() }, { "zone", m_dataCentre }, { "version", "v1" },
-        { "slots", 8 },           { "state", state },        { "coldLeftMs", 0 },      { "seq", 1 },
+        { "service", service },   { "address", endpoint() }, { "zone", m_dataCentre },   { "version", "v1" },
+        { "slots", 8 },           { "state", state },        { "coldLeftMs", m_coldMs }, { "seq", m_sequence },
         { "born", m_startTimeMs }
     }.dump();
 }
--- a/tests/standin/platformstandin.h
+++ b/tests/standin/platformstandin.h
@@ -188,6 +188,9 @@
     /// Sets the data centre in record(). Initially "north".
     void setDataCentre(const std::string &name);
 
+    /// Sets the time in record() for which the server stays cold, and raises the sequence number of the record.
+    void setColdTime(std::chrono::milliseconds left);
+
     /// Sets the start time in record(), in Unix milliseconds.
     void setStartTime(std::int64_t milliseconds);
 
@@ -317,6 +320,8 @@
     const std::string m_address;
     std::int64_t m_startTimeMs = 1000;
     std::string m_dataCentre = "north";
+    std::int64_t m_coldMs = 0;
+    int m_sequence = 1;
     std::mutex m_mutex;
     std::atomic<ServerBehavior> m_behavior{ ServerBehavior::Healthy };
     std::atomic<bool> m_rejectsReservations{ false };
