Measure the time of an event at each engine and send it in the load report

The entries do not know how fast an engine is. On a deployment with engines of different speed, long streams have gaps above their bound at the slow ones while a prompt is read beside them.

The sidecar now measures the time of an event from successive load reports, separately while a prompt is read and while none is: the median and a high quantile of samples over 40 s. The median is used as the slow average, since slow periods do not change it. Counts that go backward, vanish or are huge are ignored; a restart of the engine discards the measurements. The times travel in the optional fields event_us and prompt_event_us of the load report. Log event speed, metric zinniadock_engine_event_microseconds.

The placement does not change.

--- a/include/zinniadock/process/servers/serverdirectory.h
+++ b/include/zinniadock/process/servers/serverdirectory.h
@@ -36,6 +36,20 @@
     std::uint32_t emittedEvents = 0; ///< number emitted so far
 };
 
+/// Time between two events of one generation, measured over some tens of seconds.
+struct EventTime
+{
+    std::chrono::microseconds typical{ 0 }; ///< median
+    std::chrono::microseconds high{ 0 }; ///< high quantile, not below the median
+};
+
+/// Event times of an engine. Nothing where too little was measured.
+struct EventTimes
+{
+    std::optional<EventTime> alone; ///< while the engine reads no prompt
+    std::optional<EventTime> besidePrompt; ///< while it reads a prompt
+};
+
 /// Load of an engine, as read by its sidecar.
 struct EngineLoad
 {
@@ -49,6 +63,7 @@
     std::int64_t startTimeMs = 0;
     std::optional<double> committedTokens; ///< memory in use, admitted by the sidecar or expected to be needed
     std::optional<double> waitingTokens; ///< prompt tokens not read yet, as counted by the sidecar
+    EventTimes eventTimes; ///< as measured by the sidecar
 };
 
 /// Work that this process has sent to a server and that has not ended.
--- a/include/zinniadock/process/watchingsidecar.h
+++ b/include/zinniadock/process/watchingsidecar.h
@@ -14,6 +14,7 @@
 #include "zinniadock/process/admission/stopadmission.h"
 #include "zinniadock/process/limits/serverlimit.h"
 #include "zinniadock/process/links/sidecarmessages.h"
+#include "zinniadock/process/servers/enginespeed.h"
 #include "zinniadock/process/settings.h"
 
 namespace zinniadock
@@ -70,6 +71,7 @@
     Awaitable<void> handleMoveOrder(std::shared_ptr<HttpConnection> connection, MoveOrder order);
     Awaitable<void> handleMetricsRequest(std::shared_ptr<HttpConnection> connection, HttpRequest request);
     void applyLoad(EngineLoad load);
+    void logSpeed();
     ServerIncarnation engineIncarnation() const;
     void observeEngineLimit(const ResponseHead &head, const std::string &source);
     std::chrono::milliseconds pauseBetweenReports() const;
@@ -101,6 +103,9 @@
     EngineAdmission m_admission;
     KnownLimits m_limits; ///< of the engine
     PreemptionWatch m_preemptionWatch;
+    EngineSpeed m_speed;
+    std::chrono::microseconds m_loggedEventTime{ 0 };
+    std::chrono::steady_clock::time_point m_speedLoggedAt;
     std::uint64_t m_preemptions = 0;
     std::uint64_t m_movesDone = 0;
     std::uint64_t m_movesFailed = 0;
--- a/src/process/links/sidecarmessages.cpp
+++ b/src/process/links/sidecarmessages.cpp
@@ -19,6 +19,27 @@
     return detail::parseValue(text, detail::Range{}, endpoint) ? std::optional(endpoint) : std::nullopt;
 }
 
+/// A longer event time in a report is taken for a fault and ignored.
+constexpr std::chrono::seconds maxEventTime{ 60 };
+
+Json toJson(const EventTime &time)
+{
+    return Json::array({ time.typical.count(), time.high.count() });
+}
+
+// Returns nothing if the field is missing or malformed, so that the engine counts as of unknown speed.
+std::optional<EventTime> eventTimeFromJson(const Json &document, const char *key)
+{
+    const Json row = document.value(key, Json());
+    if (!row.is_array() || row.size() < 2 || !row.at(0).is_number_integer() || !row.at(1).is_number_integer()) {
+        return std::nullopt;
+    }
+    const EventTime time{ .typical = std::chrono::microseconds(row.at(0).get<std::int64_t>()),
+                          .high = std::chrono::microseconds(row.at(1).get<std::int64_t>()) };
+    const bool isPlausible = time.typical.count() > 0 && time.typical <= time.high && time.high <= maxEventTime;
+    return isPlausible ? std::optional(time) : std::nullopt;
+}
+
 Json toJson(const EngineLoad &load)
 {
     Json generations = Json::array();
@@ -35,6 +56,12 @@
         document["committed"] = *load.committedTokens;
         document["waiting"] = *load.waitingTokens;
     }
+    if (load.eventTimes.alone) {
+        document["event_us"] = toJson(*load.eventTimes.alone);
+    }
+    if (load.eventTimes.besidePrompt) {
+        document["prompt_event_us"] = toJson(*load.eventTimes.besidePrompt);
+    }
     return document;
 }
 
@@ -54,6 +81,8 @@
         load.committedTokens = document.at("committed").get<double>();
         load.waitingTokens = document.at("waiting").get<double>();
     }
+    load.eventTimes.alone = eventTimeFromJson(document, "event_us");
+    load.eventTimes.besidePrompt = eventTimeFromJson(document, "prompt_event_us");
     for (const Json &row : document.at("runs")) {
         load.generations.push_back(
             { row.at(0).get<std::string>(), row.at(1).get<std::uint32_t>(), row.at(2).get<std::uint32_t>() });
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -36,6 +36,18 @@
 /// Assumed time until a draining engine stops if the engine does not report it.
 constexpr std::chrono::milliseconds defaultTimeLeft{ 1500 };
 
+/// The event times are logged when the typical one has changed by this share, and at most once per minSpeedLogInterval.
+constexpr double loggedSpeedChange = 0.25;
+constexpr std::chrono::seconds minSpeedLogInterval{ 10 };
+
+void appendEventTime(const std::string &state, const std::optional<EventTime> &time, std::string &out)
+{
+    const EventTime known = time.value_or(EventTime());
+    const std::string name = "zinniadock_engine_event_microseconds{state=\"" + state + "\",value=\"";
+    appendMetric(name + "typical\"}", static_cast<std::uint64_t>(known.typical.count()), out);
+    appendMetric(name + "high\"}", static_cast<std::uint64_t>(known.high.count()), out);
+}
+
 bool isSameLoad(const EngineLoad &left, const EngineLoad &right)
 {
     return left.running == right.running && left.queued == right.queued && left.usedTokens == right.usedTokens
@@ -180,6 +192,8 @@
                    { "running", load.running } });
     }
     m_admission.update(load, std::chrono::steady_clock::now());
+    m_speed.update(load, std::chrono::steady_clock::now());
+    logSpeed();
     const bool startsDraining = load.isDraining && !m_load.isDraining;
     const bool changed = m_reportNumber == 0 || !isSameLoad(load, m_load);
     m_load = std::move(load);
@@ -198,6 +212,27 @@
     }
 }
 
+void EngineSidecar::logSpeed()
+{
+    const EventTimes &times = m_speed.eventTimes();
+    const EventTime alone = times.alone.value_or(EventTime());
+    const EventTime besidePrompt = times.besidePrompt.value_or(EventTime());
+    const auto now = std::chrono::steady_clock::now();
+    const auto change
+        = alone.typical > m_loggedEventTime ? alone.typical - m_loggedEventTime : m_loggedEventTime - alone.typical;
+    if (change <= loggedSpeedChange * m_loggedEventTime || now - m_speedLoggedAt < minSpeedLogInterval) {
+        return;
+    }
+    m_loggedEventTime = alone.typical;
+    m_speedLoggedAt = now;
+    logEvent("engine", "speed",
+             { { "event_us", alone.typical.count() },
+               { "high_event_us", alone.high.count() },
+               { "prompt_event_us", besidePrompt.typical.count() },
+               { "high_prompt_event_us", besidePrompt.high.count() },
+               { "running", m_load.running } });
+}
+
 std::chrono::milliseconds EngineSidecar::timeLeft() const
 {
     const auto since
@@ -259,6 +294,7 @@
     }
     report.load.committedTokens = m_admission.committedTokens();
     report.load.waitingTokens = m_admission.waitingTokens();
+    report.load.eventTimes = m_speed.eventTimes();
     report.load.generations.clear(); // included in committedTokens and waitingTokens
     const bool isUsable = m_isEngineReachable && !m_stop.isStopping();
     const http::status status = isUsable ? http::status::ok : http::status::service_unavailable;
@@ -404,6 +440,8 @@
     appendMetric("zinniadock_engine_queued", m_load.queued, out);
     appendMetric("zinniadock_engine_used_tokens", m_load.usedTokens, out);
     appendMetric("zinniadock_engine_leaving", m_load.isDraining ? 1 : 0, out);
+    appendEventTime("alone", m_speed.eventTimes().alone, out);
+    appendEventTime("beside_prompt", m_speed.eventTimes().besidePrompt, out);
     appendMetric("zinniadock_moves_total", m_movesDone, out);
     appendMetric("zinniadock_failed_moves_total", m_movesFailed, out);
     appendMetric("zinniadock_preempted_runs_total", m_preemptions, out);
