Place long streams on engines that keep their bound on gaps

On a pool with fast (x0.55) and slow (x1.2) engines, long streams with a bound on gaps were spread by load only, and prompts of short outputs were read beside them at slow engines in slow periods.

Placement now ranks the engines if they differ in speed. Long streams go to engines that keep the bound also while prompts are read, then to the slow engines that are kept for long streams. Engines with many unread prompt tokens rank last. The load decides within a rank. Half of the targets of a draining engine's long streams are engines that keep the bound. If the engines do not differ, or without reports, the placement is the same as before, draw for draw. The setting gap_placement turns the ranks off. Log event gap forecast; metrics zinniadock_server_event_microseconds, zinniadock_pool_uneven and zinniadock_gap_keeping_engines.

Should lower the number of long streams with a gap above gapAimMs; not measured here.

--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -17,6 +17,7 @@
 #include "zinniadock/process/placing/generationpace.h"
 #include "zinniadock/process/placing/hintedlength.h"
 #include "zinniadock/process/placing/placement.h"
+#include "zinniadock/process/placing/streammix.h"
 #include "zinniadock/process/servers/serverdirectory.h"
 #include "zinniadock/process/settings.h"
 #include "zinniadock/version/routetable.h"
@@ -83,6 +84,7 @@
     std::set<std::string> peerAddresses; ///< addresses on which the other entries listen for entries
     std::map<std::string, std::set<GenerationForwarder *>> activeGenerations; ///< by server ID
     std::map<std::string, GenerationPace> paces; ///< by pool
+    std::map<std::string, StreamMix> streamMixes; ///< by pool
     std::set<ForwardContext *> activeContexts; ///< requests in progress that were admitted
     StopAdmission stop;
 
--- a/include/zinniadock/process/placing/placement.h
+++ b/include/zinniadock/process/placing/placement.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "zinniadock/process/placing/streammix.h"
 #include "zinniadock/process/servers/serverdirectory.h"
 #include "zinniadock/version/routetable.h"
 
@@ -28,6 +29,8 @@
     ServerFilter maySend; ///< servers for which it returns false are skipped; empty for none
     /// All entries choose the same server for calls with the same key, whatever its load. Nothing for other calls.
     std::optional<std::uint64_t> commonServerKey;
+    /// Nothing if the gaps between the events at different engines do not matter.
+    std::optional<StreamNeed> stream;
 };
 
 /// Returns a random number, uniformly distributed in [0, 1).
@@ -66,7 +69,8 @@
 /// Chooses the least loaded server with enough free memory and a free slot for a generation. Skips servers that are
 /// draining, paused, in backoff, excluded, or were full a moment ago. Returns nothing if no server is left. \p draw
 /// adds a random part to each load, so that entries that read the same reports don't all choose the same server.
-/// Complexity: linear in the servers.
+/// If the request states a StreamNeed and the engines differ in speed, the engines that EngineTiers ranks best come
+/// first, whatever their load. Complexity: linear in the servers.
 std::optional<std::string> placeGeneration(const ServerDirectory &directory, const PlacementRequest &request,
                                            const EngineCapacity &limits, const std::set<std::string> &excluded,
                                            SteadyTime now, const RandomSource &draw);
--- a/include/zinniadock/process/settings.h
+++ b/include/zinniadock/process/settings.h
@@ -76,6 +76,7 @@
     std::chrono::milliseconds configurationWithin{ 2000 };
     double capacity = 1; ///< number of processors of this instance; fractions are allowed
     double stopWithinSeconds = 8; ///< time from the request to stop until the platform kills the process
+    std::uint32_t gapPlacement = 1; ///< whether the placement considers the speed of engines; 0 or 1
 
     std::uint16_t sidecarPort() const
     {
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -91,6 +91,10 @@
     bool mayContinue(SegmentEnd segmentEnd) const;
     Awaitable<SegmentEnd> continueAfterMove(SegmentEnd segmentEnd);
     Awaitable<void> requestMove(std::string server);
+    void recordStreamMix() const;
+    std::uint32_t expectedEvents() const;
+    std::optional<StreamNeed> streamNeed() const;
+    void logGapForecast(const TrackedServer &server) const;
     Awaitable<void> finish(SegmentEnd segmentEnd);
     Awaitable<void> finishStream(SegmentEnd segmentEnd);
     Awaitable<void> finishBroken();
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -3,6 +3,7 @@
 #include "zinniadock/process/crashes/crashwatch.h"
 #include "zinniadock/process/membership/entryexchange.h"
 #include "zinniadock/process/observing/eventlog.h"
+#include "zinniadock/process/placing/poolspeed.h"
 
 namespace zinniadock
 {
@@ -65,6 +66,41 @@
     co_await connection->respond(makeResponse(http::status::bad_request, text, "text/plain"));
 }
 
+namespace
+{
+
+void appendEventTime(const std::string &server, const char *state, const std::optional<EventTime> &time,
+                     std::string &out)
+{
+    if (time) {
+        const std::string labels = "{server=\"" + server + "\",state=\"" + state + "\",value=\"";
+        const std::string name = "zinniadock_server_event_microseconds" + labels;
+        appendMetric(name + "typical\"}", static_cast<std::uint64_t>(time->typical.count()), out);
+        appendMetric(name + "high\"}", static_cast<std::uint64_t>(time->high.count()), out);
+    }
+}
+
+/// Appends the speed of the engines, and the number of engines that keep the bound on gaps of each pool's long streams.
+void appendSpeedMetrics(const ForwardingServices &services, std::string &out)
+{
+    for (const auto &[id, server] : services.directory.servers()) {
+        appendEventTime(id, "alone", server.load.eventTimes.alone, out);
+        appendEventTime(id, "beside_prompt", server.load.eventTimes.besidePrompt, out);
+    }
+    for (const auto &[pool, mix] : services.streamMixes) {
+        const auto need = mix.need(true, std::chrono::milliseconds(0), std::chrono::steady_clock::now());
+        if (need) {
+            const PoolSpeed speed(services.directory, pool);
+            const bool isUneven = speed.isUneven(need->gapBound);
+            const std::string labels = "{pool=\"" + pool + "\"}";
+            appendMetric("zinniadock_pool_uneven" + labels, isUneven ? 1 : 0, out);
+            appendMetric("zinniadock_gap_keeping_engines" + labels, speed.keepingEngines(need->gapBound), out);
+        }
+    }
+}
+
+} // namespace
+
 std::string ForwardingEntry::metricsText() const
 {
     std::string out = m_services.metrics.prometheusText();
@@ -100,6 +136,7 @@
     appendMetric("zinniadock_known_entries", m_services.entryCount(), out);
     appendMetric("zinniadock_servers", m_services.directory.servers().size(), out);
     appendMetric("zinniadock_configuration_version", m_services.routes ? m_services.routes->version : 0, out);
+    appendSpeedMetrics(m_services, out);
     appendLimitMetrics(m_services.serverLimiter.limits(), std::chrono::steady_clock::now(), out);
     appendMetric("zinniadock_dropped_log_lines_total", droppedLogLines(), out);
     return out;
--- a/src/process/placing/placement.cpp
+++ b/src/process/placing/placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "zinniadock/process/placing/enginetiers.h"
 #include "zinniadock/process/placing/routing.h"
 
 namespace zinniadock
@@ -147,6 +148,60 @@
     return left.load < right.load;
 }
 
+/// Keeps the candidates that rank best for the stream of a request, if the engines differ in speed.
+void keepBestRanked(const ServerDirectory &directory, const PlacementRequest &request,
+                    std::vector<Candidate> &candidates)
+{
+    if (!request.stream) {
+        return;
+    }
+    const EngineTiers tiers(directory, request.pool, *request.stream);
+    if (!tiers.hasEffect()) {
+        return;
+    }
+    const auto rank = [&directory, &tiers](const Candidate &candidate) {
+        return tiers.rank(candidate.id, directory.servers().at(candidate.id));
+    };
+    int best = std::numeric_limits<int>::max();
+    for (const Candidate &candidate : candidates) {
+        best = std::min(best, rank(candidate));
+    }
+    std::erase_if(candidates, [&rank, best](const Candidate &candidate) {
+        return rank(candidate) > best;
+    });
+}
+
+/// Moves candidates that keep the bound on gaps of a long stream to the front, up to half of \p count, if the engines
+/// differ in speed. The other half is chosen by load only: the stream is lost if no target has room.
+void preferKeepingTargets(const ServerDirectory &directory, const PlacementRequest &request, std::size_t count,
+                          std::vector<Candidate> &candidates)
+{
+    if (!request.stream || !request.stream->isLong) {
+        return;
+    }
+    const EngineTiers tiers(directory, request.pool, *request.stream);
+    if (!tiers.hasEffect()) {
+        return;
+    }
+    std::vector<Candidate> preferred;
+    std::vector<Candidate> others;
+    for (const Candidate &candidate : candidates) {
+        const bool keeps = tiers.keepsBound(candidate.id, directory.servers().at(candidate.id));
+        (keeps && preferred.size() < count / 2 ? preferred : others).push_back(candidate);
+    }
+    preferred.insert(preferred.end(), others.begin(), others.end());
+    candidates = std::move(preferred);
+}
+
+std::vector<std::string> firstIds(const std::vector<Candidate> &candidates, std::size_t count)
+{
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i < count && i < candidates.size(); ++i) {
+        ids.push_back(candidates[i].id);
+    }
+    return ids;
+}
+
 } // namespace
 
 double neededTokens(std::uint32_t promptTokens, std::uint32_t expectedTokens)
@@ -242,6 +297,7 @@
                                            SteadyTime now, const RandomSource &draw)
 {
     auto candidates = engineCandidates(directory, request, limits, excluded, newWorkWeights, now, draw);
+    keepBestRanked(directory, request, candidates);
     if (request.sampleSize > 0) {
         sample(candidates, request.sampleSize, draw);
     }
@@ -319,13 +375,8 @@
 {
     auto candidates = engineCandidates(directory, request, limits, { source }, moveWeights, now, draw);
     std::sort(candidates.begin(), candidates.end(), hasLessLoad);
-    std::vector<std::string> targets;
-    for (const Candidate &candidate : candidates) {
-        if (targets.size() < count) {
-            targets.push_back(candidate.id);
-        }
-    }
-    return targets;
+    preferKeepingTargets(directory, request, count, candidates);
+    return firstIds(candidates, count);
 }
 
 } // namespace zinniadock
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -126,6 +126,10 @@
     fieldRule<&ForwardingSection::stopWithinSeconds>(
         "stop_within_s", false, Range{ 0.5, 3600 }, "seconds from 0.5 to 3600",
         "Time from the request to stop until the platform kills the process."),
+    fieldRule<&ForwardingSection::gapPlacement>("gap_placement", false, Range{ 0, 1 }, "0 or 1",
+                                                "1: if the engines of a pool differ in speed, long streams with a "
+                                                "bound on gaps prefer engines that keep it. 0: "
+                                                "the placement depends on the load only."),
 };
 
 template <typename Visitor>
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -94,7 +94,8 @@
              .sampleSize = sampleSizeFor(m_services.directory.servers().size(), m_services.entryCount()),
              .dataCentre = m_services.settings.daemon.dataCentre,
              .maxLoadAge = {},
-             .maySend = m_context->limitFilter() };
+             .maySend = m_context->limitFilter(),
+             .stream = streamNeed() };
 }
 
 Awaitable<void> GenerationForwarder::run()
@@ -104,6 +105,7 @@
         co_await finish(segmentEnd);
         co_return;
     }
+    recordStreamMix();
     m_reason = "no engine has free capacity";
     while (segmentEnd == SegmentEnd::Refused && m_refusedBy.size() < maxRefusals) {
         const std::optional<EnginePlacement> chosen = co_await findPlacement();
@@ -406,6 +408,7 @@
                { "load_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age) },
                { "reservation", chosen.reservation },
                { "waited_ms", m_context->age() } });
+    logGapForecast(*server);
 }
 
 void GenerationForwarder::attach(const std::string &server)
