Move a long stream once to an engine that keeps its bound on gaps

A long stream that found no engine that keeps its bound, or whose prompt was read at an engine for short outputs, stayed there, and prompts were read beside it until its end.

At its first event, and every 500 ms after, the entry now checks whether the engine keeps the bound with the prompts that are read there. If not, and engines that do have room, the stream is moved once, with the moves that exist for draining engines. The field source_stays of the order tells the sidecar that there is time for both copies; earlier versions ignore it. Off if the engines do not differ; the setting gap_moves turns it off. Metric zinniadock_gap_moves_total, log field cause.

--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -45,6 +45,7 @@
     std::uint64_t activeRequests = 0; ///< requests in progress
     std::uint64_t quarantinedRequests = 0; ///< requests refused, or not retried, since they may crash servers
     std::uint64_t stopRefusals = 0; ///< requests refused since they might outlast the stop of the process
+    std::uint64_t gapMoves = 0; ///< moves requested because the engine may not keep the bound on gaps
     std::uint64_t endedRequests = 0; ///< requests that were still in progress when the process ended
 };
 
--- a/include/zinniadock/process/links/sidecarmessages.h
+++ b/include/zinniadock/process/links/sidecarmessages.h
@@ -38,6 +38,7 @@
     /// first.
     double priority = 0;
     std::chrono::milliseconds estimatedCopyTime{ 0 }; ///< time to copy the whole KV cache on an idle link
+    bool sourceStays = false; ///< the source engine is not draining; the generation may also stay there
 };
 
 /// The result of a MoveOrder.
--- a/include/zinniadock/process/placing/placement.h
+++ b/include/zinniadock/process/placing/placement.h
@@ -95,4 +95,11 @@
                                      const EngineCapacity &limits, const std::string &source, std::size_t count,
                                      SteadyTime now, const RandomSource &draw);
 
+/// Returns up to \p count engines that keep the bound on gaps for a running long stream whose engine does not, best
+/// first. Returns none if the engine keeps the bound, if the engines do not differ in speed, or if no engine that keeps
+/// the bound has room. Complexity: linear in the servers.
+std::vector<std::string> keepingTargets(const ServerDirectory &directory, const PlacementRequest &request,
+                                        const EngineCapacity &limits, const std::string &source, std::size_t count,
+                                        SteadyTime now, const RandomSource &draw);
+
 } // namespace zinniadock
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -55,6 +55,12 @@
         double maxWaitingTokens = 0; ///< tokens of prompts that the engine processes before this one
     };
 
+    /// Why a generation is moved.
+    enum class MoveCause {
+        Draining, ///< the generation is lost if it is not moved
+        Gaps, ///< the engine may exceed the bound on gaps; the generation may also stay
+    };
+
     /// The engine chosen for a generation.
     struct EnginePlacement
     {
@@ -91,9 +97,12 @@
     bool mayContinue(SegmentEnd segmentEnd) const;
     Awaitable<SegmentEnd> continueAfterMove(SegmentEnd segmentEnd);
     Awaitable<void> requestMove(std::string server);
+    void startMove(MoveCause cause);
     void recordStreamMix() const;
     std::uint32_t expectedEvents() const;
     std::optional<StreamNeed> streamNeed() const;
+    void moveForGaps();
+    std::vector<std::string> gapMoveTargets(const TrackedServer &source) const;
     void logGapForecast(const TrackedServer &server) const;
     Awaitable<void> finish(SegmentEnd segmentEnd);
     Awaitable<void> finishStream(SegmentEnd segmentEnd);
@@ -141,6 +150,9 @@
     bool m_engineDraining = false;
     std::uint32_t m_moveCount = 0;
     MoveState m_moveState = MoveState::None;
+    MoveCause m_moveCause = MoveCause::Draining; ///< of the last move
+    bool m_hasMovedForGaps = false; ///< such a move was requested, whether it succeeded or not
+    SteadyTime m_nextGapCheckAt;
     bool m_mayHaveStopped = false; ///< the engine was ordered to stop the generation, with an unknown result
     SteadyTime m_nextMoveAt; ///< earliest time of the next move request after a failed move
     MoveResult m_move;
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -97,6 +97,7 @@
             appendMetric("zinniadock_gap_keeping_engines" + labels, speed.keepingEngines(need->gapBound), out);
         }
     }
+    appendMetric("zinniadock_gap_moves_total", services.counters.gapMoves, out);
 }
 
 } // namespace
--- a/src/process/links/sidecarmessages.cpp
+++ b/src/process/links/sidecarmessages.cpp
@@ -155,7 +155,8 @@
                     { "targets", std::move(targets) },
                     { "value", order.priority },
                     { "admission", toJson(order.admission) },
-                    { "copy_ms", order.estimatedCopyTime.count() } });
+                    { "copy_ms", order.estimatedCopyTime.count() },
+                    { "source_stays", order.sourceStays } });
 }
 
 std::string encode(const MoveResult &result)
@@ -229,6 +230,8 @@
         order.priority = document.at("value").get<double>();
         order.admission = admissionQueryFromJson(document.at("admission"));
         order.estimatedCopyTime = std::chrono::milliseconds(document.at("copy_ms").get<std::int64_t>());
+        // An entry of an earlier version does not send the field.
+        order.sourceStays = document.value("source_stays", false);
         for (const Json &target : document.at("targets")) {
             if (const auto endpoint = parseEndpoint(target.get<std::string>())) {
                 order.targets.push_back(*endpoint);
--- a/src/process/placing/placement.cpp
+++ b/src/process/placing/placement.cpp
@@ -37,6 +37,9 @@
 // independently.
 constexpr PlacementWeights moveWeights{ .usableFraction = 1.15, .remotePenalty = 0.6, .randomSpread = 0.4 };
 
+// A stream that could stay at its engine is moved only to an engine that has as much room as new work needs.
+constexpr PlacementWeights keepingTargetWeights{ .usableFraction = 0.85, .remotePenalty = 0.6, .randomSpread = 0.3 };
+
 /// Load of a waiting prompt token, relative to a committed token of memory. A waiting prompt weighs more, since the
 /// engine reads it before the prompt of a new generation, which delays the first event.
 constexpr double waitingPromptWeight = 4;
@@ -379,4 +382,24 @@
     return firstIds(candidates, count);
 }
 
+std::vector<std::string> keepingTargets(const ServerDirectory &directory, const PlacementRequest &request,
+                                        const EngineCapacity &limits, const std::string &source, std::size_t count,
+                                        SteadyTime now, const RandomSource &draw)
+{
+    const auto server = directory.servers().find(source);
+    if (!request.stream || !request.stream->isLong || server == directory.servers().end()) {
+        return {};
+    }
+    const EngineTiers tiers(directory, request.pool, *request.stream);
+    if (!tiers.hasEffect() || tiers.keepsBound(source, server->second)) {
+        return {};
+    }
+    auto candidates = engineCandidates(directory, request, limits, { source }, keepingTargetWeights, now, draw);
+    std::erase_if(candidates, [&directory, &tiers](const Candidate &candidate) {
+        return !tiers.keepsBound(candidate.id, directory.servers().at(candidate.id));
+    });
+    std::sort(candidates.begin(), candidates.end(), hasLessLoad);
+    return firstIds(candidates, count);
+}
+
 } // namespace zinniadock
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -130,6 +130,10 @@
                                                 "1: if the engines of a pool differ in speed, long streams with a "
                                                 "bound on gaps prefer engines that keep it. 0: "
                                                 "the placement depends on the load only."),
+    fieldRule<&ForwardingSection::gapMoves>(
+        "gap_moves", false, Range{ 0, 1 }, "0 or 1",
+        "1: a long stream may be moved once, from an engine that may exceed the bound on gaps to one that keeps it. "
+        "Requires gap_placement = 1."),
 };
 
 template <typename Visitor>
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -48,6 +48,9 @@
     appendMetric(name + "high\"}", static_cast<std::uint64_t>(known.high.count()), out);
 }
 
+/// Time until an engine stops that is not draining, as an input of moveGeneration(): long enough for both copies.
+constexpr std::chrono::milliseconds stayingTimeLeft{ 60000 };
+
 bool isSameLoad(const EngineLoad &left, const EngineLoad &right)
 {
     return left.running == right.running && left.queued == right.queued && left.usedTokens == right.usedTokens
@@ -366,7 +369,9 @@
     }
     const auto move = std::make_shared<PendingMove>();
     move->order = std::move(order);
-    m_firstMoveOrderAt = m_firstMoveOrderAt.value_or(std::chrono::steady_clock::now());
+    if (!move->order.sourceStays) {
+        m_firstMoveOrderAt = m_firstMoveOrderAt.value_or(std::chrono::steady_clock::now());
+    }
     m_pendingMoves.push_back(move);
     m_moveChanged.notify();
     while (!move->done) {
@@ -410,7 +415,8 @@
         std::erase(m_pendingMoves, move);
         m_moveInProgress = move;
         const auto startedAt = std::chrono::steady_clock::now();
-        const std::chrono::milliseconds left = timeLeft();
+        const bool sourceStays = move->order.sourceStays && !m_load.isDraining;
+        const std::chrono::milliseconds left = sourceStays ? stayingTimeLeft : timeLeft();
         move->result = co_await moveGeneration(m_pool, m_settings.sidecar.backend, move->order, left,
                                                m_settings.forwarding.sidecarPort());
         const auto took = std::chrono::steady_clock::now() - startedAt;
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -721,6 +721,7 @@
     if (m_engineDraining && m_moveState == MoveState::None) {
         handleServerDraining();
     }
+    moveForGaps();
 }
 
 Awaitable<void> GenerationForwarder::finish(SegmentEnd segmentEnd)
--- a/src/request/generationgaps.cpp
+++ b/src/request/generationgaps.cpp
@@ -1,10 +1,24 @@
 #include "zinniadock/request/generationforward.h"
 
 #include "zinniadock/process/placing/enginetiers.h"
+#include "zinniadock/request/engineprobe.h"
 
 namespace zinniadock
 {
 
+namespace
+{
+
+/// Interval at which a running long stream checks whether another engine keeps its bound on gaps and its own does not.
+constexpr std::chrono::milliseconds gapCheckInterval{ 500 };
+
+/// A stream with fewer expected events left is not moved, since the move itself causes a gap.
+constexpr std::uint32_t minEventsLeft = 20;
+
+constexpr std::size_t maxGapTargets = 3;
+
+} // namespace
+
 std::uint32_t GenerationForwarder::expectedEvents() const
 {
     const std::uint32_t tokensPerEvent = std::max(m_context->pool.engine->tokensPerEvent, 1U);
@@ -63,4 +77,36 @@
                { "short_share", need->shortShare } });
 }
 
+// Starts a move of a long stream whose engine may exceed the bound on gaps with the prompts that are read there, for
+// example because only the prompt of the stream found room at it.
+void GenerationForwarder::moveForGaps()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const bool isPossible = !m_hasMovedForGaps && m_moveState == MoveState::None && !m_engineDraining
+        && m_context->pool.engine->supportsMoves && m_services.settings.forwarding.gapMoves > 0;
+    if (!isPossible || now < m_nextGapCheckAt || m_eventCount + minEventsLeft > expectedEvents()) {
+        return;
+    }
+    m_nextGapCheckAt = now + gapCheckInterval;
+    const TrackedServer *source = m_services.directory.find(m_server);
+    if (!source || source->isDraining() || gapMoveTargets(*source).empty()) {
+        return;
+    }
+    m_hasMovedForGaps = true;
+    ++m_services.counters.gapMoves;
+    startMove(MoveCause::Gaps);
+}
+
+std::vector<std::string> GenerationForwarder::gapMoveTargets(const TrackedServer &source) const
+{
+    PlacementRequest request = placementRequest();
+    request.dataCentre = source.record.dataCentre;
+    request.maxLoadAge = usesLoadProbing(m_services) ? std::optional(maxProbedLoadAge) : std::nullopt;
+    const RandomSource draw = [this] {
+        return m_services.randomFraction();
+    };
+    return keepingTargets(m_services.directory, request, *m_context->pool.engine, source.record.id, maxGapTargets,
+                          std::chrono::steady_clock::now(), draw);
+}
+
 } // namespace zinniadock
--- a/src/request/generationmoves.cpp
+++ b/src/request/generationmoves.cpp
@@ -24,6 +24,9 @@
 /// the generation is lost if no target admits it.
 constexpr double targetMemoryShare = 1.0;
 
+/// The same for a generation that may also stay where it is. The rest absorbs outputs longer than expected.
+constexpr double gapTargetMemoryShare = 0.88;
+
 /// Maximum wait for the result of a move after the stream has ended.
 constexpr std::chrono::milliseconds moveResultTimeout{ 2500 };
 
@@ -39,6 +42,15 @@
     return std::chrono::milliseconds(static_cast<std::int64_t>(bits / bitsPerMillisecond));
 }
 
+std::vector<Endpoint> addressesOf(const ServerDirectory &directory, const std::vector<std::string> &servers)
+{
+    std::vector<Endpoint> addresses;
+    for (const std::string &server : servers) {
+        addresses.push_back(directory.servers().at(server).record.address);
+    }
+    return addresses;
+}
+
 std::optional<std::string> findByAddress(const ServerDirectory &directory, const Endpoint &address)
 {
     for (const auto &[id, server] : directory.servers()) {
@@ -60,7 +72,13 @@
         || !m_context->pool.engine->supportsMoves) {
         return;
     }
+    startMove(MoveCause::Draining);
+}
+
+void GenerationForwarder::startMove(MoveCause cause)
+{
     m_moveState = MoveState::Requested;
+    m_moveCause = cause;
     const auto self = shared_from_this();
     asio::co_spawn(
         m_services.context,
@@ -93,6 +111,13 @@
     order.admission = admissionQuery();
     order.admission.heldTokens = static_cast<std::uint32_t>(tokens);
     order.admission.usableFraction = targetMemoryShare;
+    if (m_moveCause == MoveCause::Gaps) {
+        order.sourceStays = true;
+        order.priority = 0;
+        order.admission.usableFraction = gapTargetMemoryShare;
+        order.targets = addressesOf(m_services.directory, gapMoveTargets(source));
+        return order;
+    }
     PlacementRequest need = placementRequest();
     need.dataCentre = source.record.dataCentre;
     const RandomSource draw = [this] {
@@ -107,9 +132,7 @@
         need.maySend = nullptr;
         targets = moveTargets(m_services.directory, need, limits, source.record.id, maxMoveTargets, now, draw);
     }
-    for (const std::string &target : targets) {
-        order.targets.push_back(m_services.directory.find(target)->record.address);
-    }
+    order.targets = addressesOf(m_services.directory, targets);
     return order;
 }
 
@@ -149,10 +172,13 @@
     m_mayHaveStopped = m_mayHaveStopped || result.mayHaveStopped;
     m_moveState = result.stopped ? MoveState::Stopped : MoveState::None;
     m_services.counters.failedMoves += result.stopped ? 0 : 1;
-    m_nextMoveAt = std::chrono::steady_clock::now() + moveRetryDelay;
+    if (m_moveCause == MoveCause::Draining) {
+        m_nextMoveAt = std::chrono::steady_clock::now() + moveRetryDelay;
+    }
     logEvent("move", result.stopped ? "run stopped" : "failed",
              { { "id", order.request },
                { "source", server },
+               { "cause", m_moveCause == MoveCause::Gaps ? "gaps" : "draining" },
                { "target", result.target ? result.target->text() : std::string() },
                { "candidates", order.targets.size() },
                { "events", m_eventCount },
--- a/tests/unit/unit-enginetiers.cpp
+++ b/tests/unit/unit-enginetiers.cpp
@@ -203,12 +203,63 @@
     }
 }
 
-TEST_CASE("moving a long stream away from an engine that drains")
+TEST_CASE("moving a long stream away from an engine that may exceed its bound")
 {
     UnevenPool pool;
     const EngineTiers tiers(pool.directory, "engines", longNeed);
-    const std::string forShort = engineName(37);
+    std::string forShort;
+    std::string forLong;
+    for (const auto &[id, server] : pool.directory.servers()) {
+        if (!pool.isFast(id)) {
+            (tiers.isForShortOutputs(id) ? forShort : forLong) = id;
+        }
+    }
+    const auto targets = [&pool](const std::string &source, const PlacementRequest &request) {
+        return keepingTargets(pool.directory, request, speedLimits, source, 38, testNow, [] {
+            return 0.0;
+        });
+    };
 
+    SECTION("an engine for short outputs has the others as targets, and none for short outputs")
+    {
+        const auto found = targets(forShort, longStream());
+        CHECK(found.size() == 24);
+        for (const std::string &id : found) {
+            CHECK_FALSE(tiers.isForShortOutputs(id));
+        }
+    }
+    SECTION("an engine that keeps the bound has no targets")
+    {
+        CHECK(targets(engineName(0), longStream()).empty());
+    }
+    SECTION("an engine for long streams has targets only while a prompt waits there")
+    {
+        CHECK(targets(forLong, longStream()).empty());
+        EngineLoad load = loadOfSpeed(1.2);
+        load.waitingTokens = 3000;
+        pool.directory.updateLoad(forLong, load, testNow);
+        CHECK(targets(forLong, longStream()).size() == 23);
+    }
+    SECTION("a stream stays if no target has room")
+    {
+        for (int i = 0; i < 38; ++i) {
+            EngineLoad load = pool.directory.servers().at(engineName(i)).load;
+            load.committedTokens = 22000;
+            pool.directory.updateLoad(engineName(i), load, testNow);
+        }
+        CHECK(targets(forShort, longStream()).empty());
+    }
+    SECTION("a short output stays")
+    {
+        CHECK(targets(forShort, shortOutput()).empty());
+    }
+    SECTION("a stream stays if the engines do not differ")
+    {
+        for (int i = 0; i < 38; ++i) {
+            pool.directory.updateLoad(engineName(i), loadOfSpeed(1.2), testNow);
+        }
+        CHECK(targets(forShort, longStream()).empty());
+    }
     SECTION("a stream whose engine drains prefers engines that keep the bound for half of its targets")
     {
         for (int i = 0; i < 10; ++i) {
