Test that an order for a move states whether its source stays

The field decides whether both copies are made. Without it, also in orders of earlier entries, the source counts as draining, as before.

--- a/tests/unit/unit-gapmoves.cpp
+++ b/tests/unit/unit-gapmoves.cpp
@@ -179,3 +179,21 @@
     CHECK(deployment.fast.startedRequests().size() == (movesForGaps ? 1U : 0U));
     CHECK(deployment.slow.startedRequests().empty());
 }
+
+// Guards against moves from engines that stay with only one copy, during which the stream pauses longer.
+TEST_CASE("an order for a move states whether its source stays, and an earlier entry's order that it does not")
+{
+    MoveOrder order;
+    order.request = "long";
+    order.sourceStays = true;
+    const std::string bytes = encode(order);
+    const auto decoded = decodeMoveOrder(bytes);
+    REQUIRE(decoded);
+    CHECK(decoded->sourceStays);
+    auto document = nlohmann::json::from_cbor(bytes);
+    REQUIRE(document.erase("source_stays") == 1);
+    const std::vector<std::uint8_t> earlier = nlohmann::json::to_cbor(document);
+    const auto decodedEarlier = decodeMoveOrder(std::string(earlier.begin(), earlier.end()));
+    REQUIRE(decodedEarlier);
+    CHECK_FALSE(decodedEarlier->sourceStays);
+}
