--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -22,6 +22,7 @@
 #include "zinniadock/process/placing/generationpace.h"
 #include "zinniadock/process/placing/hintedlength.h"
 #include "zinniadock/process/placing/placement.h"
+#include "zinniadock/process/placing/streammix.h"
 #include "zinniadock/process/servers/evacuations.h"
 #include "zinniadock/process/servers/serverdirectory.h"
 #include "zinniadock/process/settings.h"
@@ -53,6 +54,7 @@
     std::uint64_t stopRefusals = 0; ///< requests refused since they might outlast the stop of the process
     std::uint64_t evacuationRefusals = 0; ///< requests refused since all data centres of their pool are evacuated
     std::uint64_t coldRefusals = 0; ///< requests that were not sent since the server is cold
+    std::uint64_t gapMoves = 0; ///< moves requested because the engine may not keep the bound on gaps
     std::uint64_t endedRequests = 0; ///< requests that were still in progress when the process ended
 };
 
@@ -116,6 +118,7 @@
     std::map<std::string, PlacementQueue> placementQueues; ///< by pool
     std::map<std::string, RetryAdvice> retryAdvice; ///< by pool
     std::map<std::string, std::uint64_t> refusedAdmissions; ///< refusals of sidecars, by reason
+    std::map<std::string, StreamMix> streamMixes; ///< by pool
     std::set<ForwardContext *> activeContexts; ///< requests in progress that were admitted
     StopAdmission stop;
 
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -36,6 +36,13 @@
     /// Returns the expected rest of the output in tokens.
     double expectedRest() const;
 
+    /// Why a generation is moved.
+    enum class MoveCause {
+        Draining, ///< the generation is lost if it is not moved
+        Evacuation, ///< the operators ask to leave the data centre of the engine
+        Gaps, ///< the engine may exceed the bound on gaps; the generation may also stay
+    };
+
 private:
     enum class MoveState {
         None,
@@ -99,6 +106,13 @@
     Awaitable<SegmentEnd> continueAfterMove(SegmentEnd segmentEnd);
     Awaitable<SegmentEnd> continueElsewhere(std::string source, std::string refusedBy);
     Awaitable<void> requestMove(std::string server);
+    void startMove(MoveCause cause);
+    void recordStreamMix() const;
+    std::uint32_t expectedEvents() const;
+    std::optional<StreamNeed> streamNeed() const;
+    void moveForGaps();
+    std::vector<std::string> gapMoveTargets(const TrackedServer &source) const;
+    void logGapForecast(const TrackedServer &server) const;
     Awaitable<void> finish(SegmentEnd segmentEnd);
     Awaitable<void> finishStream(SegmentEnd segmentEnd);
     Awaitable<void> finishBroken();
@@ -115,7 +129,9 @@
     bool checkQuarantine();
     bool isServerEvacuated() const;
     bool shouldLeaveServer() const;
-    void startMove();
+    void leaveServer();
+    void addTargets(MoveOrder &order, const std::vector<std::string> &targets) const;
+    std::chrono::milliseconds moveRetryDelay() const;
     double heldTokens() const;
     MoveOrder moveOrder(const TrackedServer &source) const;
     PlacementRequest placementRequest() const;
@@ -156,6 +172,9 @@
     bool m_engineDraining = false;
     std::uint32_t m_moveCount = 0;
     MoveState m_moveState = MoveState::None;
+    MoveCause m_moveCause = MoveCause::Draining; ///< of the last move
+    bool m_hasMovedForGaps = false; ///< such a move was requested, whether it succeeded or not
+    SteadyTime m_nextGapCheckAt;
     bool m_mayHaveStopped = false; ///< the engine was ordered to stop the generation, with an unknown result
     SteadyTime m_nextMoveAt; ///< earliest time of the next move request after a failed move
     MoveResult m_move;
--- a/src/process/placing/placement.cpp
+++ b/src/process/placing/placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "zinniadock/process/placing/enginetiers.h"
 #include "zinniadock/process/placing/routing.h"
 
 namespace zinniadock
@@ -37,6 +38,9 @@
 // independently.
 constexpr PlacementWeights moveWeights{ .usableFraction = 1.15, .remotePenalty = 0.6, .randomSpread = 0.4 };
 
+// A stream that could stay at its engine is moved only to an engine that has as much room as new work needs.
+constexpr PlacementWeights keepingTargetWeights{ .usableFraction = 0.85, .remotePenalty = 0.6, .randomSpread = 0.3 };
+
 /// Load of a waiting prompt token, relative to a committed token of memory. A waiting prompt weighs more, since the
 /// engine reads it before the prompt of a new generation, which delays the first event.
 constexpr double waitingPromptWeight = 4;
@@ -148,6 +152,60 @@
     return left.load < right.load;
 }
 
+/// Keeps the candidates that rank best for the stream of a request, if the engines differ in speed.
+void keepBestRanked(const ServerDirectory &directory, const PlacementRequest &request,
+                    std::vector<Candidate> &candidates)
+{
+    if (!request.stream) {
+        return;
+    }
+    const EngineTiers tiers(directory, request.pool, *request.stream);
+    if (!tiers.hasEffect()) {
+        return;
+    }
+    const auto rank = [&directory, &tiers](const Candidate &candidate) {
+        return tiers.rank(candidate.id, directory.servers().at(candidate.id));
+    };
+    int best = std::numeric_limits<int>::max();
+    for (const Candidate &candidate : candidates) {
+        best = std::min(best, rank(candidate));
+    }
+    std::erase_if(candidates, [&rank, best](const Candidate &candidate) {
+        return rank(candidate) > best;
+    });
+}
+
+/// Moves candidates that keep the bound on gaps of a long stream to the front, up to half of \p count, if the engines
+/// differ in speed. The other half is chosen by load only: the stream is lost if no target has room.
+void preferKeepingTargets(const ServerDirectory &directory, const PlacementRequest &request, std::size_t count,
+                          std::vector<Candidate> &candidates)
+{
+    if (!request.stream || !request.stream->isLong) {
+        return;
+    }
+    const EngineTiers tiers(directory, request.pool, *request.stream);
+    if (!tiers.hasEffect()) {
+        return;
+    }
+    std::vector<Candidate> preferred;
+    std::vector<Candidate> others;
+    for (const Candidate &candidate : candidates) {
+        const bool keeps = tiers.keepsBound(candidate.id, directory.servers().at(candidate.id));
+        (keeps && preferred.size() < count / 2 ? preferred : others).push_back(candidate);
+    }
+    preferred.insert(preferred.end(), others.begin(), others.end());
+    candidates = std::move(preferred);
+}
+
+std::vector<std::string> firstIds(const std::vector<Candidate> &candidates, std::size_t count)
+{
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i < count && i < candidates.size(); ++i) {
+        ids.push_back(candidates[i].id);
+    }
+    return ids;
+}
+
 } // namespace
 
 double neededTokens(std::uint32_t promptTokens, std::uint32_t expectedTokens)
@@ -248,6 +306,7 @@
                                            SteadyTime now, const RandomSource &draw)
 {
     auto candidates = engineCandidates(directory, request, limits, excluded, newWorkWeights, now, draw);
+    keepBestRanked(directory, request, candidates);
     if (request.sampleSize > 0) {
         sample(candidates, request.sampleSize, draw);
     }
@@ -340,13 +399,28 @@
 {
     auto candidates = engineCandidates(directory, request, limits, { source }, moveWeights, now, draw);
     std::sort(candidates.begin(), candidates.end(), hasLessLoad);
-    std::vector<std::string> targets;
-    for (const Candidate &candidate : candidates) {
-        if (targets.size() < count) {
-            targets.push_back(candidate.id);
-        }
+    preferKeepingTargets(directory, request, count, candidates);
+    return firstIds(candidates, count);
+}
+
+std::vector<std::string> keepingTargets(const ServerDirectory &directory, const PlacementRequest &request,
+                                        const EngineCapacity &limits, const std::string &source, std::size_t count,
+                                        SteadyTime now, const RandomSource &draw)
+{
+    const auto server = directory.servers().find(source);
+    if (!request.stream || !request.stream->isLong || server == directory.servers().end()) {
+        return {};
+    }
+    const EngineTiers tiers(directory, request.pool, *request.stream);
+    if (!tiers.hasEffect() || tiers.keepsBound(source, server->second)) {
+        return {};
     }
-    return targets;
+    auto candidates = engineCandidates(directory, request, limits, { source }, keepingTargetWeights, now, draw);
+    std::erase_if(candidates, [&directory, &tiers](const Candidate &candidate) {
+        return !tiers.keepsBound(candidate.id, directory.servers().at(candidate.id));
+    });
+    std::sort(candidates.begin(), candidates.end(), hasLessLoad);
+    return firstIds(candidates, count);
 }
 
 } // namespace zinniadock
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -65,6 +65,7 @@
         co_await finish(segmentEnd);
         co_return;
     }
+    recordStreamMix();
     m_reason = "no engine has free capacity";
     while (segmentEnd == SegmentEnd::Refused && m_refusedBy.size() < maxRefusals) {
         const std::optional<EnginePlacement> chosen = co_await findPlacement();
@@ -507,8 +508,9 @@
     m_lastEventAt = now;
     m_services.directory.markStarted(m_server, m_assignment);
     if (m_moveState == MoveState::None && shouldLeaveServer()) {
-        startMove();
+        leaveServer();
     }
+    moveForGaps();
 }
 
 Awaitable<void> GenerationForwarder::finish(SegmentEnd segmentEnd)
--- a/src/request/generationmoves.cpp
+++ b/src/request/generationmoves.cpp
@@ -18,19 +18,22 @@
 constexpr std::size_t probesPerMove = 12;
 
 /// Delay after a failed move before the next move request.
-constexpr std::chrono::milliseconds moveRetryDelay{ 150 };
+constexpr std::chrono::milliseconds drainMoveRetryDelay{ 150 };
 
 /// Share of a target's memory that a moved generation and its remaining output may fill. All memory is allowed, since
 /// the generation is lost if no target admits it.
 constexpr double targetMemoryShare = 1.0;
 
+/// The same for a generation that may also stay where it is. The rest absorbs outputs longer than expected.
+constexpr double gapTargetMemoryShare = 0.88;
+
 /// Maximum wait for the result of a move after the stream has ended.
 constexpr std::chrono::milliseconds moveResultTimeout{ 2500 };
 
 /// Timeout of a move request to a sidecar, including the time that it is queued behind other moves.
 constexpr std::chrono::milliseconds moveTimeout{ 5000 };
 
-/// As moveTimeout and moveRetryDelay, for a generation that leaves an evacuated data centre. Its engine goes on
+/// As moveTimeout and drainMoveRetryDelay, for a generation that leaves an evacuated data centre. Its engine goes on
 /// running, and all engines of a data centre are left at the same time, so that the queues are longer and room is
 /// scarce.
 constexpr std::chrono::milliseconds evacuationMoveTimeout{ 15000 };
@@ -39,6 +42,9 @@
 /// Engines that are asked to continue a generation which has left an evacuated data centre, after its target refused.
 constexpr std::size_t maxOtherTargets = 3;
 
+/// Time for a move from an engine that neither drains nor is evacuated: long enough for both copies.
+constexpr std::chrono::milliseconds gapMoveTimeLeft{ 60000 };
+
 /// Returns the time to copy a generation's KV cache over an idle link inside a data centre.
 std::chrono::milliseconds estimateCopyTime(double tokens, const EngineCapacity &limits)
 {
@@ -58,20 +64,33 @@
     return std::nullopt;
 }
 
+const char *causeName(GenerationForwarder::MoveCause cause)
+{
+    switch (cause) {
+    case GenerationForwarder::MoveCause::Draining:
+        return "draining";
+    case GenerationForwarder::MoveCause::Evacuation:
+        return "evacuation";
+    case GenerationForwarder::MoveCause::Gaps:
+        break;
+    }
+    return "gaps";
+}
+
 } // namespace
 
 // A failed move out of an evacuated data centre must not delay the move away from an engine that is about to stop.
 void GenerationForwarder::handleServerDraining()
 {
     m_engineDraining = true;
-    m_nextMoveAt = std::min(m_nextMoveAt, std::chrono::steady_clock::now() + moveRetryDelay);
-    startMove();
+    m_nextMoveAt = std::min(m_nextMoveAt, std::chrono::steady_clock::now() + drainMoveRetryDelay);
+    leaveServer();
 }
 
 void GenerationForwarder::handleEvacuation()
 {
     if (isServerEvacuated()) {
-        startMove();
+        leaveServer();
     }
 }
 
@@ -86,7 +105,7 @@
     return m_engineDraining || isServerEvacuated();
 }
 
-void GenerationForwarder::startMove()
+void GenerationForwarder::leaveServer()
 {
     const bool started = m_headSent || m_lastEventAt != SteadyTime();
     const bool isTooEarly = std::chrono::steady_clock::now() < m_nextMoveAt;
@@ -94,7 +113,13 @@
         || !m_context->pool.engine->supportsMoves) {
         return;
     }
+    startMove(m_engineDraining ? MoveCause::Draining : MoveCause::Evacuation);
+}
+
+void GenerationForwarder::startMove(MoveCause cause)
+{
     m_moveState = MoveState::Requested;
+    m_moveCause = cause;
     const auto self = shared_from_this();
     asio::co_spawn(
         m_services.context,
@@ -156,6 +181,13 @@
     order.admission = admissionQuery();
     order.admission.heldTokens = static_cast<std::uint32_t>(tokens);
     order.admission.usableFraction = targetMemoryShare;
+    if (m_moveCause == MoveCause::Gaps) {
+        order.timeLeft = gapMoveTimeLeft;
+        order.priority = 0;
+        order.admission.usableFraction = gapTargetMemoryShare;
+        addTargets(order, gapMoveTargets(source));
+        return order;
+    }
     PlacementRequest need = placementRequest();
     need.dataCentre = source.record.dataCentre;
     const RandomSource draw = [this] {
@@ -170,12 +202,28 @@
         need.maySend = nullptr;
         targets = moveTargets(m_services.directory, need, limits, source.record.id, maxMoveTargets, now, draw);
     }
+    addTargets(order, targets);
+    return order;
+}
+
+void GenerationForwarder::addTargets(MoveOrder &order, const std::vector<std::string> &targets) const
+{
+    const auto now = std::chrono::steady_clock::now();
     for (const std::string &target : targets) {
         const TrackedServer &tracked = *m_services.directory.find(target);
         order.targets.push_back(tracked.record.address);
         order.cold.push_back(m_services.coldStateOf(tracked, now));
     }
-    return order;
+}
+
+// A failed move because of gaps must not delay the move away from an engine that is about to stop.
+std::chrono::milliseconds GenerationForwarder::moveRetryDelay() const
+{
+    if (m_moveCause == MoveCause::Gaps) {
+        return std::chrono::milliseconds(0);
+    }
+    const bool isUrgent = m_engineDraining || !isServerEvacuated();
+    return isUrgent ? drainMoveRetryDelay : evacuationMoveRetryDelay;
 }
 
 Awaitable<void> GenerationForwarder::requestMove(std::string server)
@@ -221,11 +269,11 @@
     m_mayHaveStopped = m_mayHaveStopped || result.mayHaveStopped;
     m_moveState = result.stopped ? MoveState::Stopped : MoveState::None;
     m_services.counters.failedMoves += result.stopped ? 0 : 1;
-    const bool isUrgent = m_engineDraining || !isServerEvacuated();
-    m_nextMoveAt = std::chrono::steady_clock::now() + (isUrgent ? moveRetryDelay : evacuationMoveRetryDelay);
+    m_nextMoveAt = std::chrono::steady_clock::now() + moveRetryDelay();
     logEvent("move", result.stopped ? "run stopped" : "failed",
              { { "id", order.request },
                { "source", server },
+               { "cause", causeName(m_moveCause) },
                { "target", result.target ? result.target->text() : std::string() },
                { "candidates", order.targets.size() },
                { "events", m_eventCount },
--- a/src/request/generationplacement.cpp
+++ b/src/request/generationplacement.cpp
@@ -72,7 +72,8 @@
              .sampleSize = sampleSizeFor(m_services.directory.servers().size(), m_services.entryCount()),
              .dataCentre = m_services.settings.daemon.dataCentre,
              .maxLoadAge = {},
-             .maySend = m_context->limitFilter() };
+             .maySend = m_context->limitFilter(),
+             .stream = streamNeed() };
 }
 
 UnplacedPrompt GenerationForwarder::unplacedPrompt() const
@@ -380,6 +381,7 @@
                { "load_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age) },
                { "reservation", chosen.reservation },
                { "waited_ms", m_context->age() } });
+    logGapForecast(*server);
 }
 
 } // namespace zinniadock
