Bound the memory and the connections that clients take

Clients that keep to no limit made a process run out of memory: the listener held a whole body in a string for each connection, and only the time of a body was bounded.

Each process now has one budget, in bytes, for what clients have sent and is not yet served (CallerBudget). The listener counts heads, bodies and its read buffer before each read. Trailers and chunk extensions of a request are bounded by maxHeaderBytes (431), bodies have a minimum rate (408), and at the maximum number of connections idle ones are closed first, then those that are still sending a request. Refusals are written before the connection is closed, and what the client still sends is read for up to 2 s, so that it can read them. The interface completions, the sidecar and the listeners for peers, readiness and metrics use the same budget. Large bodies are mapped, and freed memory is returned to the system after refusals.

--- a/include/zinniadock/connection/callerconnection.h
+++ b/include/zinniadock/connection/callerconnection.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <atomic>
+
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerSession.h>
 #include <Poco/Net/TCPServerConnection.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 
+#include "zinniadock/connection/callerbudget.h"
 #include "zinniadock/connection/readwatch.h"
 #include "zinniadock/process/entryservices.h"
 #include "zinniadock/request/callerrequest.h"
@@ -26,6 +29,11 @@
 
     /// Reads one request and responds to it. Returns whether the connection can be used for another request.
     bool serveOne(Poco::Net::HTTPServerSession &session);
+    /// Counts the body in the budget. Returns a failure if there is no room for it.
+    std::optional<Failure> holdBody(const std::string &body);
+
+    /// Reads and drops what a caller still sends after a refusal, so that closing the socket does not discard it.
+    void discardInput();
     void rejectRequest(Poco::Net::HTTPServerSession &session, const RequestId &id, const Failure &failure);
     void respondToHealthCheck(Poco::Net::HTTPServerResponse &response);
     std::optional<Failure> readRequest(Poco::Net::HTTPServerRequestImpl &request, CallerRequest &parsed);
@@ -37,6 +45,8 @@
 
     EntryServices &m_services;
     ReadWatchdog &m_watchdog;
+    BudgetShare m_share;
+    std::atomic<bool> m_isAbandoned{ false };
     Poco::Net::HTTPServerParams::Ptr m_parameters;
 };
 
--- a/include/zinniadock/connection/httplistener.h
+++ b/include/zinniadock/connection/httplistener.h
@@ -13,7 +13,9 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
 
+#include "zinniadock/connection/callerbudget.h"
 #include "zinniadock/connection/httpmessage.h"
 #include "zinniadock/connection/responseend.h"
 #include "zinniadock/version/routetable.h"
@@ -37,7 +39,7 @@
 {
 public:
     HttpConnection(asio::ip::tcp::socket socket, HttpHandler handler, CallerLimitsProvider limits,
-                   std::shared_ptr<const bool> keepAliveDisabled);
+                   std::shared_ptr<const bool> keepAliveDisabled, std::shared_ptr<CallerBudget> budget);
     ~HttpConnection();
 
     HttpConnection(const HttpConnection &) = delete;
@@ -64,8 +66,10 @@
     /// is reset.
     void abort();
 
-    /// Closes the connection if no request is in progress on it.
-    void closeIfIdle();
+    /// Closes the connection if no request is in progress on it. Returns whether it did.
+    bool closeIfIdle();
+
+    bool isOpen() const;
 
     /// Returns whether the caller has closed the connection, or a write before the last chunk has failed. A caller that
     /// has closed only its sending side counts as disconnected.
@@ -83,18 +87,49 @@
         Ended,
     };
 
-    Awaitable<bool> readRequest(HttpRequest &request);
-    Awaitable<void> rejectMalformedRequest(const IoError &error);
+    using RequestParser = http::request_parser<http::string_body>;
+
+    /// A request that is received.
+    struct Reception
+    {
+        RequestParser parser;
+        CallerLimits limits;
+        std::size_t extensionBytes = 0; ///< of all chunk extensions
+        std::size_t headBytes = 0; ///< memory of the head, known when it is complete
+    };
+
+    /// Receives one request. Returns an error if there is none, also if it was abandoned.
+    Awaitable<IoError> readRequest(HttpRequest &request);
+    Awaitable<IoError> receive(Reception &reception);
+    Awaitable<IoError> awaitRequest(const CallerLimits &limits);
+    Awaitable<IoError> receiveHeadBytes(Reception &reception);
+    Awaitable<IoError> receiveBody(Reception &reception);
+    Awaitable<IoError> receiveBodyBytes(Reception &reception, BodyProgress &progress);
+    void parse(Reception &reception, IoError &error);
+
+    /// Counts what is received in the budget, and \p moreBytes. Returns an error if there is no room for it.
+    IoError holdReceived(const Reception &reception, std::size_t moreBytes);
+    void watchProgress(const std::shared_ptr<asio::steady_timer> &timer, const std::shared_ptr<BodyProgress> &progress);
+
+    /// Frees what the request that is received holds, and ends its reception.
+    void abandon(RefusalCause cause);
+
+    /// Responds to a request that could not be received, if it is known to be one, and closes the connection.
+    Awaitable<void> refuse(const IoError &error);
+    void dropBuffer();
     void watchForDisconnect();
     void handleDisconnect();
     void resetOnClose(bool enabled);
-    Awaitable<void> closeAfterResponse();
+    Awaitable<void> closeAfterResponse(std::chrono::milliseconds timeout);
 
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
     const HttpHandler m_handler;
     const CallerLimitsProvider m_limits;
     const std::shared_ptr<const bool> m_keepAliveDisabled;
+    BudgetShare m_share;
+    Reception *m_reception = nullptr; ///< null while no request is received
+    std::optional<RefusalCause> m_abandonedFor; ///< set when the request that is received was abandoned
     std::function<void()> m_disconnectHandler;
     bool m_idle = true; ///< no byte of a request has arrived since the last response
     bool m_callerDisconnected = false;
@@ -105,11 +140,18 @@
     std::uint64_t m_requestCount = 0;
 };
 
+/// Maximum number of connections of a listener for which none is stated.
+constexpr std::size_t defaultMaxConnections = 1024;
+
 /// Accepts HTTP connections on one address.
 class HttpListener : public std::enable_shared_from_this<HttpListener>
 {
 public:
-    HttpListener(asio::io_context &context, HttpHandler handler, CallerLimitsProvider limits);
+    /// \param budget  for what clients send; shared by the listeners of a process
+    /// \param maxConnections  if it is reached, a new connection replaces an idle one, else one that sends a request
+    HttpListener(asio::io_context &context, HttpHandler handler, CallerLimitsProvider limits,
+                 std::shared_ptr<CallerBudget> budget = std::make_shared<CallerBudget>(),
+                 std::size_t maxConnections = defaultMaxConnections);
 
     /// Starts to listen and to accept connections.
     std::error_code start(const Endpoint &address);
@@ -128,11 +170,16 @@
 private:
     Awaitable<void> acceptLoop();
 
+    /// Returns whether there is room for one more connection, after closing another one if needed.
+    bool makeRoomForConnection();
+
     asio::io_context &m_context;
     asio::ip::tcp::acceptor m_acceptor;
     const HttpHandler m_handler;
     const CallerLimitsProvider m_limits;
     const std::shared_ptr<bool> m_keepAliveDisabled;
+    const std::shared_ptr<CallerBudget> m_budget;
+    const std::size_t m_maxConnections;
     std::vector<std::weak_ptr<HttpConnection>> m_connections;
 };
 
--- a/include/zinniadock/connection/readwatch.h
+++ b/include/zinniadock/connection/readwatch.h
@@ -32,6 +32,10 @@
     /// Shuts down the receiving side of all connections that are between requests, now or later.
     void closeIdle();
 
+    /// Shuts down the receiving side of the connection that has waited longest for a request. Returns whether there was
+    /// one.
+    bool closeLongestIdle();
+
     /// Watches one connection during the lifetime of this object.
     class ScopedWatch
     {
--- a/include/zinniadock/process/entry.h
+++ b/include/zinniadock/process/entry.h
@@ -66,14 +66,17 @@
 
     EntryStatus status() const;
     const EntryMetrics &metrics() const;
+    const CallerBudget &callerBudget() const;
     VersionHolder &versions();
     Timeline &timeline();
 
 private:
+    void makeRoomForConnection();
     void onVersionInstalled();
     void onFollowerIdle();
 
     const Settings m_settings;
+    const std::shared_ptr<CallerBudget> m_callerBudget;
     std::atomic<bool> m_draining{ false };
     StopAdmission m_stop;
     std::atomic<bool> m_stopped{ false };
--- a/include/zinniadock/process/entryservices.h
+++ b/include/zinniadock/process/entryservices.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <atomic>
+#include <memory>
 
+#include "zinniadock/connection/callerbudget.h"
 #include "zinniadock/process/admission/stopadmission.h"
 #include "zinniadock/process/limits/accountlimiter.h"
 #include "zinniadock/process/links/linkpool.h"
@@ -28,6 +30,7 @@
     Timeline &timeline;
     std::atomic<bool> &draining;
     const StopAdmission &stop;
+    const std::shared_ptr<CallerBudget> &callerBudget;
 };
 
 } // namespace zinniadock
--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -66,7 +66,8 @@
     Awaitable<void> runMaintenance();
     Awaitable<void> resolveAnnouncement(ServerAnnouncement announcement);
 
-    std::shared_ptr<HttpListener> startListener(const Endpoint &address, HttpHandler handler, std::error_code &error);
+    std::shared_ptr<HttpListener> startListener(const Endpoint &address, HttpHandler handler,
+                                                std::size_t maxConnections, std::error_code &error);
     StoreViewCallbacks makeViewCallbacks();
     void applyConfiguration(const std::string &text, const std::string &source);
     void applyServerItem(const wire::StoreItem &item, const RemovalGrace &grace);
--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "zinniadock/connection/callerbudget.h"
 #include "zinniadock/connection/httpclient.h"
 #include "zinniadock/process/admission/stopadmission.h"
 #include "zinniadock/process/crashes/sharedsuspects.h"
@@ -64,6 +65,7 @@
 
     asio::io_context &context;
     Settings settings;
+    const std::shared_ptr<CallerBudget> callerBudget;
     ConnectionPool pool; ///< for requests to backend servers, and for calls to the system's own processes and the store
     /// For calls of this entry to backend servers. Responses to them have no ID, so that a second copy of one could be
     /// taken for the response to a request on the same connection.
--- a/include/zinniadock/process/settings.h
+++ b/include/zinniadock/process/settings.h
@@ -20,6 +20,8 @@
     std::string dataCentre;
     std::string logLevel = "info";
     Endpoint admin; ///< listen address of the admin interface
+    double memoryMb = 0; ///< memory of the instance in MiB; 0 if it is not known
+    std::uint32_t maxDescriptors = 0; ///< 0 for the limit that the system states
     std::string adminKeyDigest; ///< SHA-256; if empty, the admin interface requires no key
 };
 
@@ -38,6 +40,7 @@
     Endpoint listen;
     std::vector<Endpoint> peers; ///< sidecars that supply the configuration while the store is down
     std::uint32_t maxConnections = 4096;
+    double callerMemoryMb = 0; ///< maximum memory for what callers send, in MiB; 0 for a part of the instance
     std::uint32_t maxBodyBytes = 2U << 20U;
     std::chrono::milliseconds readTimeout{ 15000 }; ///< limit for receiving a complete request
     std::chrono::milliseconds lameDuck{ 0 }; ///< how long an entry still accepts requests after a stop was requested
--- a/include/zinniadock/process/watchingsidecar.h
+++ b/include/zinniadock/process/watchingsidecar.h
@@ -80,6 +80,7 @@
 
     const Settings m_settings;
     asio::io_context &m_context;
+    const std::shared_ptr<CallerBudget> m_callerBudget; ///< for what entries and the platform send
     ConnectionPool m_pool; ///< for load reports of the engine, and for calls to the system's own processes
     ConnectionPool m_reservationPool; ///< for reservations, whose responses have no ID
     std::shared_ptr<HttpListener> m_listener;
--- a/src/connection/callerconnection.cpp
+++ b/src/connection/callerconnection.cpp
@@ -11,6 +11,7 @@
 #include <Poco/String.h>
 #include <Poco/URI.h>
 
+#include "zinniadock/connection/freememory.h"
 #include "zinniadock/detail/httptime.h"
 #include "zinniadock/process/observing/log.h"
 #include "zinniadock/request/answerwriter.h"
@@ -30,6 +31,11 @@
 
 constexpr std::chrono::milliseconds idleTimeout{ 60000 };
 constexpr std::chrono::milliseconds sendTimeout{ 30000 };
+constexpr std::chrono::milliseconds refusalCloseTimeout{ 2000 };
+
+/// Memory of a connection beyond the body of its request: its thread, buffers of the library, and a small head.
+constexpr std::size_t connectionBytes = 24576;
+
 constexpr std::size_t maxIdempotencyKeyBytes = 256;
 constexpr const char *bearerPrefix = "Bearer ";
 
@@ -38,6 +44,14 @@
     return Failure{ .code = RequestError::BadRequest, .verdict = Verdict::NotRun, .message = message };
 }
 
+Failure noMemory()
+{
+    return Failure{ .code = RequestError::QueueFull,
+                    .verdict = Verdict::NotRun,
+                    .message = "the entry has no room for the request",
+                    .retryAfter = std::chrono::seconds(1) };
+}
+
 std::optional<std::chrono::milliseconds> parseDeadline(const std::string &text)
 {
     constexpr std::int64_t maxMilliseconds = 86400000;
@@ -57,6 +71,11 @@
     : TCPServerConnection(socket)
     , m_services(services)
     , m_watchdog(watchdog)
+    , m_share(services.callerBudget,
+              [this](RefusalCause /*cause*/) {
+                  m_isAbandoned = true;
+                  this->socket().shutdownReceive();
+              })
     , m_parameters(new Poco::Net::HTTPServerParams)
 {
     m_parameters->setKeepAlive(true);
@@ -94,12 +113,16 @@
     response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
     CallerRequest parsed;
     parsed.id = RequestId::random();
+    m_isAbandoned = false;
     std::unique_ptr<HTTPServerRequestImpl> request;
     std::optional<Failure> failure;
     {
         const ReadWatchdog::ScopedWatch scopedWatch(m_watchdog, socket(), m_services.settings.entry.readTimeout,
                                                     ReadPhase::WithinRequest);
         try {
+            if (!m_share.hold(connectionBytes, std::chrono::steady_clock::now())) {
+                m_isAbandoned = true;
+            }
             request = std::make_unique<HTTPServerRequestImpl>(response, session, m_parameters.get());
             failure = readRequest(*request, parsed);
         } catch (const Poco::Net::NoMessageException &) {
@@ -107,13 +130,27 @@
         } catch (const Poco::Exception &) {
             failure = badRequest("the request is not well-formed HTTP");
         }
-        if (failure && scopedWatch.isReceiveShutDown()) {
+        if (m_isAbandoned) {
+            failure = noMemory();
+        } else if (failure && scopedWatch.isReceiveShutDown()) {
             failure->message = "the request did not arrive within "
                 + std::to_string(m_services.settings.entry.readTimeout.count()) + " ms";
         }
     }
     if (failure) {
+        request.reset();
+        std::string().swap(parsed.body);
+        m_share.release();
+        m_share.hold(connectionBytes, std::chrono::steady_clock::now());
+        m_share.startService();
+        if (m_isAbandoned) {
+            const auto now = std::chrono::steady_clock::now();
+            m_share.budget().recordRefusal(RefusalCause::Memory, now);
+            returnFreeMemory(now);
+        }
         rejectRequest(session, parsed.id, *failure);
+        discardInput();
+        m_share.release();
         return false;
     }
     response.setKeepAlive(request->getKeepAlive() && !m_services.draining);
@@ -128,8 +165,10 @@
                                          [this](bool enabled) {
                                              socket().setLinger(enabled, 0);
                                          } };
+        m_share.startService();
         RequestRunner(m_services, parsed, response, control).run();
     }
+    m_share.release();
     return response.sent() && response.getKeepAlive();
 }
 
@@ -144,6 +183,31 @@
     sendFailure(response, id, failure);
 }
 
+std::optional<Failure> CallerConnection::holdBody(const std::string &body)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (!m_share.hold(connectionBytes + residentBytes(body), now)) {
+        m_isAbandoned = true;
+        return noMemory();
+    }
+    m_share.recordProgress(now);
+    return std::nullopt;
+}
+
+void CallerConnection::discardInput()
+{
+    const auto end = std::chrono::steady_clock::now() + refusalCloseTimeout;
+    std::array<char, 1024> input{};
+    try {
+        socket().shutdownSend();
+        socket().setReceiveTimeout(detail::toTimespan(refusalCloseTimeout));
+        while (std::chrono::steady_clock::now() < end
+               && socket().receiveBytes(input.data(), static_cast<int>(input.size())) > 0) { }
+    } catch (const Poco::Exception &) {
+        return; // the caller has closed the connection, or sends nothing
+    }
+}
+
 void CallerConnection::respondToHealthCheck(Poco::Net::HTTPServerResponse &response)
 {
     const bool ready = !m_services.draining && m_services.versions.revision() > 0;
@@ -196,6 +260,9 @@
     if (!hasLength && !request.getChunkedTransferEncoding()) {
         return std::nullopt;
     }
+    // A string that grows by doubling would hold two copies of a body at times. The pages of the whole capacity become
+    // resident only when bytes are written to them.
+    body.reserve(hasLength ? static_cast<std::size_t>(request.getContentLength64()) : limit);
     std::istream &stream = request.stream();
     std::array<char, 8192> buffer{};
     while (stream.read(buffer.data(), buffer.size()).gcount() > 0) {
@@ -203,6 +270,9 @@
         if (body.size() > limit) {
             return tooLarge;
         }
+        if (auto failure = holdBody(body)) {
+            return failure;
+        }
     }
     if (hasLength && body.size() != static_cast<std::size_t>(request.getContentLength64())) {
         return badRequest("the body has " + std::to_string(body.size()) + " bytes, but its Content-Length is "
--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -1,6 +1,8 @@
 #include "zinniadock/connection/httplistener.h"
 
+#include <algorithm>
 #include <array>
+#include <cerrno>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,10 +10,11 @@
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "zinniadock/connection/freememory.h"
+
 namespace zinniadock
 {
 
@@ -19,10 +22,19 @@
 {
 
 constexpr std::chrono::milliseconds writeTimeout{ 15000 };
-constexpr std::chrono::milliseconds bodyTimeout{ 15000 };
 
 /// Maximum wait for a caller to close a connection after a response that ended with it.
 constexpr std::chrono::milliseconds closeTimeout{ 200 };
+
+/// As closeTimeout, after a refusal. The caller may still be sending a large body, and reads the response after it.
+constexpr std::chrono::milliseconds refusalCloseTimeout{ 2000 };
+
+/// Maximum size of one read of a head, and of one read of a body.
+constexpr std::size_t readBytes = 4096;
+constexpr std::size_t bodyReadBytes = 16384;
+
+/// Time that refused callers are asked to wait before they retry.
+constexpr const char *retryAfterSeconds = "1";
 constexpr std::chrono::milliseconds acceptRetryDelay{ 20 };
 constexpr int acceptBacklog = 1024;
 
@@ -40,6 +52,45 @@
         && error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
+/// Memory of a header field beyond its bytes.
+constexpr std::size_t fieldOverhead = 128;
+
+/// Returns the memory that the header fields of a request take, which may be much more than their bytes.
+std::size_t memoryOf(const http::request_header<> &head)
+{
+    std::size_t bytes = 0;
+    for (const auto &field : head) {
+        bytes += field.name_string().size() + field.value().size() + fieldOverhead;
+    }
+    return bytes;
+}
+
+HttpResponse makeRefusal(RefusalCause cause)
+{
+    if (cause == RefusalCause::Stalled) {
+        return makeResponse(http::status::request_timeout, "the body of the request arrives too slowly\n",
+                            "text/plain");
+    }
+    HttpResponse response
+        = makeResponse(http::status::service_unavailable,
+                       "the request was not received, for lack of "
+                           + std::string(cause == RefusalCause::Connections ? "connections" : "memory") + "\n",
+                       "text/plain");
+    response.set(http::field::retry_after, retryAfterSeconds);
+    return response;
+}
+
+/// Responds to a connection that is not served, as far as its socket takes the bytes at once.
+void refuseConnection(asio::ip::tcp::socket &socket)
+{
+    const std::string response = std::string("HTTP/1.1 503 Service Unavailable\r\nRetry-After: ") + retryAfterSeconds
+        + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    static_cast<void>(::send(socket.native_handle(), response.data(), response.size(), MSG_DONTWAIT | MSG_NOSIGNAL));
+    IoError ignored; // the caller may have closed the connection
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    socket.close(ignored);
+}
+
 } // namespace
 
 CallerLimits internalListenerLimits()
@@ -51,11 +102,14 @@
 }
 
 HttpConnection::HttpConnection(asio::ip::tcp::socket socket, HttpHandler handler, CallerLimitsProvider limits,
-                               std::shared_ptr<const bool> keepAliveDisabled)
+                               std::shared_ptr<const bool> keepAliveDisabled, std::shared_ptr<CallerBudget> budget)
     : m_stream(std::move(socket))
     , m_handler(std::move(handler))
     , m_limits(std::move(limits))
     , m_keepAliveDisabled(std::move(keepAliveDisabled))
+    , m_share(std::move(budget), [this](RefusalCause cause) {
+        abandon(cause);
+    })
 {
     setSocketOptions(m_stream.socket());
 }
@@ -71,8 +125,9 @@
     while (m_keepAlive && !m_callerDisconnected) {
         HttpRequest request;
         m_responseState = ResponseState::NotBegun;
-        const bool hasRequest = co_await readRequest(request);
-        if (!hasRequest) {
+        const IoError error = co_await readRequest(request);
+        if (error) {
+            co_await refuse(error);
             break;
         }
         ++m_requestCount;
@@ -84,55 +139,242 @@
         m_disconnectHandler = nullptr;
         IoError ignored; // the connection may be closed already
         m_stream.socket().cancel(ignored);
+        m_share.release();
+        if (m_buffer.capacity() > readBytes) {
+            m_buffer.shrink_to_fit();
+        }
         m_idle = true;
     }
     abort();
 }
 
-Awaitable<bool> HttpConnection::readRequest(HttpRequest &request)
+Awaitable<IoError> HttpConnection::readRequest(HttpRequest &request)
+{
+    Reception reception;
+    reception.limits = m_limits();
+    reception.parser.header_limit(reception.limits.headerBytes);
+    reception.parser.body_limit(reception.limits.bodyBytes);
+    reception.parser.eager(true);
+    auto countExtension
+        = [&reception](std::uint64_t /*chunkBytes*/, boost::beast::string_view extension, IoError &error) {
+              reception.extensionBytes += extension.size();
+              if (reception.extensionBytes > reception.limits.headerBytes) {
+                  error = http::error::header_limit;
+              }
+          };
+    reception.parser.on_chunk_header(countExtension);
+    m_abandonedFor.reset();
+    m_reception = &reception;
+    IoError error = co_await receive(reception);
+    m_reception = nullptr;
+    m_stream.expires_never();
+    if (error == http::error::header_limit && reception.parser.is_header_done()) {
+        m_share.budget().recordRefusal(RefusalCause::Framing, std::chrono::steady_clock::now());
+    }
+    if (!error) {
+        request = reception.parser.release();
+        m_share.startService();
+    }
+    co_return error;
+}
+
+Awaitable<IoError> HttpConnection::receive(Reception &reception)
+{
+    IoError error = co_await awaitRequest(reception.limits);
+    if (!error) {
+        error = holdReceived(reception, 0);
+    }
+    if (!error) {
+        m_stream.expires_after(reception.limits.headerTimeout);
+        parse(reception, error);
+    }
+    while (!error && !reception.parser.is_header_done()) {
+        error = co_await receiveHeadBytes(reception);
+        if (!error) {
+            parse(reception, error);
+        }
+    }
+    if (!error && !reception.parser.is_done()) {
+        m_stream.expires_never();
+        error = co_await receiveBody(reception);
+    }
+    co_return error ? error : holdReceived(reception, 0);
+}
+
+Awaitable<IoError> HttpConnection::awaitRequest(const CallerLimits &limits)
 {
-    const CallerLimits limits = m_limits();
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(limits.headerBytes);
-    parser.body_limit(limits.bodyBytes);
     IoError error;
     if (m_buffer.size() == 0) {
         m_stream.expires_after(limits.idleTimeout);
-        const std::size_t maxReadBytes = 4096;
-        const std::size_t count
-            = co_await m_stream.async_read_some(m_buffer.prepare(maxReadBytes), redirectError(error));
+        const std::size_t count = co_await m_stream.async_read_some(m_buffer.prepare(readBytes), redirectError(error));
         m_buffer.commit(count);
     }
     m_idle = false;
-    if (!m_stream.socket().is_open()) {
-        co_return false; // closeIfIdle() closed the socket after the bytes were read and before this coroutine resumed
+    if (!error && !m_stream.socket().is_open()) {
+        // closeIfIdle() closed the socket after the bytes were read and before this coroutine resumed
+        error = asio::error::operation_aborted;
     }
-    if (!error) {
-        m_stream.expires_after(limits.headerTimeout);
-        co_await http::async_read_header(m_stream, m_buffer, parser, redirectError(error));
+    co_return error;
+}
+
+Awaitable<IoError> HttpConnection::receiveHeadBytes(Reception &reception)
+{
+    IoError error = holdReceived(reception, readBytes);
+    if (error) {
+        co_return error;
     }
-    if (!error && !parser.is_done()) {
-        m_stream.expires_after(bodyTimeout);
-        co_await http::async_read(m_stream, m_buffer, parser, redirectError(error));
+    const std::size_t count = co_await m_stream.async_read_some(m_buffer.prepare(readBytes), redirectError(error));
+    if (m_abandonedFor) {
+        co_return asio::error::operation_aborted;
     }
-    m_stream.expires_never();
-    if (error) {
-        co_await rejectMalformedRequest(error);
-        co_return false;
+    m_buffer.commit(count);
+    m_share.recordProgress(std::chrono::steady_clock::now());
+    co_return error;
+}
+
+// One timer limits the time without progress, since a new time limit for each read would cost more.
+Awaitable<IoError> HttpConnection::receiveBody(Reception &reception)
+{
+    if (reception.parser.chunked()) {
+        // A string that grows by doubling would hold two copies of a body at times. The pages of the whole capacity
+        // become resident only when bytes are written to them.
+        reception.parser.get().body().reserve(reception.limits.bodyBytes);
+    }
+    const auto progress = std::make_shared<BodyProgress>(std::chrono::steady_clock::now());
+    const auto timer = std::make_shared<asio::steady_timer>(m_stream.get_executor());
+    watchProgress(timer, progress);
+    IoError error;
+    while (!error && !reception.parser.is_done()) {
+        error = co_await receiveBodyBytes(reception, *progress);
+        if (!error) {
+            parse(reception, error);
+        }
     }
-    request = parser.release();
-    co_return true;
+    timer->cancel();
+    co_return error;
+}
+
+// The parser has taken all bytes but those of an incomplete chunk line or of the trailers, which are bounded here.
+// While the connection waits for bytes, its buffer holds only these.
+Awaitable<IoError> HttpConnection::receiveBodyBytes(Reception &reception, BodyProgress &progress)
+{
+    const std::size_t maxFramingBytes = reception.limits.headerBytes - reception.extensionBytes;
+    if (m_buffer.size() > maxFramingBytes) {
+        co_return http::make_error_code(http::error::header_limit);
+    }
+    const std::size_t maxBytes = std::min(bodyReadBytes, maxFramingBytes + 1 - m_buffer.size());
+    while (true) {
+        IoError error = holdReceived(reception, maxBytes);
+        if (error) {
+            co_return error;
+        }
+        const auto target = m_buffer.prepare(maxBytes);
+        const auto count = ::recv(m_stream.socket().native_handle(), target.data(), target.size(), MSG_DONTWAIT);
+        const int failure = errno;
+        if (count > 0) {
+            m_buffer.commit(static_cast<std::size_t>(count));
+            const auto now = std::chrono::steady_clock::now();
+            progress.record(static_cast<std::size_t>(count), now);
+            m_share.recordProgress(now);
+            co_return error;
+        }
+        if (count == 0) {
+            co_return make_error_code(asio::error::eof);
+        }
+        if (failure != EAGAIN && failure != EWOULDBLOCK) {
+            co_return IoError(failure, boost::system::system_category());
+        }
+        m_buffer.shrink_to_fit();
+        static_cast<void>(holdReceived(reception, 0)); // holds less than before
+        co_await m_stream.socket().async_wait(asio::socket_base::wait_read, redirectError(error));
+        if (m_abandonedFor || error) {
+            co_return m_abandonedFor ? make_error_code(asio::error::operation_aborted) : error;
+        }
+    }
+}
+
+void HttpConnection::parse(Reception &reception, IoError &error)
+{
+    const bool hadHead = reception.parser.is_header_done();
+    const auto *bytes = static_cast<const char *>(m_buffer.data().data());
+    const std::size_t count = reception.parser.put(m_buffer.data(), error);
+    if (error == http::error::need_more) {
+        error = {};
+    }
+    const bool hasHead = reception.parser.is_header_done();
+    if (!hasHead) {
+        reception.headBytes += count + fieldOverhead * static_cast<std::size_t>(std::count(bytes, bytes + count, '\n'));
+    } else if (!hadHead || reception.parser.is_done()) {
+        reception.headBytes = memoryOf(reception.parser.get());
+    }
+    m_buffer.consume(count);
+}
+
+IoError HttpConnection::holdReceived(const Reception &reception, std::size_t moreBytes)
+{
+    const std::size_t bytes
+        = m_buffer.capacity() + reception.headBytes + residentBytes(reception.parser.get().body()) + moreBytes;
+    if (m_share.hold(bytes, std::chrono::steady_clock::now())) {
+        return {};
+    }
+    abandon(RefusalCause::Memory);
+    return make_error_code(asio::error::operation_aborted);
+}
+
+void HttpConnection::watchProgress(const std::shared_ptr<asio::steady_timer> &timer,
+                                   const std::shared_ptr<BodyProgress> &progress)
+{
+    timer->expires_at(progress->nextCheck());
+    timer->async_wait([weak = weak_from_this(), timer, progress](const IoError &error) {
+        const auto self = weak.lock();
+        if (error || !self || !self->m_reception || self->m_abandonedFor) {
+            return;
+        }
+        if (progress->isTooSlow(std::chrono::steady_clock::now())) {
+            self->abandon(RefusalCause::Stalled);
+        } else {
+            self->watchProgress(timer, progress);
+        }
+    });
 }
 
-Awaitable<void> HttpConnection::rejectMalformedRequest(const IoError &error)
+void HttpConnection::abandon(RefusalCause cause)
 {
-    if (!isMalformed(error)) {
+    m_abandonedFor = cause;
+    if (m_reception) {
+        std::string().swap(m_reception->parser.get().body());
+    }
+    dropBuffer();
+    IoError ignored; // the connection may be closed already
+    m_stream.socket().cancel(ignored);
+}
+
+Awaitable<void> HttpConnection::refuse(const IoError &error)
+{
+    m_share.release();
+    dropBuffer();
+    if (!m_abandonedFor && !isMalformed(error)) {
         co_return;
     }
     m_keepAlive = false;
-    const HttpResponse errorResponse
-        = makeResponse(statusFor(error), "the request is not well-formed: " + error.message() + "\n", "text/plain");
-    co_await respond(errorResponse);
+    HttpResponse response;
+    if (m_abandonedFor) {
+        const auto now = std::chrono::steady_clock::now();
+        m_share.budget().recordRefusal(*m_abandonedFor, now);
+        returnFreeMemory(now);
+        response = makeRefusal(*m_abandonedFor);
+    } else {
+        response
+            = makeResponse(statusFor(error), "the request is not well-formed: " + error.message() + "\n", "text/plain");
+    }
+    co_await respond(std::move(response));
+    co_await closeAfterResponse(refusalCloseTimeout);
+}
+
+void HttpConnection::dropBuffer()
+{
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
 }
 
 // The socket becomes readable when the caller closes the connection or sends more data. The handler peeks at the socket
@@ -197,7 +439,7 @@
     m_stream.expires_never();
     m_callerDisconnected = m_callerDisconnected || error;
     if (isUnframed && !error) {
-        co_await closeAfterResponse();
+        co_await closeAfterResponse(closeTimeout);
     }
 }
 
@@ -247,7 +489,7 @@
 {
     m_responseState = ResponseState::Ended;
     if (m_resetsOnClose) {
-        co_await closeAfterResponse();
+        co_await closeAfterResponse(closeTimeout);
         co_return;
     }
     IoError ignored; // the response is complete, and the caller may have closed the connection
@@ -265,13 +507,13 @@
 
 // Closing a socket with unread bytes resets the connection. So the bytes that the caller has sent meanwhile are read
 // until the caller closes the connection too.
-Awaitable<void> HttpConnection::closeAfterResponse()
+Awaitable<void> HttpConnection::closeAfterResponse(std::chrono::milliseconds timeout)
 {
     resetOnClose(false);
     IoError error; // ends the loop; the response has been written
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
-    m_stream.expires_after(closeTimeout);
-    std::array<char, 1024> unread{};
+    m_stream.expires_after(timeout);
+    thread_local std::array<char, bodyReadBytes> unread; // is never read, so all connections of a thread share it
     while (!error) {
         co_await m_stream.async_read_some(asio::buffer(unread), redirectError(error));
     }
@@ -288,13 +530,22 @@
     m_stream.socket().close(ignored);
 }
 
-void HttpConnection::closeIfIdle()
+bool HttpConnection::closeIfIdle()
 {
+    if (!m_idle) {
+        return false;
+    }
     char byte = 0;
     const bool hasArrived = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-    if (m_idle && !hasArrived) {
+    if (!hasArrived) {
         abort();
     }
+    return !hasArrived;
+}
+
+bool HttpConnection::isOpen() const
+{
+    return m_stream.socket().is_open();
 }
 
 bool HttpConnection::hasCallerDisconnected() const
@@ -311,12 +562,15 @@
     }
 }
 
-HttpListener::HttpListener(asio::io_context &context, HttpHandler handler, CallerLimitsProvider limits)
+HttpListener::HttpListener(asio::io_context &context, HttpHandler handler, CallerLimitsProvider limits,
+                           std::shared_ptr<CallerBudget> budget, std::size_t maxConnections)
     : m_context(context)
     , m_acceptor(context)
     , m_handler(std::move(handler))
     , m_limits(std::move(limits))
     , m_keepAliveDisabled(std::make_shared<bool>(false))
+    , m_budget(std::move(budget))
+    , m_maxConnections(maxConnections)
 {
 }
 
@@ -385,10 +639,13 @@
             co_await sleepFor(acceptRetryDelay);
             continue;
         }
-        auto connection = std::make_shared<HttpConnection>(std::move(socket), m_handler, m_limits, m_keepAliveDisabled);
-        std::erase_if(m_connections, [](const std::weak_ptr<HttpConnection> &other) {
-            return other.expired();
-        });
+        if (!makeRoomForConnection()) {
+            m_budget->recordRefusal(RefusalCause::Connections, std::chrono::steady_clock::now());
+            refuseConnection(socket);
+            continue;
+        }
+        auto connection
+            = std::make_shared<HttpConnection>(std::move(socket), m_handler, m_limits, m_keepAliveDisabled, m_budget);
         m_connections.push_back(connection);
         asio::co_spawn(
             m_context,
@@ -399,4 +656,26 @@
     }
 }
 
+// A request that is abandoned still occupies its connection until its refusal is sent, so the maximum is exceeded by a
+// few connections meanwhile.
+bool HttpListener::makeRoomForConnection()
+{
+    std::erase_if(m_connections, [](const std::weak_ptr<HttpConnection> &weak) {
+        const auto connection = weak.lock();
+        return !connection || !connection->isOpen();
+    });
+    if (m_connections.size() < m_maxConnections) {
+        return true;
+    }
+    for (const auto &weak : m_connections) {
+        const auto connection = weak.lock();
+        if (connection && connection->closeIfIdle()) {
+            return true;
+        }
+    }
+    constexpr std::size_t refusedShare = 8; // one in eight connections may be one that is refused
+    return m_connections.size() <= m_maxConnections + m_maxConnections / refusedShare
+        && m_budget->abandonForConnection();
+}
+
 } // namespace zinniadock
--- a/src/connection/readwatch.cpp
+++ b/src/connection/readwatch.cpp
@@ -40,6 +40,19 @@
     }
 }
 
+// The connections are in the order in which their waits began.
+bool ReadWatchdog::closeLongestIdle()
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto &[id, connection] : m_connections) {
+        if (connection.phase != ReadPhase::WithinRequest && !connection.isReceiveShutDown) {
+            shutDownReceive(connection);
+            return true;
+        }
+    }
+    return false;
+}
+
 ReadWatchdog::ScopedWatch::ScopedWatch(ReadWatchdog &watchdog, const Poco::Net::StreamSocket &socket,
                                        std::chrono::milliseconds limit, ReadPhase phase)
     : m_watchdog(watchdog)
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -13,6 +13,7 @@
 #include "forwarding.h"
 #include "zinniadock/process/entry.h"
 #include "zinniadock/process/exitcode.h"
+#include "zinniadock/process/limits/memorychoice.h"
 #include "zinniadock/process/observing/adminserver.h"
 #include "zinniadock/process/observing/log.h"
 #include "zinniadock/process/settings.h"
@@ -36,6 +37,10 @@
 // arenas increase the memory of the process.
 constexpr int maxMallocArenas = 4;
 
+// Allocations of this size are mapped each, so that the memory of a large body is returned to the system when the body
+// is freed. If no threshold is set, it rises with the size of freed allocations.
+constexpr int minMappedBytes = 128 * 1024;
+
 /// Receives SIGTERM and SIGINT synchronously. The constructor blocks them in the calling thread and in every thread
 /// that it starts later, and ignores SIGPIPE.
 class TerminationSignals
@@ -240,6 +245,7 @@
         return ExitCode::Done;
     }
     mallopt(M_ARENA_MAX, maxMallocArenas); // NOLINT(concurrency-mt-unsafe): no other thread has started
+    mallopt(M_MMAP_THRESHOLD, minMappedBytes); // NOLINT(concurrency-mt-unsafe): as above
     if (settings.daemon.interface == "forwarding") {
         static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
         return runForwarding(settings, file);
@@ -250,7 +256,9 @@
         Entry entry(settings);
         return serve(settings, entry, termination, settings.entry.lameDuck, settings.entry.drainTimeout,
                      [&entry](const AdminQuery &) {
-                         return entry.metrics().prometheusText();
+                         std::string text = entry.metrics().prometheusText();
+                         appendBudgetMetrics(entry.callerBudget(), text);
+                         return text;
                      });
     }
     Sidecar sidecar(settings.daemon, settings.sidecar);
--- a/src/process/entry.cpp
+++ b/src/process/entry.cpp
@@ -1,11 +1,13 @@
 #include "zinniadock/process/entry.h"
 
+#include <functional>
 #include <thread>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 
 #include "zinniadock/connection/callerconnection.h"
+#include "zinniadock/process/limits/memorychoice.h"
 #include "zinniadock/process/observing/log.h"
 
 namespace zinniadock
@@ -20,10 +22,34 @@
 constexpr int threadStackBytes = 256 * 1024;
 constexpr std::chrono::milliseconds idlePollInterval{ 20 };
 
+/// Calls a function before each connection is accepted.
+class ConnectionObserver final : public Poco::Net::TCPServerConnectionFilter
+{
+public:
+    explicit ConnectionObserver(std::function<void()> onConnection)
+        : m_onConnection(std::move(onConnection))
+    {
+    }
+
+    bool accept(const Poco::Net::StreamSocket & /*socket*/) override
+    {
+        m_onConnection();
+        return true;
+    }
+
+private:
+    const std::function<void()> m_onConnection;
+};
+
 } // namespace
 
 Entry::Entry(Settings settings)
     : m_settings(std::move(settings))
+    , m_callerBudget(std::make_shared<CallerBudget>(
+          chooseCallerBudget(m_settings),
+          [](RefusalCause cause, std::uint64_t count) {
+              log.warning("refused " + std::to_string(count) + " requests, cause: " + std::string(toString(cause)));
+          }))
     , m_store(m_settings.store.endpoint, m_settings.store.timeout)
     , m_claimStore(m_settings.store.endpoint, m_settings.store.timeout)
     , m_claims(m_claimStore, m_settings.store.prefix, m_settings.store.claimRetention)
@@ -40,7 +66,8 @@
                   .metrics = m_metrics,
                   .timeline = m_timeline,
                   .draining = m_draining,
-                  .stop = m_stop }
+                  .stop = m_stop,
+                  .callerBudget = m_callerBudget }
     , m_follower(
           m_store, m_settings.store.prefix, m_versions, m_timeline,
           [this] {
@@ -69,6 +96,9 @@
         parameters->setMaxQueued(maxQueuedConnections);
         m_server = std::make_unique<Poco::Net::TCPServer>(new CallerConnectionFactory(m_services, m_readWatchdog),
                                                           *m_threadPool, socket, parameters);
+        m_server->setConnectionFilter(new ConnectionObserver([this] {
+            makeRoomForConnection();
+        }));
         m_server->start();
     } catch (const Poco::Exception &) {
         return std::make_error_code(std::errc::address_in_use);
@@ -81,6 +111,15 @@
     return {};
 }
 
+// A connection whose request is complete is never closed.
+void Entry::makeRoomForConnection()
+{
+    const bool isFull = m_server->currentConnections() >= static_cast<int>(m_settings.entry.maxConnections);
+    if (isFull && !m_readWatchdog.closeLongestIdle()) {
+        m_callerBudget->abandonForConnection();
+    }
+}
+
 std::uint16_t Entry::port() const
 {
     return m_server->port();
@@ -143,6 +182,11 @@
     return status;
 }
 
+const CallerBudget &Entry::callerBudget() const
+{
+    return *m_callerBudget;
+}
+
 const EntryMetrics &Entry::metrics() const
 {
     return m_metrics;
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "zinniadock/process/crashes/crashwatch.h"
+#include "zinniadock/process/limits/memorychoice.h"
 #include "zinniadock/process/membership/entryexchange.h"
 #include "zinniadock/process/observing/eventlog.h"
 #include "zinniadock/request/engineprobe.h"
@@ -91,6 +92,7 @@
 std::error_code ForwardingEntry::start()
 {
     const Settings &settings = m_services.settings;
+    const ConnectionLimits connections = chooseConnectionLimits(settings, descriptorLimit());
     std::error_code error;
     m_callerListener = std::make_shared<HttpListener>(
         m_services.context,
@@ -99,7 +101,8 @@
         },
         [services = m_sharedServices] {
             return services->routes ? services->routes->limits : CallerLimits();
-        });
+        },
+        m_services.callerBudget, connections.callers);
     error = m_callerListener->start(settings.entry.listen);
     const auto handler = [this](auto method) {
         return [this, method](std::shared_ptr<HttpConnection> connection, HttpRequest request) {
@@ -107,16 +110,17 @@
         };
     };
     if (!error) {
-        m_readinessListener
-            = startListener(settings.forwarding.ready, handler(&ForwardingEntry::handleReadinessRequest), error);
+        m_readinessListener = startListener(
+            settings.forwarding.ready, handler(&ForwardingEntry::handleReadinessRequest), connections.pages, error);
     }
     if (!error) {
-        m_peerListener = startListener(settings.forwarding.peer, handler(&ForwardingEntry::handlePeerRequest), error);
+        m_peerListener = startListener(settings.forwarding.peer, handler(&ForwardingEntry::handlePeerRequest),
+                                       connections.peers, error);
         m_services.settings.forwarding.peer.port = m_peerListener->port();
     }
     if (!error) {
-        m_metricsListener
-            = startListener(settings.daemon.admin, handler(&ForwardingEntry::handleMetricsRequest), error);
+        m_metricsListener = startListener(settings.daemon.admin, handler(&ForwardingEntry::handleMetricsRequest),
+                                          connections.pages, error);
     }
     if (error) {
         return error;
@@ -142,9 +146,10 @@
 }
 
 std::shared_ptr<HttpListener> ForwardingEntry::startListener(const Endpoint &address, HttpHandler handler,
-                                                             std::error_code &error)
+                                                             std::size_t maxConnections, std::error_code &error)
 {
-    auto listener = std::make_shared<HttpListener>(m_services.context, std::move(handler), internalListenerLimits);
+    auto listener = std::make_shared<HttpListener>(m_services.context, std::move(handler), internalListenerLimits,
+                                                   m_services.callerBudget, maxConnections);
     error = listener->start(address);
     return listener;
 }
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -1,6 +1,7 @@
 #include "zinniadock/process/forwardingentry.h"
 
 #include "zinniadock/process/crashes/crashwatch.h"
+#include "zinniadock/process/limits/memorychoice.h"
 #include "zinniadock/process/membership/entryexchange.h"
 #include "zinniadock/process/observing/eventlog.h"
 
@@ -101,6 +102,7 @@
     appendMetric("zinniadock_servers", m_services.directory.servers().size(), out);
     appendMetric("zinniadock_configuration_version", m_services.routes ? m_services.routes->version : 0, out);
     appendLimitMetrics(m_services.serverLimiter.limits(), std::chrono::steady_clock::now(), out);
+    appendBudgetMetrics(*m_services.callerBudget, out);
     appendMetric("zinniadock_dropped_log_lines_total", droppedLogLines(), out);
     return out;
 }
--- a/src/process/forwardingservices.cpp
+++ b/src/process/forwardingservices.cpp
@@ -1,5 +1,7 @@
 #include "zinniadock/process/forwardingservices.h"
 
+#include "zinniadock/process/limits/memorychoice.h"
+
 namespace zinniadock
 {
 
@@ -18,6 +20,7 @@
 ForwardingServices::ForwardingServices(asio::io_context &ioContext, Settings initialSettings)
     : context(ioContext)
     , settings(std::move(initialSettings))
+    , callerBudget(makeCallerBudget(settings))
     , pool(ioContext)
     , controlPool(ioContext)
     , serverLimiter(
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -32,6 +32,12 @@
                                         "Minimum level of logged messages."),
     fieldRule<&DaemonSection::admin>("admin", true, Range{}, "IP:port",
                                      "Listen address of the admin interface; port 0 selects a free port."),
+    fieldRule<&DaemonSection::memoryMb>("memory_mb", false, Range{ 0, 1048576 }, "MiB from 0 to 1048576",
+                                        "Memory of this instance; 0 if it is not known."),
+    fieldRule<&DaemonSection::maxDescriptors>("max_descriptors", false, Range{ 0, 1048576 },
+                                              "a whole number from 0 to 1048576",
+                                              "Maximum number of open descriptors of this instance, if it is less than "
+                                              "the system states; 0 if it is not known."),
     fieldRule<&DaemonSection::adminKeyDigest>(
         "admin_key_digest", false, Range{ 64, 64 }, "a SHA-256, 64 hexadecimal digits",
         "Digest of the key that the admin interface requires; if not set, no key is required."),
@@ -57,6 +63,10 @@
     fieldRule<&EntrySection::maxConnections>("max_connections", false, Range{ 1, 65536 },
                                              "a whole number from 1 to 65536",
                                              "Maximum number of concurrent connections from callers."),
+    fieldRule<&EntrySection::callerMemoryMb>(
+        "caller_memory_mb", false, Range{ 0, 1048576 }, "MiB from 0 to 1048576",
+        "Maximum memory for requests that callers have sent and that are not yet served; at least 8.04. 0 selects a "
+        "quarter of memory_mb, or 24 if that is not known."),
     fieldRule<&EntrySection::maxBodyBytes>("max_body_bytes", false, Range{ 1024, 4194304 },
                                            "bytes from 1024 to 4194304", "Maximum size of a request body."),
     fieldRule<&EntrySection::readTimeout>("read_timeout_ms", false, milliseconds, "milliseconds from 1 to 604800000",
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "zinniadock/process/limits/memorychoice.h"
 #include "zinniadock/process/moving/runmover.h"
 #include "zinniadock/process/observing/eventlog.h"
 #include "zinniadock/process/observing/metrics.h"
@@ -47,6 +48,7 @@
 EngineSidecar::EngineSidecar(asio::io_context &context, Settings settings)
     : m_settings(std::move(settings))
     , m_context(context)
+    , m_callerBudget(makeCallerBudget(m_settings))
     , m_pool(context)
     , m_reservationPool(context)
     , m_loadChanged(context)
@@ -56,18 +58,19 @@
 
 std::error_code EngineSidecar::start()
 {
+    const ConnectionLimits connections = chooseConnectionLimits(m_settings, descriptorLimit());
     m_listener = std::make_shared<HttpListener>(
         m_context,
         [this](std::shared_ptr<HttpConnection> connection, HttpRequest request) {
             return handleRequest(std::move(connection), std::move(request));
         },
-        internalListenerLimits);
+        internalListenerLimits, m_callerBudget, connections.callers);
     m_metricsListener = std::make_shared<HttpListener>(
         m_context,
         [this](std::shared_ptr<HttpConnection> connection, HttpRequest request) {
             return handleMetricsRequest(std::move(connection), std::move(request));
         },
-        internalListenerLimits);
+        internalListenerLimits, m_callerBudget, connections.pages);
     std::error_code error = m_listener->start(m_settings.sidecar.listen);
     if (!error) {
         error = m_metricsListener->start(m_settings.daemon.admin);
--- a/tests/unit/daemonunderload.cpp
+++ b/tests/unit/daemonunderload.cpp
@@ -164,4 +164,15 @@
     return m_isUsable;
 }
 
+const std::string &UnrulyClient::received()
+{
+    std::array<char, 4096> buffer{};
+    for (bool hasMore = true; hasMore;) {
+        const auto count = ::recv(m_socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        hasMore = count > 0;
+        m_received.append(buffer.data(), hasMore ? static_cast<std::size_t>(count) : 0);
+    }
+    return m_received;
+}
+
 } // namespace zinniadock::test
--- a/tests/unit/daemonunderload.h
+++ b/tests/unit/daemonunderload.h
@@ -54,7 +54,11 @@
     /// sent from then on.
     bool send(const std::string &bytes);
 
+    /// Returns all bytes that have been received so far, without waiting for more.
+    const std::string &received();
+
 private:
+    std::string m_received;
     int m_socket = -1;
     bool m_isUsable = true;
 };
--- a/tests/unit/unit-callermemory.cpp
+++ b/tests/unit/unit-callermemory.cpp
@@ -406,3 +406,81 @@
     }));
     CHECK(daemon.peakMemory() < maxMemory);
 }
+
+// Guards against the refusal of requests that keep to the limits, which callers would not retry.
+TEST_CASE("an entry serves requests that reach the limits on their size")
+{
+    constexpr std::size_t maxBodyBytes = 4 * mebibyte;
+    constexpr std::size_t almostMaxHeaderBytes = 15000;
+    const ForwardingDeployment deployment;
+    REQUIRE(deployment.servesOrdinaryRequest());
+    const auto statusOf = [&deployment](const std::string &request) {
+        return requestRaw(deployment.port(), request).status;
+    };
+    CHECK(
+        statusOf(headOf("/order/1", "Content-Length: " + std::to_string(maxBodyBytes)) + std::string(maxBodyBytes, 'b'))
+        == 200);
+    std::string chunks;
+    for (std::size_t sent = 0; sent < maxBodyBytes; sent += mebibyte) {
+        chunks += chunkOf(mebibyte);
+    }
+    std::string fields;
+    while (fields.size() < almostMaxHeaderBytes) {
+        fields += "X-Field-" + std::to_string(fields.size()) + ": " + std::string(1000, 'f') + "\r\n";
+    }
+    CHECK(statusOf(headOf("/order/2", "Transfer-Encoding: chunked") + chunks + "0\r\n" + fields + "\r\n") == 200);
+    std::string extended;
+    for (int i = 0; i < 100; ++i) {
+        extended += "4;name=" + std::string(100, 'e') + "\r\nbody\r\n";
+    }
+    CHECK(statusOf(headOf("/order/3", "Transfer-Encoding: chunked") + extended + "0\r\n\r\n") == 200);
+    CHECK(statusOf(headOf("/order/4", fields + "Content-Length: 0")) == 200);
+}
+
+TEST_CASE("an entry serves a large body while others that stand still use up its memory")
+{
+    const ForwardingDeployment deployment;
+    REQUIRE(deployment.servesOrdinaryRequest());
+    const Crowd crowd(deployment.port(), { unfinishedBodies("/order/x", bodyBytes) });
+    CHECK(eventually([&deployment] {
+        return requestRaw(deployment.port(),
+                          headOf("/order/1", "Content-Length: " + std::to_string(bodyBytes))
+                              + std::string(bodyBytes, 'b'))
+                   .status
+            == 200;
+    }));
+}
+
+// Guards against a refusal that is lost since its connection is reset, so that the client does not know whether its
+// request has run.
+TEST_CASE("clients can read why an entry refuses their requests")
+{
+    ForwardingDeployment deployment;
+    REQUIRE(deployment.servesOrdinaryRequest());
+    SECTION("if its memory is used up")
+    {
+        std::vector<std::unique_ptr<UnrulyClient>> clients;
+        const ClientKind kind = unfinishedBodies("/order/x", bodyBytes);
+        for (std::size_t i = 0; i < crowdSize / 2; ++i) {
+            clients.push_back(std::make_unique<UnrulyClient>(deployment.port()));
+            clients.back()->send(kind.head + kind.last);
+        }
+        CHECK(eventually([&clients] {
+            return std::any_of(clients.begin(), clients.end(), [](const auto &client) {
+                const std::string &response = client->received();
+                return response.starts_with("HTTP/1.1 503 ") && response.find("Retry-After: ") != std::string::npos;
+            });
+        }));
+    }
+    SECTION("if its trailers are too long")
+    {
+        constexpr std::size_t trailerBytes = 100000;
+        UnrulyClient client(deployment.port());
+        client.send(headOf("/order/x", "Transfer-Encoding: chunked")
+                    + "0\r\nX-Trailer: " + std::string(trailerBytes, 't'));
+        CHECK(eventually([&client] {
+            return client.received().starts_with("HTTP/1.1 431 ");
+        }));
+    }
+    CHECK(deployment.shop.startedRequests().size() == 1);
+}
