--- a/src/process/forwardingservices.cpp
+++ b/src/process/forwardingservices.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "zinniadock/process/limits/memorychoice.h"
+
 namespace zinniadock
 {
 
@@ -27,6 +29,7 @@
 ForwardingServices::ForwardingServices(asio::io_context &ioContext, Settings initialSettings)
     : context(ioContext)
     , settings(std::move(initialSettings))
+    , callerBudget(makeCallerBudget(settings))
     , pool(ioContext)
     , controlPool(ioContext)
     , serverLimiter(
