Bound the threads of the completions interface by the memory of the instance

The test of the completions interface stayed above its bound. The buffer into which the listener discarded bytes was thread-local, so that each of its threads had 16 KiB of resident memory for it. Bytes are now discarded with MSG_TRUNC, bodies are read in pieces of 2 KiB, and the maximum number of connections follows memory_mb as on the forwarding interface, with the memory of a thread for each.

--- a/include/zinniadock/process/entry.h
+++ b/include/zinniadock/process/entry.h
@@ -71,6 +71,7 @@
     Timeline &timeline();
 
 private:
+    int maxConnections() const;
     void makeRoomForConnection();
     void onVersionInstalled();
     void onFollowerIdle();
--- a/src/connection/callerconnection.cpp
+++ b/src/connection/callerconnection.cpp
@@ -264,7 +264,7 @@
     // resident only when bytes are written to them.
     body.reserve(hasLength ? static_cast<std::size_t>(request.getContentLength64()) : limit);
     std::istream &stream = request.stream();
-    std::array<char, 8192> buffer{};
+    std::array<char, 2048> buffer{};
     while (stream.read(buffer.data(), buffer.size()).gcount() > 0) {
         body.append(buffer.data(), static_cast<std::size_t>(stream.gcount()));
         if (body.size() > limit) {
--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -513,9 +513,13 @@
     IoError error; // ends the loop; the response has been written
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
     m_stream.expires_after(timeout);
-    thread_local std::array<char, bodyReadBytes> unread; // is never read, so all connections of a thread share it
+    constexpr std::size_t maxDiscardedBytes = 65536;
+    std::array<char, 512> unread{};
     while (!error) {
         co_await m_stream.async_read_some(asio::buffer(unread), redirectError(error));
+        // with MSG_TRUNC the system drops the bytes without a copy
+        static_cast<void>(
+            ::recv(m_stream.socket().native_handle(), nullptr, maxDiscardedBytes, MSG_TRUNC | MSG_DONTWAIT));
     }
     abort();
 }
--- a/src/process/entry.cpp
+++ b/src/process/entry.cpp
@@ -86,7 +86,7 @@
 
 std::error_code Entry::start()
 {
-    const auto maxThreads = static_cast<int>(m_settings.entry.maxConnections);
+    const int maxThreads = maxConnections();
     try {
         const Poco::Net::SocketAddress address(m_settings.entry.listen.address, m_settings.entry.listen.port);
         const Poco::Net::ServerSocket socket(address, acceptBacklog);
@@ -111,10 +111,15 @@
     return {};
 }
 
+int Entry::maxConnections() const
+{
+    return static_cast<int>(chooseConnectionLimits(m_settings, descriptorLimit()).callers);
+}
+
 // A connection whose request is complete is never closed.
 void Entry::makeRoomForConnection()
 {
-    const bool isFull = m_server->currentConnections() >= static_cast<int>(m_settings.entry.maxConnections);
+    const bool isFull = m_server->currentConnections() >= maxConnections();
     if (isFull && !m_readWatchdog.closeLongestIdle()) {
         m_callerBudget->abandonForConnection();
     }
--- a/src/process/limits/memorychoice.cpp
+++ b/src/process/limits/memorychoice.cpp
@@ -23,9 +23,11 @@
 /// to servers and for files.
 constexpr std::size_t callerDescriptorDivisor = 2;
 constexpr std::size_t peerDescriptorDivisor = 4;
-/// Part of the memory of an instance that connections of callers may take, and the memory of one that is idle.
+/// Part of the memory of an instance that connections of callers may take, and the memory of one that is idle. Each
+/// connection of the interface completions has a thread.
 constexpr double connectionMemoryShare = 0.125;
 constexpr double bytesPerConnection = 8192;
+constexpr double bytesPerConnectionThread = 24576;
 constexpr std::size_t maxPageConnections = 64;
 constexpr std::size_t minConnections = 16;
 
@@ -51,7 +53,9 @@
     const std::size_t descriptors = stated > 0 ? std::min(stated, descriptorLimit) : descriptorLimit;
     std::size_t share = std::max(descriptors / callerDescriptorDivisor, minConnections);
     if (settings.daemon.memoryMb > 0) {
-        const double fitting = settings.daemon.memoryMb * bytesPerMebibyte * connectionMemoryShare / bytesPerConnection;
+        const bool hasThreads = settings.daemon.interface == "completions";
+        const double bytes = hasThreads ? bytesPerConnectionThread : bytesPerConnection;
+        const double fitting = settings.daemon.memoryMb * bytesPerMebibyte * connectionMemoryShare / bytes;
         share = std::min(share, static_cast<std::size_t>(fitting));
     }
     return { .callers = std::min<std::size_t>(settings.entry.maxConnections, share),
--- a/tests/unit/unit-callerbudget.cpp
+++ b/tests/unit/unit-callerbudget.cpp
@@ -169,6 +169,8 @@
     settings.entry.callerMemoryMb = 1;
     const BudgetLimits least = chooseCallerBudget(settings);
     CHECK(least.totalBytes - least.reservedBytes >= 4 * mebibyte);
+    CHECK(chooseConnectionLimits(settings, 4100).callers == 469);
+    settings.daemon.interface = "forwarding";
     CHECK(chooseConnectionLimits(settings, 4100).callers == 1408);
     settings.daemon.memoryMb = 1024;
     CHECK(chooseConnectionLimits(settings, 4100).callers == 2050);
