Ask all other entries in turn while the store does not respond

Cause: an entry without a useful source asked the others in the order of one ranking, and after 2 s began again with the first ones. Those hold a query for up to 0.5 s, so that an entry far down in the ranking was never asked. If only this one reached the store, an evacuation did not reach the others.

Change: an entry keeps a useful source. Otherwise it asks the readers that have not failed, then at random those that it has not asked yet, then the one that failed the longest time ago.

--- a/src/process/store/storeview.cpp
+++ b/src/process/store/storeview.cpp
@@ -457,15 +457,40 @@
     }
 }
 
+// Keeps a source that responds usefully. Otherwise chooses a reader that has not failed, then an entry at random that
+// was not asked yet, and then the one that failed the longest time ago. While the store responds to few entries only,
+// each of them is thus found by all others, and different entries ask different ones at the same time.
 std::optional<std::string> StoreView::chooseSource(std::size_t slot) const
 {
     const auto now = std::chrono::steady_clock::now();
+    const std::string &currentSource = m_currentSources.at(slot);
     const std::string &otherSource = m_currentSources.at(1 - slot);
-    const auto source = std::find_if(m_sourceRanking.begin(), m_sourceRanking.end(), [&](const std::string &peer) {
+    const std::size_t readers = std::min(readerCount(m_members.size()), m_sourceRanking.size());
+    std::vector<std::string> untried;
+    std::optional<std::string> oldest;
+    SteadyTime oldestEnd = now;
+    for (std::size_t rank = 0; rank < m_sourceRanking.size(); ++rank) {
+        const std::string &peer = m_sourceRanking[rank];
         const auto skipped = m_skippedUntil.find(peer);
-        return peer != otherSource && (skipped == m_skippedUntil.end() || skipped->second <= now);
-    });
-    return source == m_sourceRanking.end() ? std::nullopt : std::optional(*source);
+        const bool hasFailed = skipped != m_skippedUntil.end();
+        if (peer == otherSource || (hasFailed && skipped->second > now)) {
+            continue;
+        }
+        if (peer == currentSource || (!hasFailed && rank < readers)) {
+            return peer;
+        }
+        if (!hasFailed) {
+            untried.push_back(peer);
+        } else if (skipped->second <= oldestEnd) {
+            oldestEnd = skipped->second;
+            oldest = peer;
+        }
+    }
+    if (untried.empty()) {
+        return oldest;
+    }
+    const auto count = static_cast<double>(untried.size());
+    return untried[static_cast<std::size_t>(m_services.randomFraction() * count)];
 }
 
 Awaitable<void> StoreView::querySource(std::size_t slot, std::string peer)
@@ -494,7 +519,9 @@
     if (response) {
         applyRelayResponse(*response, askedAt, peer);
     }
-    if (!isUsable) {
+    if (isUsable) {
+        m_skippedUntil.erase(peer);
+    } else {
         const auto skipTime = isStarting() ? startupSourceSkipTime : sourceSkipTime;
         m_skippedUntil[peer] = std::chrono::steady_clock::now() + skipTime;
         logEvent("store", "source skipped",
