--- a/include/zinniadock/process/settings.h
+++ b/include/zinniadock/process/settings.h
@@ -82,7 +82,7 @@
     double capacity = 1; ///< number of processors of this instance; fractions are allowed
     double stopWithinSeconds = 8; ///< time from the request to stop until the platform kills the process
     std::uint32_t gapPlacement = 1; ///< whether the placement considers the speed of engines; 0 or 1
-    std::uint32_t gapMoves = 1; ///< whether streams are moved to engines that keep the bound on gaps; 0 or 1
+    std::uint32_t gapMoves = 0; ///< whether streams are moved to engines that keep the bound on gaps; 0 or 1
 
     std::uint16_t sidecarPort() const
     {
