Keep the errors of an abandoned connection from other requests

shutdownReceive() throws if the caller has reset the connection. The budget calls it on the thread of another connection, whose sound request was then refused with 400. A request could also be abandoned after the check for it and before its service began, so that it ran with a closed receiving side and counted as left by its caller.

The callback ignores the error of the closed socket. The service begins, as far as the budget is concerned, before the check.

--- a/src/connection/callerconnection.cpp
+++ b/src/connection/callerconnection.cpp
@@ -74,7 +74,11 @@
     , m_share(services.callerBudget,
               [this](RefusalCause /*cause*/) {
                   m_isAbandoned = true;
-                  this->socket().shutdownReceive();
+                  try {
+                      this->socket().shutdownReceive();
+                  } catch (const Poco::Exception &) {
+                      return; // the caller has reset the connection; the error must not reach the calling thread
+                  }
               })
     , m_parameters(new Poco::Net::HTTPServerParams)
 {
@@ -125,6 +129,8 @@
             }
             request = std::make_unique<HTTPServerRequestImpl>(response, session, m_parameters.get());
             failure = readRequest(*request, parsed);
+            // After this call the request is not abandoned any more, so the check below is final.
+            m_share.startService();
         } catch (const Poco::Net::NoMessageException &) {
             return false;
         } catch (const Poco::Exception &) {
@@ -165,7 +171,6 @@
                                          [this](bool enabled) {
                                              socket().setLinger(enabled, 0);
                                          } };
-        m_share.startService();
         RequestRunner(m_services, parsed, response, control).run();
     }
     m_share.release();
