Limit the timer of a body to the life of that body

If the timer expires in the step in which its body becomes complete, its handler is queued and can't be cancelled any more. It then found the reception of the next request, restarted itself with the progress of the old body, and abandoned the next request or the idle connection with 408.

The handler holds the progress weakly, which ends with the body.

--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -325,9 +325,12 @@
                                    const std::shared_ptr<BodyProgress> &progress)
 {
     timer->expires_at(progress->nextCheck());
-    timer->async_wait([weak = weak_from_this(), timer, progress](const IoError &error) {
+    // The handler may already be queued when the body is complete and the timer is cancelled. It must not affect the
+    // next request of the connection, so it does not extend the life of the progress, which ends with the body.
+    timer->async_wait([weak = weak_from_this(), timer, body = std::weak_ptr(progress)](const IoError &error) {
         const auto self = weak.lock();
-        if (error || !self || !self->m_reception || self->m_abandonedFor) {
+        const auto progress = body.lock();
+        if (error || !self || !progress || self->m_abandonedFor) {
             return;
         }
         if (progress->isTooSlow(std::chrono::steady_clock::now())) {
