Return the permit of a placement that is not used

A placement at an engine with a limit counts its request before the admission. If the generation was then quarantined, had no retry left, or its engine was unlisted or evacuated meanwhile, the request was not sent and the permit was lost.

The permit is returned unless the request was sent, to the incarnation of the engine that it was counted for.

--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -139,6 +139,9 @@
     void detach();
     void recordRefusal(const std::string &reason);
     void recordSent(const ServerRecord &server, SendReason reason);
+
+    /// Gives back the permit of a placement whose request was not sent.
+    void returnUnusedPermit();
     void logPlacement(const EnginePlacement &chosen, const AdmissionLimits &limits) const;
     void recordEvents();
     void recordFailedContinuation();
@@ -155,7 +158,7 @@
     bool m_hasWaited = false; ///< whether the generation has waited for an engine with free capacity
     std::optional<Quarantine> m_quarantine; ///< why the generation is not sent to an engine
     bool m_isLimited = false; ///< the limits of the engines leave no request for the generation
-    std::string m_permitServer; ///< limited engine for which the request is already counted; empty if there is none
+    std::optional<ServerRecord> m_permitServer; ///< limited engine for which the request is already counted
     std::string m_server; ///< the engine that runs the generation; empty if there is none
     std::uint64_t m_assignment = 0;
     EventSplitter m_splitter;
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -73,11 +73,13 @@
         const bool isRetry = m_context->attempts > 0;
         if (!chosen || checkQuarantine()
             || (isRetry && !m_services.retryWindow(m_context->poolName).takeRetry(m_services.entryCount(), now))) {
+            returnUnusedPermit();
             break;
         }
         wire::ServerFields fields = m_context->serverFields(chosen->server);
         fields.reservation = chosen->reservation;
         segmentEnd = co_await runSegment(fields, StreamAttempt::Placement);
+        returnUnusedPermit();
         if (segmentEnd == SegmentEnd::Refused) {
             m_refusedBy.insert(chosen->server);
         }
--- a/src/request/generationplacement.cpp
+++ b/src/request/generationplacement.cpp
@@ -255,19 +255,26 @@
 {
     const ServerRecord record = m_services.directory.find(server)->record;
     recordSent(record, SendReason::FirstAttempt);
-    m_permitServer = server;
+    m_permitServer = record;
     auto placement = co_await reserveAtSidecar(server, limits);
     if (!placement) {
-        m_permitServer.clear();
-        m_services.serverLimiter.undoSent(record, std::chrono::steady_clock::now());
+        returnUnusedPermit();
     }
     co_return placement;
 }
 
+void GenerationForwarder::returnUnusedPermit()
+{
+    if (m_permitServer) {
+        m_services.serverLimiter.undoSent(*m_permitServer, std::chrono::steady_clock::now());
+        m_permitServer.reset();
+    }
+}
+
 void GenerationForwarder::recordSent(const ServerRecord &server, SendReason reason)
 {
-    if (m_permitServer == server.id) {
-        m_permitServer.clear();
+    if (m_permitServer && m_permitServer->id == server.id) {
+        m_permitServer.reset();
         return;
     }
     const bool isRetry = m_context->attempts > 1 && reason == SendReason::FirstAttempt;
