--- a/include/zinniadock/connection/callerconnection.h
+++ b/include/zinniadock/connection/callerconnection.h
@@ -29,6 +29,7 @@
 
     /// Reads one request and responds to it. Returns whether the connection can be used for another request.
     bool serveOne(Poco::Net::HTTPServerSession &session);
+
     /// Counts the body in the budget. Returns a failure if there is no room for it.
     std::optional<Failure> holdBody(const std::string &body);
 
@@ -46,7 +47,7 @@
     EntryServices &m_services;
     ReadWatchdog &m_watchdog;
     BudgetShare m_share;
-    std::atomic<bool> m_isAbandoned{ false };
+    std::atomic<bool> m_isAbandoned{ false }; ///< the budget had no room for the request; set by any thread
     Poco::Net::HTTPServerParams::Ptr m_parameters;
 };
 
--- a/src/connection/callerconnection.cpp
+++ b/src/connection/callerconnection.cpp
@@ -31,6 +31,8 @@
 
 constexpr std::chrono::milliseconds idleTimeout{ 60000 };
 constexpr std::chrono::milliseconds sendTimeout{ 30000 };
+
+/// Maximum wait for a caller to close a connection after a refusal. The caller may still be sending a large body.
 constexpr std::chrono::milliseconds refusalCloseTimeout{ 2000 };
 
 /// Memory of a connection beyond the body of its request: its thread, buffers of the library, and a small head.
--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -33,7 +33,7 @@
 constexpr std::size_t readBytes = 4096;
 constexpr std::size_t bodyReadBytes = 16384;
 
-/// Time that refused callers are asked to wait before they retry.
+/// Value of Retry-After in refusals.
 constexpr const char *retryAfterSeconds = "1";
 constexpr std::chrono::milliseconds acceptRetryDelay{ 20 };
 constexpr int acceptBacklog = 1024;
@@ -680,8 +680,8 @@
             return true;
         }
     }
-    constexpr std::size_t refusedShare = 8; // one in eight connections may be one that is refused
-    return m_connections.size() <= m_maxConnections + m_maxConnections / refusedShare
+    constexpr std::size_t refusedDivisor = 8; // refused connections may exceed the maximum by an eighth
+    return m_connections.size() <= m_maxConnections + m_maxConnections / refusedDivisor
         && m_budget->abandonForConnection();
 }
 
