--- a/src/connection/callerconnection.cpp
+++ b/src/connection/callerconnection.cpp
@@ -31,6 +31,8 @@
 
 constexpr std::chrono::milliseconds idleTimeout{ 60000 };
 constexpr std::chrono::milliseconds sendTimeout{ 30000 };
+
+/// Maximum wait for a caller to close a connection after a refusal. The caller may still be sending a large body.
 constexpr std::chrono::milliseconds refusalCloseTimeout{ 2000 };
 
 /// Memory of a connection beyond the body of its request: its thread, buffers of the library, and a small head.
@@ -74,7 +76,11 @@
     , m_share(services.callerBudget,
               [this](RefusalCause /*cause*/) {
                   m_isAbandoned = true;
-                  this->socket().shutdownReceive();
+                  try {
+                      this->socket().shutdownReceive();
+                  } catch (const Poco::Exception &) {
+                      return; // the caller has reset the connection; the error must not reach the calling thread
+                  }
               })
     , m_parameters(new Poco::Net::HTTPServerParams)
 {
@@ -125,6 +131,8 @@
             }
             request = std::make_unique<HTTPServerRequestImpl>(response, session, m_parameters.get());
             failure = readRequest(*request, parsed);
+            // After this call the request is not abandoned any more, so the check below is final.
+            m_share.startService();
         } catch (const Poco::Net::NoMessageException &) {
             return false;
         } catch (const Poco::Exception &) {
@@ -165,7 +173,6 @@
                                          [this](bool enabled) {
                                              socket().setLinger(enabled, 0);
                                          } };
-        m_share.startService();
         RequestRunner(m_services, parsed, response, control).run();
     }
     m_share.release();
--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -33,7 +33,7 @@
 constexpr std::size_t readBytes = 4096;
 constexpr std::size_t bodyReadBytes = 16384;
 
-/// Time that refused callers are asked to wait before they retry.
+/// Value of Retry-After in refusals.
 constexpr const char *retryAfterSeconds = "1";
 constexpr std::chrono::milliseconds acceptRetryDelay{ 20 };
 constexpr int acceptBacklog = 1024;
@@ -325,9 +325,12 @@
                                    const std::shared_ptr<BodyProgress> &progress)
 {
     timer->expires_at(progress->nextCheck());
-    timer->async_wait([weak = weak_from_this(), timer, progress](const IoError &error) {
+    // The handler may already be queued when the body is complete and the timer is cancelled. It must not affect the
+    // next request of the connection, so it does not extend the life of the progress, which ends with the body.
+    timer->async_wait([weak = weak_from_this(), timer, body = std::weak_ptr(progress)](const IoError &error) {
         const auto self = weak.lock();
-        if (error || !self || !self->m_reception || self->m_abandonedFor) {
+        const auto progress = body.lock();
+        if (error || !self || !progress || self->m_abandonedFor) {
             return;
         }
         if (progress->isTooSlow(std::chrono::steady_clock::now())) {
@@ -677,8 +680,8 @@
             return true;
         }
     }
-    constexpr std::size_t refusedShare = 8; // one in eight connections may be one that is refused
-    return m_connections.size() <= m_maxConnections + m_maxConnections / refusedShare
+    constexpr std::size_t refusedDivisor = 8; // refused connections may exceed the maximum by an eighth
+    return m_connections.size() <= m_maxConnections + m_maxConnections / refusedDivisor
         && m_budget->abandonForConnection();
 }
 
