Log cold servers and engine speed with current values

Cause: a record that is applied again after its warm-up was logged as cold although the server was not, and the speed of an engine was logged with the running generations of the previous report. Change: addServer logs a server as cold only if the directory counts it as cold; applyLoad logs the speed after it has stored the report.

--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -435,7 +435,7 @@
     const auto now = std::chrono::steady_clock::now();
     const TrackedServer *known = m_services.directory.find(record.id);
     const bool wasCold = known && known->coldLeft(now).count() > 0;
-    const bool changed = m_services.directory.addOrUpdate(record, std::chrono::steady_clock::now());
+    const bool changed = m_services.directory.addOrUpdate(record, now);
     if (changed) {
         logEvent("server", record.isDraining ? "leaves" : "listed",
                  { { "server", record.id },
@@ -444,12 +444,13 @@
                    { "data_centre", record.dataCentre },
                    { "source", "store" } });
     }
-    if (!wasCold && record.warmUpDuration.count() > 0) {
+    const TrackedServer &server = *m_services.directory.find(record.id);
+    if (!wasCold && server.coldLeft(now).count() > 0) {
         logEvent("server", "cold",
                  { { "server", record.id },
                    { "pool", record.pool },
                    { "ms", record.warmUpDuration },
-                   { "per_second", m_services.coldStateOf(*m_services.directory.find(record.id), now).perSecond },
+                   { "per_second", m_services.coldStateOf(server, now).perSecond },
                    { "source", "store" } });
     }
     startLoadFeed(record);
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -206,11 +206,11 @@
     }
     m_admission.update(load, std::chrono::steady_clock::now());
     m_speed.update(load, std::chrono::steady_clock::now());
-    logSpeed();
     const bool startsDraining = load.isDraining && !m_load.isDraining;
     const bool changed = m_reportNumber == 0 || !isSameLoad(load, m_load);
     m_load = std::move(load);
     m_loadReadAt = std::chrono::steady_clock::now();
+    logSpeed();
     if (startsDraining) {
         m_firstDrainingReport = m_reportNumber + 1;
         logEvent("engine", "leaves",
