Split the metrics text and look up assignments without a default iterator

Cause: metricsText had grown with each feature and copied the map of pools, and markStarted compared an iterator that was default-constructed without a server. Change: metrics of queues and cold servers have functions of their own; markStarted returns early. The metrics and their order stay the same.

--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -101,6 +101,35 @@
     appendMetric("zinniadock_gap_moves_total", services.counters.gapMoves, out);
 }
 
+/// Appends the refusals of sidecars and the generations that wait for an engine.
+void appendQueueMetrics(const ForwardingServices &services, std::string &out)
+{
+    for (const auto &[reason, count] : services.refusedAdmissions) {
+        appendMetric("zinniadock_refused_admissions_total{reason=\"" + reason + "\"}", count, out);
+    }
+    for (const auto &[pool, queue] : services.placementQueues) {
+        for (const auto &[priority, count] : queue.waitingByPriority()) {
+            appendMetric("zinniadock_waiting_generations{pool=\"" + pool + "\",priority=\"" + std::to_string(priority)
+                             + "\"}",
+                         count, out);
+        }
+    }
+}
+
+void appendColdMetrics(const ForwardingServices &services, std::string &out)
+{
+    appendMetric("zinniadock_cold_servers", services.directory.coldServers(std::chrono::steady_clock::now()), out);
+    appendMetric("zinniadock_cold_refusals_total", services.counters.coldRefusals, out);
+    if (!services.routes) {
+        return;
+    }
+    for (const auto &[name, pool] : services.routes->pools) {
+        if (pool.coldRate > 0) {
+            out += "zinniadock_cold_limit_per_second{pool=\"" + name + "\"} " + std::to_string(pool.coldRate) + "\n";
+        }
+    }
+}
+
 } // namespace
 
 std::string ForwardingEntry::metricsText() const
@@ -117,16 +146,7 @@
     appendMetric("zinniadock_waited_generations_total", m_services.counters.waitedGenerations, out);
     appendMetric("zinniadock_refused_reservations_total", m_services.counters.refusedReservations, out);
     appendMetric("zinniadock_hopeless_generations_total", m_services.counters.hopelessGenerations, out);
-    for (const auto &[reason, count] : m_services.refusedAdmissions) {
-        appendMetric("zinniadock_refused_admissions_total{reason=\"" + reason + "\"}", count, out);
-    }
-    for (const auto &[pool, queue] : m_services.placementQueues) {
-        for (const auto &[priority, count] : queue.waitingByPriority()) {
-            appendMetric("zinniadock_waiting_generations{pool=\"" + pool + "\",priority=\"" + std::to_string(priority)
-                             + "\"}",
-                         count, out);
-        }
-    }
+    appendQueueMetrics(m_services, out);
     appendMetric("zinniadock_server_crashes_total", m_services.crashWatch->crashes(), out);
     const SuspectTable &suspects = m_services.suspects.table();
     appendMetric("zinniadock_crash_reports", suspects.reportCount(), out);
@@ -136,14 +156,7 @@
     appendMetric("zinniadock_quarantined_requests_total", m_services.counters.quarantinedRequests, out);
     appendMetric("zinniadock_stop_refusals_total", m_services.counters.stopRefusals, out);
     appendMetric("zinniadock_ended_requests_total", m_services.counters.endedRequests, out);
-    appendMetric("zinniadock_cold_servers", m_services.directory.coldServers(std::chrono::steady_clock::now()), out);
-    appendMetric("zinniadock_cold_refusals_total", m_services.counters.coldRefusals, out);
-    const auto pools = m_services.routes ? m_services.routes->pools : std::map<std::string, ServerPool>();
-    for (const auto &[name, pool] : pools) {
-        if (pool.coldRate > 0) {
-            out += "zinniadock_cold_limit_per_second{pool=\"" + name + "\"} " + std::to_string(pool.coldRate) + "\n";
-        }
-    }
+    appendColdMetrics(m_services, out);
     appendMetric("zinniadock_evacuated_data_centres", m_services.evacuations.all().size(), out);
     appendMetric("zinniadock_evacuation_refusals_total", m_services.counters.evacuationRefusals, out);
     appendMetric("zinniadock_server_connects_total",
--- a/src/process/servers/serverdirectory.cpp
+++ b/src/process/servers/serverdirectory.cpp
@@ -205,8 +205,11 @@
 void ServerDirectory::markStarted(const std::string &id, std::uint64_t assignment)
 {
     TrackedServer *server = find(id);
-    const auto found = server ? server->assignments.find(assignment) : std::map<std::uint64_t, Assignment>::iterator();
-    if (server && found != server->assignments.end()) {
+    if (!server) {
+        return;
+    }
+    const auto found = server->assignments.find(assignment);
+    if (found != server->assignments.end()) {
         found->second.hasStarted = true;
     }
 }
