Use usual terms in the decisions on placement and cold servers

Cause: names such as openShare, mostEntries and serviceMemory did not say what they bound, the reading rate of engines was defined three times, and coldStateOf used a default-constructed iterator. Change: rename local names, complete comments, define promptTokensPerMillisecond once in placement.h, and return early in coldStateOf. No behaviour changes.

--- a/include/zinniadock/process/admission/placementqueue.h
+++ b/include/zinniadock/process/admission/placementqueue.h
@@ -71,7 +71,7 @@
     };
 
     /// Memory that an account got recently.
-    struct Service
+    struct ReceivedMemory
     {
         double weight = 1;
         double tokens = 0; ///< at updatedAt
@@ -80,14 +80,14 @@
 
     using AccountKey = std::pair<std::uint32_t, std::string>; ///< priority and account
 
-    static double recentTokens(const Service &service, SteadyTime now);
+    static double recentTokens(const ReceivedMemory &received, SteadyTime now);
     void updateShares(SteadyTime now);
     bool isOverserved(const WaitingGeneration &generation) const;
     bool isBefore(const Entry &left, const Entry &right) const;
     bool isReady(const Entry &entry, SteadyTime now) const;
 
     std::map<Ticket, Entry> m_entries;
-    std::map<AccountKey, Service> m_services;
+    std::map<AccountKey, ReceivedMemory> m_received;
     std::set<AccountKey> m_overservedAccounts; ///< got more than their share recently
     bool m_areSharesOutdated = true;
     SteadyTime m_sharesUpdatedAt;
--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -105,7 +105,7 @@
     ServerLimiter serverLimiter;
     SharedSuspects suspects;
     ColdShare coldShare;
-    std::uint32_t mostEntries = 0; ///< highest number of entries that was known; 0 before the first list
+    std::uint32_t maxKnownEntries = 0; ///< highest number of entries that was known; 0 before the first list
     std::shared_ptr<EntryExchange> entryExchange; ///< null before the entry starts
     std::shared_ptr<CrashWatch> crashWatch; ///< null before the entry starts
     AsyncCondition capacityChanged; ///< notified when a server may have gained free capacity
--- a/include/zinniadock/process/limits/coldshare.h
+++ b/include/zinniadock/process/limits/coldshare.h
@@ -36,7 +36,7 @@
 
 private:
     std::size_t sentSince(const std::string &server, SteadyTime since) const;
-    bool isOpen(const std::string &server, double share, SteadyTime now) const;
+    bool isChosenSecond(const std::string &server, double share, SteadyTime now) const;
 
     std::uint64_t m_seed;
     std::map<std::string, std::deque<SteadyTime>> m_sent; ///< times of the last requests, by server ID
--- a/include/zinniadock/process/placing/placement.h
+++ b/include/zinniadock/process/placing/placement.h
@@ -48,6 +48,9 @@
 /// Returns the prompt tokens that an engine could read in the time until its warm-up ends.
 double warmUpTokens(const TrackedServer &server, SteadyTime now);
 
+/// Prompt tokens that an engine reads in a millisecond while it also produces outputs.
+constexpr double promptTokensPerMillisecond = 7;
+
 /// If a sidecar has sent no load report for this long, it counts as silent.
 constexpr std::chrono::milliseconds maxSidecarSilence{ 1500 };
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -37,8 +37,8 @@
 // arenas increase the memory of the process.
 constexpr int maxMallocArenas = 4;
 
-// Allocations of this size are mapped each, so that the memory of a large body is returned to the system when the body
-// is freed. If no threshold is set, it rises with the size of freed allocations.
+// Each allocation of at least this size gets its own mapping, so that the memory of a large body is returned to the
+// system when the body is freed. If no threshold is set, it rises with the size of freed allocations.
 constexpr int minMappedBytes = 128 * 1024;
 
 /// Receives SIGTERM and SIGINT synchronously. The constructor blocks them in the calling thread and in every thread
--- a/src/process/admission/coldadmission.cpp
+++ b/src/process/admission/coldadmission.cpp
@@ -12,10 +12,10 @@
 /// Lowest limit that is enforced, in requests per second. A lower one would keep an engine from work for minutes.
 constexpr double minPerSecond = 0.05;
 
-/// Admissions that are remembered.
+/// Maximum number of remembered admissions, and of admissions per window.
 constexpr std::size_t maxRemembered = 1000;
 
-/// Longest cold time that is believed.
+/// A longer stated cold time is reduced to this.
 constexpr std::chrono::minutes maxColdTime{ 60 };
 
 SteadyTime endOf(std::chrono::milliseconds left, SteadyTime now)
--- a/src/process/admission/memorypeak.cpp
+++ b/src/process/admission/memorypeak.cpp
@@ -22,10 +22,11 @@
                   double unreadTokens)
 {
     const double ownGrowth = std::min(growthMargin * candidate.growth, candidate.maxGrowth);
-    const double time = growthPerPromptToken * unreadTokens + ownGrowth;
+    // output tokens that each running generation adds until the candidate ends
+    const double addedTokens = growthPerPromptToken * unreadTokens + ownGrowth;
     double tokens = fixedTokens + candidate.held + ownGrowth;
     for (const GenerationMemory &generation : running) {
-        tokens += generation.held + std::min(time, generation.maxGrowth);
+        tokens += generation.held + std::min(addedTokens, generation.maxGrowth);
     }
     return tokens;
 }
--- a/src/process/admission/placementqueue.cpp
+++ b/src/process/admission/placementqueue.cpp
@@ -18,14 +18,14 @@
 /// A try that takes longer than this waits for a sidecar that does not respond, and no longer holds back others.
 constexpr std::chrono::milliseconds maxTryTime{ 100 };
 
-/// Time constant of the decay of what an account got.
-constexpr std::chrono::duration<double> serviceMemory{ 4 };
+/// Time constant of the decay of the memory that an account got.
+constexpr std::chrono::duration<double> receivedDecayTime{ 4 };
 
 /// An account exceeds its share if it got more than its share by this factor. Below, the arrivals of accounts differ by
 /// chance.
 constexpr double shareTolerance = 1.5;
 
-/// An account with less recent memory than this, in tokens, has none.
+/// An account that got less memory than this recently, in tokens, is removed.
 constexpr double minRecentTokens = 1;
 
 /// Maximum age of the shares while no generation is placed.
@@ -33,10 +33,10 @@
 
 } // namespace
 
-// Returns the tokens of an account that still count.
-double PlacementQueue::recentTokens(const Service &service, SteadyTime now)
+// Returns the memory that an account got, decayed to \p now, in tokens.
+double PlacementQueue::recentTokens(const ReceivedMemory &received, SteadyTime now)
 {
-    return service.tokens * std::exp(-((now - service.updatedAt) / serviceMemory));
+    return received.tokens * std::exp(-((now - received.updatedAt) / receivedDecayTime));
 }
 
 PlacementQueue::Ticket PlacementQueue::enter(const WaitingGeneration &generation)
@@ -59,14 +59,14 @@
     }
     m_areSharesOutdated = false;
     m_sharesUpdatedAt = now;
-    std::erase_if(m_services, [now](const auto &entry) {
+    std::erase_if(m_received, [now](const auto &entry) {
         return recentTokens(entry.second, now) < minRecentTokens;
     });
     std::map<AccountKey, double> weights;
     std::map<std::uint32_t, double> totals;
-    for (const auto &[account, service] : m_services) {
-        weights[account] = service.weight;
-        totals[account.first] += recentTokens(service, now);
+    for (const auto &[account, received] : m_received) {
+        weights[account] = received.weight;
+        totals[account.first] += recentTokens(received, now);
     }
     for (const auto &[ticket, entry] : m_entries) {
         weights[{ entry.generation.priority, entry.generation.account }] = entry.generation.weight;
@@ -76,9 +76,9 @@
         weightSums[account.first] += weight;
     }
     m_overservedAccounts.clear();
-    for (const auto &[account, service] : m_services) {
+    for (const auto &[account, received] : m_received) {
         const double fairTokens = totals[account.first] * weights[account] / weightSums[account.first];
-        if (recentTokens(service, now) > shareTolerance * fairTokens) {
+        if (recentTokens(received, now) > shareTolerance * fairTokens) {
             m_overservedAccounts.insert(account);
         }
     }
@@ -138,10 +138,10 @@
 void PlacementQueue::recordPlaced(Ticket ticket, SteadyTime now)
 {
     const WaitingGeneration &generation = m_entries.at(ticket).generation;
-    Service &service = m_services[{ generation.priority, generation.account }];
-    service.tokens = recentTokens(service, now) + generation.neededTokens;
-    service.weight = generation.weight;
-    service.updatedAt = now;
+    ReceivedMemory &received = m_received[{ generation.priority, generation.account }];
+    received.tokens = recentTokens(received, now) + generation.neededTokens;
+    received.weight = generation.weight;
+    received.updatedAt = now;
     m_areSharesOutdated = true;
 }
 
--- a/src/process/admission/promptbudget.cpp
+++ b/src/process/admission/promptbudget.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "zinniadock/process/placing/placement.h"
+
 namespace zinniadock
 {
 
@@ -11,9 +13,6 @@
 
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
-/// Prompt tokens that an engine reads in a millisecond while it also produces outputs.
-constexpr double readTokensPerMillisecond = 7;
-
 /// Share of the time until the first event is due that is planned for reading. The rest covers engines that read more
 /// slowly, and the transmission of request and event.
 constexpr double readTimeShare = 0.75;
@@ -52,7 +51,7 @@
 double tokensUntilDue(const UnplacedPrompt &prompt)
 {
     const Milliseconds left = prompt.targetLatency - prompt.age;
-    return readTimeShare * readTokensPerMillisecond * left.count() - prompt.tokens;
+    return readTimeShare * promptTokensPerMillisecond * left.count() - prompt.tokens;
 }
 
 void PromptBudget::recordArrival(const UnplacedPrompt &prompt, SteadyTime now)
@@ -92,7 +91,7 @@
         > 1;
 }
 
-// A generation without more time than the more urgent ones has nothing to wait for.
+// A generation that has no more time left than the more urgent ones does not yield to them.
 bool PromptBudget::yields(const UnplacedPrompt &prompt, SteadyTime now) const
 {
     const Arrivals *urgent = moreUrgentArrivals(prompt.priority, now);
@@ -124,13 +123,13 @@
 
 std::chrono::milliseconds PromptBudget::maxWait(const UnplacedPrompt &prompt, SteadyTime now) const
 {
-    const std::chrono::milliseconds shortest = share(waitShare, prompt.targetLatency);
+    const std::chrono::milliseconds minWait = share(waitShare, prompt.targetLatency);
     if (!isContested(now)) {
-        return shortest;
+        return minWait;
     }
-    const Milliseconds readTime(prompt.tokens / (readTimeShare * readTokensPerMillisecond));
+    const Milliseconds readTime(prompt.tokens / (readTimeShare * promptTokensPerMillisecond));
     const auto latestStart = std::chrono::duration_cast<std::chrono::milliseconds>(prompt.targetLatency - readTime);
-    return std::clamp(latestStart, shortest, share(contestedWaitShare, prompt.targetLatency));
+    return std::clamp(latestStart, minWait, share(contestedWaitShare, prompt.targetLatency));
 }
 
 } // namespace zinniadock
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -537,7 +537,7 @@
         m_services.crashWatch->maintain();
         m_services.entryExchange->maintain();
         if (m_storeView.hasEntryList()) {
-            m_services.mostEntries = std::max(m_services.mostEntries, m_services.entryCount());
+            m_services.maxKnownEntries = std::max(m_services.maxKnownEntries, m_services.entryCount());
         }
         const auto now = std::chrono::steady_clock::now();
         if (now < nextCleanup) {
--- a/src/process/forwardingservices.cpp
+++ b/src/process/forwardingservices.cpp
@@ -68,7 +68,7 @@
 
 std::uint32_t ForwardingServices::coldDivisor() const
 {
-    return mostEntries == 0 ? std::max(assumedEntries, entryCount()) : std::max(mostEntries, entryCount());
+    return std::max(maxKnownEntries == 0 ? assumedEntries : maxKnownEntries, entryCount());
 }
 
 bool ForwardingServices::maySendCold(const ServerRecord &server, const ServerPool &serverPool, SteadyTime now)
@@ -103,13 +103,14 @@
 
 ColdState ForwardingServices::coldStateOf(const TrackedServer &server, SteadyTime now) const
 {
-    ColdState state;
-    const auto found = routes ? routes->pools.find(server.record.pool) : std::map<std::string, ServerPool>::iterator();
-    if (routes && found != routes->pools.end() && found->second.coldRate > 0) {
-        state
-            = { .perSecond = found->second.coldRate, .left = server.coldLeft(now), .sequence = server.record.sequence };
+    if (!routes) {
+        return {};
     }
-    return state;
+    const auto found = routes->pools.find(server.record.pool);
+    if (found == routes->pools.end() || found->second.coldRate <= 0) {
+        return {};
+    }
+    return { .perSecond = found->second.coldRate, .left = server.coldLeft(now), .sequence = server.record.sequence };
 }
 
 } // namespace zinniadock
--- a/src/process/limits/coldshare.cpp
+++ b/src/process/limits/coldshare.cpp
@@ -16,11 +16,12 @@
 /// send one.
 constexpr std::chrono::seconds window{ 1 };
 
-/// Probability with which such an entry may send, relative to its share. A second that begins anywhere overlaps two of
-/// its decisions, so that the sum over the entries is twice as high if all of them have waiting requests.
-constexpr double openShare = 0.5;
+/// An entry whose share is below one request per second may send in a second with its share times this factor as
+/// probability. Any period of one second overlaps two decisions of each entry, so without the factor the entries could
+/// send twice the limit together.
+constexpr double chosenSecondFactor = 0.5;
 
-/// Requests that are remembered for each server.
+/// Maximum number of remembered requests for each server.
 constexpr std::size_t maxRemembered = 1000;
 
 } // namespace
@@ -34,7 +35,7 @@
 {
     const double share = perSecond / entries;
     const auto allowed = static_cast<std::size_t>(std::clamp(std::floor(share), 1.0, double{ maxRemembered }));
-    return sentSince(server, now - window) < allowed && (share >= 1 || isOpen(server, share, now));
+    return sentSince(server, now - window) < allowed && (share >= 1 || isChosenSecond(server, share, now));
 }
 
 std::size_t ColdShare::sentSince(const std::string &server, SteadyTime since) const
@@ -48,13 +49,13 @@
 }
 
 // The decision is a hash, so that it needs no state and stays the same within its second.
-bool ColdShare::isOpen(const std::string &server, double share, SteadyTime now) const
+bool ColdShare::isChosenSecond(const std::string &server, double share, SteadyTime now) const
 {
     const auto phase = std::chrono::milliseconds(m_seed % 1000);
     const auto second = std::chrono::floor<std::chrono::seconds>(now.time_since_epoch() + phase).count();
     const std::uint64_t hash = stableHash(server + "/" + std::to_string(m_seed) + "/" + std::to_string(second));
     return static_cast<double>(hash)
-        < openShare * share * static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+        < chosenSecondFactor * share * static_cast<double>(std::numeric_limits<std::uint64_t>::max());
 }
 
 void ColdShare::recordSent(const std::string &server, SteadyTime now)
--- a/src/process/limits/memorychoice.cpp
+++ b/src/process/limits/memorychoice.cpp
@@ -23,11 +23,14 @@
 /// to servers and for files.
 constexpr std::size_t callerDescriptorDivisor = 2;
 constexpr std::size_t peerDescriptorDivisor = 4;
-/// Part of the memory of an instance that connections of callers may take, and the memory of one that is idle. Each
-/// connection of the interface completions has a thread.
+
+/// Part of the memory of an instance that the connections of clients may use.
 constexpr double connectionMemoryShare = 0.125;
+
+/// Memory of an idle connection. Each connection of the completions interface has a thread.
 constexpr double bytesPerConnection = 8192;
 constexpr double bytesPerConnectionThread = 24576;
+
 constexpr std::size_t maxPageConnections = 64;
 constexpr std::size_t minConnections = 16;
 
@@ -42,7 +45,7 @@
         limits.totalBytes = static_cast<std::size_t>(stated * bytesPerMebibyte);
     }
     const std::size_t maxBodyBytes = CallerLimits().bodyBytes;
-    // a body of the maximum size is held together with its head and the bytes that are read next
+    // A body of the maximum size is held together with its head and the bytes that are read next.
     limits.totalBytes = std::max(limits.totalBytes, limits.reservedBytes + maxBodyBytes + smallRequestBytes);
     return limits;
 }
@@ -51,14 +54,14 @@
 {
     const std::size_t stated = settings.daemon.maxDescriptors;
     const std::size_t descriptors = stated > 0 ? std::min(stated, descriptorLimit) : descriptorLimit;
-    std::size_t share = std::max(descriptors / callerDescriptorDivisor, minConnections);
+    std::size_t maxCallers = std::max(descriptors / callerDescriptorDivisor, minConnections);
     if (settings.daemon.memoryMb > 0) {
         const bool hasThreads = settings.daemon.interface == "completions";
         const double bytes = hasThreads ? bytesPerConnectionThread : bytesPerConnection;
         const double fitting = settings.daemon.memoryMb * bytesPerMebibyte * connectionMemoryShare / bytes;
-        share = std::min(share, static_cast<std::size_t>(fitting));
+        maxCallers = std::min(maxCallers, static_cast<std::size_t>(fitting));
     }
-    return { .callers = std::min<std::size_t>(settings.entry.maxConnections, share),
+    return { .callers = std::min<std::size_t>(settings.entry.maxConnections, maxCallers),
              .peers = std::max(descriptors / peerDescriptorDivisor, minConnections),
              .pages = maxPageConnections };
 }
--- a/src/process/placing/enginetiers.cpp
+++ b/src/process/placing/enginetiers.cpp
@@ -16,10 +16,7 @@
 
 /// Share of the target latency that the unread prompts of an engine may take before the engine ranks last. The rest is
 /// for the own prompt, for slow periods and for prompts of other entries that no report shows yet.
-constexpr double maxGatheringShare = 0.25;
-
-/// Prompt tokens that an engine reads in a millisecond while it also produces outputs.
-constexpr double promptTokensPerMillisecond = 7;
+constexpr double maxUnreadShare = 0.25;
 
 /// Target latency that is assumed if the route states none.
 constexpr std::chrono::milliseconds defaultTargetLatency{ 1200 };
@@ -31,7 +28,7 @@
 bool hasManyUnreadTokens(const TrackedServer &server, std::chrono::milliseconds targetLatency)
 {
     const auto target = targetLatency.count() > 0 ? targetLatency : defaultTargetLatency;
-    const double limit = maxGatheringShare * promptTokensPerMillisecond * static_cast<double>(target.count());
+    const double limit = maxUnreadShare * promptTokensPerMillisecond * static_cast<double>(target.count());
     return waitingPromptTokens(server) > limit;
 }
 
--- a/src/process/placing/placement.cpp
+++ b/src/process/placing/placement.cpp
@@ -55,9 +55,6 @@
 /// Width of the random part of the comparison of plain services, as a share of their slots.
 constexpr double callRandomSpread = 0.06;
 
-/// Prompt tokens that an engine reads in a millisecond while it also produces outputs.
-constexpr double promptTokensPerMillisecond = 7;
-
 const EngineGeneration *findGeneration(const EngineLoad &load, const std::string &request)
 {
     const auto found = std::find_if(load.generations.begin(), load.generations.end(),
--- a/src/process/placing/streammix.cpp
+++ b/src/process/placing/streammix.cpp
@@ -16,7 +16,7 @@
 constexpr std::chrono::duration<double> decayTime{ 60 };
 
 /// Without a long stream for this time, no engine is reserved for long streams.
-constexpr std::chrono::minutes longStreamMemory{ 2 };
+constexpr std::chrono::minutes longStreamRetention{ 2 };
 
 } // namespace
 
@@ -49,7 +49,7 @@
 
 std::optional<StreamNeed> StreamMix::need(bool isLong, std::chrono::milliseconds targetLatency, SteadyTime now) const
 {
-    if (!m_lastLongAt || now - *m_lastLongAt > longStreamMemory) {
+    if (!m_lastLongAt || now - *m_lastLongAt > longStreamRetention) {
         return std::nullopt;
     }
     const double total = m_longTokens + m_shortTokens;
