--- a/tests/unit/unit-storerestore.cpp
+++ b/tests/unit/unit-storerestore.cpp
@@ -217,6 +217,14 @@
     REQUIRE(eventually([&] {
         return hasVersion(running, 5) && metric(running, "zinniadock_servers") == 2;
     }));
+    // The running entry can tell of the drain only after it has seen it.
+    REQUIRE(eventually([&] {
+        const std::size_t before = deployment.first.startedRequests().size();
+        for (int i = 0; i < 5; ++i) {
+            statusOf(running, "k2");
+        }
+        return deployment.first.startedRequests().size() == before;
+    }));
     deployment.restore(copy);
     const Endpoint peer{ "127.0.0.1", running->peerPort() };
     EntryThread &started = deployment.addEntry({ peer });
