Record the age of each part of the store's view, and where callers leave

Users saw configurations in force too late and requests sent on after their callers had left.

Entries now state the age of each part of their view in relay responses and in zinniadock_store_age_milliseconds, and log the age that a new version replaces. Each request knows its place; a caller that leaves is logged and counted with it (zinniadock_left_callers_total), and a request that is sent although its caller has closed the connection by then (zinniadock_sent_after_close_total). No decision changes.

--- a/include/zinniadock/connection/httplistener.h
+++ b/include/zinniadock/connection/httplistener.h
@@ -75,6 +75,10 @@
     /// has closed only its sending side counts as disconnected.
     bool hasCallerDisconnected() const;
 
+    /// Returns whether the caller has closed the connection, as far as the close has reached this instance. Unlike
+    /// hasCallerDisconnected(), it does not depend on the event loop having noticed the close.
+    bool hasCallerClosed();
+
     /// Sets a handler that runs once if, while the request is handled, the caller closes the connection or a write of
     /// startStream() or writePiece() fails. Runs the handler at once if the caller has already disconnected.
     void setDisconnectHandler(std::function<void()> handler);
--- a/include/zinniadock/process/store/relaymessages.h
+++ b/include/zinniadock/process/store/relaymessages.h
@@ -41,7 +41,13 @@
 struct RelayResponse
 {
     bool readsStore = false; ///< the responding entry currently reads the store itself
-    std::chrono::milliseconds age{ 0 }; ///< time since the store last confirmed its content to the responding entry
+    /// Time since the store last confirmed the server list to the responding entry. Entries of an earlier version state
+    /// and read only this age.
+    std::chrono::milliseconds age{ 0 };
+    /// Time since the store last confirmed each part to the responding entry, directly or through another entry;
+    /// nothing if it has not, or if the responding entry is of an earlier version.
+    PerPart<std::optional<std::chrono::milliseconds>> ages{};
+    std::chrono::milliseconds held{ 0 }; ///< time between the arrival of the query and the response
     std::optional<std::chrono::milliseconds> storeRecoveredAgo; ///< time since the store recovered from an outage
     /// Revision of the store when it recovered; nothing if it is not known yet.
     std::optional<std::int64_t> recoveredRevision;
--- a/include/zinniadock/process/store/storeview.h
+++ b/include/zinniadock/process/store/storeview.h
@@ -16,6 +16,7 @@
 #include "zinniadock/process/store/prefixwatch.h"
 #include "zinniadock/process/store/relaymessages.h"
 #include "zinniadock/process/store/storecontact.h"
+#include "zinniadock/process/store/viewfreshness.h"
 
 namespace zinniadock
 {
@@ -59,6 +60,10 @@
     /// Returns whether the last confirmation by the store is recent enough for this view not to be stale.
     bool isFresh() const;
 
+    /// Returns the time since the store last confirmed a part of this view, directly or through another entry. Returns
+    /// nothing before the first confirmation.
+    std::optional<std::chrono::milliseconds> age(StorePart part) const;
+
     /// Returns whether the list of servers was read, by this entry or through another one.
     bool hasServerList() const;
 
@@ -129,6 +134,7 @@
     std::map<std::string, SteadyTime> m_skippedUntil; ///< peers that are not queried until then
     std::array<std::string, 2> m_currentSources; ///< peers that this entry currently follows; empty for none
     std::optional<SteadyTime> m_relayConfirmedAt; ///< last confirmation by the store that another entry relayed
+    ViewFreshness m_freshness; ///< of each part
     StoreContact m_contact; ///< of this entry's own calls
     std::map<StoreCallEnd, std::uint64_t> m_callEnds;
     std::uint64_t m_outages = 0;
--- a/include/zinniadock/request/forwardscope.h
+++ b/include/zinniadock/request/forwardscope.h
@@ -47,6 +47,9 @@
     /// Returns whether the deadline has not passed, the caller is connected and endEarly() was not called.
     bool isActive() const;
 
+    /// Records that the request is about to be written to a server.
+    void recordSend();
+
     /// Returns the time until the deadline, which is negative after the deadline.
     std::chrono::milliseconds timeLeft() const;
 
@@ -143,8 +146,11 @@
     std::string server; ///< the last server that got the request
     std::uint32_t attempts = 0;
     bool timedOut = false;
+    RequestPlace place = RequestPlace::Received;
 
 private:
+    void handleDisconnect();
+
     const std::shared_ptr<ForwardingServices> m_sharedServices;
     std::shared_ptr<HttpExchange> m_exchange;
     bool m_hasEndedEarly = false;
--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "zinniadock/connection/freememory.h"
+#include "zinniadock/connection/peerstate.h"
 
 namespace zinniadock
 {
@@ -560,6 +561,11 @@
     return m_callerDisconnected;
 }
 
+bool HttpConnection::hasCallerClosed()
+{
+    return m_callerDisconnected || !isOpen() || peerState(m_stream.socket().native_handle()) == PeerState::HasClosed;
+}
+
 void HttpConnection::setDisconnectHandler(std::function<void()> handler)
 {
     m_disconnectHandler = std::move(handler);
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -177,6 +177,7 @@
              { { "version", table.version },
                { "previous", current },
                { "source", source },
+               { "view_age_ms", m_storeView.age(StorePart::Configuration).value_or(std::chrono::milliseconds(-1)) },
                { "routes", table.routes.size() },
                { "keys", table.keys.size() } });
 }
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -116,6 +116,27 @@
     }
 }
 
+/// Appends the time since the store last confirmed each part of the view; a part without a confirmation is left out.
+void appendStoreAges(const StoreView &view, std::string &out)
+{
+    for (const StorePart part : { StorePart::Configuration, StorePart::Servers, StorePart::Entries }) {
+        if (const auto age = view.age(part)) {
+            appendMetric("zinniadock_store_age_milliseconds{part=\"" + std::string(toString(part)) + "\"}",
+                         static_cast<std::uint64_t>(age->count()), out);
+        }
+    }
+}
+
+/// Appends the callers that left before their response was complete, by the place of their request.
+void appendLeftCallers(const ForwardingCounters &counters, std::string &out)
+{
+    for (std::size_t place = 0; place < requestPlaceCount; ++place) {
+        const std::string label(toString(static_cast<RequestPlace>(place)));
+        appendMetric("zinniadock_left_callers_total{place=\"" + label + "\"}", counters.leftCallers.at(place), out);
+    }
+    appendMetric("zinniadock_sent_after_close_total", counters.sentAfterClose, out);
+}
+
 void appendColdMetrics(const ForwardingServices &services, std::string &out)
 {
     appendMetric("zinniadock_cold_servers", services.directory.coldServers(std::chrono::steady_clock::now()), out);
@@ -156,6 +177,7 @@
     appendMetric("zinniadock_quarantined_requests_total", m_services.counters.quarantinedRequests, out);
     appendMetric("zinniadock_stop_refusals_total", m_services.counters.stopRefusals, out);
     appendMetric("zinniadock_ended_requests_total", m_services.counters.endedRequests, out);
+    appendLeftCallers(m_services.counters, out);
     appendColdMetrics(m_services, out);
     appendMetric("zinniadock_evacuated_data_centres", m_services.evacuations.all().size(), out);
     appendMetric("zinniadock_evacuation_refusals_total", m_services.counters.evacuationRefusals, out);
@@ -166,6 +188,7 @@
         appendMetric("zinniadock_store_call_ends_total{end=\"" + std::string(toString(end)) + "\"}", count, out);
     }
     appendMetric("zinniadock_store_outages_total", m_storeView.outages(), out);
+    appendStoreAges(m_storeView, out);
     appendMetric("zinniadock_store_era", m_storeView.storeEra(), out);
     appendMetric("zinniadock_store_fresh", m_storeView.isFresh() ? 1 : 0, out);
     appendMetric("zinniadock_store_reader", m_storeView.isReadingStore() ? 1 : 0, out);
--- a/src/process/store/relaymessages.cpp
+++ b/src/process/store/relaymessages.cpp
@@ -63,6 +63,27 @@
     return std::chrono::milliseconds(document.at(key).get<std::int64_t>());
 }
 
+// Encodes the ages of the parts as an array, with null for an unknown age.
+Json toJson(const PerPart<std::optional<std::chrono::milliseconds>> &ages)
+{
+    Json row = Json::array();
+    for (const auto &age : ages) {
+        row.push_back(age ? Json(age->count()) : Json());
+    }
+    return row;
+}
+
+PerPart<std::optional<std::chrono::milliseconds>> agesFromJson(const Json &row)
+{
+    PerPart<std::optional<std::chrono::milliseconds>> ages;
+    for (std::size_t part = 0; part < storePartCount; ++part) {
+        if (!row.at(part).is_null()) {
+            ages[part] = std::chrono::milliseconds(row.at(part).get<std::int64_t>());
+        }
+    }
+    return ages;
+}
+
 } // namespace
 
 std::string_view toString(StorePart part)
@@ -90,10 +111,9 @@
     for (const StoreChanges &each : response.changes) {
         changes.push_back(toJson(each));
     }
-    Json document{ { "reads", response.readsStore },
-                   { "age_ms", response.age.count() },
-                   { "changes", std::move(changes) },
-                   { "announced", response.announcements } };
+    Json document{ { "reads", response.readsStore },     { "age_ms", response.age.count() },
+                   { "ages_ms", toJson(response.ages) }, { "held_ms", response.held.count() },
+                   { "changes", std::move(changes) },    { "announced", response.announcements } };
     if (response.storeRecoveredAgo) {
         document["returned_ms"] = response.storeRecoveredAgo->count();
     }
@@ -126,6 +146,10 @@
         RelayResponse response;
         response.readsStore = document.at("reads").get<bool>();
         response.age = duration(document, "age_ms");
+        if (document.contains("ages_ms")) {
+            response.ages = agesFromJson(document.at("ages_ms"));
+            response.held = duration(document, "held_ms");
+        }
         if (document.contains("returned_ms")) {
             response.storeRecoveredAgo = duration(document, "returned_ms");
         }
--- a/src/process/store/storeview.cpp
+++ b/src/process/store/storeview.cpp
@@ -66,6 +66,9 @@
 /// Interval at which an entry that has no source, or needs none, checks again for a source.
 constexpr std::chrono::milliseconds idleInterval{ 100 };
 
+/// Age of a part in log lines if it is not known.
+constexpr std::chrono::milliseconds unknownAge{ -1 };
+
 /// Name of the store as the source of a change.
 constexpr const char *storeSource = "store";
 
@@ -120,6 +123,7 @@
     const PrefixWatchCallbacks callbacks{ .onChanges =
                                               [this, part](const StoreChanges &changes) {
                                                   applyChanges(part, changes, storeSource);
+                                                  m_freshness.recordOwn(part, std::chrono::steady_clock::now());
                                               },
                                           .onCallEnded =
                                               [this, part](StoreCallEnd end, bool onNewConnection) {
@@ -384,6 +388,11 @@
     return confirmed && elapsed(*confirmed) < confirmationTimeout();
 }
 
+std::optional<std::chrono::milliseconds> StoreView::age(StorePart part) const
+{
+    return m_freshness.age(part, std::chrono::steady_clock::now());
+}
+
 bool StoreView::hasServerList() const
 {
     return m_mirrors[indexOf(StorePart::Servers)].position().revision > 0;
@@ -527,7 +536,9 @@
         logEvent("store", "source skipped",
                  { { "peer", peer },
                    { "status", result.status },
-                   { "age_ms", response ? response->age : std::chrono::milliseconds(-1) },
+                   { "age_ms", response ? response->age : unknownAge },
+                   { "configuration_age_ms",
+                     response ? response->ages[indexOf(StorePart::Configuration)].value_or(unknownAge) : unknownAge },
                    { "reason",
                      result.error               ? result.error.message()
                          : !response            ? "unreadable"
@@ -558,6 +569,9 @@
     for (std::size_t part = 0; part < storePartCount; ++part) {
         observeEra(response.changes[part].era, peer);
         applyChanges(static_cast<StorePart>(part), response.changes[part], peer);
+        if (response.ages[part]) {
+            m_freshness.recordRelayed(static_cast<StorePart>(part), askedAt + response.held - *response.ages[part]);
+        }
     }
     for (const auto &[id, announcement] : response.announcements) {
         m_callbacks.onAnnouncement(announcement);
@@ -612,7 +626,9 @@
     }
     for (std::size_t part = 0; part < storePartCount; ++part) {
         response.changes[part] = m_mirrors[part].changesAfter(known[part]);
+        response.ages[part] = age(static_cast<StorePart>(part));
     }
+    response.held = elapsed(startedAt);
     response.announcements = m_callbacks.announcements();
     co_await connection->respond(makeResponse(http::status::ok, encode(response), "application/cbor"));
 }
--- a/src/request/callforward.cpp
+++ b/src/request/callforward.cpp
@@ -63,6 +63,7 @@
             break;
         }
         services.serverLimiter.recordDemand(services.directory, m_context->poolName, std::chrono::steady_clock::now());
+        m_context->place = RequestPlace::Limit;
         const bool isLimited = co_await m_context->isBlockedByLimit();
         if (isLimited && m_context->attempts == 0) {
             m_isLimited = true;
@@ -155,7 +156,10 @@
                                       std::chrono::steady_clock::now());
     const auto sentAt = std::chrono::steady_clock::now();
     services.recordColdSent(target.record, m_context->pool, sentAt);
+    m_context->place = RequestPlace::Connection;
+    m_context->recordSend();
     IoError error = co_await exchange->send(request, std::min(connectTimeout, m_context->timeLeft()));
+    m_context->place = RequestPlace::Server;
     if (error) {
         if (exchange->sendState() == SendState::NotSent) {
             services.directory.recordConnectionFailure(target.record.id, std::chrono::steady_clock::now());
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -101,13 +101,31 @@
         }
     });
     connection->setDisconnectHandler([weak] {
-        const auto self = weak.lock();
-        if (self && self->m_exchange) {
-            self->m_exchange->abort();
+        if (const auto self = weak.lock()) {
+            self->handleDisconnect();
         }
     });
 }
 
+void ForwardContext::handleDisconnect()
+{
+    ++services.counters.leftCallers.at(static_cast<std::size_t>(place));
+    logEvent("request", "caller left",
+             { { "id", fields.requestId }, { "place", toString(place) }, { "server", server }, { "ms", age() } });
+    if (m_exchange) {
+        m_exchange->abort();
+    }
+}
+
+void ForwardContext::recordSend()
+{
+    if (connection->hasCallerClosed()) {
+        ++services.counters.sentAfterClose;
+        logEvent("request", "sent after the caller closed",
+                 { { "id", fields.requestId }, { "place", toString(place) }, { "ms", age() } });
+    }
+}
+
 void ForwardContext::finish()
 {
     --services.counters.activeRequests;
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -252,7 +252,10 @@
     m_context->setExchange(exchange);
     const auto sentAt = std::chrono::steady_clock::now();
     wire::ResponseFields responseFields;
+    m_context->place = RequestPlace::Connection;
+    m_context->recordSend();
     IoError error = co_await exchange->send(request, connectTimeout);
+    m_context->place = RequestPlace::Server;
     if (!error) {
         error = co_await readMatchingHead(*exchange, m_context->fields.requestId, responseFields);
     }
@@ -376,6 +379,7 @@
 {
     const ResponseHead head = makeCallerHead(exchange.head());
     bool isFirstEvent = true;
+    m_context->place = RequestPlace::Stream;
     while (!exchange.isComplete()) {
         std::string bytes;
         const IoError error = co_await exchange.readSome(bytes);
--- a/src/request/generationmoves.cpp
+++ b/src/request/generationmoves.cpp
@@ -295,6 +295,7 @@
 // within moveResultTimeout.
 Awaitable<GenerationForwarder::SegmentEnd> GenerationForwarder::continueAfterMove(SegmentEnd segmentEnd)
 {
+    m_context->place = RequestPlace::Move;
     if (m_moveState == MoveState::Requested) {
         co_await m_moveChanged.wait(moveResultTimeout);
     }
--- a/src/request/generationplacement.cpp
+++ b/src/request/generationplacement.cpp
@@ -140,6 +140,7 @@
             m_reason = m_context->evacuationReason();
             break;
         }
+        m_context->place = RequestPlace::Limit;
         m_isLimited = co_await m_context->isBlockedByLimit();
         if (m_isLimited) {
             m_reason = "each engine of pool " + m_context->poolName + " has reached its limit of requests per second";
@@ -151,6 +152,7 @@
         if (server && enginesTried < maxEnginesPerRound) {
             const AdmissionLimits limits = admissionLimits(*server, round, now);
             std::optional<EnginePlacement> reserved;
+            m_context->place = RequestPlace::Reservation;
             if (limits.maxWaitingTokens >= 0) {
                 reserved = co_await reserveEngine(*server, limits);
             }
@@ -194,6 +196,7 @@
         const UnplacedPrompt prompt = unplacedPrompt();
         return m_placementQueue.mayTry(ticket, now) || prompt.age > m_promptBudget.maxWait(prompt, now);
     };
+    m_context->place = RequestPlace::Turn;
     while (m_context->isActive() && !mayTry()) {
         co_await m_services.capacityChanged.wait(turnCheckInterval);
     }
