--- a/tests/standin/platformstandin.cpp
+++ b/tests/standin/platformstandin.cpp
@@ -17,8 +17,15 @@
 
 constexpr int storeThreads = 64;
 constexpr int serverThreads = 64;
+constexpr int doorThreads = 24;
 constexpr int memoryTokens = 100000;
 
+/// Interval at which a call without a response checks whether its client has closed the connection.
+constexpr int pollMicroseconds = 20000;
+
+/// Interval at which a call that runs checks the same.
+constexpr int runCheckMicroseconds = 5000;
+
 /// Run time of a request whose response is lost.
 constexpr std::chrono::milliseconds minRunTime{ 20 };
 
@@ -349,6 +356,70 @@
     return { { "events", events }, { "currentRev", m_content.revision } };
 }
 
+StoreDoor::StoreDoor(PlatformStore &store)
+    : m_store(store)
+    , m_server(0, doorThreads, [this](HTTPServerRequest &request, HTTPServerResponse &response) {
+        handle(request, response);
+    })
+{
+}
+
+StoreDoor::~StoreDoor()
+{
+    m_isStopping = true;
+    m_store.m_changed.notify_all();
+    m_server.stop();
+}
+
+std::uint16_t StoreDoor::port() const
+{
+    return m_server.port();
+}
+
+void StoreDoor::setFault(std::optional<DoorFault> fault)
+{
+    const std::lock_guard lock(m_mutex);
+    m_fault = std::move(fault);
+}
+
+void StoreDoor::setDelay(std::chrono::milliseconds delay)
+{
+    m_delayMs = delay.count();
+}
+
+std::uint64_t StoreDoor::calls() const
+{
+    return m_calls;
+}
+
+void StoreDoor::handle(HTTPServerRequest &request, HTTPServerResponse &response)
+{
+    ++m_calls;
+    std::optional<DoorFault> fault;
+    {
+        const std::lock_guard lock(m_mutex);
+        fault = m_fault;
+    }
+    const std::string prefix = parameter(Poco::URI(request.getURI()), "prefix");
+    if (fault && (fault->prefix.empty() || prefix == fault->prefix)) {
+        if (fault->status == 0) {
+            waitForClose(request);
+        } else {
+            send(response, fault->status, Json::object());
+        }
+        return;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(m_delayMs));
+    m_store.handle(request, response);
+}
+
+void StoreDoor::waitForClose(HTTPServerRequest &request) const
+{
+    auto &socket = dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
+    while (!m_isStopping && !socket.poll(Poco::Timespan(0, pollMicroseconds), Poco::Net::Socket::SELECT_READ)) { }
+    cutConnection(request);
+}
+
 PlatformServer::PlatformServer(std::string id, std::string address, std::uint16_t port)
     : m_id(std::move(id))
     , m_address(std::move(address))
@@ -502,6 +573,29 @@
     }
 }
 
+void PlatformServer::setRunTime(std::chrono::milliseconds duration)
+{
+    m_runMilliseconds = duration.count();
+}
+
+void PlatformServer::setReservationDelay(std::chrono::milliseconds delay)
+{
+    m_reservationMilliseconds = delay.count();
+}
+
+bool PlatformServer::runCall(HTTPServerRequest &request)
+{
+    auto &socket = dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
+    const std::int64_t end = steadyMilliseconds() + m_runMilliseconds;
+    while (!m_isStopping && steadyMilliseconds() < end) {
+        if (socket.poll(Poco::Timespan(0, runCheckMicroseconds), Poco::Net::Socket::SELECT_READ)) {
+            ++m_cancelled;
+            return true;
+        }
+    }
+    return false;
+}
+
 void PlatformServer::setEventInterval(std::chrono::milliseconds interval)
 {
     m_eventMilliseconds = interval.count();
@@ -694,6 +788,7 @@
 
 void PlatformServer::reserve(HTTPServerResponse &response)
 {
+    std::this_thread::sleep_for(std::chrono::milliseconds(m_reservationMilliseconds));
     if (rejectWithRetryAfter(response)) {
         return;
     }
@@ -837,6 +932,10 @@
         cutConnection(request);
         return;
     }
+    if (runCall(request)) {
+        cutConnection(request);
+        return;
+    }
     send(response, behavior == ServerBehavior::InternalError ? 500 : 200,
          { { "server", m_id }, { "body", received.body } });
 }
--- a/tests/standin/platformstandin.h
+++ b/tests/standin/platformstandin.h
@@ -30,6 +30,8 @@
         nlohmann::json event;
     };
 
+    friend class StoreDoor;
+
     /// All that the store holds.
     struct Content
     {
@@ -115,6 +117,47 @@
     LoopbackHttpServer m_server;
 };
 
+/// Calls that arrive at a StoreDoor and are not served.
+struct DoorFault
+{
+    std::string prefix; ///< concerns only reads and watches of this prefix; all calls if empty
+    int status = 0; ///< of the response; 0 for no response until the client closes the connection
+};
+
+/// A further address of a PlatformStore, with faults of its own.
+class StoreDoor
+{
+public:
+    explicit StoreDoor(PlatformStore &store);
+    ~StoreDoor();
+
+    StoreDoor(const StoreDoor &) = delete;
+    StoreDoor &operator=(const StoreDoor &) = delete;
+
+    std::uint16_t port() const;
+
+    /// Sets the fault of the calls that arrive from now on; nothing ends it.
+    void setFault(std::optional<DoorFault> fault);
+
+    /// Sets the time before each response.
+    void setDelay(std::chrono::milliseconds delay);
+
+    /// Returns the number of calls received.
+    std::uint64_t calls() const;
+
+private:
+    void handle(HTTPServerRequest &request, HTTPServerResponse &response);
+    void waitForClose(HTTPServerRequest &request) const;
+
+    PlatformStore &m_store;
+    std::mutex m_mutex;
+    std::optional<DoorFault> m_fault;
+    std::atomic<std::int64_t> m_delayMs{ 0 };
+    std::atomic<std::uint64_t> m_calls{ 0 };
+    std::atomic<bool> m_isStopping{ false };
+    LoopbackHttpServer m_server;
+};
+
 /// How a PlatformServer handles requests.
 enum class ServerBehavior {
     Healthy,
@@ -224,6 +267,12 @@
     /// Returns whether a request has crashed the server.
     bool hasCrashed() const;
 
+    /// Sets the time that a call runs before its response. It ends at once if its client closes the connection.
+    void setRunTime(std::chrono::milliseconds duration);
+
+    /// Sets the time before the response to each reservation.
+    void setReservationDelay(std::chrono::milliseconds delay);
+
     /// Sets the time between two events of a stream.
     void setEventInterval(std::chrono::milliseconds interval);
 
@@ -276,7 +325,7 @@
     /// Returns the number of granted reservations.
     std::uint64_t reservations() const;
 
-    /// Returns the number of streams that ended because their connection was closed.
+    /// Returns the number of streams and calls that ended because their connection was closed.
     std::uint64_t cancelled() const;
 
 private:
@@ -303,6 +352,9 @@
     /// Sends the scripted response. Returns whether there is one.
     bool sendScript(HTTPServerRequest &request);
 
+    /// Runs a call for the time that is set. Returns whether its client has closed the connection.
+    bool runCall(HTTPServerRequest &request);
+
     /// Refuses connections, then waits for stop().
     void crash();
 
@@ -339,6 +391,8 @@
     std::vector<std::chrono::steady_clock::time_point> m_arrivals;
     std::atomic<std::uint64_t> m_retryAfterRefusals{ 0 };
     std::atomic<std::uint64_t> m_endlessBytes{ 0 };
+    std::atomic<std::int64_t> m_runMilliseconds{ 0 };
+    std::atomic<std::int64_t> m_reservationMilliseconds{ 0 };
     std::atomic<std::int64_t> m_eventMilliseconds{ 5 };
     std::atomic<std::int64_t> m_copyMilliseconds{ 0 };
     std::atomic<std::uint64_t> m_copiesInProgress{ 0 };
--- /dev/null
+++ b/tests/unit/unit-configurationbound.cpp
@@ -0,0 +1,301 @@
+// How long a change takes from the acknowledgement of the store to the last entry, whatever fails in between.
+
+#include <memory>
+#include <thread>
+
+#include <catch2/catch.hpp>
+
+#include "fleet.h"
+#include "forwardingfixture.h"
+#include "linkrelay.h"
+#include "zinniadock/process/store/readerchoice.h"
+
+using namespace zinniadock;
+using namespace zinniadock::standin;
+using namespace zinniadock::test;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr const char *configurationPrefix = "op/";
+
+/// Time until all entries have recovered from a fault.
+constexpr milliseconds recoveryTime{ 8000 };
+
+/// Returns the bound of the platform's rules for a fleet of this size.
+milliseconds boundFor(std::size_t entries)
+{
+    return milliseconds(entries > maxSmallFleetSize ? 3000 : 2000);
+}
+
+double metric(RoleThread<ForwardingEntry> &entry, const std::string &name)
+{
+    const std::string page = sendRequest(entry->metricsPort(), { .target = "/metrics", .method = "GET" }).body;
+    const std::size_t at = page.find("\n" + name + " ");
+    return at == std::string::npos ? -1 : std::stod(page.substr(at + name.size() + 2));
+}
+
+/// Entries with an address of the store each, and a plain service. The first entries are the readers.
+class BoundFleet
+{
+public:
+    explicit BoundFleet(std::size_t size)
+        : bound(boundFor(size))
+    {
+        store.put("servers/s1", server.record("shop"));
+        store.put("op/config", configuration(m_version));
+        for (std::size_t i = 0; i < size; ++i) {
+            doors.push_back(std::make_unique<StoreDoor>(store));
+            links.push_back(std::make_unique<LinkRelay>(
+                LinkRelaySettings{ .server = "127.0.0.1:" + std::to_string(doors.back()->port()) }));
+            addEntry(links.back()->port());
+        }
+        REQUIRE(eventually([&] {
+            return isCalm();
+        }));
+    }
+
+    /// Adds an entry that follows the first entries.
+    void addEntry(std::uint16_t storePort)
+    {
+        std::vector<Endpoint> seeds;
+        for (std::size_t i = 0; i < std::min<std::size_t>(entries.size(), 3); ++i) {
+            seeds.push_back({ "127.0.0.1", (*entries[i])->peerPort() });
+        }
+        Settings settings = entrySettings(storePort, 1, seeds);
+        settings.forwarding.configurationWithin = bound;
+        settings.forwarding.drainWithin = bound;
+        settings.forwarding.capacity = entries.size() < readers() ? 0.5 : 0.09;
+        entries.push_back(std::make_unique<RoleThread<ForwardingEntry>>(settings));
+    }
+
+    std::size_t readers() const
+    {
+        return readerCount(std::max<std::size_t>(doors.size(), 1));
+    }
+
+    /// Returns whether only the readers read the store, all entries know each other, and have the last version.
+    bool isCalm()
+    {
+        double reading = 0;
+        for (const auto &entry : entries) {
+            if (metric(*entry, "zinniadock_known_entries") != static_cast<double>(entries.size())
+                || metric(*entry, "zinniadock_configuration_version") != m_version
+                || metric(*entry, "zinniadock_store_fresh") != 1) {
+                return false;
+            }
+            reading += metric(*entry, "zinniadock_store_reader");
+        }
+        return reading == static_cast<double>(readerCount(entries.size()));
+    }
+
+    void waitUntilCalm()
+    {
+        REQUIRE(eventually(
+            [&] {
+                return isCalm();
+            },
+            recoveryTime));
+    }
+
+    /// Sets a fault of the calls of the entries from \p first on, up to \p count of them.
+    void setFault(std::size_t first, std::size_t count, const std::optional<DoorFault> &fault)
+    {
+        for (std::size_t i = first; i < std::min(first + count, doors.size()); ++i) {
+            doors[i]->setFault(fault);
+        }
+    }
+
+    void publish()
+    {
+        store.put("op/config", configuration(++m_version));
+        publishedAt = std::chrono::steady_clock::now();
+    }
+
+    /// Returns whether the last version is in force at the entries from \p first on within the bound.
+    bool isInForceWithinBound(std::size_t first = 0)
+    {
+        const auto left = bound - (std::chrono::steady_clock::now() - publishedAt);
+        return eventually(
+            [&] {
+                return std::all_of(entries.begin() + static_cast<std::ptrdiff_t>(first), entries.end(),
+                                   [&](const auto &entry) {
+                                       return metric(*entry, "zinniadock_configuration_version") == m_version;
+                                   });
+            },
+            std::chrono::duration_cast<milliseconds>(left));
+    }
+
+    int version() const
+    {
+        return m_version;
+    }
+
+    const milliseconds bound;
+    PlatformStore store;
+    PlatformServer server{ "s1" };
+    std::vector<std::unique_ptr<StoreDoor>> doors;
+    std::vector<std::unique_ptr<LinkRelay>> links;
+    std::vector<std::unique_ptr<RoleThread<ForwardingEntry>>> entries;
+    std::chrono::steady_clock::time_point publishedAt;
+
+private:
+    int m_version = 3;
+};
+
+/// Keeps the thread of an entry from running, as a freeze of its process does.
+void freeze(RoleThread<ForwardingEntry> &entry, milliseconds duration)
+{
+    entry.post([duration] {
+        std::this_thread::sleep_for(duration);
+    });
+}
+
+} // namespace
+
+// Guards against a reader whose server list is fresh, and whose old configuration its followers take for fresh too.
+TEST_CASE("a change is in force within its bound if the watch of the configuration alone gets no answer")
+{
+    BoundFleet fleet(GENERATE(std::size_t{ 5 }, std::size_t{ 28 }));
+    CAPTURE(fleet.entries.size());
+    const std::size_t silent = fleet.entries.size() > maxSmallFleetSize ? fleet.readers() : fleet.entries.size() - 1;
+    fleet.setFault(0, silent, DoorFault{ .prefix = configurationPrefix });
+    std::this_thread::sleep_for(fleet.bound);
+    for (int change = 1; change <= 2; ++change) {
+        CAPTURE(change);
+        fleet.publish();
+        CHECK(fleet.isInForceWithinBound());
+    }
+}
+
+// Guards against waits that add up to more than the bound if the store turns entries away or does not answer them.
+TEST_CASE("a change is in force within its bound if the store serves few entries")
+{
+    BoundFleet fleet(GENERATE(std::size_t{ 5 }, std::size_t{ 28 }));
+    const std::size_t size = fleet.entries.size();
+    CAPTURE(size);
+    const std::size_t turnedAway = size > maxSmallFleetSize ? fleet.readers() + (size - fleet.readers()) * 3 / 4 : 4;
+    for (const int status : { 0, 503, 429 }) {
+        CAPTURE(status);
+        fleet.setFault(0, turnedAway, DoorFault{ .prefix = "", .status = status });
+        for (std::size_t i = 0; i < turnedAway; ++i) {
+            status == 0 ? fleet.links[i]->silenceOpenConnections() : fleet.links[i]->cut();
+        }
+        fleet.publish();
+        CHECK(fleet.isInForceWithinBound());
+        fleet.setFault(0, turnedAway, std::nullopt);
+        fleet.waitUntilCalm();
+    }
+}
+
+// Guards against a kept connection that has died, found only after most of the bound, while the store is slow.
+TEST_CASE("a change is in force within its bound if open connections die and the store is slow")
+{
+    BoundFleet fleet(GENERATE(std::size_t{ 1 }, std::size_t{ 5 }, std::size_t{ 28 }));
+    CAPTURE(fleet.entries.size());
+    for (const auto &door : fleet.doors) {
+        door->setDelay(milliseconds(300));
+    }
+    std::this_thread::sleep_for(fleet.bound + fleet.bound);
+    for (const auto &link : fleet.links) {
+        link->silenceOpenConnections();
+    }
+    fleet.publish();
+    CHECK(fleet.isInForceWithinBound());
+}
+
+// Guards against a history that is gone, and watches that are cut, between a change and the entries.
+TEST_CASE("a change is in force within its bound if watches are cut and the history is gone")
+{
+    BoundFleet fleet(GENERATE(std::size_t{ 1 }, std::size_t{ 28 }));
+    CAPTURE(fleet.entries.size());
+    for (const bool isCutBefore : { true, false }) {
+        if (isCutBefore) {
+            for (const auto &link : fleet.links) {
+                link->cut();
+            }
+        }
+        fleet.publish();
+        fleet.store.compact();
+        for (const auto &link : fleet.links) {
+            link->cut();
+        }
+        CHECK(fleet.isInForceWithinBound());
+        fleet.waitUntilCalm();
+    }
+}
+
+// Guards against followers that wait for readers which do not run, and readers that act on what they knew before.
+TEST_CASE("a change is in force within its bound while the readers are frozen")
+{
+    BoundFleet fleet(28);
+    for (std::size_t i = 0; i < fleet.readers(); ++i) {
+        freeze(*fleet.entries[i], fleet.bound + milliseconds(1500));
+    }
+    fleet.publish();
+    CHECK(fleet.isInForceWithinBound(fleet.readers()));
+}
+
+// Guards against requests that an entry handles after a freeze by the configuration from before.
+TEST_CASE("an entry that was frozen handles no request by a configuration that is older than the bound")
+{
+    BoundFleet fleet(GENERATE(std::size_t{ 1 }, std::size_t{ 28 }));
+    CAPTURE(fleet.entries.size());
+    RoleThread<ForwardingEntry> &last = *fleet.entries.back();
+    const int next = fleet.version() + 1;
+    freeze(last, fleet.bound + milliseconds(1000));
+    fleet.store.put("op/config", configuration(next, "k2"));
+    std::this_thread::sleep_for(fleet.bound + milliseconds(500));
+    CHECK(sendRequest(last->port(), { .target = "/order/1", .id = "new key", .key = "k2" }).status == 200);
+    CHECK(sendRequest(last->port(), { .target = "/order/1", .id = "old key", .key = "k1" }).status == 401);
+}
+
+// Guards against an entry that becomes ready with an old configuration of entries which the store does not answer.
+TEST_CASE("an entry that joins becomes ready with the current configuration")
+{
+    BoundFleet fleet(5);
+    fleet.setFault(0, fleet.doors.size(), DoorFault{ .prefix = configurationPrefix });
+    for (const auto &link : fleet.links) {
+        link->silenceOpenConnections();
+    }
+    fleet.publish();
+    std::this_thread::sleep_for(fleet.bound);
+    fleet.addEntry(fleet.store.port());
+    RoleThread<ForwardingEntry> &joined = *fleet.entries.back();
+    REQUIRE(eventually([&] {
+        return isReady(joined);
+    }));
+    CHECK(metric(joined, "zinniadock_configuration_version") == fleet.version());
+}
+
+// Guards against versions in quick succession of which an entry keeps an older one, or goes back to it.
+TEST_CASE("versions in quick succession never go back and end with the last one")
+{
+    BoundFleet fleet(28);
+    std::vector<double> known(fleet.entries.size(), 0);
+    for (int change = 0; change < 20; ++change) {
+        fleet.publish();
+        const std::size_t index = static_cast<std::size_t>(change) % fleet.entries.size();
+        const double version = metric(*fleet.entries[index], "zinniadock_configuration_version");
+        CHECK(version >= known[index]);
+        known[index] = version;
+    }
+    CHECK(fleet.isInForceWithinBound());
+}
+
+// Guards against freshness that is paid for with more calls to the store on a calm day.
+TEST_CASE("calls to the store on a calm day")
+{
+    constexpr std::chrono::seconds observed{ 6 };
+    // Watches of the configuration, the servers and the entries, a second and reader.
+    constexpr double callsPerReader = 1.0 / 1.0 + 1.0 / 1.9 + 1.0 / 9.4;
+    BoundFleet fleet(28);
+    std::this_thread::sleep_for(fleet.bound);
+    const std::uint64_t before = fleet.store.calls();
+    std::this_thread::sleep_for(observed);
+    const auto calls = static_cast<double>(fleet.store.calls() - before);
+    // Each entry renews its registration every 20 s.
+    const double renewals = static_cast<double>(fleet.entries.size()) * observed.count() / 20.0;
+    CHECK(calls <= callsPerReader * static_cast<double>(fleet.readers()) * observed.count() + renewals + 2);
+}
