Judge the freshness of each part of the store's view by itself

Callers saw a request handled by an old configuration although a newer one had been acknowledged longer ago than its bound.

Cause: the age of the server list stood for the age of everything that an entry relays, and an answer to any call ended the outage of all parts. With a watch of the configuration that gets no answer, while that of the servers does, readers counted as fresh, and neither they nor their followers asked anybody else. Beside it the waits of the hops were chosen one by one; their sum came near the bound or above it (a slow store and a dead connection, a stale source that holds a query for 0.5 s, a resumed watch on a dead connection).

Change: ViewFreshness and StoreContact keep each part apart; an entry reads those parts itself that no source relays in time, and states the age of each part to others. Ages add up over entries, so any entry with a current view may help. Readers answer their followers with each new confirmation. A resumed watch uses a new connection.

In unit-storecontact one check stated the fault itself: an answer for the configuration ended the outage of the servers. It now requires the answer for the same part, and a section checks each pair of parts.

--- a/include/zinniadock/process/store/prefixwatch.h
+++ b/include/zinniadock/process/store/prefixwatch.h
@@ -18,7 +18,9 @@
 /// Callbacks of a prefix watch, called on the network thread.
 struct PrefixWatchCallbacks
 {
-    std::function<void(const StoreChanges &)> onChanges; ///< called after each valid response, even without changes
+    /// Called after each valid response, even without changes, with the latest time at which the store had certainly
+    /// no further changes.
+    std::function<void(const StoreChanges &, SteadyTime confirmedAt)> onChanges;
     /// Called after each call, before its response is applied.
     std::function<void(StoreCallEnd end, bool onNewConnection)> onCallEnded;
     std::function<void(wire::StoreEra)> onEra; ///< called with the era of each response that states one
@@ -30,6 +32,8 @@
     /// Delay between a response and the next call. Changes during the delay arrive together in the next response.
     std::chrono::milliseconds callInterval{ 0 };
     std::chrono::milliseconds maxWait{ 3000 }; ///< maximum time that the store waits for a change
+    /// Time within which a change must arrive, also on a connection that has become silent.
+    std::chrono::milliseconds bound{ 4000 };
     /// Maximum delay between calls while the store does not respond, before jitter.
     std::chrono::milliseconds maxBackoff{ 600 };
 };
@@ -53,8 +57,9 @@
     /// may never respond to it.
     void requireEra(wire::StoreEra era);
 
-    /// Returns when the store last responded; nothing before its first response.
-    std::optional<std::chrono::steady_clock::time_point> lastResponseAt() const;
+    /// Ends a waiting call, and makes the next one on a new connection. To be called after a time in which the process
+    /// did not run: the response may be as old as that time, and the connection may be dead.
+    void checkNow();
 
     /// Returns the number of calls made.
     std::uint64_t calls() const;
@@ -70,7 +75,8 @@
 
     Awaitable<void> run();
     Awaitable<CallOutcome> readSnapshot();
-    Awaitable<CallOutcome> waitForChanges(std::chrono::milliseconds maxWait);
+    Awaitable<CallOutcome> waitForChanges(const WatchTiming &timing);
+    void interrupt();
     bool needsSnapshot() const;
     CallOptions optionsOfCall(std::chrono::milliseconds timeout) const;
     std::chrono::milliseconds marginOfCall() const;
@@ -85,13 +91,13 @@
     const StoreMirror &m_mirror;
     const WatchTimingSource m_timing;
     const PrefixWatchCallbacks m_callbacks;
-    std::optional<std::chrono::steady_clock::time_point> m_lastResponseAt;
     const std::shared_ptr<CallInterrupter> m_interrupter = std::make_shared<CallInterrupter>();
     bool m_isHistoryGone = false; ///< the store does not have the changes after the mirror's position
     bool m_isInterrupted = false;
     wire::StoreEra m_era = 0; ///< latest era of the store that is known
     std::uint32_t m_failures = 0; ///< calls that failed since the last valid response
-    bool m_isChecking = false; ///< the last call failed, and the next one shows whether the store serves
+    bool m_isChecking = false; ///< the next call shows on a new connection whether the store serves
+    bool m_isSuspended = false; ///< the watch does not call the store
     std::uint32_t m_watchesWithoutHistory = 0; ///< since the last watch that the store could answer
     std::uint64_t m_calls = 0;
     std::chrono::milliseconds m_responseTime{ 0 }; ///< of the last response, without the time that the store waited
--- a/include/zinniadock/process/store/relaymessages.h
+++ b/include/zinniadock/process/store/relaymessages.h
@@ -22,6 +22,9 @@
 
 constexpr std::size_t storePartCount = 3;
 
+constexpr std::array<StorePart, storePartCount> storeParts{ StorePart::Configuration, StorePart::Servers,
+                                                            StorePart::Entries };
+
 std::string_view toString(StorePart part);
 
 /// One value for each part of the store.
@@ -35,12 +38,13 @@
     bool hasEras = true; ///< false if the querying entry is of an earlier version and states revisions only
     std::chrono::milliseconds minInterval{ 0 }; ///< minimum time between a query and a response with changes
     std::chrono::milliseconds maxWait{ 0 }; ///< maximum time to wait for changes
+    bool isStale = false; ///< the view of the querying entry is stale: a current view responds at once
 };
 
 /// The response to a RelayQuery.
 struct RelayResponse
 {
-    bool readsStore = false; ///< the responding entry currently reads the store itself
+    bool readsStore = false; ///< the responding entry currently reads the server list from the store itself
     /// Time since the store last confirmed the server list to the responding entry. Entries of an earlier version state
     /// and read only this age.
     std::chrono::milliseconds age{ 0 };
--- a/include/zinniadock/process/store/storecontact.h
+++ b/include/zinniadock/process/store/storecontact.h
@@ -23,23 +23,27 @@
 
 std::string_view toString(StoreCallEnd end);
 
-/// Decides from the calls of an entry whether the store is out of service for it. No network, no clock.
+/// Decides from the calls of an entry which parts of the store are out of service for it. No network, no clock.
 ///
 /// A connection that is cut or silent says nothing of the store: a waiting watch may be cut, a response may be lost,
 /// and something between the two ends may have forgotten the connection. Only calls on new connections that fail one
-/// after the other, without an answer to any call in between, show an outage.
+/// after the other, without an answer to a call for the same part in between, show an outage of this part. An answer
+/// for one part says nothing of another.
 class StoreContact
 {
 public:
-    /// Records the end of a call for one part of the store. Returns whether an outage has begun or ended with it.
+    /// Records the end of a call for one part of the store. Returns whether an outage of it has begun or ended.
     bool record(StorePart part, StoreCallEnd end, bool onNewConnection);
 
-    /// Returns whether the store is out of service for this entry.
-    bool isOut() const;
+    /// Returns whether a part of the store is out of service for this entry.
+    bool isOut(StorePart part) const;
+
+    /// Returns whether any part of the store is out of service for this entry.
+    bool isAnyOut() const;
 
 private:
-    PerPart<std::uint32_t> m_failuresOnNewConnections{}; ///< since the last answer to any call
-    bool m_isOut = false;
+    PerPart<std::uint32_t> m_failuresOnNewConnections{}; ///< since the last answer for the part
+    PerPart<bool> m_isOut{};
 };
 
 /// When removed servers are unlisted after an outage of the store. The records of living servers may have expired
@@ -59,7 +63,9 @@
 /// Returns the maximum time that a watch may wait at the store, so that a change reaches the entry within \p bound also
 /// if the watch's connection has become silent.
 /// \param callInterval  pause between two watches
-std::chrono::milliseconds watchWaitFor(std::chrono::milliseconds bound, std::chrono::milliseconds callInterval);
+/// \param slowest  recent response time of the store
+std::chrono::milliseconds watchWaitFor(std::chrono::milliseconds bound, std::chrono::milliseconds callInterval,
+                                       std::chrono::milliseconds slowest = std::chrono::milliseconds(0));
 
 /// Returns how long a response may take beyond the time that a call waits at the store, before the call is given up.
 /// \param slowest  recent response time of the store
--- a/include/zinniadock/process/store/storeview.h
+++ b/include/zinniadock/process/store/storeview.h
@@ -13,6 +13,7 @@
 #include "zinniadock/connection/httplistener.h"
 #include "zinniadock/process/forwardingservices.h"
 #include "zinniadock/process/membership/entryregistration.h"
+#include "zinniadock/process/store/changebudget.h"
 #include "zinniadock/process/store/prefixwatch.h"
 #include "zinniadock/process/store/relaymessages.h"
 #include "zinniadock/process/store/storecontact.h"
@@ -36,8 +37,9 @@
 ///
 /// In a small fleet every entry reads the store. In a larger fleet only a few entries do (readers), which all entries
 /// choose in the same way (see readerchoice.h). Every other entry (follower) follows two readers at a time. A follower
-/// replaces a source that does not respond, is stale or does not read the store by the next one in its order. A
-/// follower without a usable source reads the store itself.
+/// replaces a source that does not respond, or whose view is stale, by the next one in its order, and reads those parts
+/// of the store itself that no source relays in time. A reader whose own view is stale follows others. Times: see
+/// changebudget.h.
 class StoreView
 {
 public:
@@ -53,11 +55,10 @@
     /// Waits for changes as a RelayQuery of another entry specifies, and responds to the query.
     Awaitable<void> handleRelayQuery(std::shared_ptr<HttpConnection> connection, RelayQuery query);
 
-    /// Returns when the store last confirmed the content of this view, directly or through another entry. Returns
-    /// nothing before the first confirmation.
-    std::optional<SteadyTime> confirmedAt() const;
+    /// Returns whether the last confirmation of a part is recent enough for this view of it not to be stale.
+    bool isFresh(StorePart part) const;
 
-    /// Returns whether the last confirmation by the store is recent enough for this view not to be stale.
+    /// Returns whether all parts of this view are fresh.
     bool isFresh() const;
 
     /// Returns the time since the store last confirmed a part of this view, directly or through another entry. Returns
@@ -105,18 +106,22 @@
     void updateMembers();
     Awaitable<void> followSource(std::size_t slot);
     Awaitable<void> querySource(std::size_t slot, std::string peer);
-    void applyRelayResponse(const RelayResponse &response, SteadyTime askedAt, const std::string &peer);
+    void applyRelayResponse(const RelayResponse &response, const std::optional<SteadyTime> &askedAt,
+                            const std::string &peer);
     std::optional<std::string> chooseSource(std::size_t slot) const;
     bool hasChangesAfter(const PerPart<StorePosition> &known) const;
     PerPart<StorePosition> knownPositions(const RelayQuery &query) const;
     bool isBehind(const RelayResponse &response) const;
-    bool isLargeFleet() const;
+    bool completesView(const RelayResponse &response) const;
+    std::chrono::milliseconds queryTimeout(const RelayQuery &query) const;
+    PerPart<std::optional<SteadyTime>> confirmations() const;
+    bool hasNewerConfirmation(const PerPart<std::optional<SteadyTime>> &before) const;
     bool isStarting() const;
-    std::chrono::milliseconds callInterval(StorePart part) const;
-    std::chrono::milliseconds boundOf(StorePart part) const;
-    std::chrono::milliseconds confirmationInterval() const;
-    std::chrono::milliseconds confirmationTimeout() const;
-    std::optional<SteadyTime> ownConfirmedAt() const;
+    bool isReading(StorePart part) const;
+    bool isHealthyReader() const;
+    bool isConfirmedBy(const std::optional<SteadyTime> &confirmedAt, StorePart part) const;
+    ChangeBudget budgetOf(StorePart part) const;
+    void handleConfirmation();
 
     ForwardingServices &m_services;
     const StoreViewCallbacks m_callbacks;
@@ -133,7 +138,8 @@
     SteadyTime m_startedAt;
     std::map<std::string, SteadyTime> m_skippedUntil; ///< peers that are not queried until then
     std::array<std::string, 2> m_currentSources; ///< peers that this entry currently follows; empty for none
-    std::optional<SteadyTime> m_relayConfirmedAt; ///< last confirmation by the store that another entry relayed
+    std::array<std::string, 2> m_usefulSources; ///< the last ones that had a current view; empty for none
+    std::size_t m_staleQueries = 0; ///< queries of other entries since this view became stale
     ViewFreshness m_freshness; ///< of each part
     StoreContact m_contact; ///< of this entry's own calls
     std::map<StoreCallEnd, std::uint64_t> m_callEnds;
--- a/include/zinniadock/process/store/viewfreshness.h
+++ b/include/zinniadock/process/store/viewfreshness.h
@@ -24,6 +24,9 @@
     /// Records that another entry relayed a part that the store confirmed at that time.
     void recordRelayed(StorePart part, Time confirmedAt);
 
+    /// Makes all confirmations older by a time that the steady clock did not count.
+    void addAge(std::chrono::milliseconds uncounted);
+
     /// Returns the last confirmation to this entry itself; nothing if there was none.
     std::optional<Time> ownConfirmedAt(StorePart part) const;
 
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -24,9 +24,6 @@
 
 constexpr std::chrono::milliseconds healthTimeout{ 300 };
 
-/// Announcements of sidecars are accepted if the store has not confirmed the server list for this time.
-constexpr std::chrono::milliseconds storeConfirmationTimeout{ 1600 };
-
 /// After the store went back, a server that was seen gone is listed only if its record is still there after this time.
 /// The record of a server that does not renew it expires before.
 constexpr std::chrono::milliseconds heldBackTime{ 6000 };
@@ -387,13 +384,11 @@
     return isStoreUnconfirmed() && hasPool && !isKnown;
 }
 
-// Returns whether the store has not confirmed the server list for storeConfirmationTimeout. An unreachable store is
-// detected only after the maximum wait of a watch. Announcements are accepted without this detection, since an engine
-// that announces itself would already be in the list if the store responded.
+// Returns whether the store has not confirmed the server list in time. Announcements are accepted before an outage is
+// detected, since an engine that announces itself would already be in the list if the store responded.
 bool ForwardingEntry::isStoreUnconfirmed() const
 {
-    const auto confirmed = m_storeView.confirmedAt();
-    return !confirmed || std::chrono::steady_clock::now() - *confirmed > storeConfirmationTimeout;
+    return !m_storeView.isFresh(StorePart::Servers);
 }
 
 // Reads the server ID from the engine's response to a health check, since the announcement of a sidecar has no ID.
--- a/src/process/store/prefixwatch.cpp
+++ b/src/process/store/prefixwatch.cpp
@@ -20,7 +20,7 @@
 // is short, so that the call soon shows whether the store serves. The first margin allows for a slow store. The later
 // one is short, so that a call without a response does not delay the detection of the store's return.
 constexpr std::chrono::milliseconds firstCheckDelay{ 70 };
-constexpr std::chrono::milliseconds checkWait{ 200 };
+constexpr std::chrono::milliseconds checkWait{ 50 };
 constexpr std::chrono::milliseconds firstCheckMargin{ 1000 };
 constexpr std::chrono::milliseconds laterCheckMargin{ 500 };
 
@@ -30,7 +30,7 @@
 constexpr std::chrono::milliseconds initialBackoff{ 60 };
 
 /// Interval at which a suspended watch checks whether to resume.
-constexpr std::chrono::milliseconds idleCheckInterval{ 150 };
+constexpr std::chrono::milliseconds idleCheckInterval{ 100 };
 
 /// Returns how a call ended.
 /// \param isValid  whether it has a valid response
@@ -87,11 +87,6 @@
     m_stopped = true;
 }
 
-std::optional<std::chrono::steady_clock::time_point> PrefixWatch::lastResponseAt() const
-{
-    return m_lastResponseAt;
-}
-
 std::uint64_t PrefixWatch::calls() const
 {
     return m_calls;
@@ -101,26 +96,41 @@
 {
     m_era = std::max(m_era, era);
     if (m_mirror.position().era < m_era) {
-        m_isInterrupted = true;
-        m_interrupter->interrupt();
+        interrupt();
     }
 }
 
+void PrefixWatch::checkNow()
+{
+    m_isChecking = true;
+    interrupt();
+}
+
+void PrefixWatch::interrupt()
+{
+    m_isInterrupted = true;
+    m_interrupter->interrupt();
+}
+
 Awaitable<void> PrefixWatch::run()
 {
     const auto self = shared_from_this();
     while (!m_stopped) {
         const std::optional<WatchTiming> timing = m_timing();
         if (!timing) {
+            m_isSuspended = true;
             co_await sleepFor(idleCheckInterval);
             continue;
         }
+        // The kept connections may have died while the watch was suspended.
+        m_isChecking = m_isChecking || (m_isSuspended && m_mirror.position().revision > 0);
+        m_isSuspended = false;
         m_isInterrupted = false;
         CallOutcome outcome = CallOutcome::Failed;
         if (needsSnapshot()) {
             outcome = co_await readSnapshot();
         } else {
-            outcome = co_await waitForChanges(timing->maxWait);
+            outcome = co_await waitForChanges(*timing);
         }
         const std::chrono::milliseconds pause = pauseAfter(outcome, *timing);
         if (pause.count() > 0) {
@@ -156,6 +166,7 @@
 Awaitable<PrefixWatch::CallOutcome> PrefixWatch::readSnapshot()
 {
     StoreChanges snapshot{ .isSnapshot = true, .era = 0, .revision = 0, .items = {} };
+    const auto confirmedAt = std::chrono::steady_clock::now();
     bool hasMore = true;
     while (hasMore) {
         const std::string after = snapshot.items.empty() ? "" : snapshot.items.back().key;
@@ -182,14 +193,17 @@
         hasMore = page->hasMore && !page->items.empty();
     }
     m_isHistoryGone = false;
-    m_lastResponseAt = std::chrono::steady_clock::now();
-    m_callbacks.onChanges(snapshot);
+    m_callbacks.onChanges(snapshot, confirmedAt);
     co_return CallOutcome::Applied;
 }
 
-Awaitable<PrefixWatch::CallOutcome> PrefixWatch::waitForChanges(std::chrono::milliseconds maxWait)
+// A response without changes shows that the store had none during its whole wait. Any other response has arrived in
+// this turn of the event loop, since checkNow() ends the calls after a time in which the process did not run.
+Awaitable<PrefixWatch::CallOutcome> PrefixWatch::waitForChanges(const WatchTiming &timing)
 {
     ++m_calls;
+    const std::chrono::milliseconds maxWait
+        = std::min(timing.maxWait, watchWaitFor(timing.bound, timing.callInterval, m_responseTime));
     const std::chrono::milliseconds wait = m_isChecking ? std::min(checkWait, maxWait) : maxWait;
     const StorePosition known = m_mirror.position();
     const HttpRequest request = makeGet(wire::watchTarget(m_prefix, known.revision, wait));
@@ -213,9 +227,11 @@
         co_return CallOutcome::Failed;
     }
     m_watchesWithoutHistory = 0;
-    m_lastResponseAt = std::chrono::steady_clock::now();
+    const auto now = std::chrono::steady_clock::now();
+    const SteadyTime confirmedAt = changes->items.empty() ? std::min(now, startedAt + wait) : now;
     m_callbacks.onChanges(
-        { .isSnapshot = false, .era = era, .revision = changes->revision, .items = std::move(changes->items) });
+        { .isSnapshot = false, .era = era, .revision = changes->revision, .items = std::move(changes->items) },
+        confirmedAt);
     co_return CallOutcome::Applied;
 }
 
--- a/src/process/store/relaymessages.cpp
+++ b/src/process/store/relaymessages.cpp
@@ -102,7 +102,8 @@
     return toCbor({ { "after", revisions },
                     { "eras", eras },
                     { "spacing_ms", query.minInterval.count() },
-                    { "wait_ms", query.maxWait.count() } });
+                    { "wait_ms", query.maxWait.count() },
+                    { "stale", query.isStale } });
 }
 
 std::string encode(const RelayResponse &response)
@@ -136,6 +137,7 @@
         }
         query.minInterval = duration(document, "spacing_ms");
         query.maxWait = duration(document, "wait_ms");
+        query.isStale = document.value("stale", false);
         return query;
     });
 }
@@ -149,6 +151,8 @@
         if (document.contains("ages_ms")) {
             response.ages = agesFromJson(document.at("ages_ms"));
             response.held = duration(document, "held_ms");
+        } else if (response.readsStore) {
+            response.ages[static_cast<std::size_t>(StorePart::Servers)] = response.age;
         }
         if (document.contains("returned_ms")) {
             response.storeRecoveredAgo = duration(document, "returned_ms");
--- a/src/process/store/storecontact.cpp
+++ b/src/process/store/storecontact.cpp
@@ -11,14 +11,14 @@
 /// Consecutive failures on new connections that show an outage. One alone may be a response that was lost.
 constexpr std::uint32_t failuresOfOutage = 2;
 
-constexpr std::chrono::milliseconds minResponseMargin{ 400 };
+constexpr std::chrono::milliseconds minResponseMargin{ 200 };
 constexpr std::chrono::milliseconds maxResponseMargin{ 1500 };
 
 /// Factor on the response time of a slow store.
 constexpr int responseTimeFactor = 2;
 
-/// Time for a new connection and a call on it after a watch was given up.
-constexpr std::chrono::milliseconds recheckTime{ 200 };
+/// Time for a new connection after a watch was given up, beside the response to the call on it.
+constexpr std::chrono::milliseconds reconnectTime{ 200 };
 
 constexpr std::chrono::milliseconds minWatchWait{ 100 };
 
@@ -47,21 +47,27 @@
 // serves nor that it does not.
 bool StoreContact::record(StorePart part, StoreCallEnd end, bool onNewConnection)
 {
-    const bool wasOut = m_isOut;
+    std::uint32_t &failures = m_failuresOnNewConnections[static_cast<std::size_t>(part)];
+    bool &isPartOut = m_isOut[static_cast<std::size_t>(part)];
+    const bool wasOut = isPartOut;
     if (end == StoreCallEnd::Answered) {
-        m_failuresOnNewConnections = {};
-        m_isOut = false;
+        failures = 0;
+        isPartOut = false;
     } else if (end != StoreCallEnd::Throttled && (onNewConnection || end == StoreCallEnd::Rejected)) {
-        std::uint32_t &failures = m_failuresOnNewConnections[static_cast<std::size_t>(part)];
         ++failures;
-        m_isOut = m_isOut || failures >= failuresOfOutage;
+        isPartOut = isPartOut || failures >= failuresOfOutage;
     }
-    return m_isOut != wasOut;
+    return isPartOut != wasOut;
 }
 
-bool StoreContact::isOut() const
+bool StoreContact::isOut(StorePart part) const
 {
-    return m_isOut;
+    return m_isOut[static_cast<std::size_t>(part)];
+}
+
+bool StoreContact::isAnyOut() const
+{
+    return std::find(m_isOut.begin(), m_isOut.end(), true) != m_isOut.end();
 }
 
 std::chrono::steady_clock::time_point RemovalGrace::removalTime(std::int64_t revision,
@@ -70,9 +76,10 @@
     return end && revision <= lastRevision ? std::max(*end, now) : now;
 }
 
-std::chrono::milliseconds watchWaitFor(std::chrono::milliseconds bound, std::chrono::milliseconds callInterval)
+std::chrono::milliseconds watchWaitFor(std::chrono::milliseconds bound, std::chrono::milliseconds callInterval,
+                                       std::chrono::milliseconds slowest)
 {
-    return std::max(bound - minResponseMargin - recheckTime - callInterval, minWatchWait);
+    return std::max(bound - responseMargin(slowest) - reconnectTime - slowest - callInterval, minWatchWait);
 }
 
 std::chrono::milliseconds responseMargin(std::chrono::milliseconds slowest)
--- a/src/process/store/storeview.cpp
+++ b/src/process/store/storeview.cpp
@@ -13,25 +13,6 @@
 namespace
 {
 
-/// Maximum time that the store waits for changes before it responds to the watch of the server list of a reader in a
-/// large fleet. Each response shows its followers that the store still confirms the list.
-constexpr std::chrono::milliseconds readerWatchWait{ 700 };
-
-/// The last confirmation by the store is stale after the longest time between two confirmations plus this time.
-constexpr std::chrono::milliseconds confirmationSlack{ 800 };
-
-/// Pause between two watches of the server list: serverPausePerReader for each reader, since the readers share the
-/// store, and at least minServerPauseInLargeFleet in a large fleet. The pause is at most maxServerPauseShare of
-/// drainWithin, the time after which a draining server must get no more requests. Sidecars report a draining server
-/// sooner.
-constexpr std::chrono::milliseconds serverPausePerReader{ 60 };
-constexpr std::chrono::milliseconds minServerPauseInLargeFleet{ 300 };
-constexpr double maxServerPauseShare = 0.25;
-
-/// Pause between two watches of the entry registrations. When a fleet starts, its entries register at the same time,
-/// and one response carries several registrations.
-constexpr std::chrono::milliseconds entriesPause{ 1000 };
-
 /// Maximum backoff while the store does not respond: backoffPerEntry for each known entry, but at least
 /// minBackoffLimit.
 constexpr std::chrono::milliseconds backoffPerEntry{ 20 };
@@ -42,10 +23,20 @@
 constexpr std::chrono::milliseconds recoveryGracePeriod{ 2300 };
 
 /// A source responds within maxRelayWait. It is skipped for sourceSkipTime if it has not responded after the additional
-/// relayTimeoutSlack, if its data is stale, or if it does not read the store.
-constexpr std::chrono::milliseconds maxRelayWait{ 500 };
+/// relayTimeoutSlack, and for staleSourceSkipTime if its view is stale as well.
+constexpr std::chrono::milliseconds maxRelayWait{ 700 };
 constexpr std::chrono::milliseconds relayTimeoutSlack{ 400 };
 constexpr std::chrono::milliseconds sourceSkipTime{ 2000 };
+constexpr std::chrono::milliseconds staleSourceSkipTime{ 300 };
+
+/// An entry with a stale view waits only this long for a source that is stale as well, for its first queries. Later
+/// ones wait for maxRelayWait, and their sources are skipped for sourceSkipTime, since the store is away for all.
+constexpr std::chrono::milliseconds searchWait{ 100 };
+constexpr std::size_t maxFastQueries = 40;
+
+/// Minimum timeout of a query whose sender's view becomes stale before, and of a query that repeats one on a new
+/// connection.
+constexpr std::chrono::milliseconds minQueryTimeout{ 250 };
 
 /// A starting entry that is not a seed queries the seeds for this time before it reads the store itself, since a whole
 /// fleet may start at the same time. During this time, a seed that is not usable yet is skipped for only
@@ -121,9 +112,10 @@
 void StoreView::watch(StorePart part, const std::string &prefix)
 {
     const PrefixWatchCallbacks callbacks{ .onChanges =
-                                              [this, part](const StoreChanges &changes) {
+                                              [this, part](const StoreChanges &changes, SteadyTime confirmedAt) {
                                                   applyChanges(part, changes, storeSource);
-                                                  m_freshness.recordOwn(part, std::chrono::steady_clock::now());
+                                                  m_freshness.recordOwn(part, confirmedAt);
+                                                  handleConfirmation();
                                               },
                                           .onCallEnded =
                                               [this, part](StoreCallEnd end, bool onNewConnection) {
@@ -143,41 +135,21 @@
 
 std::optional<WatchTiming> StoreView::watchTiming(StorePart part) const
 {
-    if (!isReadingStore()) {
+    if (!isReading(part)) {
         return std::nullopt;
     }
+    const ChangeBudget budget = budgetOf(part);
     WatchTiming timing;
-    const std::size_t entries = m_members.size();
-    timing.maxBackoff = std::max(minBackoffLimit, backoffPerEntry * static_cast<int>(entries));
-    timing.callInterval = callInterval(part);
-    timing.maxWait = part == StorePart::Servers ? confirmationInterval() - timing.callInterval
-                                                : watchWaitFor(boundOf(part), timing.callInterval);
+    timing.maxBackoff = std::max(minBackoffLimit, backoffPerEntry * static_cast<int>(m_members.size()));
+    timing.callInterval = budget.pause;
+    timing.maxWait = budget.wait;
+    timing.bound = budget.bound;
     return timing;
 }
 
-std::chrono::milliseconds StoreView::callInterval(StorePart part) const
-{
-    if (part == StorePart::Configuration) {
-        return std::chrono::milliseconds(0);
-    }
-    if (part == StorePart::Entries) {
-        return entriesPause;
-    }
-    const auto maxPause = std::chrono::duration_cast<std::chrono::milliseconds>(
-        maxServerPauseShare * m_services.settings.forwarding.drainWithin);
-    const auto shared = serverPausePerReader * static_cast<int>(readerCount(m_members.size()));
-    return std::min(isLargeFleet() ? std::max(shared, minServerPauseInLargeFleet) : shared, maxPause);
-}
-
-// Returns the time within which a change of a part must reach this entry. Registrations of entries decide how the retry
-// budget is shared, so they must be known within its window. Evacuations are in the same part as the configuration.
-// Half of their time is left for requests that are underway and for entries that follow this one.
-std::chrono::milliseconds StoreView::boundOf(StorePart part) const
+ChangeBudget StoreView::budgetOf(StorePart part) const
 {
-    const ForwardingSection &settings = m_services.settings.forwarding;
-    return part == StorePart::Configuration ? std::min(settings.configurationWithin, settings.evacuationWithin / 2)
-        : part == StorePart::Servers        ? settings.drainWithin
-                                            : settings.retryWindow();
+    return changeBudget(part, m_services.settings.forwarding, m_members.size());
 }
 
 void StoreView::applyChanges(StorePart part, const StoreChanges &changes, const std::string &source)
@@ -316,17 +288,17 @@
 void StoreView::recordCall(StorePart part, StoreCallEnd end, bool onNewConnection)
 {
     ++m_callEnds[end];
+    const bool wasAnyOut = m_contact.isAnyOut();
     const bool hasChanged = m_contact.record(part, end, onNewConnection);
     if (!hasChanged) {
         return;
     }
-    logEvent("store", m_contact.isOut() ? "lost" : "regained",
+    logEvent("store", m_contact.isOut(part) ? "lost" : "regained",
              { { "watch", toString(part) },
                { "revision", m_mirrors[indexOf(StorePart::Servers)].position().revision },
                { "end", toString(end) } });
-    if (m_contact.isOut()) {
-        ++m_outages;
-    } else {
+    m_outages += m_contact.isAnyOut() && !wasAnyOut ? 1 : 0;
+    if (part == StorePart::Servers && !m_contact.isOut(part)) {
         beginRecovery(std::chrono::steady_clock::now(), std::nullopt);
     }
 }
@@ -350,42 +322,23 @@
     return grace;
 }
 
-bool StoreView::isLargeFleet() const
+bool StoreView::isFresh(StorePart part) const
 {
-    return m_members.size() > maxSmallFleetSize;
+    const auto known = age(part);
+    return known && *known < budgetOf(part).staleAfter();
 }
 
-// Returns the longest time between two confirmations of the server list by a store that serves: the pause and the wait
-// of its watch.
-std::chrono::milliseconds StoreView::confirmationInterval() const
-{
-    const std::chrono::milliseconds pause = callInterval(StorePart::Servers);
-    const std::chrono::milliseconds wait = watchWaitFor(boundOf(StorePart::Servers), pause);
-    return pause + (isLargeFleet() ? std::min(wait, readerWatchWait) : wait);
-}
-
-std::chrono::milliseconds StoreView::confirmationTimeout() const
-{
-    return confirmationInterval() + confirmationSlack;
-}
-
-// Returns the time of the last response to the watch of the server list. The list changes often, so the calls of this
-// watch are the first to show whether the store is reachable.
-std::optional<SteadyTime> StoreView::ownConfirmedAt() const
-{
-    return m_watches[indexOf(StorePart::Servers)]->lastResponseAt();
-}
-
-std::optional<SteadyTime> StoreView::confirmedAt() const
+bool StoreView::isFresh() const
 {
-    const auto own = ownConfirmedAt();
-    return own && m_relayConfirmedAt ? std::max(own, m_relayConfirmedAt) : own ? own : m_relayConfirmedAt;
+    return std::all_of(storeParts.begin(), storeParts.end(), [this](StorePart part) {
+        return isFresh(part);
+    });
 }
 
-bool StoreView::isFresh() const
+// Returns whether the store has recently confirmed a part to this entry itself, or to another one that relays it.
+bool StoreView::isConfirmedBy(const std::optional<SteadyTime> &confirmedAt, StorePart part) const
 {
-    const auto confirmed = confirmedAt();
-    return confirmed && elapsed(*confirmed) < confirmationTimeout();
+    return confirmedAt && elapsed(*confirmedAt) < budgetOf(part).staleAfter();
 }
 
 std::optional<std::chrono::milliseconds> StoreView::age(StorePart part) const
@@ -408,55 +361,43 @@
     return m_mirrors[indexOf(StorePart::Entries)].position().revision > 0;
 }
 
-bool StoreView::isStarting() const
-{
-    return !m_relayConfirmedAt && !m_isSeed && elapsed(m_startedAt) < startupTime;
-}
-
-bool StoreView::isReadingStore() const
-{
-    if (isStarting()) {
-        return false;
-    }
-    const bool isFollowing = m_relayConfirmedAt && elapsed(*m_relayConfirmedAt) < confirmationTimeout();
-    return m_isReader || !isFollowing;
-}
-
-wire::StoreEra StoreView::storeEra() const
+// The watches of the parts must not depend on each other: a source may relay one part and have an old copy of another.
+bool StoreView::isReading(StorePart part) const
 {
-    return m_era;
+    return !isStarting() && (m_isReader || !isConfirmedBy(m_freshness.relayedConfirmedAt(part), part));
 }
 
-const StoreMirror &StoreView::mirror(StorePart part) const
+bool StoreView::isStarting() const
 {
-    return m_mirrors[indexOf(part)];
+    return !m_freshness.relayedConfirmedAt(StorePart::Servers) && !m_isSeed && elapsed(m_startedAt) < startupTime;
 }
 
-std::uint64_t StoreView::storeCalls() const
+bool StoreView::isReadingStore() const
 {
-    std::uint64_t calls = 0;
-    for (const auto &watch : m_watches) {
-        calls += watch->calls();
-    }
-    return calls;
+    return std::any_of(storeParts.begin(), storeParts.end(), [this](StorePart part) {
+        return isReading(part);
+    });
 }
 
-const std::map<StoreCallEnd, std::uint64_t> &StoreView::callEnds() const
+// Returns whether this entry reads all parts of the store, and the store confirms all of them.
+bool StoreView::isHealthyReader() const
 {
-    return m_callEnds;
+    return m_isReader && std::all_of(storeParts.begin(), storeParts.end(), [this](StorePart part) {
+               return !m_contact.isOut(part) && isConfirmedBy(m_freshness.ownConfirmedAt(part), part);
+           });
 }
 
-std::uint64_t StoreView::outages() const
+// Wakes the queries of other entries, which tell them that the store has confirmed the view.
+void StoreView::handleConfirmation()
 {
-    return m_outages;
+    m_staleQueries = isFresh() ? 0 : m_staleQueries;
+    m_changed.notify();
 }
 
 Awaitable<void> StoreView::followSource(std::size_t slot)
 {
     while (!m_stopped) {
-        const auto own = ownConfirmedAt();
-        const bool isHealthyReader = m_isReader && !m_contact.isOut() && own && elapsed(*own) < confirmationTimeout();
-        const std::optional<std::string> peer = isHealthyReader ? std::nullopt : chooseSource(slot);
+        const std::optional<std::string> peer = isHealthyReader() ? std::nullopt : chooseSource(slot);
         m_currentSources.at(slot) = peer.value_or("");
         if (!peer) {
             co_await sleepFor(idleInterval);
@@ -466,9 +407,10 @@
     }
 }
 
-// Keeps a source that responds usefully. Otherwise chooses a reader that has not failed, then an entry at random that
-// was not asked yet, and then the one that failed the longest time ago. While the store responds to few entries only,
-// each of them is thus found by all others, and different entries ask different ones at the same time.
+// Prefers a reader, if it has not failed or if the view is fresh enough to try it again, and then keeps a source that
+// responds usefully. Otherwise chooses an entry at random that was not asked yet, and then the one that failed the
+// longest time ago. While the store responds to few entries only, each of them is thus found by all others, and
+// different entries ask different ones at the same time.
 std::optional<std::string> StoreView::chooseSource(std::size_t slot) const
 {
     const auto now = std::chrono::steady_clock::now();
@@ -485,7 +427,8 @@
         if (peer == otherSource || (hasFailed && skipped->second > now)) {
             continue;
         }
-        if (peer == currentSource || (!hasFailed && rank < readers)) {
+        const bool isAvailableReader = rank < readers && (!hasFailed || m_staleQueries == 0);
+        if (isAvailableReader || peer == currentSource || peer == m_usefulSources.at(slot)) {
             return peer;
         }
         if (!hasFailed) {
@@ -504,47 +447,76 @@
 
 Awaitable<void> StoreView::querySource(std::size_t slot, std::string peer)
 {
+    const bool isStale = !isFresh();
+    m_staleQueries += isStale ? 1 : 0;
+    const bool isUrgent = isStale && m_staleQueries <= maxFastQueries;
     Endpoint endpoint;
     detail::parseValue(peer, detail::Range{}, endpoint);
     RelayQuery query;
-    query.minInterval = minRelayIntervals.at(slot);
-    query.maxWait = maxRelayWait;
+    query.minInterval = isStale ? std::chrono::milliseconds(0) : minRelayIntervals.at(slot);
+    query.maxWait = isUrgent ? searchWait : maxRelayWait;
+    query.isStale = isStale;
     for (std::size_t part = 0; part < storePartCount; ++part) {
         query.known[part] = m_mirrors[part].position();
     }
-    const HttpRequest request = makePost(relayTarget, encode(query));
-    CallOptions options{ .timeout = maxRelayWait + relayTimeoutSlack };
+    CallOptions options{ .timeout = queryTimeout(query) };
     auto askedAt = std::chrono::steady_clock::now();
-    CallResult result = co_await call(m_services.pool, endpoint, request, options);
+    CallResult result = co_await call(m_services.pool, endpoint, makePost(relayTarget, encode(query)), options);
     // The failure may concern the kept connection only, and not the other entry.
     if (result.error && result.isConnectionReused) {
-        options.usesNewConnection = true;
+        query.maxWait = std::chrono::milliseconds(0);
+        options = { .timeout = minQueryTimeout, .usesNewConnection = true };
         askedAt = std::chrono::steady_clock::now();
-        result = co_await call(m_services.pool, endpoint, request, options);
+        result = co_await call(m_services.pool, endpoint, makePost(relayTarget, encode(query)), options);
     }
     const auto response = result.succeeded() ? decodeRelayResponse(result.body) : std::nullopt;
-    const bool isUsable
-        = response && response->readsStore && response->age < confirmationTimeout() && !isBehind(*response);
     if (response) {
         applyRelayResponse(*response, askedAt, peer);
     }
-    if (isUsable) {
+    const bool isUseful = response && !isBehind(*response) && completesView(*response);
+    if (isUseful) {
         m_skippedUntil.erase(peer);
-    } else {
-        const auto skipTime = isStarting() ? startupSourceSkipTime : sourceSkipTime;
-        m_skippedUntil[peer] = std::chrono::steady_clock::now() + skipTime;
-        logEvent("store", "source skipped",
-                 { { "peer", peer },
-                   { "status", result.status },
-                   { "age_ms", response ? response->age : unknownAge },
-                   { "configuration_age_ms",
-                     response ? response->ages[indexOf(StorePart::Configuration)].value_or(unknownAge) : unknownAge },
-                   { "reason",
-                     result.error               ? result.error.message()
-                         : !response            ? "unreadable"
-                         : response->readsStore ? "behind"
-                                                : "not a reader" } });
-    }
+        m_usefulSources.at(slot) = peer;
+        co_return;
+    }
+    const auto skipTime = isStarting() ? startupSourceSkipTime
+        : response && isUrgent         ? staleSourceSkipTime
+                                       : sourceSkipTime;
+    m_skippedUntil[peer] = std::chrono::steady_clock::now() + skipTime;
+    logEvent("store", "source skipped",
+             { { "peer", peer },
+               { "status", result.status },
+               { "age_ms", response ? response->age : unknownAge },
+               { "configuration_age_ms",
+                 response ? response->ages[indexOf(StorePart::Configuration)].value_or(unknownAge) : unknownAge },
+               { "reason",
+                 result.error               ? result.error.message()
+                     : !response            ? "unreadable"
+                     : isBehind(*response)  ? "behind"
+                     : response->readsStore ? "stale"
+                                            : "not a reader" } });
+}
+
+// A query must not last longer than this view is fresh.
+std::chrono::milliseconds StoreView::queryTimeout(const RelayQuery &query) const
+{
+    std::chrono::milliseconds timeout = query.maxWait + relayTimeoutSlack;
+    for (const StorePart part : storeParts) {
+        const auto known = age(part);
+        const auto left = known ? budgetOf(part).staleAfter() - *known : std::chrono::milliseconds(0);
+        timeout = std::min(timeout, std::max(left, minQueryTimeout));
+    }
+    return timeout;
+}
+
+// Returns whether a source has a current copy of each part that the store does not confirm to this entry itself.
+bool StoreView::completesView(const RelayResponse &response) const
+{
+    return std::all_of(storeParts.begin(), storeParts.end(), [&](StorePart part) {
+        const auto &sourceAge = response.ages[indexOf(part)];
+        return (sourceAge && *sourceAge < budgetOf(part).staleAfter())
+            || isConfirmedBy(m_freshness.ownConfirmedAt(part), part);
+    });
 }
 
 // Returns whether a source has not noticed yet that the store went back. A source that has read one part again is about
@@ -556,30 +528,31 @@
     });
 }
 
-// Dates the confirmation by the time at which the query was sent, and not by the arrival of the response, since the
-// response may have been delayed in transit.
-void StoreView::applyRelayResponse(const RelayResponse &response, SteadyTime askedAt, const std::string &peer)
+// Dates the confirmations by the time at which the query was sent and the time for which the source held it, and not by
+// the arrival of the response, since the response may have been delayed in transit.
+// \param askedAt  nothing if the time since the query is not known
+void StoreView::applyRelayResponse(const RelayResponse &response, const std::optional<SteadyTime> &askedAt,
+                                   const std::string &peer)
 {
-    if (response.storeRecoveredAgo) {
-        const SteadyTime recoveredAt = askedAt - *response.storeRecoveredAgo;
+    if (response.storeRecoveredAgo && askedAt) {
+        const SteadyTime recoveredAt = *askedAt - *response.storeRecoveredAgo;
         if (!m_storeRecoveredAt || recoveredAt > *m_storeRecoveredAt) {
             beginRecovery(recoveredAt, response.recoveredRevision);
         }
     }
-    for (std::size_t part = 0; part < storePartCount; ++part) {
-        observeEra(response.changes[part].era, peer);
-        applyChanges(static_cast<StorePart>(part), response.changes[part], peer);
-        if (response.ages[part]) {
-            m_freshness.recordRelayed(static_cast<StorePart>(part), askedAt + response.held - *response.ages[part]);
+    for (const StorePart part : storeParts) {
+        const StoreChanges &changes = response.changes[indexOf(part)];
+        observeEra(changes.era, peer);
+        applyChanges(part, changes, peer);
+        const auto &sourceAge = response.ages[indexOf(part)];
+        if (sourceAge && askedAt && changes.era >= m_era) {
+            m_freshness.recordRelayed(part, *askedAt + response.held - *sourceAge);
         }
     }
     for (const auto &[id, announcement] : response.announcements) {
         m_callbacks.onAnnouncement(announcement);
     }
-    if (response.readsStore && !isBehind(response)) {
-        const SteadyTime confirmed = askedAt - response.age;
-        m_relayConfirmedAt = std::max(m_relayConfirmedAt.value_or(confirmed), confirmed);
-    }
+    handleConfirmation();
 }
 
 // An entry of an earlier version states no eras. Its revisions count as those of the current era.
@@ -603,13 +576,17 @@
     return false;
 }
 
+// Holds a query until there are changes, or until the store has confirmed the view again, which the other entry must
+// know as well. A query of an entry whose view is stale is held only while this view is stale too.
 Awaitable<void> StoreView::handleRelayQuery(std::shared_ptr<HttpConnection> connection, RelayQuery query)
 {
     const auto startedAt = std::chrono::steady_clock::now();
     const std::chrono::milliseconds wait = std::min(query.maxWait, maxRelayWait);
     const PerPart<StorePosition> known = knownPositions(query);
-    while (!m_stopped && isReadingStore() && elapsed(startedAt) < wait) {
-        const std::chrono::milliseconds limit = hasChangesAfter(known) ? std::min(query.minInterval, wait) : wait;
+    const PerPart<std::optional<SteadyTime>> confirmed = confirmations();
+    while (!m_stopped && elapsed(startedAt) < wait && isFresh() != query.isStale) {
+        const bool hasNews = hasChangesAfter(known) || hasNewerConfirmation(confirmed);
+        const std::chrono::milliseconds limit = hasNews ? std::min(query.minInterval, wait) : wait;
         const std::chrono::milliseconds left = limit - elapsed(startedAt);
         if (left.count() <= 0) {
             break;
@@ -617,22 +594,38 @@
         co_await m_changed.wait(left);
     }
     RelayResponse response;
-    const auto own = ownConfirmedAt();
-    response.readsStore = isReadingStore() && own.has_value();
-    response.age = own ? elapsed(*own) : std::chrono::milliseconds(0);
+    response.readsStore = isReading(StorePart::Servers) && m_freshness.ownConfirmedAt(StorePart::Servers);
+    response.age = age(StorePart::Servers).value_or(std::chrono::milliseconds(0));
     if (m_storeRecoveredAt) {
         response.storeRecoveredAgo = elapsed(*m_storeRecoveredAt);
         response.recoveredRevision = m_recoveredRevision;
     }
-    for (std::size_t part = 0; part < storePartCount; ++part) {
-        response.changes[part] = m_mirrors[part].changesAfter(known[part]);
-        response.ages[part] = age(static_cast<StorePart>(part));
+    for (const StorePart part : storeParts) {
+        response.changes[indexOf(part)] = m_mirrors[indexOf(part)].changesAfter(known[indexOf(part)]);
+        response.ages[indexOf(part)] = age(part);
     }
     response.held = elapsed(startedAt);
     response.announcements = m_callbacks.announcements();
     co_await connection->respond(makeResponse(http::status::ok, encode(response), "application/cbor"));
 }
 
+PerPart<std::optional<SteadyTime>> StoreView::confirmations() const
+{
+    PerPart<std::optional<SteadyTime>> confirmed;
+    for (const StorePart part : storeParts) {
+        confirmed[indexOf(part)] = m_freshness.confirmedAt(part);
+    }
+    return confirmed;
+}
+
+// Returns whether the store has confirmed a part again whose age decides which source another entry follows.
+bool StoreView::hasNewerConfirmation(const PerPart<std::optional<SteadyTime>> &before) const
+{
+    return std::any_of(storeParts.begin(), storeParts.end(), [&](StorePart part) {
+        return m_freshness.confirmedAt(part) > before[indexOf(part)];
+    });
+}
+
 void StoreView::unregister()
 {
     m_registration->stop();
--- a/src/process/store/viewfreshness.cpp
+++ b/src/process/store/viewfreshness.cpp
@@ -27,6 +27,17 @@
     relayed = std::max(relayed.value_or(confirmedAt), confirmedAt);
 }
 
+void ViewFreshness::addAge(std::chrono::milliseconds uncounted)
+{
+    for (auto *times : { &m_own, &m_relayed }) {
+        for (std::optional<Time> &time : *times) {
+            if (time) {
+                *time -= uncounted;
+            }
+        }
+    }
+}
+
 std::optional<ViewFreshness::Time> ViewFreshness::ownConfirmedAt(StorePart part) const
 {
     return m_own[indexOf(part)];
--- a/tests/unit/unit-storecontact.cpp
+++ b/tests/unit/unit-storecontact.cpp
@@ -25,27 +25,27 @@
         for (const StorePart part : parts) {
             for (const StoreCallEnd end : { StoreCallEnd::Cut, StoreCallEnd::Silent }) {
                 CHECK_FALSE(contact.record(part, end, false));
-                CHECK_FALSE(contact.isOut());
+                CHECK_FALSE(contact.isAnyOut());
             }
         }
         CHECK_FALSE(contact.record(StorePart::Servers, StoreCallEnd::Answered, true));
-        CHECK_FALSE(contact.isOut());
+        CHECK_FALSE(contact.isAnyOut());
     }
     SECTION("one lost response on a new connection is no outage")
     {
         contact.record(StorePart::Servers, StoreCallEnd::Cut, false);
         contact.record(StorePart::Servers, StoreCallEnd::Silent, true);
-        CHECK_FALSE(contact.isOut());
+        CHECK_FALSE(contact.isAnyOut());
         contact.record(StorePart::Servers, StoreCallEnd::Answered, true);
         contact.record(StorePart::Servers, StoreCallEnd::Silent, true);
-        CHECK_FALSE(contact.isOut());
+        CHECK_FALSE(contact.isAnyOut());
     }
     SECTION("lost responses of different watches are no outage")
     {
         for (const StorePart part : parts) {
             contact.record(part, StoreCallEnd::Silent, true);
         }
-        CHECK_FALSE(contact.isOut());
+        CHECK_FALSE(contact.isAnyOut());
     }
     SECTION("calls on new connections that fail one after the other are an outage, until a call is answered")
     {
@@ -53,10 +53,28 @@
             contact.record(StorePart::Servers, StoreCallEnd::Cut, false);
             CHECK_FALSE(contact.record(StorePart::Servers, end, true));
             CHECK(contact.record(StorePart::Servers, end, true));
-            CHECK(contact.isOut());
+            CHECK(contact.isOut(StorePart::Servers));
             CHECK_FALSE(contact.record(StorePart::Configuration, end, true));
-            CHECK(contact.record(StorePart::Configuration, StoreCallEnd::Answered, true));
-            CHECK_FALSE(contact.isOut());
+            CHECK(contact.record(StorePart::Servers, StoreCallEnd::Answered, true));
+            CHECK_FALSE(contact.isAnyOut());
+            contact.record(StorePart::Configuration, StoreCallEnd::Answered, true);
+        }
+    }
+    SECTION("an answer for one part does not end the outage of another, nor reset its failures")
+    {
+        for (const StorePart part : parts) {
+            for (const StorePart other : parts) {
+                if (other == part) {
+                    continue;
+                }
+                contact.record(part, StoreCallEnd::Silent, true);
+                CHECK_FALSE(contact.record(other, StoreCallEnd::Answered, true));
+                CHECK(contact.record(part, StoreCallEnd::Silent, true));
+                CHECK_FALSE(contact.record(other, StoreCallEnd::Answered, true));
+                CHECK(contact.isOut(part));
+                CHECK_FALSE(contact.isOut(other));
+                CHECK(contact.record(part, StoreCallEnd::Answered, true));
+            }
         }
     }
     SECTION("a watch that is rejected counts on any connection")
@@ -71,9 +89,9 @@
         }
         contact.record(StorePart::Servers, StoreCallEnd::Silent, true);
         contact.record(StorePart::Servers, StoreCallEnd::Silent, true);
-        CHECK(contact.isOut());
+        CHECK(contact.isOut(StorePart::Servers));
         CHECK_FALSE(contact.record(StorePart::Servers, StoreCallEnd::Throttled, true));
-        CHECK(contact.isOut());
+        CHECK(contact.isOut(StorePart::Servers));
     }
 }
 
@@ -116,6 +134,14 @@
             CHECK(wait >= milliseconds(100));
         }
     }
+    SECTION("also if the store is slow")
+    {
+        for (const int responseTime : { 50, 200, 400 }) {
+            const milliseconds slowest(responseTime);
+            const milliseconds wait = watchWaitFor(milliseconds(3000), milliseconds(0), slowest);
+            CHECK(wait + responseMargin(slowest) + slowest < milliseconds(3000));
+        }
+    }
     SECTION("a slow store gets more time to respond")
     {
         CHECK(responseMargin(milliseconds(500)) >= milliseconds(1000));
