Confirm the configuration after a pause of the process, and before an entry is ready

Callers saw a request handled by an old configuration although a newer one had been acknowledged longer ago than its bound.

Cause: an entry that had not run for some seconds handled the requests that had arrived meanwhile before it read the answers of the store, by what it knew before. An entry that starts took the configuration of its seeds for current, however old it was, and became ready with it. Where the steady clock does not count a suspension, all ages were too small afterwards.

Change: PauseDetector finds pauses from two clocks wherever the event loop may run first. After one, the confirmations are made older, each watch is checked on a new connection, and requests wait for the configuration if it may be older than its bound, 0.4 s at most. An entry is ready once its configuration was current, or 1.5 s after its start if nobody has a current one.

--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -63,6 +63,8 @@
     Awaitable<void> handleReadinessRequest(std::shared_ptr<HttpConnection> connection, HttpRequest request);
     Awaitable<void> handleMetricsRequest(std::shared_ptr<HttpConnection> connection, HttpRequest request);
     Awaitable<void> handlePeerRequest(std::shared_ptr<HttpConnection> connection, HttpRequest request);
+    void observePause();
+    Awaitable<void> confirmConfiguration();
     Awaitable<void> runMaintenance();
     Awaitable<void> resolveAnnouncement(ServerAnnouncement announcement);
 
@@ -96,6 +98,7 @@
     const std::shared_ptr<ForwardingServices> m_sharedServices; ///< shared with the requests in progress
     ForwardingServices &m_services;
     StoreView m_storeView;
+    PauseDetector m_pauseDetector;
     DepartedServers m_departed;
     std::shared_ptr<KnowledgeExchange> m_knowledge;
     std::string m_configuration; ///< text of the configuration in force
--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -111,6 +111,9 @@
     std::uint32_t maxKnownEntries = 0; ///< highest number of entries that was known; 0 before the first list
     std::shared_ptr<EntryExchange> entryExchange; ///< null before the entry starts
     std::shared_ptr<CrashWatch> crashWatch; ///< null before the entry starts
+    /// Called at the start of each forwarded request, before its configuration is chosen. Waits only if the
+    /// configuration must be confirmed first.
+    std::function<Awaitable<void>()> confirmConfiguration;
     AsyncCondition capacityChanged; ///< notified when a server may have gained free capacity
     EntryMetrics metrics;
     ForwardingCounters counters;
--- a/include/zinniadock/process/store/storeview.h
+++ b/include/zinniadock/process/store/storeview.h
@@ -13,6 +13,7 @@
 #include "zinniadock/connection/httplistener.h"
 #include "zinniadock/process/forwardingservices.h"
 #include "zinniadock/process/membership/entryregistration.h"
+#include "zinniadock/process/pausedetector.h"
 #include "zinniadock/process/store/changebudget.h"
 #include "zinniadock/process/store/prefixwatch.h"
 #include "zinniadock/process/store/relaymessages.h"
@@ -61,6 +62,20 @@
     /// Returns whether all parts of this view are fresh.
     bool isFresh() const;
 
+    /// Returns whether the configuration was current at some time since the start, or the entry has waited long enough
+    /// for a current one to use what it knows.
+    bool hasCurrentConfiguration() const;
+
+    /// Checks the view with new calls to the store, after a time in which the process did not run.
+    void handlePause(const ProcessPause &pause);
+
+    /// Returns whether the configuration may be older than its bound because the process did not run, and is being
+    /// checked.
+    bool mustConfirmConfiguration() const;
+
+    /// Waits until the configuration is checked, for a short time at most.
+    Awaitable<void> waitForConfiguration();
+
     /// Returns the time since the store last confirmed a part of this view, directly or through another entry. Returns
     /// nothing before the first confirmation.
     std::optional<std::chrono::milliseconds> age(StorePart part) const;
@@ -140,6 +155,9 @@
     std::array<std::string, 2> m_currentSources; ///< peers that this entry currently follows; empty for none
     std::array<std::string, 2> m_usefulSources; ///< the last ones that had a current view; empty for none
     std::size_t m_staleQueries = 0; ///< queries of other entries since this view became stale
+    std::uint64_t m_pauses = 0; ///< times in which the process did not run
+    bool m_hasCurrentConfiguration = false; ///< the configuration was current at some time since the start
+    std::optional<SteadyTime> m_confirmUntil; ///< how long requests wait for the configuration; nothing if they do not
     ViewFreshness m_freshness; ///< of each part
     StoreContact m_contact; ///< of this entry's own calls
     std::map<StoreCallEnd, std::uint64_t> m_callEnds;
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -130,7 +130,11 @@
         m_services.entryExchange->sendNotices();
     });
     m_knowledge = std::make_shared<KnowledgeExchange>(m_services, makeKnowledgeCallbacks());
+    m_services.confirmConfiguration = [this] {
+        return confirmConfiguration();
+    };
     m_storeView.start();
+    observePause();
     const auto spawn = [this](Awaitable<void> (ForwardingEntry::*task)()) {
         asio::co_spawn(
             m_services.context,
@@ -519,11 +523,28 @@
     }
 }
 
+// Called wherever the event loop may run first after a pause.
+void ForwardingEntry::observePause()
+{
+    if (const auto pause = m_pauseDetector.observe(currentSystemTime())) {
+        m_storeView.handlePause(*pause);
+    }
+}
+
+Awaitable<void> ForwardingEntry::confirmConfiguration()
+{
+    observePause();
+    if (m_storeView.mustConfirmConfiguration()) {
+        co_await m_storeView.waitForConfiguration();
+    }
+}
+
 Awaitable<void> ForwardingEntry::runMaintenance()
 {
     SteadyTime nextCleanup;
     while (!m_stopped) {
         co_await sleepFor(maintenanceInterval);
+        observePause();
         applyDueRemovals();
         reviewHeldBackServers();
         if (m_services.evacuations.hasUnconfirmed()) {
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -58,6 +58,7 @@
     }
     if (request.target() == relayTarget) {
         const auto query = decodeRelayQuery(request.body());
+        observePause();
         if (query) {
             co_await m_storeView.handleRelayQuery(connection, *query);
             co_return;
@@ -204,8 +205,8 @@
 
 bool ForwardingEntry::isReady() const
 {
-    return m_services.routes && m_storeView.hasServerList() && m_storeView.hasConfigurationList() && m_hasAskedEntries
-        && !m_services.stop.isStopping();
+    return m_services.routes && m_storeView.hasServerList() && m_storeView.hasCurrentConfiguration()
+        && m_hasAskedEntries && !m_services.stop.isStopping();
 }
 
 } // namespace zinniadock
--- a/src/process/store/storeview.cpp
+++ b/src/process/store/storeview.cpp
@@ -38,6 +38,12 @@
 /// connection.
 constexpr std::chrono::milliseconds minQueryTimeout{ 250 };
 
+/// After a time in which the process did not run, requests wait this long for the configuration to be confirmed.
+constexpr std::chrono::milliseconds maxConfirmationWait{ 400 };
+
+/// An entry that starts waits this long for a current configuration before it uses a stale one.
+constexpr std::chrono::milliseconds maxStartWait{ 1500 };
+
 /// A starting entry that is not a seed queries the seeds for this time before it reads the store itself, since a whole
 /// fleet may start at the same time. During this time, a seed that is not usable yet is skipped for only
 /// startupSourceSkipTime.
@@ -387,13 +393,87 @@
            });
 }
 
-// Wakes the queries of other entries, which tell them that the store has confirmed the view.
+bool StoreView::hasCurrentConfiguration() const
+{
+    return hasConfigurationList() && (m_hasCurrentConfiguration || elapsed(m_startedAt) >= maxStartWait);
+}
+
+// Wakes the queries of other entries, which tell them that the store has confirmed the view, and the requests that wait
+// for the configuration.
 void StoreView::handleConfirmation()
 {
+    const bool isCurrent = isFresh(StorePart::Configuration);
+    m_hasCurrentConfiguration = m_hasCurrentConfiguration || isCurrent;
+    if (isCurrent) {
+        m_confirmUntil.reset();
+    }
     m_staleQueries = isFresh() ? 0 : m_staleQueries;
     m_changed.notify();
 }
 
+// What this entry knows is older by the pause, also where the steady clock did not count it, and its connections may be
+// dead.
+void StoreView::handlePause(const ProcessPause &pause)
+{
+    m_freshness.addAge(pause.uncounted);
+    ++m_pauses;
+    const auto known = age(StorePart::Configuration);
+    const bool isOverdue = !known || *known >= budgetOf(StorePart::Configuration).bound;
+    if (isOverdue && hasConfigurationList()) {
+        m_confirmUntil = std::chrono::steady_clock::now() + maxConfirmationWait;
+    }
+    for (const auto &watch : m_watches) {
+        watch->checkNow();
+    }
+    logEvent("store", "view checked after a pause",
+             { { "pause_ms", pause.duration },
+               { "configuration_age_ms", known.value_or(unknownAge) },
+               { "requests_wait", m_confirmUntil ? 1 : 0 } });
+}
+
+Awaitable<void> StoreView::waitForConfiguration()
+{
+    while (m_confirmUntil && std::chrono::steady_clock::now() < *m_confirmUntil) {
+        const auto left = *m_confirmUntil - std::chrono::steady_clock::now();
+        co_await m_changed.wait(std::chrono::ceil<std::chrono::milliseconds>(left));
+    }
+    m_confirmUntil.reset();
+}
+
+bool StoreView::mustConfirmConfiguration() const
+{
+    return m_confirmUntil.has_value();
+}
+
+wire::StoreEra StoreView::storeEra() const
+{
+    return m_era;
+}
+
+const StoreMirror &StoreView::mirror(StorePart part) const
+{
+    return m_mirrors[indexOf(part)];
+}
+
+std::uint64_t StoreView::storeCalls() const
+{
+    std::uint64_t calls = 0;
+    for (const auto &watch : m_watches) {
+        calls += watch->calls();
+    }
+    return calls;
+}
+
+const std::map<StoreCallEnd, std::uint64_t> &StoreView::callEnds() const
+{
+    return m_callEnds;
+}
+
+std::uint64_t StoreView::outages() const
+{
+    return m_outages;
+}
+
 Awaitable<void> StoreView::followSource(std::size_t slot)
 {
     while (!m_stopped) {
@@ -461,6 +541,7 @@
     }
     CallOptions options{ .timeout = queryTimeout(query) };
     auto askedAt = std::chrono::steady_clock::now();
+    const std::uint64_t pauses = m_pauses;
     CallResult result = co_await call(m_services.pool, endpoint, makePost(relayTarget, encode(query)), options);
     // The failure may concern the kept connection only, and not the other entry.
     if (result.error && result.isConnectionReused) {
@@ -471,7 +552,9 @@
     }
     const auto response = result.succeeded() ? decodeRelayResponse(result.body) : std::nullopt;
     if (response) {
-        applyRelayResponse(*response, askedAt, peer);
+        // A response that was under way during a pause is older than the steady clock shows.
+        const bool isDated = pauses == m_pauses;
+        applyRelayResponse(*response, isDated ? std::optional(askedAt) : std::nullopt, peer);
     }
     const bool isUseful = response && !isBehind(*response) && completesView(*response);
     if (isUseful) {
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -438,6 +438,8 @@
                                HttpRequest request)
 {
     const auto context = std::make_shared<ForwardContext>(services, connection, std::move(request));
+    context->place = RequestPlace::Configuration;
+    co_await services->confirmConfiguration();
     std::optional<HttpResponse> refused = context->admit();
     if (refused) {
         ++services->metrics.refused;
--- a/tests/unit/unit-changebudget.cpp
+++ b/tests/unit/unit-changebudget.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "zinniadock/process/pausedetector.h"
 #include "zinniadock/process/store/changebudget.h"
 #include "zinniadock/process/store/viewfreshness.h"
 
@@ -97,6 +98,34 @@
     }
 }
 
+// Guards against a process that acts after a pause on what it knew before.
+TEST_CASE("pauses of the process")
+{
+    PauseDetector detector;
+    using std::chrono::seconds;
+    CHECK_FALSE(detector.observe({ .steady = seconds(10), .boot = seconds(20) }));
+
+    SECTION("none while the event loop runs")
+    {
+        CHECK_FALSE(
+            detector.observe({ .steady = seconds(10) + milliseconds(200), .boot = seconds(20) + milliseconds(200) }));
+    }
+    SECTION("a frozen process or a busy event loop, which the steady clock counts")
+    {
+        const auto pause = detector.observe({ .steady = seconds(13), .boot = seconds(23) });
+        REQUIRE(pause);
+        CHECK(pause->duration == seconds(3));
+        CHECK(pause->uncounted == seconds(0));
+        CHECK_FALSE(detector.observe({ .steady = seconds(13), .boot = seconds(23) }));
+    }
+    SECTION("a suspended instance, which the steady clock does not count")
+    {
+        const auto pause = detector.observe({ .steady = seconds(10) + milliseconds(50), .boot = seconds(24) });
+        REQUIRE(pause);
+        CHECK(pause->uncounted == milliseconds(3950));
+    }
+}
+
 // Guards against ages that are lost between entries, and against an entry of an earlier version that states one age.
 TEST_CASE("messages between entries carry the age of each part")
 {
