Send nothing and run nothing for callers who have closed their connections

Callers that had left had their requests sent on, and work went on for them.

Cause: an entry learnt of a close from its event loop only, so a request that was read in the same turn as the close was sent; a busy loop or a freeze makes that the rule. The wait for a close ended at the first byte that a caller sent beyond its request. After a reservation, the wait for a permit and a move, nobody looked at the caller before the next send.

A generation whose caller leaves during its move, and a reservation granted to a caller who has left, have tests of their own.

Change: peerState() looks at the socket itself, where POLLRDHUP shows a close also behind unread bytes. HttpConnection uses it to go on watching, and ForwardContext::maySend() right before each send, by a condition of the exchange that is checked after the connection stands. A permit, a reservation and the copy of a stopped generation go back; a sidecar drops orders that its entry has withdrawn. A send that is not made counts as no failure of the server. The completions interface looks the same way, and no longer offers a call whose caller has left.

The stand-in left the body of a reservation unread, so that the next request on the connection was malformed; it reads it now.

--- a/include/zinniadock/connection/httpclient.h
+++ b/include/zinniadock/connection/httpclient.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -61,6 +62,9 @@
     /// \param idleTimeout  time after which the idle connection is no longer used
     void release(std::shared_ptr<PooledConnection> connection, std::chrono::milliseconds idleTimeout);
 
+    /// Returns a connection to the pool that was acquired and not used.
+    void putBack(std::shared_ptr<PooledConnection> connection);
+
     /// Closes connections that have exceeded their idle timeout.
     void closeStale();
 
@@ -95,6 +99,10 @@
     /// is no limit.
     void setReadTimeout(std::chrono::milliseconds timeout);
 
+    /// Sets a condition that is checked right before the request is written. If it does not hold, nothing is written
+    /// and send() returns operation_aborted.
+    void setSendCondition(std::function<bool()> condition);
+
     /// Writes the request on a pooled connection, or on a new connection if the pool has none.
     Awaitable<IoError> send(const HttpRequest &request, std::chrono::milliseconds connectTimeout);
 
@@ -143,6 +151,7 @@
     std::shared_ptr<PooledConnection> m_connection;
     std::optional<Parser> m_parser;
     std::optional<std::chrono::milliseconds> m_readTimeout;
+    std::function<bool()> m_sendCondition; ///< empty for none
     bool m_isHeadRequest = false;
     bool m_isConnectionReused = false;
     bool m_aborted = false;
@@ -174,6 +183,7 @@
     std::chrono::milliseconds timeout{ 0 }; ///< for the whole call
     bool usesNewConnection = false; ///< closes the idle connections to the peer, and opens a new one
     std::shared_ptr<CallInterrupter> interrupter; ///< may end the call before; null for none
+    std::function<bool()> sendCondition; ///< nothing is sent if it does not hold right before; empty for none
 };
 
 /// Ends a call in progress with an error. Does nothing if there is none.
--- a/include/zinniadock/connection/httplistener.h
+++ b/include/zinniadock/connection/httplistener.h
@@ -75,8 +75,8 @@
     /// has closed only its sending side counts as disconnected.
     bool hasCallerDisconnected() const;
 
-    /// Returns whether the caller has closed the connection, as far as the close has reached this instance. Unlike
-    /// hasCallerDisconnected(), it does not depend on the event loop having noticed the close.
+    /// Looks whether the caller has closed the connection, as far as the close has reached this instance, also if the
+    /// event loop has not noticed it yet. Runs the disconnect handler if so.
     bool hasCallerClosed();
 
     /// Sets a handler that runs once if, while the request is handled, the caller closes the connection or a write of
@@ -122,6 +122,8 @@
     Awaitable<void> refuse(const IoError &error);
     void dropBuffer();
     void watchForDisconnect();
+    void checkForDisconnect();
+    void checkForDisconnectLater();
     void handleDisconnect();
     void resetOnClose(bool enabled);
     Awaitable<void> closeAfterResponse(std::chrono::milliseconds timeout);
--- a/include/zinniadock/connection/wireform.h
+++ b/include/zinniadock/connection/wireform.h
@@ -160,6 +160,9 @@
 /// Returns the ID of a reservation; empty if the response has none.
 std::string parseReservationId(std::string_view body);
 
+/// Returns the request that releases a reservation which is not used.
+HttpRequest releaseReservationRequest(const std::string &reservation);
+
 /// Returns the request that copies a generation's KV cache to another engine.
 /// \param stopGeneration  whether the engine stops the generation before the copy
 HttpRequest moveRequest(const std::string &requestId, const Endpoint &target, bool stopGeneration);
--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -59,7 +59,6 @@
     std::uint64_t gapMoves = 0; ///< moves requested because the engine may not keep the bound on gaps
     std::uint64_t endedRequests = 0; ///< requests that were still in progress when the process ended
     PerPlace<std::uint64_t> leftCallers{}; ///< callers that left before their response was complete, by place
-    std::uint64_t sentAfterClose = 0; ///< requests sent to a server although their caller had closed the connection
 };
 
 /// Settings, routes, known servers and counters that all requests of a forwarding entry share. It exists until
--- a/include/zinniadock/process/moving/runmover.h
+++ b/include/zinniadock/process/moving/runmover.h
@@ -17,4 +17,7 @@
 /// Returns an upper estimate of the time that moveGeneration() takes, unless other copies use the same links.
 std::chrono::milliseconds longestMoveTime(const MoveOrder &order);
 
+/// Frees the copy of a stopped generation that no engine continues, at both ends.
+Awaitable<void> releaseCopy(ConnectionPool &pool, wire::KvCacheCopy copy);
+
 } // namespace zinniadock
--- a/include/zinniadock/process/watchingsidecar.h
+++ b/include/zinniadock/process/watchingsidecar.h
@@ -59,6 +59,7 @@
     {
         MoveOrder order;
         MoveResult result;
+        std::shared_ptr<HttpConnection> connection; ///< of the entry; it closes it when the caller of the stream leaves
         bool done = false;
     };
 
--- a/include/zinniadock/request/forwardscope.h
+++ b/include/zinniadock/request/forwardscope.h
@@ -47,8 +47,19 @@
     /// Returns whether the deadline has not passed, the caller is connected and endEarly() was not called.
     bool isActive() const;
 
-    /// Records that the request is about to be written to a server.
-    void recordSend();
+    /// Returns whether anything may be sent on for the request: it is active, and its caller has not closed the
+    /// connection, as far as the close has reached this instance. To be checked right before each send.
+    bool maySend();
+
+    /// Returns the options of a call that is made for the request, which is not sent if maySend() does not hold.
+    CallOptions callOptions(std::chrono::milliseconds timeout);
+
+    /// Returns what ends a call at the deadline or when the caller disconnects.
+    const std::shared_ptr<CallInterrupter> &callInterrupter() const;
+
+    /// Returns an exchange for the request, which is not sent if maySend() does not hold. It is aborted at the deadline
+    /// or when the caller disconnects, in place of an earlier one.
+    std::shared_ptr<HttpExchange> startExchange(const Endpoint &server, std::chrono::milliseconds maxIdleTime);
 
     /// Returns the time until the deadline, which is negative after the deadline.
     std::chrono::milliseconds timeLeft() const;
@@ -59,9 +70,6 @@
     /// Returns the header fields of the request to a server, except those of a reservation, a resumed stream or a move.
     wire::ServerFields serverFields(const std::string &server) const;
 
-    /// Sets the exchange that is aborted at the deadline or when the caller disconnects.
-    void setExchange(std::shared_ptr<HttpExchange> current);
-
     /// Updates the server's state from the fields of its response: that the server is draining, or requests a pause.
     void updateServerState(const std::string &serverId, const wire::ResponseFields &responseFields) const;
 
@@ -150,9 +158,11 @@
 
 private:
     void handleDisconnect();
+    void abortCalls();
 
     const std::shared_ptr<ForwardingServices> m_sharedServices;
     std::shared_ptr<HttpExchange> m_exchange;
+    const std::shared_ptr<CallInterrupter> m_callInterrupter = std::make_shared<CallInterrupter>();
     bool m_hasEndedEarly = false;
     asio::steady_timer m_timer;
     RequestTraits m_traits; ///< empty until they are needed
--- a/include/zinniadock/request/generationforward.h
+++ b/include/zinniadock/request/generationforward.h
@@ -85,6 +85,7 @@
     Awaitable<std::optional<EnginePlacement>> reserveAtSidecar(std::string server, AdmissionLimits limits);
     Awaitable<std::optional<EnginePlacement>> reserveAtEngine(std::string server);
     Awaitable<std::optional<EnginePlacement>> reserveLimitedEngine(std::string server, AdmissionLimits limits);
+    void releaseReservation(const EnginePlacement &placement);
     AdmissionQuery admissionQuery() const;
     UnplacedPrompt unplacedPrompt() const;
     AdmissionLimits admissionLimits(const std::string &server, std::size_t round, SteadyTime now) const;
@@ -107,6 +108,8 @@
     Awaitable<SegmentEnd> continueElsewhere(std::string source, std::string refusedBy);
     Awaitable<void> requestMove(std::string server);
     void startMove(MoveCause cause);
+    Awaitable<MoveResult> orderMove(std::string server, MoveOrder order);
+    void releaseUnusedCopy();
     void recordStreamMix() const;
     std::uint32_t expectedEvents() const;
     std::optional<StreamNeed> streamNeed() const;
--- a/src/connection/callerconnection.cpp
+++ b/src/connection/callerconnection.cpp
@@ -12,6 +12,7 @@
 #include <Poco/URI.h>
 
 #include "zinniadock/connection/freememory.h"
+#include "zinniadock/connection/peerstate.h"
 #include "zinniadock/detail/httptime.h"
 #include "zinniadock/process/observing/log.h"
 #include "zinniadock/request/answerwriter.h"
@@ -290,15 +291,7 @@
 
 bool CallerConnection::hasCallerClosedSending()
 {
-    try {
-        if (!socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
-            return false;
-        }
-        char byte = 0;
-        return socket().receiveBytes(&byte, 1, MSG_PEEK) == 0;
-    } catch (const Poco::Exception &) {
-        return true;
-    }
+    return peerState(socket().impl()->sockfd()) == PeerState::HasClosed;
 }
 
 CallerConnectionFactory::CallerConnectionFactory(EntryServices &services, ReadWatchdog &watchdog)
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -89,6 +89,11 @@
     m_idle[connection->peer.text()].push_back(std::move(connection));
 }
 
+void ConnectionPool::putBack(std::shared_ptr<PooledConnection> connection)
+{
+    m_idle[connection->peer.text()].push_back(std::move(connection));
+}
+
 void ConnectionPool::closeStale()
 {
     const auto now = std::chrono::steady_clock::now();
@@ -127,6 +132,11 @@
     m_readTimeout = timeout;
 }
 
+void HttpExchange::setSendCondition(std::function<bool()> condition)
+{
+    m_sendCondition = std::move(condition);
+}
+
 void HttpExchange::startReadTimeout()
 {
     if (m_readTimeout) {
@@ -149,6 +159,12 @@
     if (m_aborted) {
         co_return asio::error::operation_aborted;
     }
+    if (m_sendCondition && !m_sendCondition()) {
+        if (m_isConnectionReused) {
+            m_pool.putBack(std::exchange(m_connection, nullptr));
+        }
+        co_return asio::error::operation_aborted;
+    }
     m_sendState = SendState::Sent;
     co_await http::async_write(m_connection->stream, request, redirectError(error));
     co_return error;
@@ -274,6 +290,7 @@
     if (options.interrupter) {
         options.interrupter->m_exchange = exchange;
     }
+    exchange->setSendCondition(std::move(options.sendCondition));
     auto hasTimedOut = std::make_shared<bool>(false);
     auto timer = std::make_shared<asio::steady_timer>(pool.context(), options.timeout);
     timer->async_wait([exchange, timer, hasTimedOut](const IoError &error) {
--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -36,6 +36,10 @@
 
 /// Value of Retry-After in refusals.
 constexpr const char *retryAfterSeconds = "1";
+
+/// Interval at which the connection of a caller that has sent more than its request is checked for a close.
+constexpr std::chrono::milliseconds disconnectCheckInterval{ 100 };
+
 constexpr std::chrono::milliseconds acceptRetryDelay{ 20 };
 constexpr int acceptBacklog = 1024;
 
@@ -381,24 +385,43 @@
     m_buffer.shrink_to_fit();
 }
 
-// The socket becomes readable when the caller closes the connection or sends more data. The handler peeks at the socket
-// to find out which of the two happened.
+// The socket becomes readable when the caller closes the connection or sends more bytes. While there are unread bytes,
+// it stays readable, and only a look at its state shows a close behind them.
 void HttpConnection::watchForDisconnect()
 {
     const auto self = shared_from_this();
-    m_stream.socket().async_wait(
-        asio::socket_base::wait_read, [self, requestNumber = m_requestCount](const IoError &error) {
-            if (error || requestNumber != self->m_requestCount) {
-                return;
-            }
-            char byte = 0;
-            const auto received = ::recv(self->m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-            const bool isOpen = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-            if (received > 0 || isOpen) {
-                return;
-            }
-            self->handleDisconnect();
-        });
+    m_stream.socket().async_wait(asio::socket_base::wait_read,
+                                 [self, requestNumber = m_requestCount](const IoError &error) {
+                                     if (!error && requestNumber == self->m_requestCount) {
+                                         self->checkForDisconnect();
+                                     }
+                                 });
+}
+
+void HttpConnection::checkForDisconnect()
+{
+    switch (peerState(m_stream.socket().native_handle())) {
+    case PeerState::Quiet:
+        watchForDisconnect();
+        break;
+    case PeerState::HasSent:
+        checkForDisconnectLater();
+        break;
+    case PeerState::HasClosed:
+        handleDisconnect();
+        break;
+    }
+}
+
+void HttpConnection::checkForDisconnectLater()
+{
+    const auto timer = std::make_shared<asio::steady_timer>(m_stream.get_executor(), disconnectCheckInterval);
+    timer->async_wait([weak = weak_from_this(), timer, requestNumber = m_requestCount](const IoError &error) {
+        const auto self = weak.lock();
+        if (!error && self && self->isOpen() && !self->m_idle && requestNumber == self->m_requestCount) {
+            self->checkForDisconnect();
+        }
+    });
 }
 
 void HttpConnection::handleDisconnect()
@@ -563,7 +586,10 @@
 
 bool HttpConnection::hasCallerClosed()
 {
-    return m_callerDisconnected || !isOpen() || peerState(m_stream.socket().native_handle()) == PeerState::HasClosed;
+    if (!m_callerDisconnected && isOpen() && peerState(m_stream.socket().native_handle()) == PeerState::HasClosed) {
+        handleDisconnect();
+    }
+    return m_callerDisconnected || !isOpen();
 }
 
 void HttpConnection::setDisconnectHandler(std::function<void()> handler)
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -135,7 +135,6 @@
         const std::string label(toString(static_cast<RequestPlace>(place)));
         appendMetric("zinniadock_left_callers_total{place=\"" + label + "\"}", counters.leftCallers.at(place), out);
     }
-    appendMetric("zinniadock_sent_after_close_total", counters.sentAfterClose, out);
 }
 
 void appendColdMetrics(const ForwardingServices &services, std::string &out)
--- a/src/process/moving/runmover.cpp
+++ b/src/process/moving/runmover.cpp
@@ -71,6 +71,12 @@
     return targets * admissionTimeout + remoteCopyFactor * order.estimatedCopyTime + finalCopyTime;
 }
 
+Awaitable<void> releaseCopy(ConnectionPool &pool, wire::KvCacheCopy copy)
+{
+    co_await call(pool, copy.holder, wire::deleteCopyRequest(copy.name),
+                  { .timeout = callTimeout, .usesNewConnection = true });
+}
+
 Awaitable<MoveResult> moveGeneration(ConnectionPool &pool, Endpoint source, MoveOrder order,
                                      std::chrono::milliseconds timeLeft, std::uint16_t sidecarPort)
 {
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -380,6 +380,7 @@
     }
     const auto move = std::make_shared<PendingMove>();
     move->order = std::move(order);
+    move->connection = connection;
     if (!move->order.timeLeft) {
         m_firstMoveOrderAt = m_firstMoveOrderAt.value_or(std::chrono::steady_clock::now());
     }
@@ -424,6 +425,11 @@
             continue;
         }
         std::erase(m_pendingMoves, move);
+        if (move->connection->hasCallerClosed()) {
+            logEvent("move", "dropped", { { "id", move->order.request }, { "reason", "the entry has withdrawn it" } });
+            move->done = true;
+            continue;
+        }
         m_moveInProgress = move;
         const auto startedAt = std::chrono::steady_clock::now();
         const std::chrono::milliseconds left
@@ -439,6 +445,9 @@
                    { "ms", std::chrono::duration_cast<std::chrono::milliseconds>(took) },
                    { "waiting", m_pendingMoves.size() },
                    { "reason", move->result.reason } });
+        if (move->result.copy && move->connection->hasCallerClosed()) {
+            co_await releaseCopy(m_pool, *move->result.copy);
+        }
         move->done = true;
         m_moveInProgress.reset();
         m_moveChanged.notify();
--- a/src/request/callattempts.cpp
+++ b/src/request/callattempts.cpp
@@ -24,6 +24,13 @@
              .isEndStated = response.isEndStated };
 }
 
+Failure callerLeft(Verdict verdict)
+{
+    return Failure{ .code = RequestError::Cancelled,
+                    .verdict = verdict,
+                    .message = "the caller closed the connection" };
+}
+
 bool isReadMethod(const std::string &method)
 {
     return method == "GET" || method == "HEAD";
@@ -138,6 +145,9 @@
 
 std::variant<ServiceResponse, Failure> CallAttempts::attemptCall(GenerationId generation, std::set<std::string> &tried)
 {
+    if (m_context.caller.hasClosedSending()) {
+        return callerLeft(Verdict::NotRun);
+    }
     Offer offer = m_context.makeOffer(generation);
     offer.kind = RequestKind::Call;
     offer.contentType = m_context.request.contentType;
--- a/src/request/callforward.cpp
+++ b/src/request/callforward.cpp
@@ -65,6 +65,9 @@
         services.serverLimiter.recordDemand(services.directory, m_context->poolName, std::chrono::steady_clock::now());
         m_context->place = RequestPlace::Limit;
         const bool isLimited = co_await m_context->isBlockedByLimit();
+        if (!m_context->maySend()) {
+            break;
+        }
         if (isLimited && m_context->attempts == 0) {
             m_isLimited = true;
             last.reason
@@ -139,8 +142,7 @@
     ForwardingServices &services = m_context->services;
     const bool isRepeatable = m_context->route->kind == RouteKind::Idempotent;
     const auto maxIdle = isRepeatable ? maxIdleIdempotent : maxIdleAtMostOnce;
-    const auto exchange = std::make_shared<HttpExchange>(services.pool, target.record.address, maxIdle);
-    m_context->setExchange(exchange);
+    const auto exchange = m_context->startExchange(target.record.address, maxIdle);
     asio::steady_timer attemptTimer(services.context);
     if (isRepeatable && m_possibleRuns + 1 < m_context->route->maxAttempts) {
         attemptTimer.expires_after(std::max(attemptTimeoutFactor * m_context->route->targetLatency, minAttemptTimeout));
@@ -157,13 +159,14 @@
     const auto sentAt = std::chrono::steady_clock::now();
     services.recordColdSent(target.record, m_context->pool, sentAt);
     m_context->place = RequestPlace::Connection;
-    m_context->recordSend();
     IoError error = co_await exchange->send(request, std::min(connectTimeout, m_context->timeLeft()));
     m_context->place = RequestPlace::Server;
     if (error) {
-        if (exchange->sendState() == SendState::NotSent) {
+        if (exchange->sendState() == SendState::NotSent && m_context->isActive()) {
             services.directory.recordConnectionFailure(target.record.id, std::chrono::steady_clock::now());
             m_context->recordRefusedConnection(target.record.id, error);
+        } else if (exchange->sendState() == SendState::NotSent) {
+            services.serverLimiter.undoSent(target.record, std::chrono::steady_clock::now());
         } else {
             co_await m_context->recordUnansweredRun(target.record, sentAt, error);
         }
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -95,9 +95,7 @@
         const auto self = weak.lock();
         if (self && !error) {
             self->timedOut = true;
-            if (self->m_exchange) {
-                self->m_exchange->abort();
-            }
+            self->abortCalls();
         }
     });
     connection->setDisconnectHandler([weak] {
@@ -112,18 +110,45 @@
     ++services.counters.leftCallers.at(static_cast<std::size_t>(place));
     logEvent("request", "caller left",
              { { "id", fields.requestId }, { "place", toString(place) }, { "server", server }, { "ms", age() } });
+    abortCalls();
+}
+
+void ForwardContext::abortCalls()
+{
+    m_callInterrupter->interrupt();
     if (m_exchange) {
         m_exchange->abort();
     }
 }
 
-void ForwardContext::recordSend()
+bool ForwardContext::maySend()
 {
-    if (connection->hasCallerClosed()) {
-        ++services.counters.sentAfterClose;
-        logEvent("request", "sent after the caller closed",
-                 { { "id", fields.requestId }, { "place", toString(place) }, { "ms", age() } });
-    }
+    return isActive() && !connection->hasCallerClosed();
+}
+
+CallOptions ForwardContext::callOptions(std::chrono::milliseconds timeout)
+{
+    CallOptions options{ .timeout = timeout };
+    options.sendCondition = [self = shared_from_this()] {
+        return self->maySend();
+    };
+    return options;
+}
+
+const std::shared_ptr<CallInterrupter> &ForwardContext::callInterrupter() const
+{
+    return m_callInterrupter;
+}
+
+std::shared_ptr<HttpExchange> ForwardContext::startExchange(const Endpoint &serverAddress,
+                                                            std::chrono::milliseconds maxIdleTime)
+{
+    m_exchange = std::make_shared<HttpExchange>(services.pool, serverAddress, maxIdleTime);
+    m_exchange->setSendCondition([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        return self && self->maySend();
+    });
+    return m_exchange;
 }
 
 void ForwardContext::finish()
@@ -137,9 +162,7 @@
 void ForwardContext::endEarly()
 {
     m_hasEndedEarly = true;
-    if (m_exchange) {
-        m_exchange->abort();
-    }
+    abortCalls();
 }
 
 bool ForwardContext::isActive() const
@@ -173,11 +196,6 @@
     return out;
 }
 
-void ForwardContext::setExchange(std::shared_ptr<HttpExchange> current)
-{
-    m_exchange = std::move(current);
-}
-
 void ForwardContext::updateServerState(const std::string &serverId, const wire::ResponseFields &responseFields) const
 {
     if (responseFields.isMisdirected) {
--- a/src/request/generationforward.cpp
+++ b/src/request/generationforward.cpp
@@ -71,9 +71,12 @@
         const std::optional<EnginePlacement> chosen = co_await findPlacement();
         const auto now = std::chrono::steady_clock::now();
         const bool isRetry = m_context->attempts > 0;
-        if (!chosen || checkQuarantine()
+        if (!chosen || checkQuarantine() || !m_context->maySend()
             || (isRetry && !m_services.retryWindow(m_context->poolName).takeRetry(m_services.entryCount(), now))) {
             returnUnusedPermit();
+            if (chosen) {
+                releaseReservation(*chosen);
+            }
             break;
         }
         wire::ServerFields fields = m_context->serverFields(chosen->server);
@@ -248,12 +251,10 @@
     m_splitter.reset();
     fields.lastEventId = m_lastEventId ? std::to_string(*m_lastEventId) : "";
     const HttpRequest request = wire::serverRequest(m_context->request, fields);
-    const auto exchange = std::make_shared<HttpExchange>(m_services.pool, record.address, maxIdle);
-    m_context->setExchange(exchange);
+    const auto exchange = m_context->startExchange(record.address, maxIdle);
     const auto sentAt = std::chrono::steady_clock::now();
     wire::ResponseFields responseFields;
     m_context->place = RequestPlace::Connection;
-    m_context->recordSend();
     IoError error = co_await exchange->send(request, connectTimeout);
     m_context->place = RequestPlace::Server;
     if (!error) {
@@ -263,6 +264,10 @@
         m_reason = "no response: " + error.message();
         if (exchange->sendState() == SendState::NotSent) {
             m_context->recordRefusedConnection(server, error);
+            if (!m_context->isActive()) {
+                m_services.serverLimiter.undoSent(record, std::chrono::steady_clock::now());
+                releaseReservation({ .server = server, .reservation = fields.reservation });
+            }
         } else if (!m_lastEventId) {
             co_await m_context->recordUnansweredRun(record, sentAt, error);
         }
@@ -523,6 +528,7 @@
 {
     const auto self = shared_from_this();
     detach();
+    releaseUnusedCopy();
     if (m_context->hasEndedEarly()) {
         m_reason = "the entry has stopped: " + m_reason;
     }
--- a/src/request/generationmoves.cpp
+++ b/src/request/generationmoves.cpp
@@ -237,33 +237,12 @@
     const TrackedServer *source = m_services.directory.find(server);
     const MoveOrder order = source ? moveOrder(*source) : MoveOrder();
     MoveResult result;
-    if (!source || order.targets.empty()) {
+    if (!m_context->maySend()) {
+        result.reason = "the request has ended";
+    } else if (!source || order.targets.empty()) {
         result.reason = "no engine has free capacity";
     } else {
-        const Endpoint engine = source->record.address;
-        const Endpoint sidecar{ engine.address, m_services.settings.forwarding.sidecarPort() };
-        const auto drainTimeLeft = source->load.drainTimeLeft.value_or(std::chrono::milliseconds(1000));
-        const HttpRequest request = makePost(moveOrderTarget, encode(order));
-        // A kept connection may be silent, and an engine that is draining leaves no time to find out.
-        const bool wasEvacuated = source->isEvacuated;
-        const CallOptions options{ .timeout = wasEvacuated ? evacuationMoveTimeout : moveTimeout,
-                                   .usesNewConnection = true };
-        const CallResult callResult = co_await call(m_services.pool, sidecar, request, options);
-        const auto decoded = callResult.succeeded() ? decodeMoveResult(callResult.body) : std::nullopt;
-        const TrackedServer *sourceNow = m_services.directory.find(server);
-        if (decoded) {
-            result = *decoded;
-        } else if (sourceNow && sourceNow->isEvacuated) {
-            // Orders to the engine itself would be requests to an evacuated data centre.
-            result.mayHaveStopped = callResult.error && callResult.sendState == SendState::Sent;
-            result.reason = "the sidecar does not move the generation out of the evacuated data centre";
-        } else {
-            result = co_await moveGeneration(m_services.pool, engine, order, drainTimeLeft,
-                                             m_services.settings.forwarding.sidecarPort());
-            const bool isRefused = !callResult.error && !callResult.succeeded();
-            const bool sidecarMayHaveStopped = !result.stopped && !isRefused && callResult.sendState == SendState::Sent;
-            result.mayHaveStopped = result.mayHaveStopped || sidecarMayHaveStopped;
-        }
+        result = co_await orderMove(server, order);
     }
     m_move = result;
     m_mayHaveStopped = m_mayHaveStopped || result.mayHaveStopped;
@@ -279,9 +258,68 @@
                { "events", m_eventCount },
                { "last_event", m_lastEventId.value_or(0) },
                { "reason", result.reason } });
+    if (!m_context->isActive()) {
+        releaseUnusedCopy();
+    }
     m_moveChanged.notify();
 }
 
+// Orders the move at the sidecar of the source, or makes it if the sidecar does not. A kept connection may be silent,
+// and an engine that is draining leaves no time to find out.
+Awaitable<MoveResult> GenerationForwarder::orderMove(std::string server, MoveOrder order)
+{
+    const TrackedServer &source = *m_services.directory.find(server);
+    const Endpoint engine = source.record.address;
+    const Endpoint sidecar{ engine.address, m_services.settings.forwarding.sidecarPort() };
+    const auto drainTimeLeft = source.load.drainTimeLeft.value_or(std::chrono::milliseconds(1000));
+    const HttpRequest request = makePost(moveOrderTarget, encode(order));
+    CallOptions options = m_context->callOptions(source.isEvacuated ? evacuationMoveTimeout : moveTimeout);
+    options.usesNewConnection = true;
+    options.interrupter = m_context->callInterrupter();
+    const CallResult callResult = co_await call(m_services.pool, sidecar, request, options);
+    const auto decoded = callResult.succeeded() ? decodeMoveResult(callResult.body) : std::nullopt;
+    if (decoded) {
+        co_return *decoded;
+    }
+    const TrackedServer *sourceNow = m_services.directory.find(server);
+    MoveResult result;
+    if (!m_context->maySend()) {
+        result.reason = "the request has ended";
+    } else if (sourceNow && sourceNow->isEvacuated) {
+        // Orders to the engine itself would be requests to an evacuated data centre.
+        result.mayHaveStopped = callResult.error && callResult.sendState == SendState::Sent;
+        result.reason = "the sidecar does not move the generation out of the evacuated data centre";
+    } else {
+        result = co_await moveGeneration(m_services.pool, engine, std::move(order), drainTimeLeft,
+                                         m_services.settings.forwarding.sidecarPort());
+        const bool isRefused = !callResult.error && !callResult.succeeded();
+        const bool sidecarMayHaveStopped = !result.stopped && !isRefused && callResult.sendState == SendState::Sent;
+        result.mayHaveStopped = result.mayHaveStopped || sidecarMayHaveStopped;
+    }
+    co_return result;
+}
+
+// Frees the copy of a generation that has stopped for a move and is not continued. It would occupy memory and a slot of
+// its target.
+void GenerationForwarder::releaseUnusedCopy()
+{
+    if (m_moveState != MoveState::Stopped || !m_move.copy) {
+        return;
+    }
+    m_moveState = MoveState::None;
+    const auto holder = findByAddress(m_services.directory, m_move.copy->holder);
+    const TrackedServer *tracked = holder ? m_services.directory.find(*holder) : nullptr;
+    if (!tracked || tracked->isEvacuated) {
+        return;
+    }
+    asio::co_spawn(
+        m_services.context,
+        [context = m_context, copy = *m_move.copy]() {
+            return releaseCopy(context->services.controlPool, copy);
+        },
+        asio::detached);
+}
+
 // A stream without a stated end may have ended because of the move.
 bool GenerationForwarder::mayContinue(SegmentEnd segmentEnd) const
 {
--- a/src/request/generationplacement.cpp
+++ b/src/request/generationplacement.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include "zinniadock/request/engineprobe.h"
 
 namespace zinniadock
@@ -62,6 +65,12 @@
     const PlacementQueue::Ticket m_ticket;
 };
 
+Awaitable<void> releaseAt(std::shared_ptr<ForwardContext> context, Endpoint engine, std::string reservation)
+{
+    const HttpRequest request = wire::releaseReservationRequest(reservation);
+    co_await call(context->services.controlPool, engine, request, reservationTimeout);
+}
+
 } // namespace
 
 PlacementRequest GenerationForwarder::placementRequest() const
@@ -142,6 +151,9 @@
         }
         m_context->place = RequestPlace::Limit;
         m_isLimited = co_await m_context->isBlockedByLimit();
+        if (!m_context->maySend()) {
+            break;
+        }
         if (m_isLimited) {
             m_reason = "each engine of pool " + m_context->poolName + " has reached its limit of requests per second";
             break;
@@ -309,8 +321,12 @@
     query.cold = m_services.coldStateOf(*tracked, std::chrono::steady_clock::now());
     const HttpRequest request = makePost(admissionTarget, encode(query));
     const Endpoint sidecar{ address, m_services.settings.forwarding.sidecarPort() };
-    const CallResult result = co_await call(m_services.pool, sidecar, request, admissionTimeout);
+    const CallResult result
+        = co_await call(m_services.pool, sidecar, request, m_context->callOptions(admissionTimeout));
     const auto response = result.succeeded() ? decodeAdmissionResponse(result.body) : std::nullopt;
+    if (!response && !m_context->maySend()) {
+        co_return std::nullopt;
+    }
     if (!response) {
         co_return co_await reserveAtEngine(std::move(server));
     }
@@ -323,6 +339,21 @@
     co_return EnginePlacement{ .server = server, .reservation = response->reservationId };
 }
 
+// Without this call the engine holds the reservation for its whole lifetime.
+void GenerationForwarder::releaseReservation(const EnginePlacement &placement)
+{
+    const TrackedServer *tracked = m_services.directory.find(placement.server);
+    if (placement.reservation.empty() || !tracked || tracked->isEvacuated) {
+        return;
+    }
+    asio::co_spawn(
+        m_services.context,
+        [context = m_context, engine = tracked->record.address, reservation = placement.reservation]() {
+            return releaseAt(context, engine, reservation);
+        },
+        asio::detached);
+}
+
 void GenerationForwarder::recordRefusal(const std::string &reason)
 {
     std::map<std::string, std::uint64_t> &refusals = m_services.refusedAdmissions;
@@ -353,8 +384,12 @@
     const Endpoint engine = tracked->record.address;
     const HttpRequest request = wire::reserveRequest(static_cast<std::uint32_t>(tokens), lifetime);
     m_services.serverLimiter.recordSent(tracked->record, SendReason::Control, std::chrono::steady_clock::now());
-    const CallResult result = co_await call(m_services.controlPool, engine, request, reservationTimeout);
+    const CallResult result
+        = co_await call(m_services.controlPool, engine, request, m_context->callOptions(reservationTimeout));
     const auto now = std::chrono::steady_clock::now();
+    if (result.error && !m_context->isActive()) {
+        co_return std::nullopt;
+    }
     if (result.error) {
         m_services.directory.recordConnectionFailure(server, now);
         co_return std::nullopt;
--- a/tests/standin/platformstandin.cpp
+++ b/tests/standin/platformstandin.cpp
@@ -705,6 +705,16 @@
     return m_reservations;
 }
 
+std::uint64_t PlatformServer::releasedReservations() const
+{
+    return m_releasedReservations;
+}
+
+std::uint64_t PlatformServer::releasedCopies() const
+{
+    return m_releasedCopies;
+}
+
 std::uint64_t PlatformServer::cancelled() const
 {
     return m_cancelled;
@@ -729,9 +739,16 @@
     } else if (path == "/-/report") {
         report(response);
     } else if (path == "/-/hold-take") {
+        readBody(request); // the next request on the connection follows it
         reserve(response);
     } else if (path == "/-/kv-move") {
         move(request, response);
+    } else if (path.rfind("/-/hold-drop/", 0) == 0) {
+        ++m_releasedReservations;
+        send(response, 200, Json::object());
+    } else if (path.rfind("/-/kv-handle/", 0) == 0) {
+        ++m_releasedCopies;
+        send(response, 200, Json::object());
     } else {
         serve(request, response);
     }
--- a/tests/standin/platformstandin.h
+++ b/tests/standin/platformstandin.h
@@ -325,6 +325,12 @@
     /// Returns the number of granted reservations.
     std::uint64_t reservations() const;
 
+    /// Returns the number of calls that release a reservation.
+    std::uint64_t releasedReservations() const;
+
+    /// Returns the number of calls that free a copy of a generation.
+    std::uint64_t releasedCopies() const;
+
     /// Returns the number of streams and calls that ended because their connection was closed.
     std::uint64_t cancelled() const;
 
@@ -401,6 +407,8 @@
     std::map<std::string, Generation> m_generations;
     std::vector<ReceivedRequest> m_startedRequests;
     std::atomic<std::uint64_t> m_reservations{ 0 };
+    std::atomic<std::uint64_t> m_releasedReservations{ 0 };
+    std::atomic<std::uint64_t> m_releasedCopies{ 0 };
     std::atomic<std::uint64_t> m_cancelled{ 0 };
     LoopbackHttpServer m_server;
 };
--- a/tests/unit/unit-leavingcallers.cpp
+++ b/tests/unit/unit-leavingcallers.cpp
@@ -220,7 +220,7 @@
         std::this_thread::sleep_for(milliseconds(400));
     };
     const std::string halfBody = "POST /order/1 HTTP/1.1\r\nHost: a.example\r\nX-Key: k1\r\nX-Request-Id: half\r\n"
-                                 "Content-Length: 20\r\n\r\nhalf";
+                                 "Content-Length: 200\r\n\r\nhalf";
     return { { "unread, a read", blockLoop, readRequest, isAtOnce, waitForLoop },
              { "unread, an order", blockLoop, orderRequest, isAtOnce, waitForLoop },
              { "unread, a generation", blockLoop, generationRequest, isAtOnce, waitForLoop },
@@ -286,3 +286,56 @@
         }
     }
 }
+
+// Guards against a generation that continues at another engine, or keeps its copy there, for a caller that has left.
+TEST_CASE("a generation whose caller leaves during its move is not continued, and its copy is freed")
+{
+    for (const WayToLeave &way : waysToLeave()) {
+        CAPTURE(way.name);
+        MoveDeployment deployment;
+        deployment.source.setEventInterval(milliseconds(30));
+        deployment.source.setCopyDuration(milliseconds(300));
+        LeavingCaller caller(deployment.entry->port(), rawGeneration("leaves"));
+        REQUIRE(eventually([&] {
+            return deployment.source.startedRequests().size() == 1;
+        }));
+        std::this_thread::sleep_for(milliseconds(100));
+        deployment.store.put("servers/e2", deployment.target.record("engines"));
+        deployment.source.startDraining(milliseconds(1500));
+        REQUIRE(eventually([&] {
+            return deployment.source.copiesInProgress() == 1;
+        }));
+        caller.send(way.before);
+        caller.leave(way);
+        CHECK(eventually(
+            [&] {
+                return deployment.source.cancelled() == 1;
+            },
+            endWithin));
+        std::this_thread::sleep_for(milliseconds(900));
+        CHECK(deployment.target.startedRequests().empty());
+        CHECK(deployment.source.copiesInProgress() == 0);
+    }
+}
+
+// Guards against a reservation that keeps a place of an engine for a caller that has left.
+TEST_CASE("a reservation that is granted to a caller who has left is not used")
+{
+    LeavingDeployment deployment;
+    deployment.engine.setReservationDelay(milliseconds(150));
+    std::vector<std::unique_ptr<LeavingCaller>> callers;
+    for (std::size_t i = 0; i < callerCount; ++i) {
+        callers.push_back(std::make_unique<LeavingCaller>(deployment.entry->port(), rawGeneration("leaves")));
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    deployment.block(milliseconds(200));
+    std::this_thread::sleep_for(milliseconds(20));
+    for (const auto &caller : callers) {
+        caller->leave(waysToLeave().front());
+    }
+    std::this_thread::sleep_for(milliseconds(700));
+    CHECK(deployment.engine.startedRequests().empty());
+    CHECK(deployment.engine.reservations() > 0);
+    CHECK(deployment.engine.releasedReservations() > 0);
+    CHECK(deployment.servesOthers());
+}
