--- a/bench/soak/faultplan.cpp
+++ b/bench/soak/faultplan.cpp
@@ -24,6 +24,10 @@
 constexpr std::chrono::milliseconds drainWithin{ 2000 };
 constexpr std::chrono::milliseconds drainSlack{ 300 };
 
+/// Bound for a change of the configuration, and the time to see it in the metrics of an entry.
+constexpr std::chrono::milliseconds configurationWithin{ 2000 };
+constexpr std::chrono::milliseconds configurationSlack{ 400 };
+
 /// Exit code of a daemon that aborted in-flight requests when it stopped.
 constexpr int exitCodeCutRequests = 7;
 
@@ -235,6 +239,49 @@
     }
 }
 
+// The store answers an entry except for the configuration, which other entries must tell it in time.
+void FaultPlan::silenceConfiguration(std::size_t index)
+{
+    const std::string target = "configuration-silent";
+    if (!beginFault("configuration_silent", target)) {
+        return;
+    }
+    standin::StoreDoor &door = *m_fleet.entries[index].storeDoor;
+    door.setFault(standin::DoorFault{ .prefix = "op/" });
+    endFaultAfter(randomDuration(1000, 5000), target, [&door] {
+        door.setFault(std::nullopt);
+    });
+}
+
+// Each entry that runs all the while must have a version within configurationWithin, unless a fault may have kept it
+// from several entries.
+void FaultPlan::changeConfiguration()
+{
+    ++m_counts["configuration"];
+    m_fleet.publishConfiguration();
+    const auto publishedAt = std::chrono::steady_clock::now();
+    const std::uint64_t version = m_fleet.configurationVersion;
+    std::vector<std::string> incarnations;
+    for (const Entry &entry : m_fleet.entries) {
+        incarnations.push_back(entry.daemon->isRunning() ? entry.daemon->incarnation() : "");
+    }
+    m_pendingActions.push_back(
+        { publishedAt + configurationWithin + configurationSlack, [this, publishedAt, version, incarnations] {
+             const bool isExcused = m_lastStoreFault + minFaultFreeTime > publishedAt || m_isEndingAllFaults;
+             for (std::size_t i = 0; i < m_fleet.entries.size() && !isExcused; ++i) {
+                 const Entry &entry = m_fleet.entries[i];
+                 const bool hasFault = m_hasActiveFault["entry-" + std::to_string(i)];
+                 const std::uint64_t reported = reportedVersion(entry);
+                 if (!hasFault && incarnations[i] == entry.daemon->incarnation() && reported > 0
+                     && reported < version) {
+                     m_checker.addViolation(incarnations[i] + ": version " + std::to_string(version)
+                                            + " was not in force in time, but version " + std::to_string(reported));
+                 }
+             }
+             return true;
+         } });
+}
+
 // Entries must not use a server later than drainWithin after the store has acknowledged its removal. The stand-in of
 // the store is down, or does not answer, during other faults, and a frozen entry can't learn of the removal.
 void FaultPlan::removeShop(std::size_t index)
@@ -319,7 +366,8 @@
     const std::string entryName = "entry-" + std::to_string(entry);
     const std::string engineName = "engine-" + std::to_string(engine);
     // An engine, its sidecar and its relay are replaced together, so they are one target.
-    switch (m_random() % 17) {
+    constexpr std::uint64_t faultKinds = 19; // the cases below and the default
+    switch (m_random() % faultKinds) {
     case 0:
         return killDaemon("kill_entry", *m_fleet.entries[entry].daemon, entryName);
     case 1:
@@ -356,9 +404,10 @@
             stopEntry(each);
         }
         return;
+    case 17:
+        return silenceConfiguration(entry);
     default:
-        ++m_counts["configuration"];
-        m_fleet.publishConfiguration();
+        return changeConfiguration();
     }
 }
 
--- a/bench/soak/faultplan.h
+++ b/bench/soak/faultplan.h
@@ -55,6 +55,8 @@
     void replaceEngine(std::size_t index);
     void injectRelayFault(const std::string &kind, standin::LinkRelay &relay, const std::string &target);
     void injectStoreFault();
+    void silenceConfiguration(std::size_t index);
+    void changeConfiguration();
     void injectShopFault(std::size_t index);
     void removeShop(std::size_t index);
     void injectEngineError(std::size_t index);
--- a/bench/soak/main.cpp
+++ b/bench/soak/main.cpp
@@ -3,11 +3,6 @@
 #include <iostream>
 #include <thread>
 
-#include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/StreamCopier.h>
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
@@ -39,26 +34,6 @@
     return entry.address + ":" + std::to_string(entry.port);
 }
 
-/// Returns the configuration version that an entry reports in its metrics; 0 if the entry does not respond or reports
-/// none.
-std::uint64_t reportedVersion(const Entry &entry)
-{
-    const std::string metric = "\nzinniadock_configuration_version ";
-    try {
-        Poco::Net::HTTPClientSession session(entry.address, entry.metricsPort);
-        session.setTimeout(Poco::Timespan(0, 300000));
-        Poco::Net::HTTPRequest request("GET", "/metrics", Poco::Net::HTTPMessage::HTTP_1_1);
-        session.sendRequest(request);
-        Poco::Net::HTTPResponse response;
-        std::string text;
-        Poco::StreamCopier::copyToString(session.receiveResponse(response), text);
-        const std::size_t position = text.find(metric);
-        return position == std::string::npos ? 0 : std::stoull(text.substr(position + metric.size()));
-    } catch (const Poco::Exception &) {
-        return 0; // the entry is stopped or suspended by a fault
-    }
-}
-
 /// Waits until every entry serves every kind of request with the newest configuration. Returns false if this takes
 /// longer than recoveryLimit.
 bool waitForRecovery(SoakFleet &fleet)
--- a/bench/soak/soakcallers.cpp
+++ b/bench/soak/soakcallers.cpp
@@ -35,6 +35,13 @@
         m_socket.setNoDelay(true);
     }
 
+    /// Closes the connection, with a reset or with FIN.
+    void close(bool withReset)
+    {
+        m_socket.setLinger(withReset, 0);
+        m_socket.close();
+    }
+
     void send(const std::string &text)
     {
         for (std::size_t sent = 0; sent < text.size();) {
@@ -147,6 +154,27 @@
     return outcome;
 }
 
+/// Sends a request on a new connection and closes it soon. Sends two bytes more in some cases, which must not hide the
+/// close.
+Outcome sendAndLeave(const std::string &entry, const std::string &id, RequestKind kind, std::mt19937_64 &random)
+{
+    constexpr std::uint64_t maxStayMilliseconds = 300;
+    Outcome outcome{ .id = id, .kind = kind };
+    try {
+        CallerConnection connection(entry);
+        connection.send(requestText(id, kind));
+        if (random() % 3 == 0) {
+            connection.send("GE");
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(random() % maxStayMilliseconds));
+        connection.close(random() % 2 == 0);
+        outcome.leftAt = std::chrono::steady_clock::now();
+    } catch (const Poco::Exception &) {
+        outcome.leftAt.reset(); // the entry has closed the connection first
+    }
+    return outcome;
+}
+
 } // namespace
 
 Outcome sendSingleRequest(const std::string &entry, const std::string &id, RequestKind kind)
@@ -185,7 +213,9 @@
                                             : RequestKind::Read;
         const std::string id
             = "s" + std::to_string(seed) + "-c" + std::to_string(caller) + "-" + std::to_string(requestNumber);
-        const Outcome outcome = sendRequestOn(connection, entry, id, kind);
+        const bool leaves = random() % 8 == 0;
+        const Outcome outcome
+            = leaves ? sendAndLeave(entry, id, kind, random) : sendRequestOn(connection, entry, id, kind);
         std::this_thread::sleep_for(outcome.isComplete && outcome.status == 200 ? pauseBetweenRequests
                                                                                 : pauseAfterFailure);
         const std::lock_guard lock(m_mutex);
--- a/bench/soak/soakchecker.cpp
+++ b/bench/soak/soakchecker.cpp
@@ -10,6 +10,9 @@
 
 constexpr int ok = 200;
 
+/// After a caller has left, nothing may be sent on for it later than this.
+constexpr std::chrono::milliseconds sendWithin{ 500 };
+
 /// Returns whether the status guarantees that the request was not executed and never will be.
 bool guaranteesNotExecuted(int status)
 {
@@ -64,6 +67,14 @@
         return "status " + std::to_string(outcome.status)
             + " guarantees that the request was not executed, but it was executed";
     }
+    // The relay of an engine may hold a generation that was sent before its caller left.
+    const bool isSentLate = outcome.leftAt && outcome.kind != RequestKind::Generation && found != m_executions.end()
+        && std::any_of(found->second.begin(), found->second.end(), [&outcome](const Execution &execution) {
+                                return execution.startedAt > *outcome.leftAt + sendWithin;
+                            });
+    if (isSentLate) {
+        return "sent to a server after its caller had left";
+    }
     if (outcome.isMalformed) {
         return "received bytes that are no part of a response";
     }
--- a/bench/soak/soakchecker.h
+++ b/bench/soak/soakchecker.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +26,7 @@
     bool isComplete = false; ///< the response body was read to its end
     bool isMalformed = false; ///< bytes arrived that are no part of a response
     std::string body;
+    std::optional<std::chrono::steady_clock::time_point> leftAt; ///< when the caller closed the connection early
 };
 
 /// One execution of a request, as recorded by a backend server.
@@ -32,6 +35,7 @@
     std::string id;
     std::string body;
     bool isContinuation = false; ///< resumes an earlier execution from a copy of its KV cache
+    std::chrono::steady_clock::time_point startedAt;
 };
 
 /// Checks the guarantees of the daemons from what callers and backend servers observed. Shares no code with the
--- a/bench/soak/soakfleet.cpp
+++ b/bench/soak/soakfleet.cpp
@@ -4,6 +4,11 @@
 #include <csignal>
 #include <fstream>
 
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
 #include <fcntl.h>
 #include <nlohmann/json.hpp>
 #include <spawn.h>
@@ -162,6 +167,24 @@
     return m_pathPrefix.substr(m_pathPrefix.rfind('/') + 1) + " incarnation " + std::to_string(m_startCount);
 }
 
+std::uint64_t reportedVersion(const Entry &entry)
+{
+    const std::string metric = "\nzinniadock_configuration_version ";
+    try {
+        Poco::Net::HTTPClientSession session(entry.address, entry.metricsPort);
+        session.setTimeout(Poco::Timespan(0, 300000));
+        Poco::Net::HTTPRequest request("GET", "/metrics", Poco::Net::HTTPMessage::HTTP_1_1);
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        std::string text;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), text);
+        const std::size_t position = text.find(metric);
+        return position == std::string::npos ? 0 : std::stoull(text.substr(position + metric.size()));
+    } catch (const Poco::Exception &) {
+        return 0; // the entry is stopped or suspended by a fault
+    }
+}
+
 SoakFleet::SoakFleet(std::string program, std::string directory, std::size_t entryCount, std::size_t engineCount)
     : engines(engineCount)
     , entries(entryCount)
@@ -176,8 +199,9 @@
     }
     for (std::size_t i = 0; i < entryCount; ++i) {
         Entry &entry = entries[i];
+        entry.storeDoor = std::make_unique<standin::StoreDoor>(store);
         entry.storeRelay = std::make_unique<standin::LinkRelay>(
-            standin::LinkRelaySettings{ .server = "127.0.0.1:" + std::to_string(store.port()) });
+            standin::LinkRelaySettings{ .server = "127.0.0.1:" + std::to_string(entry.storeDoor->port()) });
         entry.address = addressOf(AddressRole::Entry, i);
         entry.port = callerPort;
         entry.metricsPort = metricsPort;
@@ -230,7 +254,8 @@
     for (const standin::ReceivedRequest &request : server.startedRequests()) {
         checker.add(Execution{ .id = request.fields.at("x-request-id"),
                                .body = request.body,
-                               .isContinuation = request.fields.count("kv-from") > 0 });
+                               .isContinuation = request.fields.count("kv-from") > 0,
+                               .startedAt = request.startedAt });
     }
 }
 
--- a/bench/soak/soakfleet.h
+++ b/bench/soak/soakfleet.h
@@ -62,16 +62,21 @@
     std::unique_ptr<DaemonProcess> sidecar;
 };
 
-/// An entry with the relay between the entry and the store.
+/// An entry with its path to the store.
 struct Entry
 {
     std::unique_ptr<DaemonProcess> daemon;
-    std::unique_ptr<standin::LinkRelay> storeRelay;
+    std::unique_ptr<standin::StoreDoor> storeDoor;
+    std::unique_ptr<standin::LinkRelay> storeRelay; ///< between the entry and its door
     std::string address;
     std::uint16_t port = 0; ///< accepts connections of callers
     std::uint16_t metricsPort = 0;
 };
 
+/// Returns the configuration version that an entry reports in its metrics; 0 if the entry does not respond or reports
+/// none.
+std::uint64_t reportedVersion(const Entry &entry);
+
 /// A complete deployment on the loopback interface. Entries and sidecars run as child processes; the store, engines,
 /// relays and shop servers are stand-ins in this process.
 class SoakFleet
--- a/tests/standin/platformstandin.cpp
+++ b/tests/standin/platformstandin.cpp
@@ -888,6 +888,7 @@
         return;
     }
     {
+        received.startedAt = std::chrono::steady_clock::now();
         const std::lock_guard lock(m_mutex);
         m_startedRequests.push_back(received);
     }
--- a/tests/standin/platformstandin.h
+++ b/tests/standin/platformstandin.h
@@ -186,6 +186,7 @@
     std::string target;
     std::string body;
     std::map<std::string, std::string> fields; ///< header fields, names in lower case
+    std::chrono::steady_clock::time_point startedAt;
 };
 
 /// How the streams of a PlatformServer state where they end.
