--- a/tests/unit/unit-leavingcallers.cpp
+++ b/tests/unit/unit-leavingcallers.cpp
@@ -219,14 +219,15 @@
         deployment.server.setBehavior(ServerBehavior::Healthy);
         std::this_thread::sleep_for(milliseconds(400));
     };
-    const std::string halfBody = "POST /order/1 HTTP/1.1\r\nHost: a.example\r\nX-Key: k1\r\nX-Request-Id: half\r\n"
-                                 "Content-Length: 200\r\n\r\nhalf";
+    static const std::string halfBody
+        = "POST /order/1 HTTP/1.1\r\nHost: a.example\r\nX-Key: k1\r\nX-Request-Id: half\r\n"
+          "Content-Length: 200\r\n\r\nhalf";
     return { { "unread, a read", blockLoop, readRequest, isAtOnce, waitForLoop },
              { "unread, an order", blockLoop, orderRequest, isAtOnce, waitForLoop },
              { "unread, a generation", blockLoop, generationRequest, isAtOnce, waitForLoop },
              { "being read", nothing,
-               [halfBody](const std::string & /*id*/) {
-                   return halfBody;
+               [](const std::string & /*id*/) {
+                   return std::string(halfBody);
                },
                isAtOnce, waitForLoop },
              { "waiting for capacity", fillEngine, generationRequest, isAtOnce, emptyEngine },
@@ -279,7 +280,9 @@
                     },
                     endWithin));
             } else {
-                CHECK(deployment.startedSince(before) == "");
+                const std::string sent = deployment.startedSince(before);
+                CAPTURE(sent);
+                CHECK(sent.empty());
             }
             deployment.server.setRunTime(milliseconds(0));
             CHECK(deployment.servesOthers());
