Let each decision on a peer and on freshness stand once, and rename a stand-in

A reading of the diff found a second peek for a closed connection in ConnectionPool, three comparisons of an age with its limit in StoreView, and times of the search for another source that stood in two files. They now use peerState(), isCurrent(), and the constants of changebudget.h. The names hasCallerClosed(), StoreDoor and a test name needed their neighbours to be understood.

--- a/bench/soak/faultplan.cpp
+++ b/bench/soak/faultplan.cpp
@@ -246,10 +246,10 @@
     if (!beginFault("configuration_silent", target)) {
         return;
     }
-    standin::StoreDoor &door = *m_fleet.entries[index].storeDoor;
-    door.setFault(standin::DoorFault{ .prefix = "op/" });
-    endFaultAfter(randomDuration(1000, 5000), target, [&door] {
-        door.setFault(std::nullopt);
+    standin::StoreAddress &address = *m_fleet.entries[index].storeAddress;
+    address.setFault(standin::AddressFault{ .prefix = "op/" });
+    endFaultAfter(randomDuration(1000, 5000), target, [&address] {
+        address.setFault(std::nullopt);
     });
 }
 
--- a/bench/soak/soakfleet.cpp
+++ b/bench/soak/soakfleet.cpp
@@ -199,9 +199,9 @@
     }
     for (std::size_t i = 0; i < entryCount; ++i) {
         Entry &entry = entries[i];
-        entry.storeDoor = std::make_unique<standin::StoreDoor>(store);
+        entry.storeAddress = std::make_unique<standin::StoreAddress>(store);
         entry.storeRelay = std::make_unique<standin::LinkRelay>(
-            standin::LinkRelaySettings{ .server = "127.0.0.1:" + std::to_string(entry.storeDoor->port()) });
+            standin::LinkRelaySettings{ .server = "127.0.0.1:" + std::to_string(entry.storeAddress->port()) });
         entry.address = addressOf(AddressRole::Entry, i);
         entry.port = callerPort;
         entry.metricsPort = metricsPort;
--- a/bench/soak/soakfleet.h
+++ b/bench/soak/soakfleet.h
@@ -66,8 +66,8 @@
 struct Entry
 {
     std::unique_ptr<DaemonProcess> daemon;
-    std::unique_ptr<standin::StoreDoor> storeDoor;
-    std::unique_ptr<standin::LinkRelay> storeRelay; ///< between the entry and its door
+    std::unique_ptr<standin::StoreAddress> storeAddress;
+    std::unique_ptr<standin::LinkRelay> storeRelay; ///< between the entry and its address of the store
     std::string address;
     std::uint16_t port = 0; ///< accepts connections of callers
     std::uint16_t metricsPort = 0;
--- a/include/zinniadock/connection/httplistener.h
+++ b/include/zinniadock/connection/httplistener.h
@@ -75,9 +75,9 @@
     /// has closed only its sending side counts as disconnected.
     bool hasCallerDisconnected() const;
 
-    /// Looks whether the caller has closed the connection, as far as the close has reached this instance, also if the
-    /// event loop has not noticed it yet. Runs the disconnect handler if so.
-    bool hasCallerClosed();
+    /// As hasCallerDisconnected(), but looks at the socket first, and so finds a close that has arrived and that the
+    /// event loop has not reported yet. Runs the disconnect handler if it finds one.
+    bool checkCallerDisconnected();
 
     /// Sets a handler that runs once if, while the request is handled, the caller closes the connection or a write of
     /// startStream() or writePiece() fails. Runs the handler at once if the caller has already disconnected.
--- a/include/zinniadock/process/store/changebudget.h
+++ b/include/zinniadock/process/store/changebudget.h
@@ -9,6 +9,13 @@
 namespace zinniadock
 {
 
+/// Interval at which the suspended watch of an entry checks whether to resume.
+constexpr std::chrono::milliseconds resumeInterval{ 100 };
+
+/// Time in which an entry with a stale view gets a response from the store on a new connection, or from one of the
+/// other entries that it asks.
+constexpr std::chrono::milliseconds askTime{ 250 };
+
 /// The time that each hop of a change may take, from the acknowledgement of the store to the views of all entries. See
 /// docs/design/store-contact.md. No network, no clock.
 struct ChangeBudget
--- a/include/zinniadock/process/store/storeview.h
+++ b/include/zinniadock/process/store/storeview.h
@@ -134,6 +134,10 @@
     bool isStarting() const;
     bool isReading(StorePart part) const;
     bool isHealthyReader() const;
+
+    /// Returns whether a part that was confirmed before a time \p age is not stale. Each decision on freshness is this
+    /// one.
+    bool isCurrent(const std::optional<std::chrono::milliseconds> &age, StorePart part) const;
     bool isConfirmedBy(const std::optional<SteadyTime> &confirmedAt, StorePart part) const;
     ChangeBudget budgetOf(StorePart part) const;
     void handleConfirmation();
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "zinniadock/connection/peerstate.h"
+
 namespace zinniadock
 {
 
@@ -28,13 +30,6 @@
 // connection while a request is on its way.
 constexpr std::chrono::milliseconds idleTimeoutMargin{ 700 };
 
-bool isOpenAndIdle(asio::ip::tcp::socket &socket)
-{
-    char byte = 0;
-    const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 void closeSocket(boost::beast::tcp_stream &stream)
 {
     IoError ignored; // the connection is discarded even if closing it fails
@@ -58,7 +53,7 @@
         found->second.pop_back();
         const auto idle = now - connection->idleSince;
         if (idle < std::min(maxIdleTime, connection->idleTimeout) && connection->buffer.size() == 0
-            && isOpenAndIdle(connection->stream.socket())) {
+            && peerState(connection->stream.socket().native_handle()) == PeerState::Quiet) {
             return connection;
         }
         closeSocket(connection->stream);
--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -584,7 +584,7 @@
     return m_callerDisconnected;
 }
 
-bool HttpConnection::hasCallerClosed()
+bool HttpConnection::checkCallerDisconnected()
 {
     if (!m_callerDisconnected && isOpen() && peerState(m_stream.socket().native_handle()) == PeerState::HasClosed) {
         handleDisconnect();
--- a/src/process/store/changebudget.cpp
+++ b/src/process/store/changebudget.cpp
@@ -27,11 +27,6 @@
 constexpr double slackShare = 0.1;
 constexpr milliseconds maxSlack{ 400 };
 
-/// Time in which an entry with a stale view finds another path: until its own watch resumes, and until a new connection
-/// to the store, or one of the other entries that it asks, has responded.
-constexpr milliseconds resumeTime{ 100 };
-constexpr milliseconds askTime{ 250 };
-
 /// Pause between two watches of the server list: serverPausePerReader for each reader, since the readers share the
 /// store, and at least minServerPauseInLargeFleet in a large fleet. The pause is at most maxServerPauseShare of the
 /// bound. Sidecars report a draining server sooner.
@@ -113,7 +108,7 @@
     budget.pause = pauseOf(part, budget.bound, entries);
     budget.wait = std::max(intervalOf(part, budget.bound, entries) - budget.pause, minWait);
     budget.slack = std::min(share(slackShare, budget.bound), maxSlack);
-    budget.search = resumeTime + askTime;
+    budget.search = resumeInterval + askTime;
     return budget;
 }
 
--- a/src/process/store/prefixwatch.cpp
+++ b/src/process/store/prefixwatch.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "zinniadock/process/observing/eventlog.h"
+#include "zinniadock/process/store/changebudget.h"
 
 namespace zinniadock
 {
@@ -29,9 +30,6 @@
 
 constexpr std::chrono::milliseconds initialBackoff{ 60 };
 
-/// Interval at which a suspended watch checks whether to resume.
-constexpr std::chrono::milliseconds idleCheckInterval{ 100 };
-
 /// Returns how a call ended.
 /// \param isValid  whether it has a valid response
 StoreCallEnd endOf(const CallResult &result, bool isValid)
@@ -119,7 +117,7 @@
         const std::optional<WatchTiming> timing = m_timing();
         if (!timing) {
             m_isSuspended = true;
-            co_await sleepFor(idleCheckInterval);
+            co_await sleepFor(resumeInterval);
             continue;
         }
         // The kept connections may have died while the watch was suspended.
--- a/src/process/store/storeview.cpp
+++ b/src/process/store/storeview.cpp
@@ -34,10 +34,6 @@
 constexpr std::chrono::milliseconds searchWait{ 100 };
 constexpr std::size_t maxFastQueries = 40;
 
-/// Minimum timeout of a query whose sender's view becomes stale before, and of a query that repeats one on a new
-/// connection.
-constexpr std::chrono::milliseconds minQueryTimeout{ 250 };
-
 /// After a time in which the process did not run, requests wait this long for the configuration to be confirmed.
 constexpr std::chrono::milliseconds maxConfirmationWait{ 400 };
 
@@ -328,10 +324,14 @@
     return grace;
 }
 
+bool StoreView::isCurrent(const std::optional<std::chrono::milliseconds> &age, StorePart part) const
+{
+    return age && *age < budgetOf(part).staleAfter();
+}
+
 bool StoreView::isFresh(StorePart part) const
 {
-    const auto known = age(part);
-    return known && *known < budgetOf(part).staleAfter();
+    return isCurrent(age(part), part);
 }
 
 bool StoreView::isFresh() const
@@ -341,10 +341,9 @@
     });
 }
 
-// Returns whether the store has recently confirmed a part to this entry itself, or to another one that relays it.
 bool StoreView::isConfirmedBy(const std::optional<SteadyTime> &confirmedAt, StorePart part) const
 {
-    return confirmedAt && elapsed(*confirmedAt) < budgetOf(part).staleAfter();
+    return confirmedAt && isCurrent(elapsed(*confirmedAt), part);
 }
 
 std::optional<std::chrono::milliseconds> StoreView::age(StorePart part) const
@@ -546,7 +545,7 @@
     // The failure may concern the kept connection only, and not the other entry.
     if (result.error && result.isConnectionReused) {
         query.maxWait = std::chrono::milliseconds(0);
-        options = { .timeout = minQueryTimeout, .usesNewConnection = true };
+        options = { .timeout = askTime, .usesNewConnection = true };
         askedAt = std::chrono::steady_clock::now();
         result = co_await call(m_services.pool, endpoint, makePost(relayTarget, encode(query)), options);
     }
@@ -580,14 +579,14 @@
                                             : "not a reader" } });
 }
 
-// A query must not last longer than this view is fresh.
+// A query must not last longer than this view is fresh. A stale one asks the next source after askTime.
 std::chrono::milliseconds StoreView::queryTimeout(const RelayQuery &query) const
 {
     std::chrono::milliseconds timeout = query.maxWait + relayTimeoutSlack;
     for (const StorePart part : storeParts) {
         const auto known = age(part);
         const auto left = known ? budgetOf(part).staleAfter() - *known : std::chrono::milliseconds(0);
-        timeout = std::min(timeout, std::max(left, minQueryTimeout));
+        timeout = std::min(timeout, std::max(left, askTime));
     }
     return timeout;
 }
@@ -596,9 +595,7 @@
 bool StoreView::completesView(const RelayResponse &response) const
 {
     return std::all_of(storeParts.begin(), storeParts.end(), [&](StorePart part) {
-        const auto &sourceAge = response.ages[indexOf(part)];
-        return (sourceAge && *sourceAge < budgetOf(part).staleAfter())
-            || isConfirmedBy(m_freshness.ownConfirmedAt(part), part);
+        return isCurrent(response.ages[indexOf(part)], part) || isConfirmedBy(m_freshness.ownConfirmedAt(part), part);
     });
 }
 
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -425,7 +425,7 @@
             continue;
         }
         std::erase(m_pendingMoves, move);
-        if (move->connection->hasCallerClosed()) {
+        if (move->connection->checkCallerDisconnected()) {
             logEvent("move", "dropped", { { "id", move->order.request }, { "reason", "the entry has withdrawn it" } });
             move->done = true;
             continue;
@@ -445,7 +445,7 @@
                    { "ms", std::chrono::duration_cast<std::chrono::milliseconds>(took) },
                    { "waiting", m_pendingMoves.size() },
                    { "reason", move->result.reason } });
-        if (move->result.copy && move->connection->hasCallerClosed()) {
+        if (move->result.copy && move->connection->checkCallerDisconnected()) {
             co_await releaseCopy(m_pool, *move->result.copy);
         }
         move->done = true;
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -123,7 +123,7 @@
 
 bool ForwardContext::maySend()
 {
-    return isActive() && !connection->hasCallerClosed();
+    return isActive() && !connection->checkCallerDisconnected();
 }
 
 CallOptions ForwardContext::callOptions(std::chrono::milliseconds timeout)
--- a/src/request/generationplacement.cpp
+++ b/src/request/generationplacement.cpp
@@ -65,7 +65,7 @@
     const PlacementQueue::Ticket m_ticket;
 };
 
-Awaitable<void> releaseAt(std::shared_ptr<ForwardContext> context, Endpoint engine, std::string reservation)
+Awaitable<void> releaseReservationAt(std::shared_ptr<ForwardContext> context, Endpoint engine, std::string reservation)
 {
     const HttpRequest request = wire::releaseReservationRequest(reservation);
     co_await call(context->services.controlPool, engine, request, reservationTimeout);
@@ -349,7 +349,7 @@
     asio::co_spawn(
         m_services.context,
         [context = m_context, engine = tracked->record.address, reservation = placement.reservation]() {
-            return releaseAt(context, engine, reservation);
+            return releaseReservationAt(context, engine, reservation);
         },
         asio::detached);
 }
--- a/tests/standin/platformstandin.cpp
+++ b/tests/standin/platformstandin.cpp
@@ -17,7 +17,7 @@
 
 constexpr int storeThreads = 64;
 constexpr int serverThreads = 64;
-constexpr int doorThreads = 24;
+constexpr int addressThreads = 24;
 constexpr int memoryTokens = 100000;
 
 /// Interval at which a call without a response checks whether its client has closed the connection.
@@ -356,46 +356,46 @@
     return { { "events", events }, { "currentRev", m_content.revision } };
 }
 
-StoreDoor::StoreDoor(PlatformStore &store)
+StoreAddress::StoreAddress(PlatformStore &store)
     : m_store(store)
-    , m_server(0, doorThreads, [this](HTTPServerRequest &request, HTTPServerResponse &response) {
+    , m_server(0, addressThreads, [this](HTTPServerRequest &request, HTTPServerResponse &response) {
         handle(request, response);
     })
 {
 }
 
-StoreDoor::~StoreDoor()
+StoreAddress::~StoreAddress()
 {
     m_isStopping = true;
     m_store.m_changed.notify_all();
     m_server.stop();
 }
 
-std::uint16_t StoreDoor::port() const
+std::uint16_t StoreAddress::port() const
 {
     return m_server.port();
 }
 
-void StoreDoor::setFault(std::optional<DoorFault> fault)
+void StoreAddress::setFault(std::optional<AddressFault> fault)
 {
     const std::lock_guard lock(m_mutex);
     m_fault = std::move(fault);
 }
 
-void StoreDoor::setDelay(std::chrono::milliseconds delay)
+void StoreAddress::setDelay(std::chrono::milliseconds delay)
 {
     m_delayMs = delay.count();
 }
 
-std::uint64_t StoreDoor::calls() const
+std::uint64_t StoreAddress::calls() const
 {
     return m_calls;
 }
 
-void StoreDoor::handle(HTTPServerRequest &request, HTTPServerResponse &response)
+void StoreAddress::handle(HTTPServerRequest &request, HTTPServerResponse &response)
 {
     ++m_calls;
-    std::optional<DoorFault> fault;
+    std::optional<AddressFault> fault;
     {
         const std::lock_guard lock(m_mutex);
         fault = m_fault;
@@ -413,7 +413,7 @@
     m_store.handle(request, response);
 }
 
-void StoreDoor::waitForClose(HTTPServerRequest &request) const
+void StoreAddress::waitForClose(HTTPServerRequest &request) const
 {
     auto &socket = dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
     while (!m_isStopping && !socket.poll(Poco::Timespan(0, pollMicroseconds), Poco::Net::Socket::SELECT_READ)) { }
--- a/tests/standin/platformstandin.h
+++ b/tests/standin/platformstandin.h
@@ -30,7 +30,7 @@
         nlohmann::json event;
     };
 
-    friend class StoreDoor;
+    friend class StoreAddress;
 
     /// All that the store holds.
     struct Content
@@ -117,27 +117,27 @@
     LoopbackHttpServer m_server;
 };
 
-/// Calls that arrive at a StoreDoor and are not served.
-struct DoorFault
+/// Calls that arrive at a StoreAddress and are not served.
+struct AddressFault
 {
     std::string prefix; ///< concerns only reads and watches of this prefix; all calls if empty
     int status = 0; ///< of the response; 0 for no response until the client closes the connection
 };
 
 /// A further address of a PlatformStore, with faults of its own.
-class StoreDoor
+class StoreAddress
 {
 public:
-    explicit StoreDoor(PlatformStore &store);
-    ~StoreDoor();
+    explicit StoreAddress(PlatformStore &store);
+    ~StoreAddress();
 
-    StoreDoor(const StoreDoor &) = delete;
-    StoreDoor &operator=(const StoreDoor &) = delete;
+    StoreAddress(const StoreAddress &) = delete;
+    StoreAddress &operator=(const StoreAddress &) = delete;
 
     std::uint16_t port() const;
 
     /// Sets the fault of the calls that arrive from now on; nothing ends it.
-    void setFault(std::optional<DoorFault> fault);
+    void setFault(std::optional<AddressFault> fault);
 
     /// Sets the time before each response.
     void setDelay(std::chrono::milliseconds delay);
@@ -151,7 +151,7 @@
 
     PlatformStore &m_store;
     std::mutex m_mutex;
-    std::optional<DoorFault> m_fault;
+    std::optional<AddressFault> m_fault;
     std::atomic<std::int64_t> m_delayMs{ 0 };
     std::atomic<std::uint64_t> m_calls{ 0 };
     std::atomic<bool> m_isStopping{ false };
--- a/tests/unit/unit-changebudget.cpp
+++ b/tests/unit/unit-changebudget.cpp
@@ -53,7 +53,7 @@
 }
 
 // Guards against freshness that is paid for with more calls to the store on a calm day.
-TEST_CASE("a reader makes no more calls to the store than its watches did before their budget was shared")
+TEST_CASE("the calls of a reader to the store stay below their limit on a calm day")
 {
     for (const SizedFleet &fleet : fleets) {
         CAPTURE(fleet.entries);
--- a/tests/unit/unit-configurationbound.cpp
+++ b/tests/unit/unit-configurationbound.cpp
@@ -46,9 +46,9 @@
         store.put("servers/s1", server.record("shop"));
         store.put("op/config", configuration(m_version));
         for (std::size_t i = 0; i < size; ++i) {
-            doors.push_back(std::make_unique<StoreDoor>(store));
+            storeAddresses.push_back(std::make_unique<StoreAddress>(store));
             links.push_back(std::make_unique<LinkRelay>(
-                LinkRelaySettings{ .server = "127.0.0.1:" + std::to_string(doors.back()->port()) }));
+                LinkRelaySettings{ .server = "127.0.0.1:" + std::to_string(storeAddresses.back()->port()) }));
             addEntry(links.back()->port());
         }
         REQUIRE(eventually([&] {
@@ -72,7 +72,7 @@
 
     std::size_t readers() const
     {
-        return readerCount(std::max<std::size_t>(doors.size(), 1));
+        return readerCount(std::max<std::size_t>(storeAddresses.size(), 1));
     }
 
     /// Returns whether only the readers read the store, all entries know each other, and have the last version.
@@ -100,10 +100,10 @@
     }
 
     /// Sets a fault of the calls of the entries from \p first on, up to \p count of them.
-    void setFault(std::size_t first, std::size_t count, const std::optional<DoorFault> &fault)
+    void setFault(std::size_t first, std::size_t count, const std::optional<AddressFault> &fault)
     {
-        for (std::size_t i = first; i < std::min(first + count, doors.size()); ++i) {
-            doors[i]->setFault(fault);
+        for (std::size_t i = first; i < std::min(first + count, storeAddresses.size()); ++i) {
+            storeAddresses[i]->setFault(fault);
         }
     }
 
@@ -135,7 +135,7 @@
     const milliseconds bound;
     PlatformStore store;
     PlatformServer server{ "s1" };
-    std::vector<std::unique_ptr<StoreDoor>> doors;
+    std::vector<std::unique_ptr<StoreAddress>> storeAddresses;
     std::vector<std::unique_ptr<LinkRelay>> links;
     std::vector<std::unique_ptr<RoleThread<ForwardingEntry>>> entries;
     std::chrono::steady_clock::time_point publishedAt;
@@ -160,7 +160,7 @@
     BoundFleet fleet(GENERATE(std::size_t{ 5 }, std::size_t{ 28 }));
     CAPTURE(fleet.entries.size());
     const std::size_t silent = fleet.entries.size() > maxSmallFleetSize ? fleet.readers() : fleet.entries.size() - 1;
-    fleet.setFault(0, silent, DoorFault{ .prefix = configurationPrefix });
+    fleet.setFault(0, silent, AddressFault{ .prefix = configurationPrefix });
     std::this_thread::sleep_for(fleet.bound);
     for (int change = 1; change <= 2; ++change) {
         CAPTURE(change);
@@ -178,7 +178,7 @@
     const std::size_t turnedAway = size > maxSmallFleetSize ? fleet.readers() + (size - fleet.readers()) * 3 / 4 : 4;
     for (const int status : { 0, 503, 429 }) {
         CAPTURE(status);
-        fleet.setFault(0, turnedAway, DoorFault{ .prefix = "", .status = status });
+        fleet.setFault(0, turnedAway, AddressFault{ .prefix = "", .status = status });
         for (std::size_t i = 0; i < turnedAway; ++i) {
             status == 0 ? fleet.links[i]->silenceOpenConnections() : fleet.links[i]->cut();
         }
@@ -194,8 +194,8 @@
 {
     BoundFleet fleet(GENERATE(std::size_t{ 1 }, std::size_t{ 5 }, std::size_t{ 28 }));
     CAPTURE(fleet.entries.size());
-    for (const auto &door : fleet.doors) {
-        door->setDelay(milliseconds(300));
+    for (const auto &address : fleet.storeAddresses) {
+        address->setDelay(milliseconds(300));
     }
     std::this_thread::sleep_for(fleet.bound + fleet.bound);
     for (const auto &link : fleet.links) {
@@ -255,7 +255,7 @@
 TEST_CASE("an entry that joins becomes ready with the current configuration")
 {
     BoundFleet fleet(5);
-    fleet.setFault(0, fleet.doors.size(), DoorFault{ .prefix = configurationPrefix });
+    fleet.setFault(0, fleet.storeAddresses.size(), AddressFault{ .prefix = configurationPrefix });
     for (const auto &link : fleet.links) {
         link->silenceOpenConnections();
     }
