Record whether an abandoned response had begun, and how late the event loop is

An entry that kept an old configuration logged its calls as silent although their responses had arrived. Without logic changes: - call failed and source skipped state whether bytes of the response had arrived, and whether the source reads the store itself; - zinniadock_abandoned_responses_total counts calls that were given up although their response had begun; - zinniadock_event_loop_delay_milliseconds and one log line a second show how late the event loop serves its timers; - zinniadock_store_reading shows for each part whether this entry reads it itself. The fleet of the tests of the configuration's bound and the reading of metrics, which stood in six tests, are shared files now.

--- a/include/zinniadock/connection/httpclient.h
+++ b/include/zinniadock/connection/httpclient.h
@@ -70,12 +70,19 @@
 
     /// Returns the number of connection attempts.
     std::uint64_t connectCount() const;
+
+    /// Records that a call was given up although its response had begun to arrive.
+    void recordAbandonedResponse();
+
+    /// Returns the number of calls that were given up although their response had begun to arrive.
+    std::uint64_t abandonedResponses() const;
     asio::io_context &context();
 
 private:
     asio::io_context &m_context;
     std::map<std::string, std::vector<std::shared_ptr<PooledConnection>>> m_idle;
     std::uint64_t m_connectCount = 0;
+    std::uint64_t m_abandonedResponses = 0;
 };
 
 /// Whether any part of a request may have reached the server.
@@ -127,6 +134,9 @@
     /// Returns what is known of the response after reading it has ended. \pre readHead() succeeded
     ResponseEnd end() const;
 
+    /// Returns whether any byte of the response has arrived, also if it was not read yet.
+    bool hasResponseBegun() const;
+
     SendState sendState() const;
 
     /// Returns whether the request was sent on a connection that had been used before.
@@ -164,6 +174,7 @@
     IoError error; ///< set if no complete response was received
     SendState sendState = SendState::NotSent;
     bool hasTimedOut = false;
+    bool hasResponseBegun = false; ///< some bytes of the response had arrived when the call ended
     bool isConnectionReused = false; ///< the request was sent on a connection that had been used before
     unsigned status = 0;
     ResponseHead head;
--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -10,6 +10,7 @@
 #include "zinniadock/process/forwardingservices.h"
 #include "zinniadock/process/links/sidecarfeed.h"
 #include "zinniadock/process/membership/entryknowledge.h"
+#include "zinniadock/process/observing/loopdelay.h"
 #include "zinniadock/process/servers/departedservers.h"
 #include "zinniadock/process/store/storeview.h"
 
@@ -54,6 +55,9 @@
     /// Sends what this entry knows about crashes to other entries. Waits a short time for them.
     Awaitable<void> handOver();
 
+    /// Returns the version of the configuration in force; 0 if there is none. Called on the network thread.
+    std::uint64_t configurationVersion() const;
+
     /// Applies changed settings. Only the forwarding settings take effect.
     void reload(Settings settings);
 
@@ -64,6 +68,7 @@
     Awaitable<void> handleMetricsRequest(std::shared_ptr<HttpConnection> connection, HttpRequest request);
     Awaitable<void> handlePeerRequest(std::shared_ptr<HttpConnection> connection, HttpRequest request);
     void observePause();
+    void recordLoopDelay(SteadyTime due);
     Awaitable<void> confirmConfiguration();
     Awaitable<void> runMaintenance();
     Awaitable<void> resolveAnnouncement(ServerAnnouncement announcement);
@@ -99,6 +104,8 @@
     ForwardingServices &m_services;
     StoreView m_storeView;
     PauseDetector m_pauseDetector;
+    LoopDelay m_loopDelay;
+    SteadyTime m_nextDelayLog; ///< the next long delay of the event loop is not logged before
     DepartedServers m_departed;
     std::shared_ptr<KnowledgeExchange> m_knowledge;
     std::string m_configuration; ///< text of the configuration in force
--- a/include/zinniadock/process/store/storeview.h
+++ b/include/zinniadock/process/store/storeview.h
@@ -89,7 +89,10 @@
     /// Returns whether the list of entries was read, by this entry or through another one.
     bool hasEntryList() const;
 
-    /// Returns whether this entry currently reads the store itself.
+    /// Returns whether this entry currently reads a part of the store itself.
+    bool isReading(StorePart part) const;
+
+    /// Returns whether this entry currently reads any part of the store itself.
     bool isReadingStore() const;
 
     /// Returns the latest era of the store that is known; 0 if there is none.
@@ -132,7 +135,6 @@
     PerPart<std::optional<SteadyTime>> confirmations() const;
     bool hasNewerConfirmation(const PerPart<std::optional<SteadyTime>> &before) const;
     bool isStarting() const;
-    bool isReading(StorePart part) const;
     bool isHealthyReader() const;
 
     /// Returns whether a part that was confirmed before a time \p age is not stale. Each decision on freshness is this
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -105,6 +105,16 @@
     return m_connectCount;
 }
 
+void ConnectionPool::recordAbandonedResponse()
+{
+    ++m_abandonedResponses;
+}
+
+std::uint64_t ConnectionPool::abandonedResponses() const
+{
+    return m_abandonedResponses;
+}
+
 asio::io_context &ConnectionPool::context()
 {
     return m_context;
@@ -238,6 +248,15 @@
     return judgeResponse(framing(), isComplete());
 }
 
+bool HttpExchange::hasResponseBegun() const
+{
+    const bool hasHead = m_parser && m_parser->is_header_done();
+    const bool hasBytes = hasHead || (m_connection && m_connection->buffer.size() > 0);
+    return hasBytes
+        || (m_connection && m_sendState == SendState::Sent && m_connection->stream.socket().is_open()
+            && peerState(m_connection->stream.socket().native_handle()) == PeerState::HasSent);
+}
+
 SendState HttpExchange::sendState() const
 {
     return m_sendState;
@@ -287,10 +306,12 @@
     }
     exchange->setSendCondition(std::move(options.sendCondition));
     auto hasTimedOut = std::make_shared<bool>(false);
+    auto hasResponseBegun = std::make_shared<bool>(false);
     auto timer = std::make_shared<asio::steady_timer>(pool.context(), options.timeout);
-    timer->async_wait([exchange, timer, hasTimedOut](const IoError &error) {
+    timer->async_wait([exchange, timer, hasTimedOut, hasResponseBegun](const IoError &error) {
         if (!error) {
             *hasTimedOut = true;
+            *hasResponseBegun = exchange->hasResponseBegun();
             exchange->abort();
         }
     });
@@ -308,6 +329,10 @@
     }
     timer->cancel();
     result.hasTimedOut = *hasTimedOut;
+    result.hasResponseBegun = *hasResponseBegun || exchange->hasResponseBegun();
+    if (result.error && result.hasResponseBegun) {
+        pool.recordAbandonedResponse();
+    }
     if (!result.error) {
         exchange->releaseConnection(callIdleTimeout);
     }
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -38,6 +38,10 @@
 /// Maximum number of departures that an entry sends to another.
 constexpr std::size_t maxSentDepartures = 2000;
 
+/// A delay of the event loop that is logged, at most once per delayLogInterval.
+constexpr std::chrono::milliseconds loggedLoopDelay{ 100 };
+constexpr std::chrono::milliseconds delayLogInterval{ 1000 };
+
 /// Interval between two cleanups of idle connections and removed servers.
 constexpr std::chrono::milliseconds cleanupInterval{ 5000 };
 
@@ -165,7 +169,7 @@
         return;
     }
     const RouteTable &table = std::get<RouteTable>(parsed);
-    const std::uint64_t current = m_services.routes ? m_services.routes->version : 0;
+    const std::uint64_t current = configurationVersion();
     if (m_services.routes && table.version <= current) {
         return;
     }
@@ -324,7 +328,7 @@
 EntryKnowledge ForwardingEntry::knowledgeFor(std::uint64_t knownVersion) const
 {
     EntryKnowledge knowledge;
-    knowledge.configurationVersion = m_services.routes ? m_services.routes->version : 0;
+    knowledge.configurationVersion = configurationVersion();
     knowledge.configuration = knownVersion < knowledge.configurationVersion ? m_configuration : "";
     knowledge.departures = m_departed.latest(maxSentDepartures);
     knowledge.evidence = m_services.suspects.openEvidence();
@@ -334,7 +338,7 @@
 
 void ForwardingEntry::applyKnowledge(const EntryKnowledge &knowledge, const std::string &source)
 {
-    const std::uint64_t current = m_services.routes ? m_services.routes->version : 0;
+    const std::uint64_t current = configurationVersion();
     if (knowledge.configurationVersion > current && !knowledge.configuration.empty()) {
         applyConfiguration(knowledge.configuration, source);
     }
@@ -539,11 +543,26 @@
     }
 }
 
+// Logs a long delay at most once per delayLogInterval.
+void ForwardingEntry::recordLoopDelay(SteadyTime due)
+{
+    const auto now = std::chrono::steady_clock::now();
+    m_loopDelay.record(due, now);
+    if (now - due >= loggedLoopDelay && now >= m_nextDelayLog) {
+        m_nextDelayLog = now + delayLogInterval;
+        logEvent("daemon", "event loop delayed",
+                 { { "delay_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - due) },
+                   { "active_requests", m_services.counters.activeRequests } });
+    }
+}
+
 Awaitable<void> ForwardingEntry::runMaintenance()
 {
     SteadyTime nextCleanup;
     while (!m_stopped) {
+        const SteadyTime due = std::chrono::steady_clock::now() + maintenanceInterval;
         co_await sleepFor(maintenanceInterval);
+        recordLoopDelay(due);
         observePause();
         applyDueRemovals();
         reviewHeldBackServers();
@@ -633,6 +652,11 @@
         && !m_services.suspects.isSending();
 }
 
+std::uint64_t ForwardingEntry::configurationVersion() const
+{
+    return m_services.routes ? m_services.routes->version : 0;
+}
+
 void ForwardingEntry::reload(Settings settings)
 {
     m_services.settings.forwarding = std::move(settings.forwarding);
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -117,13 +117,15 @@
     }
 }
 
-/// Appends the time since the store last confirmed each part of the view; a part without a confirmation is left out.
-void appendStoreAges(const StoreView &view, std::string &out)
+/// Appends whether this entry reads each part of the store itself, and the time since the store last confirmed it; the
+/// time of a part without a confirmation is left out.
+void appendStoreParts(const StoreView &view, std::string &out)
 {
-    for (const StorePart part : { StorePart::Configuration, StorePart::Servers, StorePart::Entries }) {
+    for (const StorePart part : storeParts) {
+        const std::string label = "{part=\"" + std::string(toString(part)) + "\"}";
+        appendMetric("zinniadock_store_reading" + label, view.isReading(part) ? 1 : 0, out);
         if (const auto age = view.age(part)) {
-            appendMetric("zinniadock_store_age_milliseconds{part=\"" + std::string(toString(part)) + "\"}",
-                         static_cast<std::uint64_t>(age->count()), out);
+            appendMetric("zinniadock_store_age_milliseconds" + label, static_cast<std::uint64_t>(age->count()), out);
         }
     }
 }
@@ -183,18 +185,22 @@
     appendMetric("zinniadock_evacuation_refusals_total", m_services.counters.evacuationRefusals, out);
     appendMetric("zinniadock_server_connects_total",
                  m_services.pool.connectCount() + m_services.controlPool.connectCount(), out);
+    appendMetric("zinniadock_abandoned_responses_total",
+                 m_services.pool.abandonedResponses() + m_services.controlPool.abandonedResponses(), out);
+    appendMetric("zinniadock_event_loop_delay_milliseconds",
+                 static_cast<std::uint64_t>(m_loopDelay.longest(std::chrono::steady_clock::now()).count()), out);
     appendMetric("zinniadock_store_calls_total", m_storeView.storeCalls(), out);
     for (const auto &[end, count] : m_storeView.callEnds()) {
         appendMetric("zinniadock_store_call_ends_total{end=\"" + std::string(toString(end)) + "\"}", count, out);
     }
     appendMetric("zinniadock_store_outages_total", m_storeView.outages(), out);
-    appendStoreAges(m_storeView, out);
+    appendStoreParts(m_storeView, out);
     appendMetric("zinniadock_store_era", m_storeView.storeEra(), out);
     appendMetric("zinniadock_store_fresh", m_storeView.isFresh() ? 1 : 0, out);
     appendMetric("zinniadock_store_reader", m_storeView.isReadingStore() ? 1 : 0, out);
     appendMetric("zinniadock_known_entries", m_services.entryCount(), out);
     appendMetric("zinniadock_servers", m_services.directory.servers().size(), out);
-    appendMetric("zinniadock_configuration_version", m_services.routes ? m_services.routes->version : 0, out);
+    appendMetric("zinniadock_configuration_version", configurationVersion(), out);
     appendSpeedMetrics(m_services, out);
     appendLimitMetrics(m_services.serverLimiter.limits(), std::chrono::steady_clock::now(), out);
     appendBudgetMetrics(*m_services.callerBudget, out);
--- a/src/process/store/prefixwatch.cpp
+++ b/src/process/store/prefixwatch.cpp
@@ -276,6 +276,7 @@
                    { "failures", m_failures },
                    { "status", result.status },
                    { "waited_ms", duration },
+                   { "response_begun", result.hasResponseBegun ? 1 : 0 },
                    { "reason", result.error.message() } });
     }
     m_callbacks.onCallEnded(end, !result.isConnectionReused);
--- a/src/process/store/storeview.cpp
+++ b/src/process/store/storeview.cpp
@@ -568,6 +568,8 @@
     logEvent("store", "source skipped",
              { { "peer", peer },
                { "status", result.status },
+               { "response_begun", result.hasResponseBegun ? 1 : 0 },
+               { "reads_store", response && response->readsStore ? 1 : 0 },
                { "age_ms", response ? response->age : unknownAge },
                { "configuration_age_ms",
                  response ? response->ages[indexOf(StorePart::Configuration)].value_or(unknownAge) : unknownAge },
--- a/tests/standin/linkrelay.cpp
+++ b/tests/standin/linkrelay.cpp
@@ -95,6 +95,11 @@
     m_delayMilliseconds = delay.count();
 }
 
+void LinkRelay::setRate(std::size_t bytesPerSecond)
+{
+    m_bytesPerSecond = bytesPerSecond;
+}
+
 void LinkRelay::cut()
 {
     const std::lock_guard lock(m_mutex);
@@ -158,6 +163,11 @@
                 });
             }
             std::this_thread::sleep_for(std::chrono::milliseconds(m_delayMilliseconds));
+            const std::size_t rate = m_bytesPerSecond;
+            if (!toServer && rate > 0) {
+                std::this_thread::sleep_for(
+                    std::chrono::duration<double>(static_cast<double>(size) / static_cast<double>(rate)));
+            }
             if (!connection.isSilent) {
                 sendAll(to, buffer.data(), size);
             }
--- a/tests/standin/linkrelay.h
+++ b/tests/standin/linkrelay.h
@@ -55,6 +55,9 @@
     /// Sets the delay before each received chunk is forwarded.
     void setDelay(std::chrono::milliseconds delay);
 
+    /// Sets the rate at which each connection carries bytes to the client; 0 for no limit.
+    void setRate(std::size_t bytesPerSecond);
+
     /// Closes all connections.
     void cut();
 
@@ -85,6 +88,7 @@
     std::condition_variable m_changed;
     BlockedDirections m_blockedDirections;
     std::atomic<std::int64_t> m_delayMilliseconds{ 0 };
+    std::atomic<std::size_t> m_bytesPerSecond{ 0 };
     bool m_stopping = false;
     std::atomic<bool> m_isEnding{ false }; ///< as m_stopping, for threads that don't hold m_mutex
     std::list<Connection> m_connections; ///< changed only by the accepting thread and the destructor, under m_mutex;
--- a/tests/unit/forwardingfixture.cpp
+++ b/tests/unit/forwardingfixture.cpp
@@ -112,6 +112,13 @@
     return sendRequest(entry->readyPort(), { .target = readyTarget, .method = "GET" }).status == 200;
 }
 
+double metric(RoleThread<ForwardingEntry> &entry, const std::string &name)
+{
+    const std::string page = sendRequest(entry->metricsPort(), { .target = "/metrics", .method = "GET" }).body;
+    const std::size_t at = page.find("\n" + name + " ");
+    return at == std::string::npos ? -1 : std::stod(page.substr(at + name.size() + 2));
+}
+
 SeededStore::SeededStore(const std::string &serverId, const std::string &record)
 {
     put("servers/" + serverId, record);
--- a/tests/unit/forwardingfixture.h
+++ b/tests/unit/forwardingfixture.h
@@ -105,6 +105,9 @@
 
 bool isReady(RoleThread<ForwardingEntry> &entry);
 
+/// Returns a metric of an entry without labels; -1 if it has none of this name.
+double metric(RoleThread<ForwardingEntry> &entry, const std::string &name);
+
 /// A store that holds the configuration of the forwarding tests and the record of one server.
 class SeededStore : public standin::PlatformStore
 {
--- a/tests/unit/unit-configurationbound.cpp
+++ b/tests/unit/unit-configurationbound.cpp
@@ -5,9 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "boundfleet.h"
 #include "fleet.h"
-#include "forwardingfixture.h"
-#include "linkrelay.h"
 #include "zinniadock/process/store/readerchoice.h"
 
 using namespace zinniadock;
@@ -20,138 +19,6 @@
 
 constexpr const char *configurationPrefix = "op/";
 
-/// Time until all entries have recovered from a fault.
-constexpr milliseconds recoveryTime{ 8000 };
-
-/// Returns the bound of the platform's rules for a fleet of this size.
-milliseconds boundFor(std::size_t entries)
-{
-    return milliseconds(entries > maxSmallFleetSize ? 3000 : 2000);
-}
-
-double metric(RoleThread<ForwardingEntry> &entry, const std::string &name)
-{
-    const std::string page = sendRequest(entry->metricsPort(), { .target = "/metrics", .method = "GET" }).body;
-    const std::size_t at = page.find("\n" + name + " ");
-    return at == std::string::npos ? -1 : std::stod(page.substr(at + name.size() + 2));
-}
-
-/// Entries with an address of the store each, and a plain service. The first entries are the readers.
-class BoundFleet
-{
-public:
-    explicit BoundFleet(std::size_t size)
-        : bound(boundFor(size))
-    {
-        store.put("servers/s1", server.record("shop"));
-        store.put("op/config", configuration(m_version));
-        for (std::size_t i = 0; i < size; ++i) {
-            storeAddresses.push_back(std::make_unique<StoreAddress>(store));
-            links.push_back(std::make_unique<LinkRelay>(
-                LinkRelaySettings{ .server = "127.0.0.1:" + std::to_string(storeAddresses.back()->port()) }));
-            addEntry(links.back()->port());
-        }
-        REQUIRE(eventually([&] {
-            return isCalm();
-        }));
-    }
-
-    /// Adds an entry that follows the first entries.
-    void addEntry(std::uint16_t storePort)
-    {
-        std::vector<Endpoint> seeds;
-        for (std::size_t i = 0; i < std::min<std::size_t>(entries.size(), 3); ++i) {
-            seeds.push_back({ "127.0.0.1", (*entries[i])->peerPort() });
-        }
-        Settings settings = entrySettings(storePort, 1, seeds);
-        settings.forwarding.configurationWithin = bound;
-        settings.forwarding.drainWithin = bound;
-        settings.forwarding.capacity = entries.size() < readers() ? 0.5 : 0.09;
-        entries.push_back(std::make_unique<RoleThread<ForwardingEntry>>(settings));
-    }
-
-    std::size_t readers() const
-    {
-        return readerCount(std::max<std::size_t>(storeAddresses.size(), 1));
-    }
-
-    /// Returns whether only the readers read the store, all entries know each other, and have the last version.
-    bool isCalm()
-    {
-        double reading = 0;
-        for (const auto &entry : entries) {
-            if (metric(*entry, "zinniadock_known_entries") != static_cast<double>(entries.size())
-                || metric(*entry, "zinniadock_configuration_version") != m_version
-                || metric(*entry, "zinniadock_store_fresh") != 1) {
-                return false;
-            }
-            reading += metric(*entry, "zinniadock_store_reader");
-        }
-        return reading == static_cast<double>(readerCount(entries.size()));
-    }
-
-    void waitUntilCalm()
-    {
-        REQUIRE(eventually(
-            [&] {
-                return isCalm();
-            },
-            recoveryTime));
-    }
-
-    /// Sets a fault of the calls of the entries from \p first on, up to \p count of them.
-    void setFault(std::size_t first, std::size_t count, const std::optional<AddressFault> &fault)
-    {
-        for (std::size_t i = first; i < std::min(first + count, storeAddresses.size()); ++i) {
-            storeAddresses[i]->setFault(fault);
-        }
-    }
-
-    void publish()
-    {
-        store.put("op/config", configuration(++m_version));
-        publishedAt = std::chrono::steady_clock::now();
-    }
-
-    /// Returns whether the last version is in force at the entries from \p first on within the bound.
-    bool isInForceWithinBound(std::size_t first = 0)
-    {
-        const auto left = bound - (std::chrono::steady_clock::now() - publishedAt);
-        return eventually(
-            [&] {
-                return std::all_of(entries.begin() + static_cast<std::ptrdiff_t>(first), entries.end(),
-                                   [&](const auto &entry) {
-                                       return metric(*entry, "zinniadock_configuration_version") == m_version;
-                                   });
-            },
-            std::chrono::duration_cast<milliseconds>(left));
-    }
-
-    int version() const
-    {
-        return m_version;
-    }
-
-    const milliseconds bound;
-    PlatformStore store;
-    PlatformServer server{ "s1" };
-    std::vector<std::unique_ptr<StoreAddress>> storeAddresses;
-    std::vector<std::unique_ptr<LinkRelay>> links;
-    std::vector<std::unique_ptr<RoleThread<ForwardingEntry>>> entries;
-    std::chrono::steady_clock::time_point publishedAt;
-
-private:
-    int m_version = 3;
-};
-
-/// Keeps the thread of an entry from running, as a freeze of its process does.
-void freeze(RoleThread<ForwardingEntry> &entry, milliseconds duration)
-{
-    entry.post([duration] {
-        std::this_thread::sleep_for(duration);
-    });
-}
-
 } // namespace
 
 // Guards against a reader whose server list is fresh, and whose old configuration its followers take for fresh too.
--- a/tests/unit/unit-evacuatedservers.cpp
+++ b/tests/unit/unit-evacuatedservers.cpp
@@ -19,13 +19,6 @@
 constexpr const char *southKey = "op/evacuate/south";
 constexpr const char *northKey = "op/evacuate/north";
 
-double metric(EntryThread &entry, const std::string &name)
-{
-    const std::string page = sendRequest(entry->metricsPort(), { .target = "/metrics", .method = "GET" }).body;
-    const std::size_t at = page.find(name + " ");
-    return at == std::string::npos ? -1 : std::stod(page.substr(at + name.size()));
-}
-
 /// Waits until an entry knows this number of evacuations.
 bool knowsEvacuations(EntryThread &entry, int count)
 {
--- a/tests/unit/unit-onereader.cpp
+++ b/tests/unit/unit-onereader.cpp
@@ -22,13 +22,6 @@
 
 using EntryThread = RoleThread<ForwardingEntry>;
 
-double metric(EntryThread &entry, const std::string &name)
-{
-    const std::string page = sendRequest(entry->metricsPort(), { .target = "/metrics", .method = "GET" }).body;
-    const std::size_t at = page.find(name + " ");
-    return at == std::string::npos ? -1 : std::stod(page.substr(at + name.size()));
-}
-
 } // namespace
 
 // Guards against entries that ask only some of the others while the store does not respond to them, and so never find
--- a/tests/unit/unit-storerestore.cpp
+++ b/tests/unit/unit-storerestore.cpp
@@ -21,13 +21,6 @@
 /// Time in which servers that the store has lost register again.
 constexpr std::chrono::milliseconds registrationBound{ 2000 };
 
-double metric(EntryThread &entry, const std::string &name)
-{
-    const std::string page = sendRequest(entry->metricsPort(), { .target = "/metrics", .method = "GET" }).body;
-    const std::size_t at = page.find(name + " ");
-    return at == std::string::npos ? -1 : std::stod(page.substr(at + name.size()));
-}
-
 bool hasVersion(EntryThread &entry, int version)
 {
     return metric(entry, "zinniadock_configuration_version") == version;
--- a/tests/unit/unit-storeview.cpp
+++ b/tests/unit/unit-storeview.cpp
@@ -18,13 +18,6 @@
 
 using Entries = std::vector<std::unique_ptr<RoleThread<ForwardingEntry>>>;
 
-double metric(RoleThread<ForwardingEntry> &entry, const std::string &name)
-{
-    const std::string page = sendRequest(entry->metricsPort(), { .target = "/metrics", .method = "GET" }).body;
-    const std::size_t at = page.find(name + " ");
-    return at == std::string::npos ? -1 : std::stod(page.substr(at + name.size()));
-}
-
 double sumOf(const Entries &entries, const std::string &name)
 {
     double sum = 0;
--- a/tests/unit/unit-storewatch.cpp
+++ b/tests/unit/unit-storewatch.cpp
@@ -24,13 +24,6 @@
 constexpr std::size_t smallFleet = 1;
 constexpr std::size_t largeFleet = 12;
 
-double metric(RoleThread<ForwardingEntry> &entry, const std::string &name)
-{
-    const std::string page = sendRequest(entry->metricsPort(), { .target = "/metrics", .method = "GET" }).body;
-    const std::size_t at = page.find(name + " ");
-    return at == std::string::npos ? 0 : std::stod(page.substr(at + name.size()));
-}
-
 /// Entries that reach the store over one relay, and a plain service with two servers.
 struct RelayedFleet
 {
