Do not give up calls whose response has arrived or is arriving

What callers saw: requests handled by a version that another had replaced more than 3 s before, at small entries in a burst, while the store and all entries were in service. Cause: the time limit of a call was a timer on the event loop that also reads its socket. If a turn of the loop takes longer than what is left of the limit, the timer is served first, and the response in the socket is dropped. A stale entry gives each query 0.25 s and each call to the store 0.5 to 1 s, so it dropped all of them for as long as it was busy. The limit also ended transfers that take longer, on each try. Class: the own delay taken for the silence of a peer. Fix: CallDeadline decides, without network or clock, whether a call beyond its limit goes on: while something has arrived that was not read, or something was read within 0.2 s, for 5 s more at most. It also decides for attempts of idempotent calls. A connection that the system has opened counts as open before the event loop reports it. A large response that has arrived is read in one turn of the loop, not in one turn for each 16 KiB. A caller that leaves now also ends the opening of a connection.

--- a/include/zinniadock/connection/httpclient.h
+++ b/include/zinniadock/connection/httpclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -16,6 +17,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include "zinniadock/connection/calldeadline.h"
 #include "zinniadock/connection/httpmessage.h"
 #include "zinniadock/connection/responseend.h"
 
@@ -54,9 +56,11 @@
     /// neither closed nor written to. Returns null if there is none.
     std::shared_ptr<PooledConnection> acquireIdle(const Endpoint &peer, std::chrono::milliseconds maxIdleTime);
 
-    /// Opens a connection within \p timeout. Returns null and sets \p error on failure.
-    Awaitable<std::shared_ptr<PooledConnection>> connect(Endpoint peer, std::chrono::milliseconds timeout,
-                                                         IoError &error);
+    /// Returns a connection that is not open yet.
+    std::shared_ptr<PooledConnection> create(const Endpoint &peer);
+
+    /// Opens a connection within \p timeout, or ends with an error when its socket is closed.
+    Awaitable<IoError> open(std::shared_ptr<PooledConnection> connection, std::chrono::milliseconds timeout);
 
     /// Returns a connection to the pool after a complete exchange.
     /// \param idleTimeout  time after which the idle connection is no longer used
@@ -137,6 +141,9 @@
     /// Returns whether any byte of the response has arrived, also if it was not read yet.
     bool hasResponseBegun() const;
 
+    /// Returns what has happened on the connection.
+    CallDeadline::Progress progress() const;
+
     SendState sendState() const;
 
     /// Returns whether the request was sent on a connection that had been used before.
@@ -152,8 +159,13 @@
 
 private:
     using Parser = http::response_parser<http::buffer_body>;
+    using ReadBuffer = std::array<char, 16384>;
 
     void startReadTimeout();
+    void recordProgress();
+    IoError readAvailable(std::string &out);
+    void useBuffer(ReadBuffer &buffer);
+    void appendRead(const ReadBuffer &buffer, std::string &out, IoError &error);
 
     ConnectionPool &m_pool;
     const Endpoint m_peer;
@@ -165,6 +177,8 @@
     bool m_isHeadRequest = false;
     bool m_isConnectionReused = false;
     bool m_aborted = false;
+    bool m_isConnecting = false;
+    CallDeadline::Time m_lastProgress; ///< the connection was opened, or bytes were written or received
     SendState m_sendState = SendState::NotSent;
 };
 
@@ -191,7 +205,7 @@
 /// Options of call().
 struct CallOptions
 {
-    std::chrono::milliseconds timeout{ 0 }; ///< for the whole call
+    std::chrono::milliseconds timeout{ 0 }; ///< for the whole call, which is exceeded while its response arrives
     bool usesNewConnection = false; ///< closes the idle connections to the peer, and opens a new one
     std::shared_ptr<CallInterrupter> interrupter; ///< may end the call before; null for none
     std::function<bool()> sendCondition; ///< nothing is sent if it does not hold right before; empty for none
@@ -209,7 +223,7 @@
     std::weak_ptr<HttpExchange> m_exchange;
 };
 
-/// Sends a request and reads the whole response within \p timeout.
+/// Sends a request and reads the whole response. Gives the call up after \p timeout, unless its response is arriving.
 Awaitable<CallResult> call(ConnectionPool &pool, Endpoint peer, HttpRequest request, std::chrono::milliseconds timeout);
 
 /// Sends a request and reads the whole response.
--- a/include/zinniadock/connection/peerstate.h
+++ b/include/zinniadock/connection/peerstate.h
@@ -14,4 +14,9 @@
 /// \param descriptor  socket of the connection
 PeerState peerState(int descriptor);
 
+/// Returns whether an attempt to connect has succeeded or failed, without waiting. The event loop may not have reported
+/// it yet.
+/// \param descriptor  socket of the connection
+bool isConnectDecided(int descriptor);
+
 } // namespace zinniadock
--- a/include/zinniadock/request/callforward.h
+++ b/include/zinniadock/request/callforward.h
@@ -29,6 +29,7 @@
 
     Awaitable<Attempt> tryServer(std::string server);
     Awaitable<Attempt> exchangeWithServer(TrackedServer target);
+    Awaitable<Attempt> runExchange(std::shared_ptr<HttpExchange> exchange, TrackedServer target);
     Attempt makeFailedAttempt(const HttpExchange &exchange, const std::string &reason) const;
     bool mayRetry(const Attempt &attempt) const;
     bool isFinal(const Attempt &attempt) const;
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -1,11 +1,11 @@
 #include "zinniadock/connection/httpclient.h"
 
-#include <array>
 #include <limits>
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "zinniadock/connection/calltimer.h"
 #include "zinniadock/connection/peerstate.h"
 
 namespace zinniadock
@@ -14,7 +14,6 @@
 namespace
 {
 
-constexpr std::size_t readBufferBytes = 16384;
 constexpr std::size_t maxHeadBytes = 65536;
 
 /// Maximum number of interim (1xx) responses before the final one. Bounds the wait for a server that sends interim
@@ -24,6 +23,13 @@
 // Beast 1.74 rejects a body of any length as too long if the body limit is "none".
 constexpr std::uint64_t unlimitedBodyBytes = std::numeric_limits<std::uint64_t>::max();
 constexpr std::size_t maxCallResponseBytes = 4U << 20U;
+
+/// Maximum time to open the connection of a call, whose timer ends the attempt before.
+constexpr std::chrono::seconds maxConnectTime{ 60 };
+
+/// Maximum number of body bytes that are read in one turn of the event loop. A large response that has arrived does not
+/// need a turn for each piece.
+constexpr std::size_t maxBytesPerTurn = 1U << 20U;
 constexpr std::chrono::milliseconds callIdleTimeout{ 4000 };
 
 // An idle connection is not reused in the last part of the peer's idle timeout, because the peer could close the
@@ -61,20 +67,37 @@
     return nullptr;
 }
 
-Awaitable<std::shared_ptr<PooledConnection>> ConnectionPool::connect(Endpoint peer, std::chrono::milliseconds timeout,
-                                                                     IoError &error)
+std::shared_ptr<PooledConnection> ConnectionPool::create(const Endpoint &peer)
 {
     auto connection = std::make_shared<PooledConnection>(m_context);
     connection->peer = peer;
-    connection->stream.expires_after(timeout);
+    return connection;
+}
+
+// A connection that the system has opened in time counts as open in time, also if the event loop is late to report it.
+Awaitable<IoError> ConnectionPool::open(std::shared_ptr<PooledConnection> connection, std::chrono::milliseconds timeout)
+{
+    auto &socket = connection->stream.socket();
+    const auto timer = std::make_shared<asio::steady_timer>(m_context, timeout);
+    const auto hasTimedOut = std::make_shared<bool>(false);
+    timer->async_wait([connection, timer, hasTimedOut](const IoError &error) {
+        if (!error && !isConnectDecided(connection->stream.socket().native_handle())) {
+            *hasTimedOut = true;
+            closeSocket(connection->stream);
+        }
+    });
     ++m_connectCount;
-    co_await connection->stream.async_connect(tcpEndpoint(peer), redirectError(error));
-    if (error) {
-        co_return nullptr;
+    IoError error;
+    co_await socket.async_connect(tcpEndpoint(connection->peer), redirectError(error));
+    timer->cancel();
+    if (*hasTimedOut) {
+        co_return boost::beast::error::timeout;
     }
-    connection->stream.expires_never();
-    setSocketOptions(connection->stream.socket());
-    co_return connection;
+    if (!error) {
+        setSocketOptions(socket);
+        socket.non_blocking(true, error);
+    }
+    co_return error;
 }
 
 void ConnectionPool::release(std::shared_ptr<PooledConnection> connection, std::chrono::milliseconds idleTimeout)
@@ -156,7 +179,11 @@
     m_connection = m_pool.acquireIdle(m_peer, m_maxIdleTime);
     m_isConnectionReused = m_connection != nullptr;
     if (!m_connection) {
-        m_connection = co_await m_pool.connect(m_peer, connectTimeout, error);
+        m_connection = m_pool.create(m_peer);
+        m_isConnecting = true;
+        error = co_await m_pool.open(m_connection, connectTimeout);
+        m_isConnecting = false;
+        recordProgress();
     }
     if (error) {
         co_return error;
@@ -172,9 +199,25 @@
     }
     m_sendState = SendState::Sent;
     co_await http::async_write(m_connection->stream, request, redirectError(error));
+    recordProgress();
     co_return error;
 }
 
+void HttpExchange::recordProgress()
+{
+    m_lastProgress = std::chrono::steady_clock::now();
+}
+
+CallDeadline::Progress HttpExchange::progress() const
+{
+    CallDeadline::Progress progress{ .isPending = false, .lastRead = m_lastProgress };
+    if (m_connection && m_connection->stream.socket().is_open()) {
+        const int descriptor = m_connection->stream.socket().native_handle();
+        progress.isPending = m_isConnecting ? isConnectDecided(descriptor) : peerState(descriptor) != PeerState::Quiet;
+    }
+    return progress;
+}
+
 Awaitable<IoError> HttpExchange::readHead()
 {
     IoError error;
@@ -189,6 +232,7 @@
         m_parser->skip(m_isHeadRequest);
         startReadTimeout();
         co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, redirectError(error));
+        recordProgress();
         isInterim = m_parser->get().result_int() / 100 == 1;
     }
     co_return error;
@@ -197,17 +241,42 @@
 Awaitable<IoError> HttpExchange::readSome(std::string &out)
 {
     IoError error;
-    std::array<char, readBufferBytes> buffer{};
+    ReadBuffer buffer{};
+    useBuffer(buffer);
+    startReadTimeout();
+    co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, redirectError(error));
+    appendRead(buffer, out, error);
+    co_return error;
+}
+
+void HttpExchange::useBuffer(ReadBuffer &buffer)
+{
     m_parser->get().body().data = buffer.data();
     m_parser->get().body().size = buffer.size();
     m_parser->get().body().more = true;
-    startReadTimeout();
-    co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, redirectError(error));
+}
+
+void HttpExchange::appendRead(const ReadBuffer &buffer, std::string &out, IoError &error)
+{
+    recordProgress();
     out.append(buffer.data(), buffer.size() - m_parser->get().body().size);
     if (error == http::error::need_buffer) {
         error = {};
     }
-    co_return error;
+}
+
+// Reads what has arrived, without waiting.
+IoError HttpExchange::readAvailable(std::string &out)
+{
+    IoError error;
+    const std::size_t limit = out.size() + maxBytesPerTurn;
+    while (!error && !isComplete() && out.size() < limit) {
+        ReadBuffer buffer{};
+        useBuffer(buffer);
+        http::read_some(m_connection->stream.socket(), m_connection->buffer, *m_parser, error);
+        appendRead(buffer, out, error);
+    }
+    return error == asio::error::would_block ? IoError() : error;
 }
 
 Awaitable<IoError> HttpExchange::readRest(std::string &out, std::size_t limit)
@@ -215,6 +284,9 @@
     IoError error;
     while (!error && !isComplete()) {
         error = co_await readSome(out);
+        if (!error && !isComplete()) {
+            error = readAvailable(out);
+        }
         if (out.size() > limit) {
             error = http::make_error_code(http::error::body_limit);
         }
@@ -305,18 +377,10 @@
         options.interrupter->m_exchange = exchange;
     }
     exchange->setSendCondition(std::move(options.sendCondition));
-    auto hasTimedOut = std::make_shared<bool>(false);
-    auto hasResponseBegun = std::make_shared<bool>(false);
-    auto timer = std::make_shared<asio::steady_timer>(pool.context(), options.timeout);
-    timer->async_wait([exchange, timer, hasTimedOut, hasResponseBegun](const IoError &error) {
-        if (!error) {
-            *hasTimedOut = true;
-            *hasResponseBegun = exchange->hasResponseBegun();
-            exchange->abort();
-        }
-    });
+    const auto timer = std::make_shared<CallTimer>(pool.context(), exchange, options.timeout);
+    timer->start();
     request.set(http::field::host, peer.text());
-    result.error = co_await exchange->send(request, options.timeout);
+    result.error = co_await exchange->send(request, maxConnectTime);
     result.sendState = exchange->sendState();
     result.isConnectionReused = exchange->isConnectionReused();
     if (!result.error) {
@@ -328,8 +392,8 @@
         result.error = co_await exchange->readRest(result.body, maxCallResponseBytes);
     }
     timer->cancel();
-    result.hasTimedOut = *hasTimedOut;
-    result.hasResponseBegun = *hasResponseBegun || exchange->hasResponseBegun();
+    result.hasTimedOut = timer->hasExpired();
+    result.hasResponseBegun = timer->hadResponseBegun() || exchange->hasResponseBegun();
     if (result.error && result.hasResponseBegun) {
         pool.recordAbandonedResponse();
     }
--- a/src/connection/peerstate.cpp
+++ b/src/connection/peerstate.cpp
@@ -28,4 +28,10 @@
     return isOpen ? PeerState::Quiet : PeerState::HasClosed;
 }
 
+bool isConnectDecided(int descriptor)
+{
+    pollfd state{ .fd = descriptor, .events = POLLOUT, .revents = 0 };
+    return ::poll(&state, 1, 0) > 0;
+}
+
 } // namespace zinniadock
--- a/src/process/crashes/crashwatch.cpp
+++ b/src/process/crashes/crashwatch.cpp
@@ -165,8 +165,7 @@
     const auto self = shared_from_this();
     co_await sleepFor(delay);
     const Endpoint address = m_suspicions.at(server).server.address;
-    IoError error;
-    co_await m_services.pool.connect(address, probeTimeout, error);
+    const IoError error = co_await m_services.pool.open(m_services.pool.create(address), probeTimeout);
     Suspicion suspicion = std::move(m_suspicions.at(server));
     m_suspicions.erase(server);
     if (error == asio::error::connection_refused) {
--- a/src/request/callforward.cpp
+++ b/src/request/callforward.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "zinniadock/connection/calltimer.h"
 #include "zinniadock/connection/strayresponse.h"
 
 namespace zinniadock
@@ -16,8 +17,8 @@
 /// A request that a server did not run is retried at another server up to this number of attempts in total.
 constexpr std::uint32_t maxOffers = 4;
 
-/// An attempt of a repeatable request is aborted after this multiple of the target latency if its response is not
-/// complete, so that the request can be retried at another server. The last allowed attempt has no such limit.
+/// An attempt of a repeatable request is aborted after this multiple of the target latency unless its response is
+/// arriving, so that the request can be retried at another server. The last allowed attempt has no such limit.
 constexpr int attemptTimeoutFactor = 3;
 constexpr std::chrono::milliseconds minAttemptTimeout{ 250 };
 
@@ -143,15 +144,21 @@
     const bool isRepeatable = m_context->route->kind == RouteKind::Idempotent;
     const auto maxIdle = isRepeatable ? maxIdleIdempotent : maxIdleAtMostOnce;
     const auto exchange = m_context->startExchange(target.record.address, maxIdle);
-    asio::steady_timer attemptTimer(services.context);
+    const auto timer = std::make_shared<CallTimer>(
+        services.context, exchange,
+        std::max(attemptTimeoutFactor * m_context->route->targetLatency, minAttemptTimeout));
     if (isRepeatable && m_possibleRuns + 1 < m_context->route->maxAttempts) {
-        attemptTimer.expires_after(std::max(attemptTimeoutFactor * m_context->route->targetLatency, minAttemptTimeout));
-        attemptTimer.async_wait([exchange](const IoError &error) {
-            if (!error) {
-                exchange->abort();
-            }
-        });
+        timer->start();
     }
+    Attempt attempt = co_await runExchange(exchange, std::move(target));
+    timer->cancel();
+    co_return attempt;
+}
+
+Awaitable<CallForwarder::Attempt> CallForwarder::runExchange(std::shared_ptr<HttpExchange> exchange,
+                                                             TrackedServer target)
+{
+    ForwardingServices &services = m_context->services;
     const HttpRequest request = wire::serverRequest(m_context->request, m_context->serverFields(target.record.id));
     services.serverLimiter.recordSent(target.record,
                                       m_context->attempts > 1 ? SendReason::Retry : SendReason::FirstAttempt,
