Keep responses that arrive while an entry pauses, and date them by their call

With long turns no call ever ended. Class: a check that starts anew before it can end. Fix: a pause ends only calls that wait on a kept connection and have no response. A response that was under way is applied, and dated by the time at which its call began, less what the steady clock did not count; so its age is never too small. The next call is a check on a new connection, as before.

--- a/include/zinniadock/connection/httpclient.h
+++ b/include/zinniadock/connection/httpclient.h
@@ -217,6 +217,9 @@
 public:
     void interrupt();
 
+    /// Ends the call if it waits for a response on a connection that had been used before. Returns whether it did.
+    bool interruptIfSilent();
+
 private:
     friend Awaitable<CallResult> call(ConnectionPool &pool, Endpoint peer, HttpRequest request, CallOptions options);
 
--- a/include/zinniadock/process/store/prefixwatch.h
+++ b/include/zinniadock/process/store/prefixwatch.h
@@ -57,9 +57,10 @@
     /// may never respond to it.
     void requireEra(wire::StoreEra era);
 
-    /// Ends a waiting call, and makes the next one on a new connection. To be called after a time in which the process
-    /// did not run: the response may be as old as that time, and the connection may be dead.
-    void checkNow();
+    /// Makes the next call on a new connection, and ends a call that waits on a kept one. To be called after a time in
+    /// which the process did not run: a response may be as old as that time, and a kept connection may be dead.
+    /// \param uncounted  part of that time that the steady clock did not count
+    void checkNow(std::chrono::milliseconds uncounted);
 
     /// Returns the number of calls made.
     std::uint64_t calls() const;
@@ -69,7 +70,7 @@
     enum class CallOutcome {
         Applied, ///< the response was applied to the mirror
         HistoryGone, ///< the store does not have the changes after the mirror's position
-        Interrupted, ///< requireEra() ended the call
+        Interrupted, ///< requireEra() or checkNow() ended the call
         Failed,
     };
 
@@ -82,6 +83,7 @@
     std::chrono::milliseconds marginOfCall() const;
     void recordCall(const CallResult &result, bool isValid, std::chrono::milliseconds wait, SteadyTime startedAt);
     wire::StoreEra observeEra(const CallResult &result);
+    SteadyTime confirmationTime(SteadyTime startedAt, SteadyTime latest) const;
     std::chrono::milliseconds pauseAfter(CallOutcome outcome, const WatchTiming &timing);
     static std::chrono::milliseconds backoff(std::uint32_t attempts, std::chrono::milliseconds maxBackoff);
 
@@ -94,6 +96,8 @@
     const std::shared_ptr<CallInterrupter> m_interrupter = std::make_shared<CallInterrupter>();
     bool m_isHistoryGone = false; ///< the store does not have the changes after the mirror's position
     bool m_isInterrupted = false;
+    bool m_hasPaused = false; ///< the process did not run for some time since the call in progress began
+    std::chrono::milliseconds m_uncountedPause{ 0 }; ///< part of that time that the steady clock did not count
     wire::StoreEra m_era = 0; ///< latest era of the store that is known
     std::uint32_t m_failures = 0; ///< calls that failed since the last valid response
     bool m_isChecking = false; ///< the next call shows on a new connection whether the store serves
--- a/include/zinniadock/process/store/storeview.h
+++ b/include/zinniadock/process/store/storeview.h
@@ -124,8 +124,7 @@
     void updateMembers();
     Awaitable<void> followSource(std::size_t slot);
     Awaitable<void> querySource(std::size_t slot, std::string peer);
-    void applyRelayResponse(const RelayResponse &response, const std::optional<SteadyTime> &askedAt,
-                            const std::string &peer);
+    void applyRelayResponse(const RelayResponse &response, SteadyTime askedAt, const std::string &peer);
     std::optional<std::string> chooseSource(std::size_t slot) const;
     bool hasChangesAfter(const PerPart<StorePosition> &known) const;
     PerPart<StorePosition> knownPositions(const RelayQuery &query) const;
@@ -161,7 +160,7 @@
     std::array<std::string, 2> m_currentSources; ///< peers that this entry currently follows; empty for none
     std::array<std::string, 2> m_usefulSources; ///< the last ones that had a current view; empty for none
     std::size_t m_staleQueries = 0; ///< queries of other entries since this view became stale
-    std::uint64_t m_pauses = 0; ///< times in which the process did not run
+    std::chrono::milliseconds m_uncountedPauses{ 0 }; ///< time that the steady clock did not count, since the start
     bool m_hasCurrentConfiguration = false; ///< the configuration was current at some time since the start
     std::optional<SteadyTime> m_confirmUntil; ///< how long requests wait for the configuration; nothing if they do not
     ViewFreshness m_freshness; ///< of each part
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -363,6 +363,16 @@
     }
 }
 
+bool CallInterrupter::interruptIfSilent()
+{
+    const auto exchange = m_exchange.lock();
+    if (!exchange || !exchange->isConnectionReused() || exchange->hasResponseBegun()) {
+        return false;
+    }
+    exchange->abort();
+    return true;
+}
+
 Awaitable<CallResult> call(ConnectionPool &pool, Endpoint peer, HttpRequest request, std::chrono::milliseconds timeout)
 {
     return call(pool, std::move(peer), std::move(request), CallOptions{ .timeout = timeout });
--- a/src/process/store/prefixwatch.cpp
+++ b/src/process/store/prefixwatch.cpp
@@ -98,10 +98,12 @@
     }
 }
 
-void PrefixWatch::checkNow()
+void PrefixWatch::checkNow(std::chrono::milliseconds uncounted)
 {
     m_isChecking = true;
-    interrupt();
+    m_hasPaused = true;
+    m_uncountedPause += uncounted;
+    m_isInterrupted = m_interrupter->interruptIfSilent() || m_isInterrupted;
 }
 
 void PrefixWatch::interrupt()
@@ -124,6 +126,8 @@
         m_isChecking = m_isChecking || (m_isSuspended && m_mirror.position().revision > 0);
         m_isSuspended = false;
         m_isInterrupted = false;
+        m_hasPaused = false;
+        m_uncountedPause = std::chrono::milliseconds(0);
         CallOutcome outcome = CallOutcome::Failed;
         if (needsSnapshot()) {
             outcome = co_await readSnapshot();
@@ -191,12 +195,20 @@
         hasMore = page->hasMore && !page->items.empty();
     }
     m_isHistoryGone = false;
-    m_callbacks.onChanges(snapshot, confirmedAt);
+    m_callbacks.onChanges(snapshot, confirmationTime(confirmedAt, confirmedAt));
     co_return CallOutcome::Applied;
 }
 
+// Returns the latest time at which the store had certainly no further changes than those of the response to a call.
+// A response that was under way while the process did not run may be as old as the call.
+// \param latest  that time if the process ran all the while
+SteadyTime PrefixWatch::confirmationTime(SteadyTime startedAt, SteadyTime latest) const
+{
+    return m_hasPaused ? startedAt - m_uncountedPause : latest;
+}
+
 // A response without changes shows that the store had none during its whole wait. Any other response has arrived in
-// this turn of the event loop, since checkNow() ends the calls after a time in which the process did not run.
+// this turn of the event loop, unless the process did not run meanwhile.
 Awaitable<PrefixWatch::CallOutcome> PrefixWatch::waitForChanges(const WatchTiming &timing)
 {
     ++m_calls;
@@ -226,7 +238,8 @@
     }
     m_watchesWithoutHistory = 0;
     const auto now = std::chrono::steady_clock::now();
-    const SteadyTime confirmedAt = changes->items.empty() ? std::min(now, startedAt + wait) : now;
+    const SteadyTime latest = changes->items.empty() ? std::min(now, startedAt + wait) : now;
+    const SteadyTime confirmedAt = confirmationTime(startedAt, latest);
     m_callbacks.onChanges(
         { .isSnapshot = false, .era = era, .revision = changes->revision, .items = std::move(changes->items) },
         confirmedAt);
@@ -264,7 +277,7 @@
     const auto now = std::chrono::steady_clock::now();
     const StoreCallEnd end = endOf(result, isValid);
     const auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(now - startedAt);
-    m_isChecking = end != StoreCallEnd::Answered && end != StoreCallEnd::Throttled;
+    m_isChecking = m_hasPaused || (end != StoreCallEnd::Answered && end != StoreCallEnd::Throttled);
     if (end == StoreCallEnd::Answered) {
         m_failures = 0;
         m_responseTime = std::max(duration - wait, m_responseTime - m_responseTime / 4);
--- a/src/process/store/storeview.cpp
+++ b/src/process/store/storeview.cpp
@@ -415,14 +415,14 @@
 void StoreView::handlePause(const ProcessPause &pause)
 {
     m_freshness.addAge(pause.uncounted);
-    ++m_pauses;
+    m_uncountedPauses += pause.uncounted;
     const auto known = age(StorePart::Configuration);
     const bool isOverdue = !known || *known >= budgetOf(StorePart::Configuration).bound;
     if (isOverdue && hasConfigurationList()) {
         m_confirmUntil = std::chrono::steady_clock::now() + maxConfirmationWait;
     }
     for (const auto &watch : m_watches) {
-        watch->checkNow();
+        watch->checkNow(pause.uncounted);
     }
     logEvent("store", "view checked after a pause",
              { { "pause_ms", pause.duration },
@@ -540,7 +540,7 @@
     }
     CallOptions options{ .timeout = queryTimeout(query) };
     auto askedAt = std::chrono::steady_clock::now();
-    const std::uint64_t pauses = m_pauses;
+    const std::chrono::milliseconds uncountedBefore = m_uncountedPauses;
     CallResult result = co_await call(m_services.pool, endpoint, makePost(relayTarget, encode(query)), options);
     // The failure may concern the kept connection only, and not the other entry.
     if (result.error && result.isConnectionReused) {
@@ -551,9 +551,8 @@
     }
     const auto response = result.succeeded() ? decodeRelayResponse(result.body) : std::nullopt;
     if (response) {
-        // A response that was under way during a pause is older than the steady clock shows.
-        const bool isDated = pauses == m_pauses;
-        applyRelayResponse(*response, isDated ? std::optional(askedAt) : std::nullopt, peer);
+        // A response that was under way during a suspension is older than the steady clock shows.
+        applyRelayResponse(*response, askedAt - (m_uncountedPauses - uncountedBefore), peer);
     }
     const bool isUseful = response && !isBehind(*response) && completesView(*response);
     if (isUseful) {
@@ -612,12 +611,10 @@
 
 // Dates the confirmations by the time at which the query was sent and the time for which the source held it, and not by
 // the arrival of the response, since the response may have been delayed in transit.
-// \param askedAt  nothing if the time since the query is not known
-void StoreView::applyRelayResponse(const RelayResponse &response, const std::optional<SteadyTime> &askedAt,
-                                   const std::string &peer)
+void StoreView::applyRelayResponse(const RelayResponse &response, SteadyTime askedAt, const std::string &peer)
 {
-    if (response.storeRecoveredAgo && askedAt) {
-        const SteadyTime recoveredAt = *askedAt - *response.storeRecoveredAgo;
+    if (response.storeRecoveredAgo) {
+        const SteadyTime recoveredAt = askedAt - *response.storeRecoveredAgo;
         if (!m_storeRecoveredAt || recoveredAt > *m_storeRecoveredAt) {
             beginRecovery(recoveredAt, response.recoveredRevision);
         }
@@ -627,8 +624,8 @@
         observeEra(changes.era, peer);
         applyChanges(part, changes, peer);
         const auto &sourceAge = response.ages[indexOf(part)];
-        if (sourceAge && askedAt && changes.era >= m_era) {
-            m_freshness.recordRelayed(part, *askedAt + response.held - *sourceAge);
+        if (sourceAge && changes.era >= m_era) {
+            m_freshness.recordRelayed(part, askedAt + response.held - *sourceAge);
         }
     }
     for (const auto &[id, announcement] : response.announcements) {
