Take a response with a status that HTTP does not have for malformed

What callers saw on other systems of this kind: a server in trouble responds with status 000, and its caller gets this response as an answer. This system did the same, for 000, 007, 099, 600 and 999: the parser takes any three digits, and a status below 500 counted as final. Class: input from a server that is forwarded without a check of its range. Fix: HttpExchange, through which each response of a server, the store or another entry is read, ends with an error if the status is outside 100 to 599 (RFC 9110, section 15). The request then counts as one that may have run: 502, or another try for idempotent calls.

--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -20,6 +20,10 @@
 /// responses without end.
 constexpr int maxInterimResponses = 8;
 
+/// Statuses of HTTP (RFC 9110, section 15). The parser takes any three digits.
+constexpr unsigned minStatus = 100;
+constexpr unsigned maxStatus = 599;
+
 // Beast 1.74 rejects a body of any length as too long if the body limit is "none".
 constexpr std::uint64_t unlimitedBodyBytes = std::numeric_limits<std::uint64_t>::max();
 constexpr std::size_t maxCallResponseBytes = 4U << 20U;
@@ -233,7 +237,11 @@
         startReadTimeout();
         co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, redirectError(error));
         recordProgress();
-        isInterim = m_parser->get().result_int() / 100 == 1;
+        const unsigned status = m_parser->get().result_int();
+        if (!error && (status < minStatus || status > maxStatus)) {
+            error = http::make_error_code(http::error::bad_status);
+        }
+        isInterim = status / 100 == 1;
     }
     co_return error;
 }
--- a/tests/unit/unit-servertrouble.cpp
+++ b/tests/unit/unit-servertrouble.cpp
@@ -76,6 +76,44 @@
     CHECK(sendRequest(deployment.entry->port(), { .target = "/order/1" }).status == 200);
 }
 
+// Guards against a response that its caller takes for an answer although HTTP has no such status.
+TEST_CASE("a response with a status that HTTP does not have reaches no caller")
+{
+    const std::string status = GENERATE("000", "007", "099", "600", "999");
+    CAPTURE(status);
+    const std::string fields = " Unknown\r\nX-Request-Id: {id}\r\nX-Server-Signature: s\r\n";
+    const std::string head = "HTTP/1.1 " + status + fields;
+    const ScriptedResponse call{ .parts = { head + "Content-Length: 5\r\n\r\nwrong" } };
+
+    SECTION("of a call that runs at most once")
+    {
+        ServiceDeployment deployment;
+        deployment.server.setScriptedResponse(call);
+        const SeenResponse seen = requestRaw(deployment.entry->port(), rawRequest("POST", "/order/1", "call"));
+        CHECK(seen.status == 502);
+        CHECK(seen.body.find("wrong") == std::string::npos);
+        CHECK(deployment.server.startedRequests().size() == 1);
+    }
+    SECTION("of an idempotent call")
+    {
+        ServiceDeployment deployment;
+        deployment.server.setScriptedResponse(call);
+        const SeenResponse seen = requestRaw(deployment.entry->port(), rawRequest("GET", "/read/1", "call"));
+        CHECK(seen.status == 502);
+        CHECK(seen.body.find("wrong") == std::string::npos);
+    }
+    SECTION("of a generation")
+    {
+        EngineDeployment deployment(false);
+        const std::string type = GENERATE("text/event-stream", "text/plain");
+        deployment.engine.setScriptedResponse(
+            { .parts = { head + "Content-Type: " + type + "\r\nConnection: close\r\n\r\n" + completeStreamBody() } });
+        const SeenResponse seen = requestRaw(deployment.entry->port(), rawGeneration("stream"));
+        CHECK(seen.status == 502);
+        CHECK(seen.body.find("data:") == std::string::npos);
+    }
+}
+
 // Guards against a stream that looks complete to its caller although its engine has broken it off inside an event.
 TEST_CASE("a stream that ends inside an event is broken off")
 {
