Keep log lines about the configuration and the store in a burst of requests

All lines shared one limit of 400 a second, which the lines of refused requests took. Lines of the parts request and response now take 300 of them at most. LogLineLimit decides, without a clock; unit-loglinelimit shows that the other parts keep 100 lines a second under any number of requests.

--- a/src/process/observing/eventlog.cpp
+++ b/src/process/observing/eventlog.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "zinniadock/process/links/boundedring.h"
+#include "zinniadock/process/observing/loglinelimit.h"
 
 namespace zinniadock
 {
@@ -18,12 +19,16 @@
 {
 
 constexpr std::size_t maxBufferedLines = 1024;
-constexpr std::uint32_t maxLinesPerSecond = 400;
 constexpr std::chrono::milliseconds idleWaitTimeout{ 1000 };
 
 // Lines are written in batches, since waking the writer thread costs as much as writing several lines.
 constexpr std::chrono::milliseconds batchInterval{ 100 };
 
+LogSubject subjectOf(std::string_view part)
+{
+    return part == "request" || part == "response" ? LogSubject::Request : LogSubject::Process;
+}
+
 std::string toJsonString(std::string_view text)
 {
     return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -40,24 +45,6 @@
     }
 }
 
-/// Limits the number of lines per second.
-class LineRateLimiter
-{
-public:
-    /// Counts a line of the given second. Returns false if the second already has maxLinesPerSecond lines.
-    bool tryAcquire(std::int64_t second)
-    {
-        if (m_second.exchange(second) != second) {
-            m_linesInSecond = 0;
-        }
-        return ++m_linesInSecond <= maxLinesPerSecond;
-    }
-
-private:
-    std::atomic<std::int64_t> m_second{ 0 };
-    std::atomic<std::uint32_t> m_linesInSecond{ 0 };
-};
-
 /// Writes queued lines to standard output on a separate thread.
 class EventWriter
 {
@@ -81,9 +68,9 @@
     EventWriter(const EventWriter &) = delete;
     EventWriter &operator=(const EventWriter &) = delete;
 
-    void push(std::int64_t second, std::string line)
+    void push(std::int64_t second, LogSubject subject, std::string line)
     {
-        if (!m_rateLimiter.tryAcquire(second) || !m_queue.tryPush(std::move(line))) {
+        if (!m_lineLimit.tryAcquire(second, subject) || !m_queue.tryPush(std::move(line))) {
             ++m_dropped;
         }
     }
@@ -125,7 +112,7 @@
 
     const std::string m_instance;
     BoundedQueue<std::string> m_queue;
-    LineRateLimiter m_rateLimiter;
+    LogLineLimit m_lineLimit;
     std::atomic<std::uint64_t> m_dropped{ 0 };
     std::atomic<bool> m_stopping{ false };
     std::thread m_thread;
@@ -201,7 +188,7 @@
         line += field.value();
     }
     line += "}\n";
-    writer->push(milliseconds / 1000, std::move(line));
+    writer->push(milliseconds / 1000, subjectOf(part), std::move(line));
 }
 
 std::uint64_t droppedLogLines()
