Read the store in place of failed readers until an entry before this one does

What callers saw: requests handled by an older version, at all entries at once, while the store turned the readers away. Cause: an entry that had to read the store itself stopped as soon as any other entry relayed a current view, which may come from the first one. So entries followed each other while none of them read the store, until all views became stale together, and each change took the whole budget again. Class: evidence that comes from the one who judges it. Fix: an entry stops only for one that precedes it in the order of readers and that states a current confirmation of its own (own_ages_ms in the responses between entries). The order is strict, so the first entry that the store serves never stops.

--- a/include/zinniadock/process/store/readerchoice.h
+++ b/include/zinniadock/process/store/readerchoice.h
@@ -24,6 +24,9 @@
 /// know the same members compute the same order without coordination.
 std::vector<std::string> readerRanking(std::vector<EntryMember> members);
 
+/// Returns how many entries come before an entry in the order in which they become readers. \pre the entry is a member
+std::size_t readerRank(const std::string &peer, const std::vector<EntryMember> &members);
+
 /// Returns whether an entry is a reader.
 bool isReader(const std::string &peer, const std::vector<EntryMember> &members);
 
--- a/include/zinniadock/process/store/relaymessages.h
+++ b/include/zinniadock/process/store/relaymessages.h
@@ -51,6 +51,9 @@
     /// Time since the store last confirmed each part to the responding entry, directly or through another entry;
     /// nothing if it has not, or if the responding entry is of an earlier version.
     PerPart<std::optional<std::chrono::milliseconds>> ages{};
+    /// As ages, but for the confirmations that the store gave the responding entry itself. An entry of an earlier
+    /// version that reads the store states none; then they are the same as ages.
+    PerPart<std::optional<std::chrono::milliseconds>> ownAges{};
     std::chrono::milliseconds held{ 0 }; ///< time between the arrival of the query and the response
     std::optional<std::chrono::milliseconds> storeRecoveredAgo; ///< time since the store recovered from an outage
     /// Revision of the store when it recovered; nothing if it is not known yet.
--- a/include/zinniadock/process/store/storeview.h
+++ b/include/zinniadock/process/store/storeview.h
@@ -17,6 +17,7 @@
 #include "zinniadock/process/store/changebudget.h"
 #include "zinniadock/process/store/prefixwatch.h"
 #include "zinniadock/process/store/relaymessages.h"
+#include "zinniadock/process/store/sourcechoice.h"
 #include "zinniadock/process/store/storecontact.h"
 #include "zinniadock/process/store/viewfreshness.h"
 
@@ -39,8 +40,8 @@
 /// In a small fleet every entry reads the store. In a larger fleet only a few entries do (readers), which all entries
 /// choose in the same way (see readerchoice.h). Every other entry (follower) follows two readers at a time. A follower
 /// replaces a source that does not respond, or whose view is stale, by the next one in its order, and reads those parts
-/// of the store itself that no source relays in time. A reader whose own view is stale follows others. Times: see
-/// changebudget.h.
+/// of the store itself that no source relays in time, until an entry relays them that precedes it in the order of readers
+/// and reads them itself. A reader whose own view is stale follows others. Times: see changebudget.h.
 class StoreView
 {
 public:
@@ -112,7 +113,10 @@
 
 private:
     void watch(StorePart part, const std::string &prefix);
-    std::optional<WatchTiming> watchTiming(StorePart part) const;
+    std::optional<WatchTiming> watchTiming(StorePart part);
+    void startSubstitution(StorePart part);
+    void endSubstitution(StorePart part);
+    static std::optional<std::chrono::milliseconds> ageOf(const std::optional<SteadyTime> &confirmedAt);
     void applyChanges(StorePart part, const StoreChanges &changes, const std::string &source);
     void recordCall(StorePart part, StoreCallEnd end, bool onNewConnection);
     void beginRecovery(SteadyTime at, std::optional<std::int64_t> revision);
@@ -125,7 +129,7 @@
     Awaitable<void> followSource(std::size_t slot);
     Awaitable<void> querySource(std::size_t slot, std::string peer);
     void applyRelayResponse(const RelayResponse &response, SteadyTime askedAt, const std::string &peer);
-    std::optional<std::string> chooseSource(std::size_t slot) const;
+    std::optional<std::string> chooseSource(std::size_t slot);
     bool hasChangesAfter(const PerPart<StorePosition> &known) const;
     PerPart<StorePosition> knownPositions(const RelayQuery &query) const;
     bool isBehind(const RelayResponse &response) const;
@@ -152,13 +156,11 @@
     std::vector<EntryMember> m_members;
     std::vector<EntryMember> m_heldMembers; ///< entries whose registration the store lost when it went back
     wire::StoreEra m_era = 0; ///< latest era of the store that is known
-    std::vector<std::string> m_sourceRanking; ///< peers that this entry may follow, best first
+    SourceChoice m_sources;
     bool m_isReader = true;
     bool m_isSeed = true; ///< other entries query this entry when they start
+    PerPart<bool> m_isSubstitute{}; ///< whether this entry reads a part because no reader does
     SteadyTime m_startedAt;
-    std::map<std::string, SteadyTime> m_skippedUntil; ///< peers that are not queried until then
-    std::array<std::string, 2> m_currentSources; ///< peers that this entry currently follows; empty for none
-    std::array<std::string, 2> m_usefulSources; ///< the last ones that had a current view; empty for none
     std::size_t m_staleQueries = 0; ///< queries of other entries since this view became stale
     std::chrono::milliseconds m_uncountedPauses{ 0 }; ///< time that the steady clock did not count, since the start
     bool m_hasCurrentConfiguration = false; ///< the configuration was current at some time since the start
--- a/include/zinniadock/process/store/viewfreshness.h
+++ b/include/zinniadock/process/store/viewfreshness.h
@@ -24,6 +24,10 @@
     /// Records that another entry relayed a part that the store confirmed at that time.
     void recordRelayed(StorePart part, Time confirmedAt);
 
+    /// Records that an entry which reads the store in place of this one relayed a part that the store confirmed to it
+    /// at that time.
+    void recordReader(StorePart part, Time confirmedAt);
+
     /// Makes all confirmations older by a time that the steady clock did not count.
     void addAge(std::chrono::milliseconds uncounted);
 
@@ -33,6 +37,9 @@
     /// Returns the last confirmation through another entry; nothing if there was none.
     std::optional<Time> relayedConfirmedAt(StorePart part) const;
 
+    /// Returns the last confirmation to an entry that reads the store in place of this one; nothing if there was none.
+    std::optional<Time> readerConfirmedAt(StorePart part) const;
+
     /// Returns the last confirmation; nothing if there was none.
     std::optional<Time> confirmedAt(StorePart part) const;
 
@@ -42,6 +49,7 @@
 private:
     PerPart<std::optional<Time>> m_own;
     PerPart<std::optional<Time>> m_relayed;
+    PerPart<std::optional<Time>> m_reader;
 };
 
 } // namespace zinniadock
--- a/src/process/store/readerchoice.cpp
+++ b/src/process/store/readerchoice.cpp
@@ -54,12 +54,18 @@
     return order;
 }
 
-bool isReader(const std::string &peer, const std::vector<EntryMember> &members)
+std::size_t readerRank(const std::string &peer, const std::vector<EntryMember> &members)
 {
     const std::vector<std::string> order = readerRanking(members);
-    const std::size_t readers = std::min(readerCount(std::max<std::size_t>(order.size(), 1)), order.size());
-    const auto end = order.begin() + static_cast<std::ptrdiff_t>(readers);
-    return std::find(order.begin(), end, peer) != end;
+    return static_cast<std::size_t>(std::find(order.begin(), order.end(), peer) - order.begin());
+}
+
+bool isReader(const std::string &peer, const std::vector<EntryMember> &members)
+{
+    const bool isMember = std::any_of(members.begin(), members.end(), [&peer](const EntryMember &member) {
+        return member.peer == peer;
+    });
+    return isMember && readerRank(peer, members) < readerCount(members.size());
 }
 
 std::vector<std::string> sourceRanking(const std::string &peer, const std::vector<EntryMember> &members)
--- a/src/process/store/relaymessages.cpp
+++ b/src/process/store/relaymessages.cpp
@@ -112,9 +112,10 @@
     for (const StoreChanges &each : response.changes) {
         changes.push_back(toJson(each));
     }
-    Json document{ { "reads", response.readsStore },     { "age_ms", response.age.count() },
-                   { "ages_ms", toJson(response.ages) }, { "held_ms", response.held.count() },
-                   { "changes", std::move(changes) },    { "announced", response.announcements } };
+    Json document{ { "reads", response.readsStore },       { "age_ms", response.age.count() },
+                   { "ages_ms", toJson(response.ages) },   { "own_ages_ms", toJson(response.ownAges) },
+                   { "held_ms", response.held.count() },   { "changes", std::move(changes) },
+                   { "announced", response.announcements } };
     if (response.storeRecoveredAgo) {
         document["returned_ms"] = response.storeRecoveredAgo->count();
     }
@@ -154,6 +155,11 @@
         } else if (response.readsStore) {
             response.ages[static_cast<std::size_t>(StorePart::Servers)] = response.age;
         }
+        if (document.contains("own_ages_ms")) {
+            response.ownAges = agesFromJson(document.at("own_ages_ms"));
+        } else if (response.readsStore) {
+            response.ownAges = response.ages;
+        }
         if (document.contains("returned_ms")) {
             response.storeRecoveredAgo = duration(document, "returned_ms");
         }
--- a/src/process/store/storeview.cpp
+++ b/src/process/store/storeview.cpp
@@ -101,7 +101,7 @@
                                                              observeEra(era, storeSource);
                                                          });
     m_registration->start();
-    for (std::size_t slot = 0; slot < m_currentSources.size(); ++slot) {
+    for (std::size_t slot = 0; slot < SourceChoice::slotCount; ++slot) {
         asio::co_spawn(
             m_services.context,
             [this, slot]() {
@@ -135,11 +135,12 @@
     m_watches[indexOf(part)]->start();
 }
 
-std::optional<WatchTiming> StoreView::watchTiming(StorePart part) const
+std::optional<WatchTiming> StoreView::watchTiming(StorePart part)
 {
     if (!isReading(part)) {
         return std::nullopt;
     }
+    startSubstitution(part);
     const ChangeBudget budget = budgetOf(part);
     WatchTiming timing;
     timing.maxBackoff = std::max(minBackoffLimit, backoffPerEntry * static_cast<int>(m_members.size()));
@@ -273,14 +274,14 @@
     }
     const bool wasReader = m_isReader;
     m_isReader = isReader(m_ownPeer, m_members);
-    m_sourceRanking = sourceRanking(m_ownPeer, m_members);
+    std::vector<std::string> ranking = sourceRanking(m_ownPeer, m_members);
     for (const Endpoint &seed : m_services.settings.forwarding.seeds) {
         const std::string peer = seed.text();
-        if (peer != m_ownPeer
-            && std::find(m_sourceRanking.begin(), m_sourceRanking.end(), peer) == m_sourceRanking.end()) {
-            m_sourceRanking.push_back(peer);
+        if (peer != m_ownPeer && std::find(ranking.begin(), ranking.end(), peer) == ranking.end()) {
+            ranking.push_back(peer);
         }
     }
+    m_sources.setRanking(std::move(ranking), readerCount(m_members.size()), readerRank(m_ownPeer, m_members));
     if (wasReader != m_isReader) {
         logEvent("store", m_isReader ? "became a reader" : "became a follower",
                  { { "entries", m_members.size() }, { "readers", readerCount(m_members.size()) } });
@@ -369,7 +370,28 @@
 // The watches of the parts must not depend on each other: a source may relay one part and have an old copy of another.
 bool StoreView::isReading(StorePart part) const
 {
-    return !isStarting() && (m_isReader || !isConfirmedBy(m_freshness.relayedConfirmedAt(part), part));
+    const bool isRelayed = isConfirmedBy(m_freshness.relayedConfirmedAt(part), part);
+    return !isStarting() && (m_isReader || m_isSubstitute[indexOf(part)] || !isRelayed);
+}
+
+// An entry that had to read a part itself goes on until an entry that precedes it relays what it reads itself. If it
+// stopped for any other entry, entries could follow each other while none of them reads the store.
+void StoreView::startSubstitution(StorePart part)
+{
+    bool &isSubstitute = m_isSubstitute[indexOf(part)];
+    if (!m_isReader && !isSubstitute) {
+        isSubstitute = true;
+        logEvent("store", "reads in place of readers", { { "watch", toString(part) } });
+    }
+}
+
+void StoreView::endSubstitution(StorePart part)
+{
+    bool &isSubstitute = m_isSubstitute[indexOf(part)];
+    if (isSubstitute && isConfirmedBy(m_freshness.readerConfirmedAt(part), part)) {
+        isSubstitute = false;
+        logEvent("store", "follows readers again", { { "watch", toString(part) } });
+    }
 }
 
 bool StoreView::isStarting() const
@@ -473,11 +495,15 @@
     return m_outages;
 }
 
+std::optional<std::chrono::milliseconds> StoreView::ageOf(const std::optional<SteadyTime> &confirmedAt)
+{
+    return confirmedAt ? std::optional(elapsed(*confirmedAt)) : std::nullopt;
+}
+
 Awaitable<void> StoreView::followSource(std::size_t slot)
 {
     while (!m_stopped) {
-        const std::optional<std::string> peer = isHealthyReader() ? std::nullopt : chooseSource(slot);
-        m_currentSources.at(slot) = peer.value_or("");
+        const std::optional<std::string> peer = chooseSource(slot);
         if (!peer) {
             co_await sleepFor(idleInterval);
             continue;
@@ -486,42 +512,15 @@
     }
 }
 
-// Prefers a reader, if it has not failed or if the view is fresh enough to try it again, and then keeps a source that
-// responds usefully. Otherwise chooses an entry at random that was not asked yet, and then the one that failed the
-// longest time ago. While the store responds to few entries only, each of them is thus found by all others, and
-// different entries ask different ones at the same time.
-std::optional<std::string> StoreView::chooseSource(std::size_t slot) const
-{
-    const auto now = std::chrono::steady_clock::now();
-    const std::string &currentSource = m_currentSources.at(slot);
-    const std::string &otherSource = m_currentSources.at(1 - slot);
-    const std::size_t readers = std::min(readerCount(m_members.size()), m_sourceRanking.size());
-    std::vector<std::string> untried;
-    std::optional<std::string> oldest;
-    SteadyTime oldestEnd = now;
-    for (std::size_t rank = 0; rank < m_sourceRanking.size(); ++rank) {
-        const std::string &peer = m_sourceRanking[rank];
-        const auto skipped = m_skippedUntil.find(peer);
-        const bool hasFailed = skipped != m_skippedUntil.end();
-        if (peer == otherSource || (hasFailed && skipped->second > now)) {
-            continue;
-        }
-        const bool isAvailableReader = rank < readers && (!hasFailed || m_staleQueries == 0);
-        if (isAvailableReader || peer == currentSource || peer == m_usefulSources.at(slot)) {
-            return peer;
-        }
-        if (!hasFailed) {
-            untried.push_back(peer);
-        } else if (skipped->second <= oldestEnd) {
-            oldestEnd = skipped->second;
-            oldest = peer;
-        }
-    }
-    if (untried.empty()) {
-        return oldest;
+std::optional<std::string> StoreView::chooseSource(std::size_t slot)
+{
+    if (isHealthyReader()) {
+        m_sources.release(slot);
+        return std::nullopt;
     }
-    const auto count = static_cast<double>(untried.size());
-    return untried[static_cast<std::size_t>(m_services.randomFraction() * count)];
+    return m_sources.choose(slot, std::chrono::steady_clock::now(), m_staleQueries == 0, [this] {
+        return m_services.randomFraction();
+    });
 }
 
 Awaitable<void> StoreView::querySource(std::size_t slot, std::string peer)
@@ -556,14 +555,13 @@
     }
     const bool isUseful = response && !isBehind(*response) && completesView(*response);
     if (isUseful) {
-        m_skippedUntil.erase(peer);
-        m_usefulSources.at(slot) = peer;
+        m_sources.recordUseful(slot, peer);
         co_return;
     }
     const auto skipTime = isStarting() ? startupSourceSkipTime
         : response && isUrgent         ? staleSourceSkipTime
                                        : sourceSkipTime;
-    m_skippedUntil[peer] = std::chrono::steady_clock::now() + skipTime;
+    m_sources.skip(peer, std::chrono::steady_clock::now() + skipTime);
     logEvent("store", "source skipped",
              { { "peer", peer },
                { "status", result.status },
@@ -627,6 +625,11 @@
         if (sourceAge && changes.era >= m_era) {
             m_freshness.recordRelayed(part, askedAt + response.held - *sourceAge);
         }
+        const auto &ownAge = response.ownAges[indexOf(part)];
+        if (ownAge && changes.era >= m_era && m_sources.precedes(peer)) {
+            m_freshness.recordReader(part, askedAt + response.held - *ownAge);
+            endSubstitution(part);
+        }
     }
     for (const auto &[id, announcement] : response.announcements) {
         m_callbacks.onAnnouncement(announcement);
@@ -682,6 +685,7 @@
     for (const StorePart part : storeParts) {
         response.changes[indexOf(part)] = m_mirrors[indexOf(part)].changesAfter(known[indexOf(part)]);
         response.ages[indexOf(part)] = age(part);
+        response.ownAges[indexOf(part)] = ageOf(m_freshness.ownConfirmedAt(part));
     }
     response.held = elapsed(startedAt);
     response.announcements = m_callbacks.announcements();
--- a/src/process/store/viewfreshness.cpp
+++ b/src/process/store/viewfreshness.cpp
@@ -13,23 +13,32 @@
     return static_cast<std::size_t>(part);
 }
 
+/// Sets a time to a later one; has no effect if it is not later.
+void raise(std::optional<ViewFreshness::Time> &time, ViewFreshness::Time to)
+{
+    time = std::max(time.value_or(to), to);
+}
+
 } // namespace
 
 void ViewFreshness::recordOwn(StorePart part, Time confirmedAt)
 {
-    std::optional<Time> &own = m_own[indexOf(part)];
-    own = std::max(own.value_or(confirmedAt), confirmedAt);
+    raise(m_own[indexOf(part)], confirmedAt);
 }
 
 void ViewFreshness::recordRelayed(StorePart part, Time confirmedAt)
 {
-    std::optional<Time> &relayed = m_relayed[indexOf(part)];
-    relayed = std::max(relayed.value_or(confirmedAt), confirmedAt);
+    raise(m_relayed[indexOf(part)], confirmedAt);
+}
+
+void ViewFreshness::recordReader(StorePart part, Time confirmedAt)
+{
+    raise(m_reader[indexOf(part)], confirmedAt);
 }
 
 void ViewFreshness::addAge(std::chrono::milliseconds uncounted)
 {
-    for (auto *times : { &m_own, &m_relayed }) {
+    for (auto *times : { &m_own, &m_relayed, &m_reader }) {
         for (std::optional<Time> &time : *times) {
             if (time) {
                 *time -= uncounted;
@@ -48,6 +57,11 @@
     return m_relayed[indexOf(part)];
 }
 
+std::optional<ViewFreshness::Time> ViewFreshness::readerConfirmedAt(StorePart part) const
+{
+    return m_reader[indexOf(part)];
+}
+
 // An empty optional is less than any time.
 std::optional<ViewFreshness::Time> ViewFreshness::confirmedAt(StorePart part) const
 {
--- a/tests/unit/unit-changebudget.cpp
+++ b/tests/unit/unit-changebudget.cpp
@@ -132,9 +132,11 @@
     RelayResponse response;
     response.readsStore = true;
     response.ages = { milliseconds(70), std::nullopt, milliseconds(900) };
+    response.ownAges = { std::nullopt, std::nullopt, milliseconds(950) };
     response.held = milliseconds(30);
     const auto decoded = decodeRelayResponse(encode(response));
     REQUIRE(decoded);
     CHECK(decoded->ages == response.ages);
+    CHECK(decoded->ownAges == response.ownAges);
     CHECK(decoded->held == milliseconds(30));
 }
