Ask the next entry while a busy one has not responded yet

What callers saw: requests handled by an older version while the store turned some entries away and a burst left all of them little processor time. An entry with a stale view gave each query 0.25 s on the kept and on a new connection, then closed it; an entry whose event loop takes longer for its turns was never heard, by any other. Class: the delay of a peer taken for its silence. Fix: the time after which the next source is asked is apart from the time after which a query is given up: a response that arrives up to 1 s later is used as well. A query is repeated on a new connection only if there was a kept one. Whether the store is away for all is judged by the time for which the view is stale, not by the number of queries, which depends on how fast others respond.

--- a/include/zinniadock/connection/httpclient.h
+++ b/include/zinniadock/connection/httpclient.h
@@ -56,6 +56,10 @@
     /// neither closed nor written to. Returns null if there is none.
     std::shared_ptr<PooledConnection> acquireIdle(const Endpoint &peer, std::chrono::milliseconds maxIdleTime);
 
+    /// Returns whether there is an idle connection to a peer, which may be closed or dead.
+    /// \param peer  IP:port
+    bool hasIdle(const std::string &peer) const;
+
     /// Returns a connection that is not open yet.
     std::shared_ptr<PooledConnection> create(const Endpoint &peer);
 
--- a/include/zinniadock/process/store/storeview.h
+++ b/include/zinniadock/process/store/storeview.h
@@ -112,6 +112,19 @@
     std::uint64_t outages() const;
 
 private:
+    /// A query to another entry, and what is known of its end.
+    struct SourceQuery
+    {
+        bool hasEnded = false;
+        bool hasResponse = false; ///< a valid one
+        bool isUseful = false; ///< the response makes this view current, with what the store confirms to this entry
+        bool hasResponseBegun = false;
+        bool readsStore = false; ///< the other entry reads the server list itself
+        unsigned status = 0;
+        PerPart<std::optional<std::chrono::milliseconds>> ages{}; ///< of the other entry's view
+        std::string reason = "no response in time"; ///< why it is not useful
+    };
+
     void watch(StorePart part, const std::string &prefix);
     std::optional<WatchTiming> watchTiming(StorePart part);
     void startSubstitution(StorePart part);
@@ -128,13 +141,20 @@
     void updateMembers();
     Awaitable<void> followSource(std::size_t slot);
     Awaitable<void> querySource(std::size_t slot, std::string peer);
+    RelayQuery makeQuery(std::size_t slot);
+    std::shared_ptr<SourceQuery> startQuery(std::size_t slot, const std::string &peer, const RelayQuery &query,
+                                            bool usesNewConnection);
+    Awaitable<void> runQuery(std::size_t slot, std::string peer, HttpRequest request, CallOptions options,
+                             std::shared_ptr<SourceQuery> query);
+    Awaitable<void> waitFor(const SourceQuery &query, std::chrono::milliseconds patience);
+    bool isStoreAway() const;
     void applyRelayResponse(const RelayResponse &response, SteadyTime askedAt, const std::string &peer);
     std::optional<std::string> chooseSource(std::size_t slot);
     bool hasChangesAfter(const PerPart<StorePosition> &known) const;
     PerPart<StorePosition> knownPositions(const RelayQuery &query) const;
     bool isBehind(const RelayResponse &response) const;
     bool completesView(const RelayResponse &response) const;
-    std::chrono::milliseconds queryTimeout(const RelayQuery &query) const;
+    std::chrono::milliseconds patienceFor(const RelayQuery &query) const;
     PerPart<std::optional<SteadyTime>> confirmations() const;
     bool hasNewerConfirmation(const PerPart<std::optional<SteadyTime>> &before) const;
     bool isStarting() const;
@@ -161,7 +181,7 @@
     bool m_isSeed = true; ///< other entries query this entry when they start
     PerPart<bool> m_isSubstitute{}; ///< whether this entry reads a part because no reader does
     SteadyTime m_startedAt;
-    std::size_t m_staleQueries = 0; ///< queries of other entries since this view became stale
+    std::optional<SteadyTime> m_staleSince; ///< first query of another entry since this view became stale
     std::chrono::milliseconds m_uncountedPauses{ 0 }; ///< time that the steady clock did not count, since the start
     bool m_hasCurrentConfiguration = false; ///< the configuration was current at some time since the start
     std::optional<SteadyTime> m_confirmUntil; ///< how long requests wait for the configuration; nothing if they do not
@@ -172,6 +192,7 @@
     std::optional<SteadyTime> m_storeRecoveredAt; ///< end of the last outage of the store
     std::optional<std::int64_t> m_recoveredRevision; ///< of the store at that time; nothing if it is not known yet
     AsyncCondition m_changed;
+    AsyncCondition m_queryEnded;
     bool m_stopped = false;
 };
 
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -71,6 +71,12 @@
     return nullptr;
 }
 
+bool ConnectionPool::hasIdle(const std::string &peer) const
+{
+    const auto found = m_idle.find(peer);
+    return found != m_idle.end() && !found->second.empty();
+}
+
 std::shared_ptr<PooledConnection> ConnectionPool::create(const Endpoint &peer)
 {
     auto connection = std::make_shared<PooledConnection>(m_context);
--- a/src/process/store/storeview.cpp
+++ b/src/process/store/storeview.cpp
@@ -23,16 +23,19 @@
 constexpr std::chrono::milliseconds recoveryGracePeriod{ 2300 };
 
 /// A source responds within maxRelayWait. It is skipped for sourceSkipTime if it has not responded after the additional
-/// relayTimeoutSlack, and for staleSourceSkipTime if its view is stale as well.
+/// relayTimeoutSlack, and for staleSourceSkipTime if its view is stale.
 constexpr std::chrono::milliseconds maxRelayWait{ 700 };
 constexpr std::chrono::milliseconds relayTimeoutSlack{ 400 };
+
+/// A response that arrives later by this time than a source may hold the query is still used.
+constexpr std::chrono::milliseconds maxResponseDelay{ 1000 };
 constexpr std::chrono::milliseconds sourceSkipTime{ 2000 };
 constexpr std::chrono::milliseconds staleSourceSkipTime{ 300 };
 
-/// An entry with a stale view waits only this long for a source that is stale as well, for its first queries. Later
-/// ones wait for maxRelayWait, and their sources are skipped for sourceSkipTime, since the store is away for all.
+/// An entry with a stale view waits only this long for a source that is stale as well. After maxSearchTime it waits for
+/// maxRelayWait and skips such sources for sourceSkipTime, since the store is away for all.
 constexpr std::chrono::milliseconds searchWait{ 100 };
-constexpr std::size_t maxFastQueries = 40;
+constexpr std::chrono::milliseconds maxSearchTime{ 4000 };
 
 /// After a time in which the process did not run, requests wait this long for the configuration to be confirmed.
 constexpr std::chrono::milliseconds maxConfirmationWait{ 400 };
@@ -81,6 +84,7 @@
     : m_services(services)
     , m_callbacks(std::move(callbacks))
     , m_changed(services.context)
+    , m_queryEnded(services.context)
 {
 }
 
@@ -428,7 +432,9 @@
     if (isCurrent) {
         m_confirmUntil.reset();
     }
-    m_staleQueries = isFresh() ? 0 : m_staleQueries;
+    if (isFresh()) {
+        m_staleSince.reset();
+    }
     m_changed.notify();
 }
 
@@ -518,76 +524,128 @@
         m_sources.release(slot);
         return std::nullopt;
     }
-    return m_sources.choose(slot, std::chrono::steady_clock::now(), m_staleQueries == 0, [this] {
+    return m_sources.choose(slot, std::chrono::steady_clock::now(), !m_staleSince, [this] {
         return m_services.randomFraction();
     });
 }
 
-Awaitable<void> StoreView::querySource(std::size_t slot, std::string peer)
+RelayQuery StoreView::makeQuery(std::size_t slot)
 {
     const bool isStale = !isFresh();
-    m_staleQueries += isStale ? 1 : 0;
-    const bool isUrgent = isStale && m_staleQueries <= maxFastQueries;
-    Endpoint endpoint;
-    detail::parseValue(peer, detail::Range{}, endpoint);
+    if (isStale) {
+        m_staleSince = m_staleSince.value_or(std::chrono::steady_clock::now());
+    }
     RelayQuery query;
     query.minInterval = isStale ? std::chrono::milliseconds(0) : minRelayIntervals.at(slot);
-    query.maxWait = isUrgent ? searchWait : maxRelayWait;
+    query.maxWait = isStale && !isStoreAway() ? searchWait : maxRelayWait;
     query.isStale = isStale;
     for (std::size_t part = 0; part < storePartCount; ++part) {
         query.known[part] = m_mirrors[part].position();
     }
-    CallOptions options{ .timeout = queryTimeout(query) };
-    auto askedAt = std::chrono::steady_clock::now();
-    const std::chrono::milliseconds uncountedBefore = m_uncountedPauses;
-    CallResult result = co_await call(m_services.pool, endpoint, makePost(relayTarget, encode(query)), options);
-    // The failure may concern the kept connection only, and not the other entry.
-    if (result.error && result.isConnectionReused) {
+    return query;
+}
+
+// Returns whether this view has been stale for so long that the store is probably away for all entries.
+bool StoreView::isStoreAway() const
+{
+    return m_staleSince && elapsed(*m_staleSince) >= maxSearchTime;
+}
+
+// Queries a source, and again on a new connection if it does not respond in time, since the kept connection may be dead
+// and not the other entry. A response that arrives later is used as well: an entry whose event loop is busy responds
+// late.
+Awaitable<void> StoreView::querySource(std::size_t slot, std::string peer)
+{
+    RelayQuery query = makeQuery(slot);
+    const std::chrono::milliseconds patience = patienceFor(query);
+    const bool mayUseKeptConnection = m_services.pool.hasIdle(peer);
+    std::shared_ptr<SourceQuery> last = startQuery(slot, peer, query, false);
+    co_await waitFor(*last, patience);
+    if (!last->isUseful && !last->hasResponse && mayUseKeptConnection) {
         query.maxWait = std::chrono::milliseconds(0);
-        options = { .timeout = askTime, .usesNewConnection = true };
-        askedAt = std::chrono::steady_clock::now();
-        result = co_await call(m_services.pool, endpoint, makePost(relayTarget, encode(query)), options);
+        const auto first = std::exchange(last, startQuery(slot, peer, query, true));
+        co_await waitFor(*last, askTime);
+        last = first->isUseful ? first : last;
     }
+    if (last->isUseful) {
+        co_return;
+    }
+    const auto skipTime = isStarting()        ? startupSourceSkipTime
+        : last->hasResponse && !isStoreAway() ? staleSourceSkipTime
+                                              : sourceSkipTime;
+    m_sources.skip(peer, std::chrono::steady_clock::now() + skipTime);
+    logEvent("store", "source skipped",
+             { { "peer", peer },
+               { "status", last->status },
+               { "response_begun", last->hasResponseBegun ? 1 : 0 },
+               { "reads_store", last->readsStore ? 1 : 0 },
+               { "age_ms", last->ages[indexOf(StorePart::Servers)].value_or(unknownAge) },
+               { "configuration_age_ms", last->ages[indexOf(StorePart::Configuration)].value_or(unknownAge) },
+               { "reason", last->reason } });
+}
+
+std::shared_ptr<StoreView::SourceQuery> StoreView::startQuery(std::size_t slot, const std::string &peer,
+                                                              const RelayQuery &query, bool usesNewConnection)
+{
+    const auto started = std::make_shared<SourceQuery>();
+    CallOptions options{ .timeout = query.maxWait + maxResponseDelay, .usesNewConnection = usesNewConnection };
+    asio::co_spawn(
+        m_services.context,
+        [this, slot, peer, request = makePost(relayTarget, encode(query)), options, started]() {
+            return runQuery(slot, peer, request, options, started);
+        },
+        asio::detached);
+    return started;
+}
+
+Awaitable<void> StoreView::runQuery(std::size_t slot, std::string peer, HttpRequest request, CallOptions options,
+                                    std::shared_ptr<SourceQuery> query)
+{
+    Endpoint endpoint;
+    detail::parseValue(peer, detail::Range{}, endpoint);
+    const auto askedAt = std::chrono::steady_clock::now();
+    const std::chrono::milliseconds uncountedBefore = m_uncountedPauses;
+    const CallResult result = co_await call(m_services.pool, endpoint, std::move(request), std::move(options));
     const auto response = result.succeeded() ? decodeRelayResponse(result.body) : std::nullopt;
-    if (response) {
+    query->status = result.status;
+    query->hasResponseBegun = result.hasResponseBegun;
+    query->reason = result.error ? result.error.message() : "unreadable";
+    if (response && !m_stopped) {
         // A response that was under way during a suspension is older than the steady clock shows.
         applyRelayResponse(*response, askedAt - (m_uncountedPauses - uncountedBefore), peer);
+        query->hasResponse = true;
+        query->readsStore = response->readsStore;
+        query->ages = response->ages;
+        query->isUseful = !isBehind(*response) && completesView(*response);
+        query->reason = isBehind(*response) ? "behind" : response->readsStore ? "stale" : "not a reader";
     }
-    const bool isUseful = response && !isBehind(*response) && completesView(*response);
-    if (isUseful) {
+    if (query->isUseful) {
         m_sources.recordUseful(slot, peer);
-        co_return;
     }
-    const auto skipTime = isStarting() ? startupSourceSkipTime
-        : response && isUrgent         ? staleSourceSkipTime
-                                       : sourceSkipTime;
-    m_sources.skip(peer, std::chrono::steady_clock::now() + skipTime);
-    logEvent("store", "source skipped",
-             { { "peer", peer },
-               { "status", result.status },
-               { "response_begun", result.hasResponseBegun ? 1 : 0 },
-               { "reads_store", response && response->readsStore ? 1 : 0 },
-               { "age_ms", response ? response->age : unknownAge },
-               { "configuration_age_ms",
-                 response ? response->ages[indexOf(StorePart::Configuration)].value_or(unknownAge) : unknownAge },
-               { "reason",
-                 result.error               ? result.error.message()
-                     : !response            ? "unreadable"
-                     : isBehind(*response)  ? "behind"
-                     : response->readsStore ? "stale"
-                                            : "not a reader" } });
-}
-
-// A query must not last longer than this view is fresh. A stale one asks the next source after askTime.
-std::chrono::milliseconds StoreView::queryTimeout(const RelayQuery &query) const
-{
-    std::chrono::milliseconds timeout = query.maxWait + relayTimeoutSlack;
+    query->hasEnded = true;
+    m_queryEnded.notify();
+}
+
+// Waits until a query has ended, but not longer than a time.
+Awaitable<void> StoreView::waitFor(const SourceQuery &query, std::chrono::milliseconds patience)
+{
+    const SteadyTime until = std::chrono::steady_clock::now() + patience;
+    while (!query.hasEnded && std::chrono::steady_clock::now() < until) {
+        const auto left = until - std::chrono::steady_clock::now();
+        co_await m_queryEnded.wait(std::chrono::ceil<std::chrono::milliseconds>(left));
+    }
+}
+
+// An entry waits for a source while its view is fresh. A stale one asks the next source after askTime.
+std::chrono::milliseconds StoreView::patienceFor(const RelayQuery &query) const
+{
+    std::chrono::milliseconds patience = query.maxWait + relayTimeoutSlack;
     for (const StorePart part : storeParts) {
         const auto known = age(part);
         const auto left = known ? budgetOf(part).staleAfter() - *known : std::chrono::milliseconds(0);
-        timeout = std::min(timeout, std::max(left, askTime));
+        patience = std::min(patience, std::max(left, askTime));
     }
-    return timeout;
+    return patience;
 }
 
 // Returns whether a source has a current copy of each part that the store does not confirm to this entry itself.
--- a/tests/unit/unit-busyentries.cpp
+++ b/tests/unit/unit-busyentries.cpp
@@ -61,6 +61,25 @@
     }
 }
 
+// Guards against entries that give each other up before a busy one can respond.
+TEST_CASE("a change is in force within its bound if the store serves few entries and all event loops are busy")
+{
+    constexpr milliseconds turn{ 250 };
+    BoundFleet fleet(28);
+    fleet.setFault(0, fleet.entries.size() * 3 / 5, AddressFault{ .prefix = "", .status = 503 });
+    std::vector<std::unique_ptr<BusyLoop>> loops;
+    for (const auto &entry : fleet.entries) {
+        loops.push_back(std::make_unique<BusyLoop>(*entry, turn));
+    }
+    for (int change = 1; change <= 6; ++change) {
+        CAPTURE(change);
+        fleet.publish();
+        for (const auto &loop : loops) {
+            CHECK(isInForce(*loop, fleet, std::max(fleet.timeLeft(), milliseconds(0))));
+        }
+    }
+}
+
 // Guards against checks after pauses that end each call before its response is read.
 TEST_CASE("an entry whose event loop pauses in each turn gets a change while it is busy")
 {
