--- a/bench/soak/faultplan.cpp
+++ b/bench/soak/faultplan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <memory>
 
 namespace zinniadock::soak
 {
@@ -28,6 +29,10 @@
 constexpr std::chrono::milliseconds configurationWithin{ 2000 };
 constexpr std::chrono::milliseconds configurationSlack{ 400 };
 
+/// A slow process runs for slowRunTime after each slowStopTime.
+constexpr std::chrono::milliseconds slowStopTime{ 200 };
+constexpr std::chrono::milliseconds slowRunTime{ 40 };
+
 /// Exit code of a daemon that aborted in-flight requests when it stopped.
 constexpr int exitCodeCutRequests = 7;
 
@@ -122,6 +127,32 @@
     }
 }
 
+// The process runs only for a part of the time, as on a machine with little processor time. This is no excuse for a
+// change that is late.
+void FaultPlan::slowDaemon(const std::string &kind, DaemonProcess &daemon, const std::string &target)
+{
+    if (!daemon.isRunning() || !beginFault(kind, target)) {
+        return;
+    }
+    const auto startedAt = std::chrono::steady_clock::now();
+    const auto endsAt = startedAt + randomDuration(1000, 4000);
+    const auto isStopped = std::make_shared<bool>(false);
+    const auto nextTurn = std::make_shared<Time>(startedAt);
+    m_pendingActions.push_back({ startedAt, [this, &daemon, target, endsAt, isStopped, nextTurn] {
+                                    const auto now = std::chrono::steady_clock::now();
+                                    const bool hasEnded = m_isEndingAllFaults || now >= endsAt;
+                                    if (hasEnded) {
+                                        daemon.sendSignal(SIGCONT);
+                                        m_hasActiveFault[target] = false;
+                                    } else if (now >= *nextTurn) {
+                                        *isStopped = !*isStopped;
+                                        daemon.sendSignal(*isStopped ? SIGSTOP : SIGCONT);
+                                        *nextTurn = now + (*isStopped ? slowStopTime : slowRunTime);
+                                    }
+                                    return hasEnded;
+                                } });
+}
+
 void FaultPlan::stopEntry(std::size_t index)
 {
     const std::string target = "entry-" + std::to_string(index);
@@ -366,7 +397,7 @@
     const std::string entryName = "entry-" + std::to_string(entry);
     const std::string engineName = "engine-" + std::to_string(engine);
     // An engine, its sidecar and its relay are replaced together, so they are one target.
-    constexpr std::uint64_t faultKinds = 19; // the cases below and the default
+    constexpr std::uint64_t faultKinds = 20; // the cases below and the default
     switch (m_random() % faultKinds) {
     case 0:
         return killDaemon("kill_entry", *m_fleet.entries[entry].daemon, entryName);
@@ -406,6 +437,8 @@
         return;
     case 17:
         return silenceConfiguration(entry);
+    case 18:
+        return slowDaemon("slow_entry", *m_fleet.entries[entry].daemon, entryName);
     default:
         return changeConfiguration();
     }
--- a/bench/soak/faultplan.h
+++ b/bench/soak/faultplan.h
@@ -48,6 +48,7 @@
     std::chrono::milliseconds randomDuration(int minMilliseconds, int maxMilliseconds);
     void killDaemon(const std::string &kind, DaemonProcess &daemon, const std::string &target);
     void freezeDaemon(const std::string &kind, DaemonProcess &daemon, const std::string &target);
+    void slowDaemon(const std::string &kind, DaemonProcess &daemon, const std::string &target);
     void stopEntry(std::size_t index);
     void reloadEntry(std::size_t index);
     void drainEngine(std::size_t index);
