--- a/include/zinniadock/process/store/storeview.h
+++ b/include/zinniadock/process/store/storeview.h
@@ -40,8 +40,8 @@
 /// In a small fleet every entry reads the store. In a larger fleet only a few entries do (readers), which all entries
 /// choose in the same way (see readerchoice.h). Every other entry (follower) follows two readers at a time. A follower
 /// replaces a source that does not respond, or whose view is stale, by the next one in its order, and reads those parts
-/// of the store itself that no source relays in time, until an entry relays them that precedes it in the order of readers
-/// and reads them itself. A reader whose own view is stale follows others. Times: see changebudget.h.
+/// of the store itself that no source relays in time, until an entry that precedes it in the order of readers reads and
+/// relays them. A reader whose own view is stale follows others. Times: see changebudget.h.
 class StoreView
 {
 public:
