--- a/src/process/store/storeview.cpp
+++ b/src/process/store/storeview.cpp
@@ -587,7 +587,7 @@
 std::shared_ptr<StoreView::SourceQuery> StoreView::startQuery(std::size_t slot, const std::string &peer,
                                                               const RelayQuery &query, bool usesNewConnection)
 {
-    const auto started = std::make_shared<SourceQuery>();
+    auto started = std::make_shared<SourceQuery>();
     CallOptions options{ .timeout = query.maxWait + maxResponseDelay, .usesNewConnection = usesNewConnection };
     asio::co_spawn(
         m_services.context,
