Do not close a connection that has opened when its time limit is served late

What callers would see: a large request that fails at a busy entry although its server has accepted the connection. If a turn of the event loop takes longer than the time limit for opening a connection, both the opened connection and the expired timer are served in the next turn. The handler of the timer then found the send buffer full with the first part of the request, took that for a connection that is still being opened, and closed it. Fix: the attempt has a state, and a timer that is served after the end of the attempt does nothing.

--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -40,6 +40,13 @@
 // connection while a request is on its way.
 constexpr std::chrono::milliseconds idleTimeoutMargin{ 700 };
 
+/// State of an attempt to open a connection.
+enum class OpenState {
+    Connecting,
+    TimedOut,
+    Decided, ///< it has succeeded or failed
+};
+
 void closeSocket(boost::beast::tcp_stream &stream)
 {
     IoError ignored; // the connection is discarded even if closing it fails
@@ -89,10 +96,11 @@
 {
     auto &socket = connection->stream.socket();
     const auto timer = std::make_shared<asio::steady_timer>(m_context, timeout);
-    const auto hasTimedOut = std::make_shared<bool>(false);
-    timer->async_wait([connection, timer, hasTimedOut](const IoError &error) {
-        if (!error && !isConnectDecided(connection->stream.socket().native_handle())) {
-            *hasTimedOut = true;
+    const auto state = std::make_shared<OpenState>(OpenState::Connecting);
+    timer->async_wait([connection, timer, state](const IoError &error) {
+        const bool isConnecting = !error && *state == OpenState::Connecting;
+        if (isConnecting && !isConnectDecided(connection->stream.socket().native_handle())) {
+            *state = OpenState::TimedOut;
             closeSocket(connection->stream);
         }
     });
@@ -100,9 +108,10 @@
     IoError error;
     co_await socket.async_connect(tcpEndpoint(connection->peer), redirectError(error));
     timer->cancel();
-    if (*hasTimedOut) {
+    if (*state == OpenState::TimedOut) {
         co_return boost::beast::error::timeout;
     }
+    *state = OpenState::Decided; // the handler of the timer may be queued already
     if (!error) {
         setSocketOptions(socket);
         socket.non_blocking(true, error);
