Wait in a test until the server that registered later is listed

The test took the first response with status 200 as proof that the second server is listed, but under load the first one, removed just before, still answered. So the store went back before the entry had ever seen the second server, and no rule keeps a server that was never listed.

--- a/tests/unit/unit-storerestore.cpp
+++ b/tests/unit/unit-storerestore.cpp
@@ -176,7 +176,7 @@
     const PlatformStore::Copy copy = deployment.store.copy();
     deployment.store.put("servers/s2", deployment.second.record("shop"));
     REQUIRE(eventually([&] {
-        return statusOf(entry) == 200;
+        return statusOf(entry) == 200 && !deployment.second.startedRequests().empty();
     }));
     deployment.restore(copy);
     const auto restoredAt = std::chrono::steady_clock::now();
