Keep the constants of a query beside their comments

A constant for late responses stood between a comment and the constants that it describes, and a comment on freshness pointed to its neighbours. Order and wording only; built, no value and no behaviour changes.

--- a/include/zinniadock/process/store/storeview.h
+++ b/include/zinniadock/process/store/storeview.h
@@ -160,8 +160,8 @@
     bool isStarting() const;
     bool isHealthyReader() const;
 
-    /// Returns whether a part that was confirmed before a time \p age is not stale. Each decision on freshness is this
-    /// one.
+    /// Returns whether a part that was confirmed before a time \p age is not stale. All decisions on freshness use
+    /// this function.
     bool isCurrent(const std::optional<std::chrono::milliseconds> &age, StorePart part) const;
     bool isConfirmedBy(const std::optional<SteadyTime> &confirmedAt, StorePart part) const;
     ChangeBudget budgetOf(StorePart part) const;
--- a/src/process/store/storeview.cpp
+++ b/src/process/store/storeview.cpp
@@ -26,11 +26,11 @@
 /// relayTimeoutSlack, and for staleSourceSkipTime if its view is stale.
 constexpr std::chrono::milliseconds maxRelayWait{ 700 };
 constexpr std::chrono::milliseconds relayTimeoutSlack{ 400 };
+constexpr std::chrono::milliseconds sourceSkipTime{ 2000 };
+constexpr std::chrono::milliseconds staleSourceSkipTime{ 300 };
 
 /// A response that arrives later by this time than a source may hold the query is still used.
 constexpr std::chrono::milliseconds maxResponseDelay{ 1000 };
-constexpr std::chrono::milliseconds sourceSkipTime{ 2000 };
-constexpr std::chrono::milliseconds staleSourceSkipTime{ 300 };
 
 /// An entry with a stale view waits only this long for a source that is stale as well. After maxSearchTime it waits for
 /// maxRelayWait and skips such sources for sourceSkipTime, since the store is away for all.
