Drop the unsent bytes of requests whose callers have left

Users saw requests reach servers after their callers had left (GONE). One way was left: an entry that ends an exchange closes its connection to the server, and the system goes on sending what is in the send buffer. A server that does not read, a lost packet or a narrow link keeps bytes there, also after the close of the caller.

The exchange resets its connection instead, if its request was sent and its response is not complete. A reset drops what the peer has not acknowledged. Connections without such a request are closed as before.

--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -53,6 +53,15 @@
     stream.socket().close(ignored);
 }
 
+/// Closes a connection so that bytes which the peer has not acknowledged are dropped. After a plain close, the system
+/// goes on sending them.
+void resetSocket(boost::beast::tcp_stream &stream)
+{
+    IoError ignored; // the connection is discarded even if the option can't be set
+    stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    closeSocket(stream);
+}
+
 } // namespace
 
 ConnectionPool::ConnectionPool(asio::io_context &context)
@@ -374,7 +383,12 @@
 void HttpExchange::abort()
 {
     m_aborted = true;
-    if (m_connection) {
+    if (!m_connection) {
+        return;
+    }
+    if (m_sendState == SendState::Sent && !isComplete()) {
+        resetSocket(m_connection->stream);
+    } else {
         closeSocket(m_connection->stream);
     }
 }
