End idempotent calls of the completions interface with their callers

Calls to plain services ran to their end for callers who had left, on the completions interface. The entry looked at its caller before the offer only, and a sidecar could not end a call in progress.

The entry looks at the caller every 0.2 s while it waits, and cancels a call that may be repeated; the sidecar closes the connection of a call that is cancelled. An order that was sent runs to its end, so that its outcome is stored under its key.

--- a/include/zinniadock/request/callattempts.h
+++ b/include/zinniadock/request/callattempts.h
@@ -24,7 +24,8 @@
 
     void runWithIdempotencyKey();
     std::variant<ServiceResponse, Failure> callWithRetries(bool mayRepeat);
-    std::variant<ServiceResponse, Failure> attemptCall(GenerationId generation, std::set<std::string> &tried);
+    std::variant<ServiceResponse, Failure> attemptCall(GenerationId generation, std::set<std::string> &tried,
+                                                       bool mayRepeat);
     void sendResponse(const ClaimOutcome &outcome, bool replayed);
     void sendUnframedBody(const std::string &body);
 
--- a/src/connection/servicecall.cpp
+++ b/src/connection/servicecall.cpp
@@ -1,5 +1,6 @@
 #include "zinniadock/connection/servicecall.h"
 
+#include <memory>
 #include <optional>
 
 #include <Poco/Exception.h>
@@ -7,6 +8,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/error.hpp>
 
 #include "zinniadock/connection/httpclient.h"
@@ -23,6 +25,19 @@
 
 constexpr std::size_t maxResponseBytes = 4U << 20U;
 
+/// A call in progress, which runs on the thread of its caller.
+struct RunningCall
+{
+    explicit RunningCall(const Endpoint &service)
+        : exchange(pool, service, std::chrono::milliseconds(0))
+    {
+    }
+
+    asio::io_context context{ 1 };
+    ConnectionPool pool{ context };
+    HttpExchange exchange;
+};
+
 HttpRequest makeRequest(const Endpoint &service, const Offer &offer)
 {
     HttpRequest request;
@@ -69,10 +84,9 @@
                         + " bytes of its body: " + error.message() };
 }
 
-Awaitable<void> exchangeWithService(ConnectionPool &pool, const Endpoint &service, const Offer &offer,
+Awaitable<void> exchangeWithService(HttpExchange &exchange, const Endpoint &service, const Offer &offer,
                                     BackendTimeouts timeouts, std::optional<CallOutcome> &outcome)
 {
-    HttpExchange exchange(pool, service, std::chrono::milliseconds(0));
     exchange.setReadTimeout(timeouts.receive);
     const HttpRequest request = makeRequest(service, offer);
     IoError error = co_await exchange.send(request, timeouts.connect);
@@ -103,19 +117,28 @@
 
 } // namespace
 
-CallOutcome callService(const Endpoint &service, const Offer &offer, BackendTimeouts timeouts)
+CallOutcome callService(const Endpoint &service, const Offer &offer, BackendTimeouts timeouts,
+                        const CallAbortSetter &setAbort)
 {
     timeouts.receive = std::min(timeouts.receive, std::max(offer.timeLeft, std::chrono::milliseconds(1)));
-    asio::io_context context{ 1 };
-    ConnectionPool pool(context);
+    const auto running = std::make_shared<RunningCall>(service);
+    setAbort([weak = std::weak_ptr(running)] {
+        if (const auto call = weak.lock()) {
+            asio::post(call->context, [weak] {
+                if (const auto posted = weak.lock()) {
+                    posted->exchange.abort();
+                }
+            });
+        }
+    });
     std::optional<CallOutcome> outcome;
     asio::co_spawn(
-        context,
+        running->context,
         [&]() {
-            return exchangeWithService(pool, service, offer, timeouts, outcome);
+            return exchangeWithService(running->exchange, service, offer, timeouts, outcome);
         },
         asio::detached);
-    context.run();
+    running->context.run();
     return std::move(*outcome);
 }
 
--- a/src/process/sidecarrequests.cpp
+++ b/src/process/sidecarrequests.cpp
@@ -301,7 +301,11 @@
 void Sidecar::runCall(const SessionPointer &session)
 {
     m_timeline.record(EventKind::Admitted, generationContent(session->key()));
-    std::variant<ServiceResponse, Failure> result = callService(m_settings.backend, session->offer(), m_timeouts);
+    const CallAbortSetter setAbort = [&session](const std::function<void()> &abort) {
+        session->setAbort(abort);
+    };
+    std::variant<ServiceResponse, Failure> result
+        = callService(m_settings.backend, session->offer(), m_timeouts, setAbort);
     {
         const std::lock_guard lock(m_mutex);
         --m_runningCalls;
--- a/src/request/callattempts.cpp
+++ b/src/request/callattempts.cpp
@@ -124,7 +124,7 @@
     Verdict verdict = Verdict::NotRun;
     std::optional<Failure> refusal;
     for (GenerationId generation = 1;; ++generation) {
-        std::variant<ServiceResponse, Failure> result = attemptCall(generation, tried);
+        std::variant<ServiceResponse, Failure> result = attemptCall(generation, tried, mayRepeat);
         if (std::holds_alternative<ServiceResponse>(result)) {
             return result;
         }
@@ -143,7 +143,10 @@
     }
 }
 
-std::variant<ServiceResponse, Failure> CallAttempts::attemptCall(GenerationId generation, std::set<std::string> &tried)
+// A call that may be repeated ends with its caller. Any other call that was sent runs to its end, so that its outcome
+// is known.
+std::variant<ServiceResponse, Failure> CallAttempts::attemptCall(GenerationId generation, std::set<std::string> &tried,
+                                                                 bool mayRepeat)
 {
     if (m_context.caller.hasClosedSending()) {
         return callerLeft(Verdict::NotRun);
@@ -174,6 +177,11 @@
                 return toFailure(*failed);
             }
         }
+        if (mayRepeat && m_context.caller.hasClosedSending()) {
+            ++m_context.services.metrics.cancelled;
+            m_context.services.links.cancel(server, *exchange);
+            return callerLeft(Verdict::MayHaveRun);
+        }
     }
     m_context.services.links.finish(server, *exchange, 0);
     return Failure{ .code = RequestError::DeadlineExceeded,
--- a/tests/standin/servicestandin.cpp
+++ b/tests/standin/servicestandin.cpp
@@ -37,6 +37,12 @@
     return position == m_runsByBody.end() ? 0 : position->second;
 }
 
+std::uint64_t ServiceStandin::cancelled() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_cancelled;
+}
+
 void ServiceStandin::setDelay(std::chrono::milliseconds delay)
 {
     const std::lock_guard lock(m_mutex);
@@ -91,8 +97,7 @@
                        { "method", request.getMethod() },
                        { "body", body },
                        { "key", request.get("Idempotency-Key", "") } });
-    std::this_thread::sleep_for(delay);
-    if (dropResponses) {
+    if (delayResponse(request, delay) || dropResponses) {
         cutConnection(request);
         return;
     }
@@ -103,6 +108,21 @@
     sendJson(response, Json{ { "path", request.getURI() }, { "run", number }, { "body", body } }.dump());
 }
 
+bool ServiceStandin::delayResponse(HTTPServerRequest &request, std::chrono::milliseconds delay)
+{
+    const Poco::Timespan checkInterval(0, 5000);
+    auto &socket = dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
+    const auto end = std::chrono::steady_clock::now() + delay;
+    while (std::chrono::steady_clock::now() < end) {
+        if (socket.poll(checkInterval, Poco::Net::Socket::SELECT_READ)) {
+            const std::lock_guard lock(m_mutex);
+            ++m_cancelled;
+            return true;
+        }
+    }
+    return false;
+}
+
 void ServiceStandin::control(HTTPServerRequest &request, HTTPServerResponse &response)
 {
     const Json body = Json::parse(readBody(request), nullptr, false);
--- a/tests/standin/servicestandin.h
+++ b/tests/standin/servicestandin.h
@@ -31,6 +31,9 @@
     /// Returns how often a call with \p body ran.
     std::uint64_t runs(const std::string &body) const;
 
+    /// Returns the number of calls whose client closed the connection before the response.
+    std::uint64_t cancelled() const;
+
     /// Sets the delay between the run of a call and its response.
     void setDelay(std::chrono::milliseconds delay);
 
@@ -44,11 +47,15 @@
 
 private:
     void handle(HTTPServerRequest &request, HTTPServerResponse &response);
+
+    /// Waits before a response. Returns whether the client has closed the connection meanwhile.
+    bool delayResponse(HTTPServerRequest &request, std::chrono::milliseconds delay);
     void control(HTTPServerRequest &request, HTTPServerResponse &response);
 
     History m_history;
     mutable std::mutex m_mutex;
     std::map<std::string, std::uint64_t> m_runsByBody;
+    std::uint64_t m_cancelled = 0;
     std::uint64_t m_totalRuns = 0;
     std::chrono::milliseconds m_delay{ 0 };
     bool m_dropResponses = false;
--- a/tests/unit/unit-leavingcallers.cpp
+++ b/tests/unit/unit-leavingcallers.cpp
@@ -628,3 +628,34 @@
     CHECK(deployment.engine.releasedReservations() > 0);
     CHECK(deployment.servesOthers());
 }
+
+// Guards against calls of the completions interface that run to their end for callers who have left.
+TEST_CASE("an idempotent call of the completions interface ends with its caller, and an order runs to its end")
+{
+    Fleet fleet(1);
+    fleet.service->setDelay(milliseconds(1800));
+    const std::string fields = " HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer site-key\r\n";
+    const std::vector<WayToLeave> ways = waysToLeave();
+    std::vector<std::unique_ptr<LeavingCaller>> callers;
+    for (std::size_t i = 0; i < ways.size(); ++i) {
+        callers.push_back(std::make_unique<LeavingCaller>(fleet.entryPort(), "GET /status" + fields + "\r\n"));
+    }
+    LeavingCaller ordering(fleet.entryPort(), "POST /work-orders" + fields + "Content-Length: 5\r\n\r\norder");
+    REQUIRE(eventually([&] {
+        return fleet.service->runs("") == ways.size() && fleet.service->runs("order") == 1;
+    }));
+    for (std::size_t i = 0; i < ways.size(); ++i) {
+        callers[i]->send(ways[i].before);
+        callers[i]->leave(ways[i]);
+    }
+    ordering.leave(ways.front());
+    CHECK(eventually(
+        [&] {
+            return fleet.service->cancelled() == ways.size();
+        },
+        endWithin));
+    std::this_thread::sleep_for(endWithin);
+    CHECK(fleet.service->cancelled() == ways.size());
+    fleet.service->setDelay(milliseconds(0));
+    CHECK(send(fleet.entryPort(), { .method = "GET", .path = "/status" }).status == 200);
+}
--- a/tests/unit/unit-servicecall.cpp
+++ b/tests/unit/unit-servicecall.cpp
@@ -52,7 +52,8 @@
         offer.timeLeft = std::chrono::milliseconds(5000);
         BackendTimeouts timeouts;
         timeouts.receive = receiveTimeout;
-        return callService({ "127.0.0.1", m_server.port() }, offer, timeouts);
+        return callService({ "127.0.0.1", m_server.port() }, offer, timeouts,
+                           [](const std::function<void()> & /*abort*/) {});
     }
 
 private:
