Send no queries and no orders for callers who have left

Other work than the request itself went on for callers who had left: queries for the load of engines, orders to copy a generation that the entry makes itself, and reservations by a sidecar that was frozen while the entry gave its query up.

Evidence: unit-leavingcallers, "a sidecar that was frozen reserves nothing ...": without the check 2 reservations, with it 1. The others by reading: they wait and then send without a look at the caller.

A sidecar drops a query whose entry has withdrawn it, and each order of a move and each round of load queries is sent only while the request is wanted. An order that was not sent has not stopped a generation.

--- a/src/process/moving/runmover.cpp
+++ b/src/process/moving/runmover.cpp
@@ -20,13 +20,17 @@
 constexpr unsigned statusNotRunning = 404;
 constexpr unsigned statusInProgress = 409;
 
+constexpr const char *withdrawnReason = "the order was withdrawn";
+
+/// Orders a copy, unless the order for the move was withdrawn meanwhile.
 Awaitable<CallResult> copyGeneration(ConnectionPool &pool, Endpoint source, std::string request, Endpoint target,
-                                     bool isFinal)
+                                     bool isFinal, MoveCondition mayContinue)
 {
-    CallResult result = co_await call(pool, source, wire::moveRequest(request, target, isFinal), callTimeout);
+    CallOptions options{ .timeout = callTimeout, .sendCondition = mayContinue };
+    CallResult result = co_await call(pool, source, wire::moveRequest(request, target, isFinal), options);
     if (!result.error && result.status == statusInProgress) {
         co_await sleepFor(conflictRetryDelay);
-        result = co_await call(pool, source, wire::moveRequest(request, target, isFinal), callTimeout);
+        result = co_await call(pool, source, wire::moveRequest(request, target, isFinal), options);
     }
     co_return result;
 }
@@ -50,6 +54,9 @@
 /// source engine stops the generation before it responds, unless it does not run it or has another copy in progress.
 bool mayHaveStopped(const CallResult &finalCopy)
 {
+    if (finalCopy.error && finalCopy.sendState == SendState::NotSent) {
+        return false;
+    }
     return finalCopy.error || (finalCopy.status != statusNotRunning && finalCopy.status != statusInProgress);
 }
 
@@ -78,13 +85,18 @@
 }
 
 Awaitable<MoveResult> moveGeneration(ConnectionPool &pool, Endpoint source, MoveOrder order,
-                                     std::chrono::milliseconds timeLeft, std::uint16_t sidecarPort)
+                                     std::chrono::milliseconds timeLeft, std::uint16_t sidecarPort,
+                                     MoveCondition mayContinue)
 {
     // The responses to the orders have no ID. On a connection of its own, a move can't get a late second response to
     // the order for another generation.
     ConnectionPool orders(pool.context());
     MoveResult result;
     for (std::size_t i = 0; i < order.targets.size(); ++i) {
+        if (!mayContinue()) {
+            result.reason = withdrawnReason;
+            co_return result;
+        }
         const Endpoint target = order.targets[i];
         AdmissionQuery query = order.admission;
         query.cold = i < order.cold.size() ? order.cold[i] : ColdState();
@@ -94,7 +106,7 @@
         }
         std::string firstCopy;
         if (timeLeft > order.estimatedCopyTime + finalCopyTime) {
-            const CallResult first = co_await copyGeneration(orders, source, order.request, target, false);
+            const CallResult first = co_await copyGeneration(orders, source, order.request, target, false, mayContinue);
             result.reason = describe(first);
             if (first.error || first.status == statusNotRunning) {
                 co_return result;
@@ -104,9 +116,9 @@
             }
             firstCopy = wire::parseCopyId(first.body);
         }
-        const CallResult last = co_await copyGeneration(orders, source, order.request, target, true);
+        const CallResult last = co_await copyGeneration(orders, source, order.request, target, true, mayContinue);
         const std::string copy = wire::parseCopyId(last.body);
-        result.reason = last.succeeded() ? "" : describe(last);
+        result.reason = last.succeeded() ? "" : mayContinue() ? describe(last) : withdrawnReason;
         result.stopped = !last.error && !copy.empty();
         result.mayHaveStopped = !result.stopped && mayHaveStopped(last);
         if (result.stopped) {
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -329,9 +329,14 @@
 
 // If the query asks for a reservation, the engine makes the final decision. Its reservation keeps a slot and memory
 // until the request arrives. The reservation fails if the engine has received work that this sidecar has not admitted.
-// An engine that limits its requests or is cold gets no reservation, since it counts as a request.
+// An engine that limits its requests or is cold gets no reservation, since it counts as a request. A query whose entry
+// has given it up, which a busy or frozen sidecar reads late, admits nothing.
 Awaitable<void> EngineSidecar::handleAdmissionQuery(std::shared_ptr<HttpConnection> connection, AdmissionQuery query)
 {
+    if (connection->checkCallerDisconnected()) {
+        logEvent("admission", "dropped", { { "id", query.request }, { "reason", "the entry has withdrawn it" } });
+        co_return;
+    }
     AdmissionResponse response = m_admission.admit(query, std::chrono::steady_clock::now());
     const bool isLimited
         = m_limits.find(engineIncarnation()).has_value() || m_admission.isCold(std::chrono::steady_clock::now());
@@ -434,8 +439,11 @@
         const auto startedAt = std::chrono::steady_clock::now();
         const std::chrono::milliseconds left
             = m_load.isDraining ? timeLeft() : move->order.timeLeft.value_or(timeLeft());
+        const MoveCondition isWanted = [move] {
+            return !move->connection->checkCallerDisconnected();
+        };
         move->result = co_await moveGeneration(m_pool, m_settings.sidecar.backend, move->order, left,
-                                               m_settings.forwarding.sidecarPort());
+                                               m_settings.forwarding.sidecarPort(), isWanted);
         const auto took = std::chrono::steady_clock::now() - startedAt;
         ++(move->result.target ? m_movesDone : m_movesFailed);
         logEvent("move", move->result.target ? "copied" : "failed",
--- a/src/request/callforward.cpp
+++ b/src/request/callforward.cpp
@@ -51,7 +51,7 @@
         co_await sendResponse(std::move(last));
         co_return;
     }
-    while (m_context->isActive()) {
+    while (m_context->maySend()) {
         m_quarantine = m_context->findQuarantine();
         if (m_quarantine) {
             ++services.counters.quarantinedRequests;
--- a/src/request/generationmoves.cpp
+++ b/src/request/generationmoves.cpp
@@ -229,7 +229,7 @@
 Awaitable<void> GenerationForwarder::requestMove(std::string server)
 {
     const auto self = shared_from_this();
-    if (usesLoadProbing(m_services)) {
+    if (usesLoadProbing(m_services) && m_context->maySend()) {
         std::set<std::string> excluded;
         excluded.insert(server);
         co_await probeEngines(m_services, placementRequest(), std::move(excluded), probesPerMove);
@@ -290,8 +290,11 @@
         result.mayHaveStopped = callResult.error && callResult.sendState == SendState::Sent;
         result.reason = "the sidecar does not move the generation out of the evacuated data centre";
     } else {
+        const MoveCondition isWanted = [context = m_context] {
+            return context->maySend();
+        };
         result = co_await moveGeneration(m_services.pool, engine, std::move(order), drainTimeLeft,
-                                         m_services.settings.forwarding.sidecarPort());
+                                         m_services.settings.forwarding.sidecarPort(), isWanted);
         const bool isRefused = !callResult.error && !callResult.succeeded();
         const bool sidecarMayHaveStopped = !result.stopped && !isRefused && callResult.sendState == SendState::Sent;
         result.mayHaveStopped = result.mayHaveStopped || sidecarMayHaveStopped;
--- a/src/request/generationplacement.cpp
+++ b/src/request/generationplacement.cpp
@@ -140,7 +140,7 @@
     m_services.serverLimiter.recordDemand(m_services.directory, m_context->poolName, std::chrono::steady_clock::now());
     co_await waitForTurn(ticket);
     co_await refreshLoads(excluded);
-    while (m_context->isActive() && !checkQuarantine()) {
+    while (m_context->maySend() && !checkQuarantine()) {
         if (refusesBecauseOfStop()) {
             break;
         }
@@ -217,7 +217,7 @@
 
 Awaitable<void> GenerationForwarder::refreshLoads(std::set<std::string> excluded)
 {
-    if (usesLoadProbing(m_services)) {
+    if (usesLoadProbing(m_services) && m_context->maySend()) {
         co_await probeEngines(m_services, placementRequest(), std::move(excluded), probesPerRound);
     }
 }
--- a/tests/unit/unit-leavingcallers.cpp
+++ b/tests/unit/unit-leavingcallers.cpp
@@ -659,3 +659,18 @@
     fleet.service->setDelay(milliseconds(0));
     CHECK(send(fleet.entryPort(), { .method = "GET", .path = "/status" }).status == 200);
 }
+
+// Guards against a sidecar that was frozen, and reserves a place of its engine for a query that was given up meanwhile.
+TEST_CASE("a sidecar that was frozen reserves nothing for queries that were given up")
+{
+    EngineDeployment deployment(true);
+    const TestRequest generation{ .target = "/stream/1", .isGeneration = true };
+    REQUIRE(sendRequest(deployment.entry->port(), generation).status == 200);
+    const std::uint64_t before = deployment.engine.reservations();
+    deployment.sidecar.post([] {
+        std::this_thread::sleep_for(milliseconds(600));
+    });
+    REQUIRE(sendRequest(deployment.entry->port(), generation).status == 200);
+    std::this_thread::sleep_for(milliseconds(800));
+    CHECK(deployment.engine.reservations() - before <= 1);
+}
