Unlist a removed server within half a second also after cut watches

A request could go to a removed server 0.5 s after its removal, in fleets of 12 entries and more. The pause between two watches of the server list (0.3 s) and the interval between two responses to followers (0.2 s) add up to the 0.5 s that the test allows.

--- a/src/process/store/changebudget.cpp
+++ b/src/process/store/changebudget.cpp
@@ -31,7 +31,7 @@
 /// store, and at least minServerPauseInLargeFleet in a large fleet. The pause is at most maxServerPauseShare of the
 /// bound. Sidecars report a draining server sooner.
 constexpr milliseconds serverPausePerReader{ 60 };
-constexpr milliseconds minServerPauseInLargeFleet{ 300 };
+constexpr milliseconds minServerPauseInLargeFleet{ 200 };
 constexpr double maxServerPauseShare = 0.25;
 
 /// Pause between two watches of the entry registrations. When a fleet starts, its entries register at the same time,
