Test changes while readers lag and restart, evacuations, and a fleet of 103 entries

Cases of CONFIG had no test: versions that come back because an older response arrives late, readers that restart, evacuations beside a silent watch, and fleets of more than 28 live entries.

--- a/tests/unit/boundfleet.cpp
+++ b/tests/unit/boundfleet.cpp
@@ -41,19 +41,34 @@
     }));
 }
 
-void BoundFleet::addEntry(std::uint16_t storePort)
+Settings BoundFleet::settingsFor(std::size_t index, std::uint16_t storePort)
 {
+    constexpr std::size_t seedCount = 3;
     std::vector<Endpoint> seeds;
-    for (std::size_t i = 0; i < std::min<std::size_t>(entries.size(), 3); ++i) {
-        seeds.push_back({ "127.0.0.1", (*entries[i])->peerPort() });
+    for (std::size_t i = 0; i < entries.size() && seeds.size() < seedCount; ++i) {
+        if (i != index) {
+            seeds.push_back({ "127.0.0.1", (*entries[i])->peerPort() });
+        }
     }
     Settings settings = entrySettings(storePort, 1, seeds);
     settings.forwarding.configurationWithin = bound;
     settings.forwarding.drainWithin = bound;
-    settings.forwarding.capacity = entries.size() < readers() ? 0.5 : 0.09;
+    settings.forwarding.capacity = index < readers() ? 0.5 : 0.09;
+    return settings;
+}
+
+void BoundFleet::addEntry(std::uint16_t storePort)
+{
+    const Settings settings = settingsFor(entries.size(), storePort);
     entries.push_back(std::make_unique<RoleThread<ForwardingEntry>>(settings));
 }
 
+void BoundFleet::restart(std::size_t index)
+{
+    entries[index].reset();
+    entries[index] = std::make_unique<RoleThread<ForwardingEntry>>(settingsFor(index, links[index]->port()));
+}
+
 std::size_t BoundFleet::readers() const
 {
     return readerCount(std::max<std::size_t>(storeAddresses.size(), 1));
--- a/tests/unit/boundfleet.h
+++ b/tests/unit/boundfleet.h
@@ -23,6 +23,9 @@
     /// Adds an entry that follows the first entries.
     void addEntry(std::uint16_t storePort);
 
+    /// Ends an entry at once, and starts it again at another address.
+    void restart(std::size_t index);
+
     /// Returns the number of entries that read the store for all others.
     std::size_t readers() const;
 
@@ -54,6 +57,8 @@
     std::chrono::steady_clock::time_point publishedAt;
 
 private:
+    Settings settingsFor(std::size_t index, std::uint16_t storePort);
+
     int m_version = 3;
 };
 
--- a/tests/unit/unit-configurationbound.cpp
+++ b/tests/unit/unit-configurationbound.cpp
@@ -1,5 +1,6 @@
 // How long a change takes from the acknowledgement of the store to the last entry, whatever fails in between.
 
+#include <algorithm>
 #include <memory>
 #include <thread>
 
@@ -151,6 +152,82 @@
     CHECK(fleet.isInForceWithinBound());
 }
 
+// Guards against responses of an older version that arrive late, and against entries that go back to it after a freeze
+// of their source.
+TEST_CASE("no entry goes back to an older version while readers lag, freeze and restart")
+{
+    constexpr int changes = 24;
+    constexpr std::size_t restarted = 1;
+    BoundFleet fleet(28);
+    std::vector<double> known(fleet.entries.size(), 0);
+    for (int change = 0; change < changes; ++change) {
+        CAPTURE(change);
+        for (std::size_t i = 0; i < fleet.links.size(); ++i) {
+            fleet.links[i]->setDelay(milliseconds((static_cast<std::size_t>(change) + i) % 3 * 150));
+        }
+        fleet.publish();
+        if (change % 6 == 2) {
+            freeze(*fleet.entries.front(), milliseconds(400));
+        }
+        if (change == changes / 2) {
+            fleet.restart(restarted);
+            known[restarted] = 0;
+        }
+        std::this_thread::sleep_for(milliseconds(60));
+        for (std::size_t i = 1; i < fleet.entries.size(); ++i) {
+            CAPTURE(i);
+            const double version = metric(*fleet.entries[i], "zinniadock_configuration_version");
+            CHECK(version >= known[i]);
+            known[i] = version;
+        }
+    }
+    CHECK(fleet.isInForceWithinBound());
+}
+
+// Guards against followers that wait for a reader which has just ended.
+TEST_CASE("a change is in force within its bound while readers restart")
+{
+    BoundFleet fleet(GENERATE(std::size_t{ 5 }, std::size_t{ 28 }));
+    CAPTURE(fleet.entries.size());
+    for (std::size_t i = 0; i < 2; ++i) {
+        fleet.publish();
+        fleet.restart(i);
+        CHECK(fleet.isInForceWithinBound());
+    }
+}
+
+// Guards against evacuations that are late because a watch of the store is silent.
+TEST_CASE("an evacuation is known within its bound if the watch of the configuration alone gets no answer")
+{
+    BoundFleet fleet(GENERATE(std::size_t{ 5 }, std::size_t{ 28 }));
+    CAPTURE(fleet.entries.size());
+    const std::size_t silent = fleet.entries.size() > maxSmallFleetSize ? fleet.readers() : fleet.entries.size() - 1;
+    fleet.setFault(0, silent, AddressFault{ .prefix = configurationPrefix });
+    std::this_thread::sleep_for(fleet.bound);
+    fleet.store.put("op/evacuate/south", "{}");
+    CHECK(eventually(
+        [&] {
+            return std::all_of(fleet.entries.begin(), fleet.entries.end(), [](const auto &entry) {
+                return metric(*entry, "zinniadock_evacuated_data_centres") == 1;
+            });
+        },
+        fleet.bound));
+}
+
+// Guards against hops that only a fleet with more readers, or with longer queues at them, has.
+TEST_CASE("a change is in force within its bound in a fleet of 103 entries")
+{
+    BoundFleet fleet(103);
+    const std::size_t turnedAway = GENERATE(0, 60);
+    CAPTURE(turnedAway);
+    fleet.setFault(0, turnedAway, AddressFault{ .prefix = "", .status = 503 });
+    for (int change = 1; change <= 2; ++change) {
+        CAPTURE(change);
+        fleet.publish();
+        CHECK(fleet.isInForceWithinBound());
+    }
+}
+
 // Guards against freshness that is paid for with more calls to the store on a calm day.
 TEST_CASE("calls to the store on a calm day")
 {
