--- a/tests/standin/heldserver.cpp
+++ b/tests/standin/heldserver.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cerrno>
 #include <chrono>
+#include <system_error>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -86,7 +87,9 @@
 {
     ::setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
     sockaddr_in bound = toAddress(address, 0);
-    ::bind(m_listener, reinterpret_cast<const sockaddr *>(&bound), sizeof(bound));
+    if (::bind(m_listener, reinterpret_cast<const sockaddr *>(&bound), sizeof(bound)) != 0) {
+        throw std::system_error(errno, std::generic_category(), "binding a server to " + address);
+    }
     ::listen(m_listener, SOMAXCONN);
     socklen_t size = sizeof(bound);
     ::getsockname(m_listener, reinterpret_cast<sockaddr *>(&bound), &size);
