--- a/tests/standin/heldserver.cpp
+++ b/tests/standin/heldserver.cpp
@@ -1,6 +1,5 @@
 #include "heldserver.h"
 
-#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <chrono>
--- a/tests/unit/boundfleet.cpp
+++ b/tests/unit/boundfleet.cpp
@@ -20,6 +20,8 @@
 /// Time until all entries have recovered from a fault.
 constexpr milliseconds recoveryTime{ 8000 };
 
+constexpr const char *configurationPrefix = "op/";
+
 constexpr milliseconds boundOfSmallFleet{ 2000 };
 constexpr milliseconds boundOfLargeFleet{ 3000 };
 
@@ -104,6 +106,13 @@
     }
 }
 
+void BoundFleet::silenceConfigurationWatches()
+{
+    const std::size_t silent = entries.size() > maxSmallFleetSize ? readers() : entries.size() - 1;
+    setFault(0, silent, standin::AddressFault{ .prefix = configurationPrefix });
+    std::this_thread::sleep_for(bound);
+}
+
 void BoundFleet::publish(std::size_t size)
 {
     auto document = nlohmann::json::parse(configuration(++m_version));
--- a/tests/unit/boundfleet.h
+++ b/tests/unit/boundfleet.h
@@ -37,6 +37,10 @@
     /// Sets a fault of the calls of the entries from \p first on, up to \p count of them.
     void setFault(std::size_t first, std::size_t count, const std::optional<standin::AddressFault> &fault);
 
+    /// Leaves the watch of the configuration without answers at the readers of a large fleet, or at all entries of a
+    /// small one but the last, and waits until calls in progress have ended.
+    void silenceConfigurationWatches();
+
     /// Publishes a new version whose text has at least \p size bytes.
     void publish(std::size_t size = 0);
 
--- a/tests/unit/unit-configurationbound.cpp
+++ b/tests/unit/unit-configurationbound.cpp
@@ -27,9 +27,7 @@
 {
     BoundFleet fleet(GENERATE(std::size_t{ 5 }, std::size_t{ 28 }));
     CAPTURE(fleet.entries.size());
-    const std::size_t silent = fleet.entries.size() > maxSmallFleetSize ? fleet.readers() : fleet.entries.size() - 1;
-    fleet.setFault(0, silent, AddressFault{ .prefix = configurationPrefix });
-    std::this_thread::sleep_for(fleet.bound);
+    fleet.silenceConfigurationWatches();
     for (int change = 1; change <= 2; ++change) {
         CAPTURE(change);
         fleet.publish();
@@ -201,9 +199,7 @@
 {
     BoundFleet fleet(GENERATE(std::size_t{ 5 }, std::size_t{ 28 }));
     CAPTURE(fleet.entries.size());
-    const std::size_t silent = fleet.entries.size() > maxSmallFleetSize ? fleet.readers() : fleet.entries.size() - 1;
-    fleet.setFault(0, silent, AddressFault{ .prefix = configurationPrefix });
-    std::this_thread::sleep_for(fleet.bound);
+    fleet.silenceConfigurationWatches();
     fleet.store.put("op/evacuate/south", "{}");
     CHECK(eventually(
         [&] {
