--- a/review/harness-2/daemon.cpp
+++ b/review/harness-2/daemon.cpp
@@ -113,14 +113,19 @@
     return m_exitCode;
 }
 
-double Daemon::residentMb() const
+// Counts what the process has allocated, without the pages of the program and of its libraries.
+double Daemon::allocatedMb() const
 {
-    constexpr double bytesPerMb = 1U << 20U;
-    std::ifstream file("/proc/" + std::to_string(m_pid) + "/statm");
-    double pages = 0;
-    double residentPages = 0;
-    file >> pages >> residentPages;
-    return residentPages * static_cast<double>(sysconf(_SC_PAGESIZE)) / bytesPerMb;
+    constexpr double kilobytesPerMb = 1024;
+    const std::string name = "RssAnon:";
+    std::ifstream file("/proc/" + std::to_string(m_pid) + "/status");
+    std::string line;
+    while (std::getline(file, line)) {
+        if (line.starts_with(name)) {
+            return std::stod(line.substr(name.size())) / kilobytesPerMb;
+        }
+    }
+    return 0;
 }
 
 } // namespace zinniadock::review
--- a/review/harness-2/daemon.h
+++ b/review/harness-2/daemon.h
@@ -56,8 +56,8 @@
     /// Returns the exit code of a process that has ended, 128 plus the signal if one has ended it.
     std::optional<int> exitCode() const;
 
-    /// Returns the resident memory in MB; 0 if the process does not run.
-    double residentMb() const;
+    /// Returns the resident memory that the process has allocated, in MB; 0 if it does not run.
+    double allocatedMb() const;
 
 private:
     const std::string m_program;
--- a/review/harness-2/handover.cpp
+++ b/review/harness-2/handover.cpp
@@ -8,19 +8,17 @@
 #include <map>
 #include <memory>
 #include <random>
-#include <set>
 #include <thread>
 #include <vector>
 
 #include <arpa/inet.h>
-#include <nlohmann/json.hpp>
 #include <platformstandin.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "appserver.h"
 #include "daemon.h"
 #include "httpclient.h"
-#include "httpserver.h"
 #include "record.h"
 
 namespace zinniadock::review
@@ -30,7 +28,6 @@
 {
 
 using Clock = std::chrono::steady_clock;
-using Json = nlohmann::json;
 using std::chrono::milliseconds;
 
 constexpr std::size_t entryCount = 3;
@@ -40,9 +37,6 @@
 /// Requests of all clients in one second. The sheet has 20.3 for the one entry of a data centre.
 constexpr double requestsPerSecond = 60;
 
-constexpr milliseconds runTime{ 60 };
-constexpr milliseconds deadline{ 1500 };
-
 /// Bounds of the deployment.
 constexpr milliseconds stableWindow{ 3000 };
 constexpr milliseconds graceTime{ 8000 };
@@ -55,95 +49,6 @@
 /// A process that has ended is started again after this time.
 constexpr milliseconds restartDelay{ 300 };
 
-/// A server of the application. Runs each request for the same time.
-class AppServer
-{
-public:
-    AppServer(std::string id, const std::string &address)
-        : m_id(std::move(id))
-        , m_address(address)
-        , m_server(address, [this](ServerConnection &connection, const Request &request) {
-            return handle(connection, request);
-        })
-    {
-    }
-
-    const std::string &id() const
-    {
-        return m_id;
-    }
-
-    std::string record() const
-    {
-        const auto now = std::chrono::system_clock::now().time_since_epoch();
-        return Json{
-            { "service", "obra-app" },
-            { "address", endpointOf(m_address, m_server.port()) },
-            { "zone", "campina" },
-            { "version", "v1" },
-            { "slots", 6 },
-            { "state", "ready" },
-            { "coldLeftMs", 0 },
-            { "seq", 1 },
-            { "born", std::chrono::duration_cast<milliseconds>(now).count() }
-        }.dump();
-    }
-
-    /// Returns whether the server runs requests from all entries of a list at this moment.
-    bool runsFor(const std::vector<std::size_t> &entries)
-    {
-        const std::lock_guard lock(m_mutex);
-        return std::all_of(entries.begin(), entries.end(), [this](std::size_t entry) {
-            const std::string suffix = "-e" + std::to_string(entry);
-            return std::any_of(m_running.begin(), m_running.end(), [&suffix](const std::string &request) {
-                return request.ends_with(suffix);
-            });
-        });
-    }
-
-    bool hasRun(const std::string &request)
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_started.contains(request);
-    }
-
-    void crash()
-    {
-        m_server.crash();
-    }
-
-private:
-    bool handle(ServerConnection &connection, const Request &request)
-    {
-        const std::string id = request.field("x-request-id");
-        if (request.target == "/health") {
-            return connection.respond(200, "X-Instance-Id: " + m_id + "\r\n", "{}");
-        }
-        const std::string echo = "X-Request-Id: " + id + "\r\n";
-        if (request.field("x-expected-instance") != m_id) {
-            return connection.respond(421, echo, "");
-        }
-        {
-            const std::lock_guard lock(m_mutex);
-            m_started.insert(id);
-            m_running.insert(id);
-        }
-        std::this_thread::sleep_for(runTime);
-        {
-            const std::lock_guard lock(m_mutex);
-            m_running.erase(id);
-        }
-        return connection.respond(200, echo + "X-Server-Signature: " + m_id + "\r\n", std::string(800, 'b'));
-    }
-
-    const std::string m_id;
-    const std::string m_address;
-    std::mutex m_mutex;
-    std::set<std::string> m_started;
-    std::set<std::string> m_running;
-    HttpServer m_server;
-};
-
 /// A machine without power in place of an entry: nothing that is sent to it is answered.
 class DarkMachine
 {
@@ -173,30 +78,6 @@
     const int m_listener;
 };
 
-std::string configurationText()
-{
-    return Json{
-        { "version", 1 },
-        { "routes",
-          { { { "name", "work-order" },
-              { "host", "obra.example" },
-              { "prefix", "/order/" },
-              { "kind", "non_idempotent" },
-              { "timeoutMs", deadline.count() },
-              { "targetLatencyMs", 150 },
-              { "priority", 2 },
-              { "service", "obra-app" },
-              { "maxAttempts", 1 },
-              { "public", true } } } },
-        { "services", { { { "name", "obra-app" }, { "healthPath", "/health" }, { "maxConns", 110 } } } },
-        { "limits",
-          { { "maxHeaderBytes", 16384 },
-            { "maxBodyBytes", 4194304 },
-            { "headerTimeoutMs", 5000 },
-            { "idleTimeoutMs", 20000 } } }
-    }.dump();
-}
-
 /// What became of a request of a client.
 struct Outcome
 {
@@ -333,12 +214,8 @@
             outcome.entry = chooseEntry(draw(random));
             outcome.id
                 = "c" + std::to_string(client) + "-" + std::to_string(number) + "-e" + std::to_string(outcome.entry);
-            const std::string body(600, 'a');
-            const std::string request = "POST /order/new HTTP/1.1\r\nHost: obra.example\r\nX-Request-Id: " + outcome.id
-                + "\r\nX-Deadline-Ms: " + std::to_string(deadline.count())
-                + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
             outcome.sentAt = Clock::now();
-            outcome.answer = sendRequest(addressOf(1, outcome.entry), callerPort, request, deadline);
+            outcome.answer = sendRequest(addressOf(1, outcome.entry), callerPort, orderRequest(outcome.id), deadline);
             outcome.endedAt = Clock::now();
             const std::lock_guard lock(m_mutex);
             m_outcomes.push_back(std::move(outcome));
@@ -368,7 +245,7 @@
         while (!server.runsFor({ 0, 1 }) && Clock::now() < end) {
             std::this_thread::sleep_for(std::chrono::microseconds(200));
         }
-        server.crash();
+        server.exit();
         m_record.report(server.id() + " crashes");
         if (!m_darkMachine) {
             m_entries[2]->kill();
