--- a/review/harness-2/appserver.cpp
+++ b/review/harness-2/appserver.cpp
@@ -101,6 +101,11 @@
     return m_arrivals;
 }
 
+void AppServer::leave()
+{
+    m_isLeaving = true;
+}
+
 void AppServer::exit()
 {
     m_server.crash();
@@ -112,7 +117,7 @@
     if (request.target == "/health") {
         return connection.respond(200, "X-Instance-Id: " + m_id + "\r\n", "{}");
     }
-    const std::string echo = "X-Request-Id: " + id + "\r\n";
+    const std::string echo = "X-Request-Id: " + id + "\r\n" + (m_isLeaving ? "Server-Leaving: 1\r\n" : "");
     if (request.field("x-expected-instance") != m_id) {
         return connection.respond(421, echo, "");
     }
--- a/review/harness-2/appserver.h
+++ b/review/harness-2/appserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <mutex>
 #include <set>
@@ -41,6 +42,9 @@
     /// Returns when each request has arrived, in order.
     std::vector<std::chrono::steady_clock::time_point> arrivals();
 
+    /// Makes the server say in all its answers that it leaves.
+    void leave();
+
     /// Ends as a process does: refuses new connections and resets all others.
     void exit();
 
@@ -49,6 +53,7 @@
 
     const std::string m_id;
     const std::string m_address;
+    std::atomic<bool> m_isLeaving{ false };
     std::mutex m_mutex;
     std::set<std::string> m_started;
     std::set<std::string> m_running;
--- a/review/harness-2/staleservers.cpp
+++ b/review/harness-2/staleservers.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <random>
 #include <thread>
+#include <vector>
 
 #include <platformstandin.h>
 
@@ -25,22 +26,24 @@
 
 constexpr std::size_t entryCount = 3;
 constexpr std::size_t serverCount = 3;
-constexpr std::size_t clientCount = 32;
+/// Clients with a request each now and then, one in a second together.
+constexpr std::size_t quietClients = 8;
+constexpr double requestsPerSecond = 1;
 
-/// Requests of all clients in one second: those of work-order in the sheet.
-constexpr double requestsPerSecond = 30.2;
+/// Clients that send a request each, all at once.
+constexpr std::size_t burstClients = 24;
 
 /// Unreadable records, each as large as the store allows (valueBytes).
 constexpr std::size_t recordCount = 4;
 constexpr std::size_t recordBytes = 1048576;
 
-/// Time from the records to the departure. Together with servingTime it is shorter than the history of the store (20
-/// s).
+/// Time from the records to the departure. All is shorter than the history of the store (20 s).
 constexpr milliseconds settlingTime{ 4000 };
 
-/// The server goes on serving for drainDeadlineMs and some seconds, and then exits.
+/// The server goes on serving for drainDeadlineMs and a little longer, and then exits.
 constexpr milliseconds drainDeadline{ 2000 };
-constexpr milliseconds servingTime{ 10000 };
+constexpr milliseconds burstDelay{ 2200 };
+constexpr milliseconds servingTime{ 2240 };
 
 struct Outcome
 {
@@ -85,10 +88,10 @@
                 return 2;
             }
         }
-        std::array<std::thread, clientCount> clients;
-        for (std::size_t i = 0; i < clientCount; ++i) {
-            clients.at(i) = std::thread([this, i] {
-                runClient(i);
+        std::vector<std::thread> clients;
+        for (std::size_t i = 0; i < quietClients; ++i) {
+            clients.emplace_back([this, i] {
+                runQuietClient(i);
             });
         }
         std::this_thread::sleep_for(std::chrono::seconds(2));
@@ -96,13 +99,20 @@
             writeUnreadableRecords();
         }
         std::this_thread::sleep_for(settlingTime);
+        m_servers[0]->leave();
         m_store.remove("servers/" + m_servers[0]->id());
         m_leftAt = Clock::now();
         m_record.report("the store has removed server-0");
-        std::this_thread::sleep_for(servingTime);
+        std::this_thread::sleep_until(m_leftAt + burstDelay);
+        for (std::size_t i = 0; i < burstClients; ++i) {
+            clients.emplace_back([this, i] {
+                sendOrder("burst-" + std::to_string(i), i % entryCount);
+            });
+        }
+        std::this_thread::sleep_until(m_leftAt + servingTime);
         m_servers[0]->exit();
         m_record.report("server-0 has exited");
-        std::this_thread::sleep_for(std::chrono::seconds(1));
+        std::this_thread::sleep_for(std::chrono::seconds(2));
         m_hasEnded = true;
         for (std::thread &client : clients) {
             client.join();
@@ -124,23 +134,29 @@
         m_record.report("another writer has written 4 records that can't be read");
     }
 
-    void runClient(std::size_t client)
+    void runQuietClient(std::size_t client)
     {
         std::mt19937_64 random(client + 1);
-        std::exponential_distribution<> pause(requestsPerSecond / clientCount);
+        std::exponential_distribution<> pause(requestsPerSecond / quietClients);
         for (int number = 1; !m_hasEnded; ++number) {
-            std::this_thread::sleep_for(std::chrono::duration<double>(pause(random)));
-            const std::size_t entry = random() % entryCount;
-            Outcome outcome{ .id = "c" + std::to_string(client) + "-" + std::to_string(number) + "-e"
-                                 + std::to_string(entry),
-                             .sentAt = Clock::now(),
-                             .answer = {} };
-            outcome.answer = sendRequest(addressOf(6, entry), callerPort, orderRequest(outcome.id), deadline);
-            const std::lock_guard lock(m_mutex);
-            m_outcomes.push_back(std::move(outcome));
+            const auto sendAt = Clock::now() + std::chrono::duration<double>(pause(random));
+            while (!m_hasEnded && Clock::now() < sendAt) {
+                std::this_thread::sleep_for(milliseconds(5));
+            }
+            if (!m_hasEnded) {
+                sendOrder("c" + std::to_string(client) + "-" + std::to_string(number), random() % entryCount);
+            }
         }
     }
 
+    void sendOrder(const std::string &name, std::size_t entry)
+    {
+        Outcome outcome{ .id = name + "-e" + std::to_string(entry), .sentAt = Clock::now(), .answer = {} };
+        outcome.answer = sendRequest(addressOf(6, entry), callerPort, orderRequest(outcome.id), deadline);
+        const std::lock_guard lock(m_mutex);
+        m_outcomes.push_back(std::move(outcome));
+    }
+
     int judge()
     {
         std::size_t failed = 0;
