--- a/review/harness-2/engine.cpp
+++ b/review/harness-2/engine.cpp
@@ -119,6 +119,12 @@
     return m_endlessBytes;
 }
 
+bool Engine::hasRunSoundly(const std::string &request)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_runSoundly.contains(request);
+}
+
 bool Engine::handle(ServerConnection &connection, const Request &request)
 {
     if (request.target == "/health") {
@@ -168,6 +174,9 @@
             return connection.respond(503, "X-Not-Executed: 1\r\n", "");
         }
         m_running[id] = promptTokens;
+        if (!m_isBroken) {
+            m_runSoundly.insert(id);
+        }
     }
     m_record.write(m_id + " runs " + id + (m_isBroken ? ", endless" : ""));
     const bool isKept = m_isBroken ? sendEndlessly(connection, echo) : stream(connection, request, echo);
--- a/review/harness-2/engine.h
+++ b/review/harness-2/engine.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,9 @@
 
     std::uint64_t endlessBytes() const;
 
+    /// Returns whether the engine has run a request as a sound server.
+    bool hasRunSoundly(const std::string &request);
+
 private:
     bool handle(ServerConnection &connection, const Request &request);
     std::string report();
@@ -63,6 +67,7 @@
     std::atomic<std::uint64_t> m_endlessBytes{ 0 };
     std::mutex m_mutex;
     std::map<std::string, std::size_t> m_running; ///< prompt tokens by request
+    std::set<std::string> m_runSoundly;
     HttpServer m_server;
 };
 
--- a/review/harness-2/httpclient.h
+++ b/review/harness-2/httpclient.h
@@ -2,7 +2,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <mutex>
 #include <string>
+#include <vector>
 
 namespace zinniadock::review
 {
@@ -11,6 +13,8 @@
 struct Answer
 {
     bool isConnected = false;
+    bool wasKept = false; ///< the connection has served a request before
+    bool hasBegun = false; ///< a byte of the response has arrived
     int status = 0; ///< 0 without the head of a response
     bool isComplete = false; ///< the whole body has arrived
     bool hasTimedOut = false; ///< the client has given up
@@ -21,4 +25,27 @@
 Answer sendRequest(const std::string &address, std::uint16_t port, const std::string &request,
                    std::chrono::milliseconds patience);
 
+/// Connections of clients to one address that are open and idle. Thread-safe.
+class KeptConnections
+{
+public:
+    KeptConnections(std::string address, std::uint16_t port);
+    ~KeptConnections();
+
+    KeptConnections(const KeptConnections &) = delete;
+    KeptConnections &operator=(const KeptConnections &) = delete;
+
+    /// As sendRequest(), on the connection that was used last, or on a new one if there is none.
+    Answer send(const std::string &request, std::chrono::milliseconds patience);
+
+private:
+    /// Returns an open connection; -1 if there is none.
+    int take();
+
+    const std::string m_address;
+    const std::uint16_t m_port;
+    std::mutex m_mutex;
+    std::vector<int> m_sockets;
+};
+
 } // namespace zinniadock::review
