Log the age of the configuration by which a request is handled

Callers were refused as an older version says, although a newer one had been acknowledged longer ago than its bound. The record names no entry. The line of a request has its version, but not how long ago the store had confirmed that version, so that a late change and an entry which answers by an old view look the same.

The line of each request has configuration_age_ms now.

--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -113,6 +113,8 @@
     /// Called at the start of each forwarded request, before its configuration is chosen. Waits only if the
     /// configuration must be confirmed first.
     std::function<Awaitable<void>()> confirmConfiguration;
+    /// Returns the time since the store last confirmed the configuration; nothing before the first confirmation.
+    std::function<std::optional<std::chrono::milliseconds>()> configurationAge;
     AsyncCondition capacityChanged; ///< notified when a server may have gained free capacity
     EntryMetrics metrics;
     ForwardingCounters counters;
--- a/include/zinniadock/request/forwardscope.h
+++ b/include/zinniadock/request/forwardscope.h
@@ -146,6 +146,8 @@
     const SteadyTime arrived;
     SteadyTime deadline;
     std::shared_ptr<const RouteTable> table;
+    /// Time since the store last confirmed the configuration when it was chosen; nothing before the first confirmation.
+    std::optional<std::chrono::milliseconds> configurationAge;
     const ForwardRoute *route = nullptr;
     std::string account;
     std::uint32_t priority = 0;
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -137,6 +137,9 @@
     m_services.confirmConfiguration = [this] {
         return confirmConfiguration();
     };
+    m_services.configurationAge = [this] {
+        return m_storeView.age(StorePart::Configuration);
+    };
     m_storeView.start();
     observePause();
     const auto spawn = [this](Awaitable<void> (ForwardingEntry::*task)()) {
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -18,6 +18,10 @@
 {
 
 constexpr std::chrono::milliseconds defaultDeadline{ 30000 };
+
+/// Age of the configuration in log lines if it is not known.
+constexpr std::chrono::milliseconds unknownAge{ -1 };
+
 constexpr std::chrono::milliseconds retryAfterNoConfiguration{ 500 };
 constexpr std::chrono::milliseconds retryAfterStopping{ 50 };
 
@@ -60,6 +64,7 @@
 std::optional<HttpResponse> ForwardContext::admit()
 {
     table = services.routes;
+    configurationAge = services.configurationAge();
     if (!table) {
         return makeRefusal("the entry has no configuration yet", retryAfterNoConfiguration);
     }
@@ -402,6 +407,7 @@
                { "route", route ? route->name : std::string() },
                { "account", account },
                { "version", table ? table->version : 0 },
+               { "configuration_age_ms", configurationAge.value_or(unknownAge) },
                { "pool", poolName },
                { "server", server },
                { "tries", attempts },
