--- a/tests/standin/platformstandin.cpp
+++ b/tests/standin/platformstandin.cpp
@@ -20,6 +20,10 @@
 constexpr int addressThreads = 24;
 constexpr int memoryTokens = 100000;
 
+/// Bounds of a page of a range. The last item of a page may exceed maxPageBytes.
+constexpr std::size_t maxPageItems = 500;
+constexpr std::size_t maxPageBytes = 1000000;
+
 /// Interval at which a call without a response checks whether its client has closed the connection.
 constexpr int pollMicroseconds = 20000;
 
@@ -245,7 +249,7 @@
     }
     const std::string prefix = parameter(uri, "prefix");
     if (uri.getPath() == "/-/kv-range") {
-        send(response, 200, range(prefix));
+        send(response, 200, range(prefix, parameter(uri, "after")));
         return;
     }
     const std::int64_t after = std::stoll(parameter(uri, "after"));
@@ -319,16 +323,24 @@
     }
 }
 
-Json PlatformStore::range(const std::string &prefix)
+Json PlatformStore::range(const std::string &prefix, const std::string &after)
 {
     const std::lock_guard lock(m_mutex);
     Json items = Json::array();
+    std::size_t bytes = 0;
+    bool hasMore = false;
     for (const auto &[key, item] : m_content.itemsByKey) {
-        if (key.rfind(prefix, 0) == 0) {
-            items.push_back(item);
+        if (key.rfind(prefix, 0) != 0 || key <= after) {
+            continue;
+        }
+        if (items.size() == maxPageItems || bytes >= maxPageBytes) {
+            hasMore = true;
+            break;
         }
+        items.push_back(item);
+        bytes += item.dump().size();
     }
-    return { { "items", items }, { "hasMore", false }, { "currentRev", m_content.revision } };
+    return { { "items", items }, { "hasMore", hasMore }, { "currentRev", m_content.revision } };
 }
 
 // A watch from a revision that the store doesn't have gets no changes, also if the store goes back while it waits.
--- a/tests/standin/platformstandin.h
+++ b/tests/standin/platformstandin.h
@@ -100,7 +100,8 @@
     int write(const nlohmann::json &transaction);
     void endLease(std::int64_t lease);
     bool hasLease(std::int64_t lease);
-    nlohmann::json range(const std::string &prefix);
+    /// Returns a page of the keys after \p after: at most maxPageItems, and no further one from maxPageBytes on.
+    nlohmann::json range(const std::string &prefix, const std::string &after);
     nlohmann::json watch(const std::string &prefix, std::int64_t after, std::chrono::milliseconds wait);
     void record(nlohmann::json event);
 
