Handle no request by a configuration that may be older than its bound

Callers saw requests refused as an older version says, although a newer one had been acknowledged longer ago than the bound.

Cause: an entry answered without asking how old its copy of the configuration was. Only after a pause of its process did requests wait for a confirmation. An entry that the store turned away, and that no other entry answered in time, went on with 401, 404 and routes of the old version for as long as that lasted.

Each request now asks ConfigurationJudge, a module without network or clock: - current: the store confirmed the copy within the bound, so that it has each version that was accepted before the bound; - unconfirmed: older, but the other entries that respond have no current copy either, so that the store is away for all. Requests that the last version allows are handled; unknown ones get 503 with Retry-After; - overdue: other entries may have a later version. Requests wait 0.4 s from the first one that finds this; then they get 503 and may go to another entry, and the entry isn't ready. The judgement is on the age at the time of handling, which is never smaller than the age at which the request was sent, so that the bound holds for it. It takes the place of the wait after a pause. A version that can't be parsed makes the copy unconfirmed as well.

--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -69,7 +69,7 @@
     Awaitable<void> handlePeerRequest(std::shared_ptr<HttpConnection> connection, HttpRequest request);
     void observePause();
     void recordLoopDelay(SteadyTime due);
-    Awaitable<void> confirmConfiguration();
+    Awaitable<ConfigurationTrust> confirmConfiguration();
     Awaitable<void> runMaintenance();
     Awaitable<void> resolveAnnouncement(ServerAnnouncement announcement);
 
@@ -109,6 +109,7 @@
     DepartedServers m_departed;
     std::shared_ptr<KnowledgeExchange> m_knowledge;
     std::string m_configuration; ///< text of the configuration in force
+    bool m_isLastVersionUnreadable = false; ///< the last version that was received could not be parsed
     bool m_hasAskedEntries = false; ///< whether other entries were asked for what the store may have lost
     std::shared_ptr<HttpListener> m_callerListener;
     std::shared_ptr<HttpListener> m_readinessListener;
--- a/include/zinniadock/process/forwardingservices.h
+++ b/include/zinniadock/process/forwardingservices.h
@@ -28,6 +28,7 @@
 #include "zinniadock/process/servers/evacuations.h"
 #include "zinniadock/process/servers/serverdirectory.h"
 #include "zinniadock/process/settings.h"
+#include "zinniadock/process/store/configurationtrust.h"
 #include "zinniadock/version/routetable.h"
 
 namespace zinniadock
@@ -55,6 +56,7 @@
     std::uint64_t quarantinedRequests = 0; ///< requests refused, or not retried, since they may crash servers
     std::uint64_t stopRefusals = 0; ///< requests refused since they might outlast the stop of the process
     std::uint64_t evacuationRefusals = 0; ///< requests refused since all data centres of their pool are evacuated
+    std::uint64_t overdueRefusals = 0; ///< requests refused since the configuration may be older than its bound
     std::uint64_t coldRefusals = 0; ///< requests that were not sent since the server is cold
     std::uint64_t gapMoves = 0; ///< moves requested because the engine may not keep the bound on gaps
     std::uint64_t endedRequests = 0; ///< requests that were still in progress when the process ended
@@ -111,8 +113,8 @@
     std::shared_ptr<EntryExchange> entryExchange; ///< null before the entry starts
     std::shared_ptr<CrashWatch> crashWatch; ///< null before the entry starts
     /// Called at the start of each forwarded request, before its configuration is chosen. Waits only if the
-    /// configuration must be confirmed first.
-    std::function<Awaitable<void>()> confirmConfiguration;
+    /// configuration is overdue. Returns how far the request may rely on it.
+    std::function<Awaitable<ConfigurationTrust>()> confirmConfiguration;
     /// Returns the time since the store last confirmed the configuration; nothing before the first confirmation.
     std::function<std::optional<std::chrono::milliseconds>()> configurationAge;
     AsyncCondition capacityChanged; ///< notified when a server may have gained free capacity
--- a/include/zinniadock/process/store/sourcechoice.h
+++ b/include/zinniadock/process/store/sourcechoice.h
@@ -26,6 +26,9 @@
     /// \param preceding  number of them, from the first on, that come before this entry in the order of readers
     void setRanking(std::vector<std::string> ranking, std::size_t readers, std::size_t preceding);
 
+    /// Returns the number of entries that may be followed.
+    std::size_t size() const;
+
     /// Chooses the source of a slot; nothing if there is none.
     /// \param isViewFresh  whether the view of this entry is fresh, so that a reader that has failed is tried again
     /// \param draw  returns random numbers in [0, 1)
--- a/include/zinniadock/process/store/storeview.h
+++ b/include/zinniadock/process/store/storeview.h
@@ -15,6 +15,7 @@
 #include "zinniadock/process/membership/entryregistration.h"
 #include "zinniadock/process/pausedetector.h"
 #include "zinniadock/process/store/changebudget.h"
+#include "zinniadock/process/store/configurationtrust.h"
 #include "zinniadock/process/store/prefixwatch.h"
 #include "zinniadock/process/store/relaymessages.h"
 #include "zinniadock/process/store/sourcechoice.h"
@@ -70,12 +71,15 @@
     /// Checks the view with new calls to the store, after a time in which the process did not run.
     void handlePause(const ProcessPause &pause);
 
-    /// Returns whether the configuration may be older than its bound because the process did not run, and is being
-    /// checked.
-    bool mustConfirmConfiguration() const;
+    /// Returns how far requests may rely on the configuration of this view.
+    ConfigurationTrust configurationTrust() const;
 
-    /// Waits until the configuration is checked, for a short time at most.
-    Awaitable<void> waitForConfiguration();
+    /// Waits until the configuration is no longer overdue, for a short time after it has become so. Later requests do
+    /// not wait. Returns how far the request may rely on the configuration.
+    Awaitable<ConfigurationTrust> confirmConfiguration();
+
+    /// Returns the number of requests that have waited for a confirmation.
+    std::uint64_t configurationWaits() const;
 
     /// Returns the time since the store last confirmed a part of this view, directly or through another entry. Returns
     /// nothing before the first confirmation.
@@ -166,6 +170,7 @@
     bool isConfirmedBy(const std::optional<SteadyTime> &confirmedAt, StorePart part) const;
     ChangeBudget budgetOf(StorePart part) const;
     void handleConfirmation();
+    void recordTrust(ConfigurationTrust trust);
 
     ForwardingServices &m_services;
     const StoreViewCallbacks m_callbacks;
@@ -184,7 +189,10 @@
     std::optional<SteadyTime> m_staleSince; ///< first query of another entry since this view became stale
     std::chrono::milliseconds m_uncountedPauses{ 0 }; ///< time that the steady clock did not count, since the start
     bool m_hasCurrentConfiguration = false; ///< the configuration was current at some time since the start
-    std::optional<SteadyTime> m_confirmUntil; ///< how long requests wait for the configuration; nothing if they do not
+    ConfigurationJudge m_configurationJudge;
+    ConfigurationTrust m_lastTrust = ConfigurationTrust::Current; ///< of the last request
+    std::optional<SteadyTime> m_overdueSince; ///< first request since the configuration became overdue
+    std::uint64_t m_configurationWaits = 0;
     ViewFreshness m_freshness; ///< of each part
     StoreContact m_contact; ///< of this entry's own calls
     std::map<StoreCallEnd, std::uint64_t> m_callEnds;
--- a/include/zinniadock/request/forwardscope.h
+++ b/include/zinniadock/request/forwardscope.h
@@ -32,7 +32,8 @@
                    std::shared_ptr<HttpConnection> callerConnection, HttpRequest callerRequest);
 
     /// Finds the route, the client account and the pool. Returns the response if the request is rejected.
-    std::optional<HttpResponse> admit();
+    /// \param trust  how far the request may rely on the configuration
+    std::optional<HttpResponse> admit(ConfigurationTrust trust);
 
     /// Starts to monitor the request: aborts the current exchange at the deadline or when the caller disconnects.
     /// \pre admit() returned nothing
@@ -123,6 +124,10 @@
     /// sent because of these limits.
     Awaitable<bool> isBlockedByLimit() const;
 
+    /// Returns the response to a request that the configuration does not know. Such a request is refused for good only
+    /// by a current configuration.
+    HttpResponse makeUnknownResponse(ConfigurationTrust trust, http::status status, const std::string &reason) const;
+
     /// Returns a response that states that the request has not run.
     HttpResponse makeRefusal(const std::string &reason, std::chrono::milliseconds retryAfter) const;
 
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -167,6 +167,7 @@
 void ForwardingEntry::applyConfiguration(const std::string &text, const std::string &source)
 {
     const auto parsed = wire::parseRoutes(text);
+    m_isLastVersionUnreadable = std::holds_alternative<std::string>(parsed);
     if (const auto *problem = std::get_if<std::string>(&parsed)) {
         logEvent("configuration", "unreadable", { { "source", source }, { "reason", *problem } });
         return;
@@ -538,12 +539,12 @@
     }
 }
 
-Awaitable<void> ForwardingEntry::confirmConfiguration()
+Awaitable<ConfigurationTrust> ForwardingEntry::confirmConfiguration()
 {
     observePause();
-    if (m_storeView.mustConfirmConfiguration()) {
-        co_await m_storeView.waitForConfiguration();
-    }
+    const ConfigurationTrust trust = co_await m_storeView.confirmConfiguration();
+    const bool isReplaced = trust == ConfigurationTrust::Current && m_isLastVersionUnreadable;
+    co_return isReplaced ? ConfigurationTrust::Unconfirmed : trust;
 }
 
 // Logs a long delay at most once per delayLogInterval.
--- a/src/process/forwardingpages.cpp
+++ b/src/process/forwardingpages.cpp
@@ -183,6 +183,8 @@
     appendColdMetrics(m_services, out);
     appendMetric("zinniadock_evacuated_data_centres", m_services.evacuations.all().size(), out);
     appendMetric("zinniadock_evacuation_refusals_total", m_services.counters.evacuationRefusals, out);
+    appendMetric("zinniadock_overdue_refusals_total", m_services.counters.overdueRefusals, out);
+    appendMetric("zinniadock_configuration_waits_total", m_storeView.configurationWaits(), out);
     appendMetric("zinniadock_server_connects_total",
                  m_services.pool.connectCount() + m_services.controlPool.connectCount(), out);
     appendMetric("zinniadock_abandoned_responses_total",
@@ -211,7 +213,8 @@
 bool ForwardingEntry::isReady() const
 {
     return m_services.routes && m_storeView.hasServerList() && m_storeView.hasCurrentConfiguration()
-        && m_hasAskedEntries && !m_services.stop.isStopping();
+        && m_storeView.configurationTrust() != ConfigurationTrust::Overdue && m_hasAskedEntries
+        && !m_services.stop.isStopping();
 }
 
 } // namespace zinniadock
--- a/src/process/store/sourcechoice.cpp
+++ b/src/process/store/sourcechoice.cpp
@@ -12,6 +12,11 @@
     m_preceding = std::min(preceding, m_ranking.size());
 }
 
+std::size_t SourceChoice::size() const
+{
+    return m_ranking.size();
+}
+
 // Prefers a reader, if it has not failed or if the view is fresh enough to try it again, and then keeps a source that
 // responds usefully. Otherwise chooses an entry at random that was not asked yet, and then the one that failed the
 // longest time ago. While the store responds to few entries only, each of them is thus found by all others, and
--- a/src/process/store/storeview.cpp
+++ b/src/process/store/storeview.cpp
@@ -37,7 +37,7 @@
 constexpr std::chrono::milliseconds searchWait{ 100 };
 constexpr std::chrono::milliseconds maxSearchTime{ 4000 };
 
-/// After a time in which the process did not run, requests wait this long for the configuration to be confirmed.
+/// Requests wait this long for the configuration to be confirmed, from the first one that finds it overdue.
 constexpr std::chrono::milliseconds maxConfirmationWait{ 400 };
 
 /// An entry that starts waits this long for a current configuration before it uses a stale one.
@@ -429,8 +429,8 @@
 {
     const bool isCurrent = isFresh(StorePart::Configuration);
     m_hasCurrentConfiguration = m_hasCurrentConfiguration || isCurrent;
-    if (isCurrent) {
-        m_confirmUntil.reset();
+    if (configurationTrust() == ConfigurationTrust::Current) {
+        m_overdueSince.reset();
     }
     if (isFresh()) {
         m_staleSince.reset();
@@ -445,31 +445,52 @@
     m_freshness.addAge(pause.uncounted);
     m_uncountedPauses += pause.uncounted;
     const auto known = age(StorePart::Configuration);
-    const bool isOverdue = !known || *known >= budgetOf(StorePart::Configuration).bound;
-    if (isOverdue && hasConfigurationList()) {
-        m_confirmUntil = std::chrono::steady_clock::now() + maxConfirmationWait;
-    }
     for (const auto &watch : m_watches) {
         watch->checkNow(pause.uncounted);
     }
     logEvent("store", "view checked after a pause",
              { { "pause_ms", pause.duration },
                { "configuration_age_ms", known.value_or(unknownAge) },
-               { "requests_wait", m_confirmUntil ? 1 : 0 } });
+               { "requests_wait", configurationTrust() == ConfigurationTrust::Overdue ? 1 : 0 } });
+}
+
+ConfigurationTrust StoreView::configurationTrust() const
+{
+    return m_configurationJudge.judge(age(StorePart::Configuration), budgetOf(StorePart::Configuration).bound,
+                                      m_sources.size(), std::chrono::steady_clock::now());
+}
+
+// The version is chosen after the wait, so that one that has come in force meanwhile is used.
+Awaitable<ConfigurationTrust> StoreView::confirmConfiguration()
+{
+    ConfigurationTrust trust = configurationTrust();
+    if (trust == ConfigurationTrust::Overdue) {
+        m_overdueSince = m_overdueSince.value_or(std::chrono::steady_clock::now());
+        const SteadyTime until = *m_overdueSince + maxConfirmationWait;
+        m_configurationWaits += std::chrono::steady_clock::now() < until ? 1 : 0;
+        while (trust == ConfigurationTrust::Overdue && std::chrono::steady_clock::now() < until) {
+            const auto left = until - std::chrono::steady_clock::now();
+            co_await m_changed.wait(std::chrono::ceil<std::chrono::milliseconds>(left));
+            trust = configurationTrust();
+        }
+    }
+    recordTrust(trust);
+    co_return trust;
 }
 
-Awaitable<void> StoreView::waitForConfiguration()
+void StoreView::recordTrust(ConfigurationTrust trust)
 {
-    while (m_confirmUntil && std::chrono::steady_clock::now() < *m_confirmUntil) {
-        const auto left = *m_confirmUntil - std::chrono::steady_clock::now();
-        co_await m_changed.wait(std::chrono::ceil<std::chrono::milliseconds>(left));
+    if (std::exchange(m_lastTrust, trust) != trust) {
+        logEvent("configuration", toString(trust),
+                 { { "age_ms", age(StorePart::Configuration).value_or(unknownAge) },
+                   { "bound_ms", budgetOf(StorePart::Configuration).bound },
+                   { "other_entries", m_sources.size() } });
     }
-    m_confirmUntil.reset();
 }
 
-bool StoreView::mustConfirmConfiguration() const
+std::uint64_t StoreView::configurationWaits() const
 {
-    return m_confirmUntil.has_value();
+    return m_configurationWaits;
 }
 
 wire::StoreEra StoreView::storeEra() const
@@ -610,9 +631,15 @@
     query->status = result.status;
     query->hasResponseBegun = result.hasResponseBegun;
     query->reason = result.error ? result.error.message() : "unreadable";
+    if (!response) {
+        m_configurationJudge.recordNoResponse(peer, std::chrono::steady_clock::now());
+    }
     if (response && !m_stopped) {
         // A response that was under way during a suspension is older than the steady clock shows.
         applyRelayResponse(*response, askedAt - (m_uncountedPauses - uncountedBefore), peer);
+        const auto &configurationAge = response->ages[indexOf(StorePart::Configuration)];
+        const bool isOverdue = !configurationAge || *configurationAge > budgetOf(StorePart::Configuration).bound;
+        m_configurationJudge.recordResponse(peer, isOverdue, std::chrono::steady_clock::now());
         query->hasResponse = true;
         query->readsStore = response->readsStore;
         query->ages = response->ages;
--- a/src/request/forwardscope.cpp
+++ b/src/request/forwardscope.cpp
@@ -25,6 +25,11 @@
 constexpr std::chrono::milliseconds retryAfterNoConfiguration{ 500 };
 constexpr std::chrono::milliseconds retryAfterStopping{ 50 };
 
+/// The caller of an entry whose configuration is overdue may go to another entry at once. A caller who needs a later
+/// version than that of all entries has to wait for the store.
+constexpr std::chrono::milliseconds retryAfterOverdue{ 100 };
+constexpr std::chrono::milliseconds retryAfterUnconfirmed{ 1000 };
+
 /// An evacuation ends by an operator's order, at a time that is not known. The random part spreads the retries.
 constexpr std::chrono::milliseconds retryAfterEvacuation{ 2000 };
 constexpr std::chrono::milliseconds evacuationRetryJitter{ 1000 };
@@ -61,23 +66,27 @@
     ++services.metrics.requests;
 }
 
-std::optional<HttpResponse> ForwardContext::admit()
+std::optional<HttpResponse> ForwardContext::admit(ConfigurationTrust trust)
 {
     table = services.routes;
     configurationAge = services.configurationAge();
     if (!table) {
         return makeRefusal("the entry has no configuration yet", retryAfterNoConfiguration);
     }
+    if (trust == ConfigurationTrust::Overdue) {
+        ++services.counters.overdueRefusals;
+        return makeRefusal("the configuration of this entry may be older than its bound", retryAfterOverdue);
+    }
     const std::string host = request[http::field::host].to_string();
     route = table->find(host, request.target().to_string());
     if (!route) {
-        return makeEntryResponse(http::status::not_found, "no route for this host and path");
+        return makeUnknownResponse(trust, http::status::not_found, "no route for this host and path");
     }
     priority = route->priority;
     if (table->authenticatesCallers && !route->isPublic) {
         const KeyHolder *holder = table->findKeyHolder(fields.key);
         if (!holder) {
-            return makeEntryResponse(http::status::unauthorized, "missing or unknown API key");
+            return makeUnknownResponse(trust, http::status::unauthorized, "missing or unknown API key");
         }
         account = holder->account;
         priority = holder->priority.value_or(priority);
@@ -309,6 +318,17 @@
     return response;
 }
 
+// A later version that no entry can read yet may have the key or the route.
+HttpResponse ForwardContext::makeUnknownResponse(ConfigurationTrust trust, http::status status,
+                                                 const std::string &reason) const
+{
+    if (trust == ConfigurationTrust::Current) {
+        return makeEntryResponse(status, reason);
+    }
+    ++services.counters.overdueRefusals;
+    return makeRefusal(reason + ", by a configuration that the store has not confirmed in time", retryAfterUnconfirmed);
+}
+
 HttpResponse ForwardContext::makeRefusal(const std::string &reason, std::chrono::milliseconds retryAfter) const
 {
     HttpResponse response = makeEntryResponse(http::status::service_unavailable, reason);
@@ -463,8 +483,8 @@
 {
     const auto context = std::make_shared<ForwardContext>(services, connection, std::move(request));
     context->place = RequestPlace::Configuration;
-    co_await services->confirmConfiguration();
-    std::optional<HttpResponse> refused = context->admit();
+    const ConfigurationTrust trust = co_await services->confirmConfiguration();
+    std::optional<HttpResponse> refused = context->admit(trust);
     if (refused) {
         ++services->metrics.refused;
         context->logOutcome("refused", refused->body(), Verdict::NotRun);
