Read the whole prefix if the response to a watch can't be read

Cause: a response to a watch has each change since its revision, without a limit. Above 4 MiB an entry took it for a call that was cut, and asked from the same revision again, until the store dropped that part of its history. An item without a readable value made the whole response unreadable in the same way.

A response that is too large or can't be parsed is now followed by a read of the prefix, whose pages the store limits and which has the last value of each key only, as after a compaction. A value that can't be read counts as empty. Records of servers and entries above 16 KiB are kept as empty ones, so that the responses between entries have room for all others.

--- a/include/zinniadock/process/store/prefixwatch.h
+++ b/include/zinniadock/process/store/prefixwatch.h
@@ -20,7 +20,7 @@
 {
     /// Called after each valid response, even without changes, with the latest time at which the store had certainly
     /// no further changes.
-    std::function<void(const StoreChanges &, SteadyTime confirmedAt)> onChanges;
+    std::function<void(StoreChanges, SteadyTime confirmedAt)> onChanges;
     /// Called after each call, before its response is applied.
     std::function<void(StoreCallEnd end, bool onNewConnection)> onCallEnded;
     std::function<void(wire::StoreEra)> onEra; ///< called with the era of each response that states one
@@ -69,7 +69,7 @@
     /// How a call to the store ended.
     enum class CallOutcome {
         Applied, ///< the response was applied to the mirror
-        HistoryGone, ///< the store does not have the changes after the mirror's position
+        NeedsSnapshot, ///< the changes after the mirror's position are gone, or larger than a response that is read
         Interrupted, ///< requireEra() or checkNow() ended the call
         Failed,
     };
@@ -83,6 +83,7 @@
     std::chrono::milliseconds marginOfCall() const;
     void recordCall(const CallResult &result, bool isValid, std::chrono::milliseconds wait, SteadyTime startedAt);
     wire::StoreEra observeEra(const CallResult &result);
+    CallOutcome requireSnapshot(const std::string &reason, wire::StoreEra era);
     SteadyTime confirmationTime(SteadyTime startedAt, SteadyTime latest) const;
     std::chrono::milliseconds pauseAfter(CallOutcome outcome, const WatchTiming &timing);
     static std::chrono::milliseconds backoff(std::uint32_t attempts, std::chrono::milliseconds maxBackoff);
@@ -94,7 +95,7 @@
     const WatchTimingSource m_timing;
     const PrefixWatchCallbacks m_callbacks;
     const std::shared_ptr<CallInterrupter> m_interrupter = std::make_shared<CallInterrupter>();
-    bool m_isHistoryGone = false; ///< the store does not have the changes after the mirror's position
+    bool m_needsSnapshot = false; ///< the changes after the mirror's position can't be read
     bool m_isInterrupted = false;
     bool m_hasPaused = false; ///< the process did not run for some time since the call in progress began
     std::chrono::milliseconds m_uncountedPause{ 0 }; ///< part of that time that the steady clock did not count
@@ -102,7 +103,7 @@
     std::uint32_t m_failures = 0; ///< calls that failed since the last valid response
     bool m_isChecking = false; ///< the next call shows on a new connection whether the store serves
     bool m_isSuspended = false; ///< the watch does not call the store
-    std::uint32_t m_watchesWithoutHistory = 0; ///< since the last watch that the store could answer
+    std::uint32_t m_unreadableWatches = 0; ///< since the last watch whose changes could be read
     std::uint64_t m_calls = 0;
     std::chrono::milliseconds m_responseTime{ 0 }; ///< of the last response, without the time that the store waited
     bool m_stopped = false;
--- a/include/zinniadock/process/store/storemirror.h
+++ b/include/zinniadock/process/store/storemirror.h
@@ -30,6 +30,11 @@
     std::vector<wire::StoreItem> items;
 };
 
+/// Replaces each value that is longer than a limit by an empty one. A record has at most some hundred bytes, and all
+/// values of a mirror must fit into one response to another entry.
+/// \param maxBytes  longest value that is kept
+void clearLongValues(StoreChanges &changes, std::size_t maxBytes);
+
 /// A copy of the keys with one prefix, updated from the store or from other instances in any order.
 ///
 /// The sources may be stale by different amounts. For each key the mirror keeps the value with the highest revision of
--- a/src/process/store/prefixwatch.cpp
+++ b/src/process/store/prefixwatch.cpp
@@ -144,19 +144,19 @@
 bool PrefixWatch::needsSnapshot() const
 {
     const StorePosition known = m_mirror.position();
-    return known.revision == 0 || known.era < m_era || m_isHistoryGone;
+    return known.revision == 0 || known.era < m_era || m_needsSnapshot;
 }
 
-// A store whose history is gone at once after each snapshot is not asked without a pause.
+// A store whose changes can't be read after a snapshot either is not asked without a pause.
 std::chrono::milliseconds PrefixWatch::pauseAfter(CallOutcome outcome, const WatchTiming &timing)
 {
     switch (outcome) {
     case CallOutcome::Applied:
         return timing.callInterval;
-    case CallOutcome::HistoryGone:
-        ++m_watchesWithoutHistory;
-        return m_watchesWithoutHistory == 1 ? std::chrono::milliseconds(0)
-                                            : backoff(m_watchesWithoutHistory, timing.maxBackoff);
+    case CallOutcome::NeedsSnapshot:
+        ++m_unreadableWatches;
+        return m_unreadableWatches == 1 ? std::chrono::milliseconds(0)
+                                        : backoff(m_unreadableWatches, timing.maxBackoff);
     case CallOutcome::Interrupted:
         return std::chrono::milliseconds(0);
     case CallOutcome::Failed:
@@ -194,7 +194,7 @@
         snapshot.items.insert(snapshot.items.end(), page->items.begin(), page->items.end());
         hasMore = page->hasMore && !page->items.empty();
     }
-    m_isHistoryGone = false;
+    m_needsSnapshot = false;
     m_callbacks.onChanges(snapshot, confirmationTime(confirmedAt, confirmedAt));
     co_return CallOutcome::Applied;
 }
@@ -225,18 +225,20 @@
     }
     const wire::StoreEra era = observeEra(result);
     if (!result.error && (wire::isCompacted(static_cast<http::status>(result.status)) || era > known.era)) {
-        logEvent("store", "history compacted",
-                 { { "prefix", m_prefix }, { "era", era }, { "revision", known.revision } });
-        m_isHistoryGone = true;
         recordCall(result, true, wait, startedAt);
-        co_return CallOutcome::HistoryGone;
+        co_return requireSnapshot("history compacted", era);
     }
     auto changes = result.succeeded() ? wire::parseItems(result.body) : std::nullopt;
-    recordCall(result, changes.has_value(), wait, startedAt);
+    const bool isTooLarge = result.error == http::make_error_code(http::error::body_limit);
+    const bool isUnreadable = result.succeeded() && !changes;
+    recordCall(result, changes.has_value() || isTooLarge, wait, startedAt);
+    if (isTooLarge || isUnreadable) {
+        co_return requireSnapshot(isTooLarge ? "changes too large" : "changes unreadable", era);
+    }
     if (!changes || era < m_era) {
         co_return CallOutcome::Failed;
     }
-    m_watchesWithoutHistory = 0;
+    m_unreadableWatches = 0;
     const auto now = std::chrono::steady_clock::now();
     const SteadyTime latest = changes->items.empty() ? std::min(now, startedAt + wait) : now;
     const SteadyTime confirmedAt = confirmationTime(startedAt, latest);
@@ -246,6 +248,15 @@
     co_return CallOutcome::Applied;
 }
 
+// The next watch would get the same response. The store returns a snapshot in pages of a limited size, and the last
+// value of each key only.
+PrefixWatch::CallOutcome PrefixWatch::requireSnapshot(const std::string &reason, wire::StoreEra era)
+{
+    logEvent("store", reason, { { "prefix", m_prefix }, { "era", era }, { "revision", m_mirror.position().revision } });
+    m_needsSnapshot = true;
+    return CallOutcome::NeedsSnapshot;
+}
+
 // Returns the era of a response, or the latest known one if the response states none.
 wire::StoreEra PrefixWatch::observeEra(const CallResult &result)
 {
--- a/src/process/store/storemirror.cpp
+++ b/src/process/store/storemirror.cpp
@@ -14,6 +14,16 @@
 
 } // namespace
 
+void clearLongValues(StoreChanges &changes, std::size_t maxBytes)
+{
+    for (wire::StoreItem &item : changes.items) {
+        if (item.value && item.value->size() > maxBytes) {
+            item.value->clear();
+            item.value->shrink_to_fit();
+        }
+    }
+}
+
 std::vector<wire::StoreItem> StoreMirror::apply(const StoreChanges &changes)
 {
     if (changes.era < m_position.era) {
--- a/src/process/store/storeview.cpp
+++ b/src/process/store/storeview.cpp
@@ -62,6 +62,9 @@
 /// Interval at which an entry that has no source, or needs none, checks again for a source.
 constexpr std::chrono::milliseconds idleInterval{ 100 };
 
+/// Longest record of a server or of an entry that is kept.
+constexpr std::size_t maxRecordBytes = 16384;
+
 /// Age of a part in log lines if it is not known.
 constexpr std::chrono::milliseconds unknownAge{ -1 };
 
@@ -118,7 +121,10 @@
 void StoreView::watch(StorePart part, const std::string &prefix)
 {
     const PrefixWatchCallbacks callbacks{ .onChanges =
-                                              [this, part](const StoreChanges &changes, SteadyTime confirmedAt) {
+                                              [this, part](StoreChanges changes, SteadyTime confirmedAt) {
+                                                  if (part != StorePart::Configuration) {
+                                                      clearLongValues(changes, maxRecordBytes);
+                                                  }
                                                   applyChanges(part, changes, storeSource);
                                                   m_freshness.recordOwn(part, confirmedAt);
                                                   handleConfirmation();
--- a/tests/unit/unit-storemirror.cpp
+++ b/tests/unit/unit-storemirror.cpp
@@ -194,3 +194,17 @@
         }
     }
 }
+
+// Guards against records of any writer that make the responses between entries larger than an entry reads.
+TEST_CASE("values that are longer than a record are cleared, and deletions stay deletions")
+{
+    constexpr std::size_t maxBytes = 8;
+    StoreChanges changes;
+    changes.items = { { .key = "short", .value = "12345678", .revision = 1 },
+                      { .key = "long", .value = "123456789", .revision = 2 },
+                      { .key = "deleted", .value = {}, .revision = 3 } };
+    clearLongValues(changes, maxBytes);
+    CHECK(changes.items[0].value == "12345678");
+    CHECK(changes.items[1].value == "");
+    CHECK_FALSE(changes.items[2].value);
+}
--- a/tests/unit/unit-wireform.cpp
+++ b/tests/unit/unit-wireform.cpp
@@ -191,6 +191,16 @@
     CHECK(items->items[0].value == "node-1");
     CHECK_FALSE(items->items[1].value);
     CHECK_FALSE(wire::parseItems("{}"));
+    // Guards against an item without a readable value that keeps an entry from reading the items beside it.
+    const auto unreadable = wire::parseItems(
+        R"({"items":[{"key":"a","revision":3},{"key":"b","value":7,"revision":4},{"key":"c","value":"?","revision":5},
+                     {"key":"d","value":"bm9kZS0x","revision":6}],"currentRev":9})");
+    REQUIRE(unreadable);
+    REQUIRE(unreadable->items.size() == 4);
+    CHECK(unreadable->items[0].value == "");
+    CHECK(unreadable->items[1].value == "");
+    CHECK(unreadable->items[2].value == "");
+    CHECK(unreadable->items[3].value == "node-1");
 
     const auto load = wire::parseLoad(
         R"({"running":1,"queued":2,"kvUsed":30,"kvTotal":40,"born":5,"leaves_ms":1200,"runs":[["r",7,8,5]]})");
