Date the response to a watch by its head, not by its last byte

Callers saw requests handled by an old version. Cause, by reading: a response with changes confirmed the view at the time at which its last byte was read. A large response on a narrow link was written seconds before, so that the entry and its followers took their view for younger than it was.

Evidence: 'a configuration that took long to arrive is as old as its response' failed in each run before: a text that took 1 s counted as confirmed at its end. It passes now. The head is read in the turn of the event loop in which it arrives, so that what is left unseen is that turn and the time in the link.

--- a/include/zinniadock/connection/httpclient.h
+++ b/include/zinniadock/connection/httpclient.h
@@ -196,6 +196,8 @@
     bool hasTimedOut = false;
     bool hasResponseBegun = false; ///< some bytes of the response had arrived when the call ended
     bool isConnectionReused = false; ///< the request was sent on a connection that had been used before
+    /// When the head of the response was read; nothing if it was not. The body may arrive seconds later.
+    std::optional<std::chrono::steady_clock::time_point> headReadAt;
     unsigned status = 0;
     ResponseHead head;
     std::string body;
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -470,6 +470,7 @@
         result.error = co_await exchange->readHead();
     }
     if (!result.error) {
+        result.headReadAt = std::chrono::steady_clock::now();
         result.status = exchange->head().result_int();
         result.head = exchange->head();
         result.error = co_await exchange->readRest(result.body, maxCallResponseBytes);
--- a/src/process/store/prefixwatch.cpp
+++ b/src/process/store/prefixwatch.cpp
@@ -207,8 +207,8 @@
     return m_hasPaused ? startedAt - m_uncountedPause : latest;
 }
 
-// A response without changes shows that the store had none during its whole wait. Any other response has arrived in
-// this turn of the event loop, unless the process did not run meanwhile.
+// A response without changes shows that the store had none during its whole wait. The head of any other response has
+// arrived in the turn of the event loop that reads it, unless the process did not run meanwhile.
 Awaitable<PrefixWatch::CallOutcome> PrefixWatch::waitForChanges(const WatchTiming &timing)
 {
     ++m_calls;
@@ -239,8 +239,8 @@
         co_return CallOutcome::Failed;
     }
     m_unreadableWatches = 0;
-    const auto now = std::chrono::steady_clock::now();
-    const SteadyTime latest = changes->items.empty() ? std::min(now, startedAt + wait) : now;
+    const SteadyTime readAt = result.headReadAt.value_or(startedAt);
+    const SteadyTime latest = changes->items.empty() ? std::min(readAt, startedAt + wait) : readAt;
     const SteadyTime confirmedAt = confirmationTime(startedAt, latest);
     m_callbacks.onChanges(
         { .isSnapshot = false, .era = era, .revision = changes->revision, .items = std::move(changes->items) },
