Take no new connections while a stopping entry hands over

Cause: a stopping entry left its wait when no request was in progress, and then handed over with its listener open. It read and passed on requests meanwhile that nobody waited for. The class: a process that ends by a look that came before its last wait.

The listener is closed before the hand-over. Requests on connections that had been accepted before are waited for, within the limit of the stop, and the hand-over is repeated with what they have shown.

--- a/include/zinniadock/process/forwardingentry.h
+++ b/include/zinniadock/process/forwardingentry.h
@@ -45,6 +45,9 @@
     /// Closes the caller connections that have no request in progress.
     void closeIdleConnections();
 
+    /// Takes no new connections of callers.
+    void stopAccepting();
+
     /// Returns whether no request is in progress.
     bool isIdle() const;
 
--- a/include/zinniadock/process/gracefulstop.h
+++ b/include/zinniadock/process/gracefulstop.h
@@ -14,6 +14,7 @@
 {
     role.drain(timeLimit); // from now on takes only work that ends within timeLimit
     role.closeIdleConnections();
+    role.stopAccepting(); // takes no new connections
     role.endRequests(); // responds to the requests in progress that have no response yet
     {
         role.handOver()
@@ -31,8 +32,8 @@
 };
 
 /// Stops a role. Keeps serving for StopTiming::lameDuck, since callers keep connecting until the platform has detected
-/// that the process is not ready. Then closes idle connections and waits for the requests in progress. Returns whether
-/// some of them had to be ended at StopTiming::limit.
+/// that the process is not ready. Then closes idle connections, waits for the requests in progress, takes no new
+/// connections and hands over. Returns whether some requests had to be ended at StopTiming::limit.
 template <StoppableRole Role>
 Awaitable<bool> stopGracefully(Role &role, StopTiming timing)
 {
@@ -50,6 +51,16 @@
             role.closeIdleConnections();
         }
     } while (elapsed() < timing.limit && (elapsed() < timing.lameDuck || !role.isIdle()));
+    role.stopAccepting();
+    if (role.isIdle()) {
+        co_await role.handOver();
+    }
+    // A connection that was accepted before may have brought a request during the hand-over.
+    const bool handsOverAgain = !role.isIdle();
+    while (!role.isIdle() && elapsed() < timing.limit) {
+        role.closeIdleConnections();
+        co_await sleepFor(pollInterval);
+    }
     const bool endsRequests = !role.isIdle();
     if (endsRequests) {
         role.endRequests();
@@ -57,7 +68,9 @@
             co_await sleepFor(pollInterval);
         }
     }
-    co_await role.handOver();
+    if (handsOverAgain) {
+        co_await role.handOver();
+    }
     co_return endsRequests;
 }
 
--- a/include/zinniadock/process/watchingsidecar.h
+++ b/include/zinniadock/process/watchingsidecar.h
@@ -48,6 +48,7 @@
     /// Responds to the pending moves, so that their entries move the generations themselves.
     void endRequests();
     void closeIdleConnections();
+    void stopAccepting();
 
     /// Does nothing, as a sidecar has no settings that may change at run time.
     void reload(const Settings &settings);
--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -632,6 +632,11 @@
     m_callerListener->closeIdle();
 }
 
+void ForwardingEntry::stopAccepting()
+{
+    m_callerListener->stop();
+}
+
 void ForwardingEntry::endRequests()
 {
     m_callerListener->stop();
--- a/src/process/watchingsidecar.cpp
+++ b/src/process/watchingsidecar.cpp
@@ -522,6 +522,11 @@
 {
 }
 
+// The engine's own calls go on until the process ends.
+void EngineSidecar::stopAccepting()
+{
+}
+
 void EngineSidecar::reload(const Settings & /*settings*/)
 {
 }
