Ignore a record of servers without an ID

Cause: a record under the bare prefix was listed as a server with an empty ID, which the entry takes for no server elsewhere, so that it read its record after it was freed. Such a key names no server.

Evidence: the new test of unit-storeview failed before (2 servers listed, 1 expected). With it no server has an empty ID from the store; the IDs of announcements were checked already.

--- a/src/process/forwardingentry.cpp
+++ b/src/process/forwardingentry.cpp
@@ -246,6 +246,9 @@
 void ForwardingEntry::applyServerItem(const wire::StoreItem &item, const RemovalGrace &grace)
 {
     const std::string id = serverIdOfKey(item.key);
+    if (id.empty()) {
+        return; // the bare prefix names no server
+    }
     if (!item.value) {
         const auto now = std::chrono::steady_clock::now();
         if (const TrackedServer *server = m_services.directory.find(id)) {
--- a/tests/unit/unit-storeview.cpp
+++ b/tests/unit/unit-storeview.cpp
@@ -98,3 +98,19 @@
         }));
     }
 }
+
+// Guards against a record without an ID that an entry uses as a server, and reads after it is freed.
+TEST_CASE("a record under the bare prefix of the servers names no server")
+{
+    PlatformServer server("s1");
+    SeededStore store("s1", server.record("shop"));
+    store.put("servers/", server.record("shop"));
+    RoleThread<ForwardingEntry> entry(entrySettings(store.port(), 1));
+    REQUIRE(eventually([&] {
+        return isReady(entry);
+    }));
+    CHECK(metric(entry, "zinniadock_servers") == 1);
+    store.remove("servers/");
+    CHECK(sendRequest(entry->port(), { .target = "/order/1" }).status == 200);
+    CHECK(metric(entry, "zinniadock_servers") == 1);
+}
