--- a/tests/unit/boundfleet.cpp
+++ b/tests/unit/boundfleet.cpp
@@ -22,6 +22,10 @@
 
 constexpr const char *configurationPrefix = "op/";
 
+/// Address on which the entries listen for each other. Clients have the address 127.0.0.1, so that none of them takes
+/// the port of an entry that ends and starts again.
+constexpr const char *peerAddress = "127.0.1.1";
+
 constexpr milliseconds boundOfSmallFleet{ 2000 };
 constexpr milliseconds boundOfLargeFleet{ 3000 };
 
@@ -49,10 +53,11 @@
     std::vector<Endpoint> seeds;
     for (std::size_t i = 0; i < entries.size() && seeds.size() < seedCount; ++i) {
         if (i != index) {
-            seeds.push_back({ "127.0.0.1", (*entries[i])->peerPort() });
+            seeds.push_back({ peerAddress, (*entries[i])->peerPort() });
         }
     }
     Settings settings = entrySettings(storePort, 1, seeds);
+    settings.forwarding.peer = { peerAddress, 0 };
     settings.forwarding.configurationWithin = bound;
     settings.forwarding.drainWithin = bound;
     settings.forwarding.capacity = index < readers() ? 0.5 : 0.09;
@@ -71,6 +76,21 @@
     entries[index] = std::make_unique<RoleThread<ForwardingEntry>>(settingsFor(index, links[index]->port()));
 }
 
+void BoundFleet::restartAll()
+{
+    std::vector<Settings> settings;
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        settings.push_back(settingsFor(i, links[i]->port()));
+        settings.back().forwarding.peer.port = (*entries[i])->peerPort();
+    }
+    for (auto &entry : entries) {
+        entry.reset();
+    }
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        entries[i] = std::make_unique<RoleThread<ForwardingEntry>>(settings[i]);
+    }
+}
+
 std::size_t BoundFleet::readers() const
 {
     return readerCount(std::max<std::size_t>(storeAddresses.size(), 1));
--- a/tests/unit/boundfleet.h
+++ b/tests/unit/boundfleet.h
@@ -26,6 +26,9 @@
     /// Ends an entry at once, and starts it again at another address.
     void restart(std::size_t index);
 
+    /// Ends all entries at once, and starts them again at the same addresses for entries.
+    void restartAll();
+
     /// Returns the number of entries that read the store for all others.
     std::size_t readers() const;
 
