--- a/bench/soak/faultplan.cpp
+++ b/bench/soak/faultplan.cpp
@@ -284,6 +284,28 @@
     });
 }
 
+// The store turns one entry away and serves the others, which must tell it of changes in time.
+void FaultPlan::turnAwayEntry(std::size_t index)
+{
+    const std::string target = "turned-away";
+    if (!beginFault("entry_turned_away", target)) {
+        return;
+    }
+    standin::StoreAddress &address = *m_fleet.entries[index].storeAddress;
+    address.setFault(standin::AddressFault{ .prefix = "", .status = 503 });
+    m_fleet.entries[index].storeRelay->cut();
+    endFaultAfter(randomDuration(1000, 5000), target, [&address] {
+        address.setFault(std::nullopt);
+    });
+}
+
+void FaultPlan::killAllEntries()
+{
+    for (std::size_t i = 0; i < m_fleet.entries.size(); ++i) {
+        killDaemon("kill_all_entries", *m_fleet.entries[i].daemon, "entry-" + std::to_string(i));
+    }
+}
+
 // Each entry that runs all the while must have a version within configurationWithin, unless a fault may have kept it
 // from several entries.
 void FaultPlan::changeConfiguration()
@@ -397,7 +419,7 @@
     const std::string entryName = "entry-" + std::to_string(entry);
     const std::string engineName = "engine-" + std::to_string(engine);
     // An engine, its sidecar and its relay are replaced together, so they are one target.
-    constexpr std::uint64_t faultKinds = 20; // the cases below and the default
+    constexpr std::uint64_t faultKinds = 22; // the cases below and the default
     switch (m_random() % faultKinds) {
     case 0:
         return killDaemon("kill_entry", *m_fleet.entries[entry].daemon, entryName);
@@ -439,6 +461,10 @@
         return silenceConfiguration(entry);
     case 18:
         return slowDaemon("slow_entry", *m_fleet.entries[entry].daemon, entryName);
+    case 19:
+        return turnAwayEntry(entry);
+    case 20:
+        return killAllEntries();
     default:
         return changeConfiguration();
     }
--- a/bench/soak/faultplan.h
+++ b/bench/soak/faultplan.h
@@ -57,6 +57,8 @@
     void injectRelayFault(const std::string &kind, standin::LinkRelay &relay, const std::string &target);
     void injectStoreFault();
     void silenceConfiguration(std::size_t index);
+    void turnAwayEntry(std::size_t index);
+    void killAllEntries();
     void changeConfiguration();
     void injectShopFault(std::size_t index);
     void removeShop(std::size_t index);
