Decide in one place whether a copy of the configuration is overdue

The rule stood twice: in the judge of the configuration, and where a view reads the age that another entry states of its copy. Both use isOverdue() now. Behaviour, bounds and assertions are unchanged.

--- a/include/zinniadock/process/store/configurationtrust.h
+++ b/include/zinniadock/process/store/configurationtrust.h
@@ -19,6 +19,10 @@
 
 std::string_view toString(ConfigurationTrust trust);
 
+/// Returns whether a copy of the configuration is older than the bound, or was never confirmed.
+/// \param age  time since the store last confirmed it; nothing if it never did
+bool isOverdue(const std::optional<std::chrono::milliseconds> &age, std::chrono::milliseconds bound);
+
 /// Judges the copy of the configuration by its age, and by what other entries say of theirs. No network, no clock.
 ///
 /// A store that is down for all entries can't accept a version, so that requests go on by the last one. A store that
@@ -29,8 +33,8 @@
     using Time = std::chrono::steady_clock::time_point;
 
     /// Records that another entry has responded.
-    /// \param isOverdue  whether its copy of the configuration is older than the bound, or was never confirmed
-    void recordResponse(const std::string &peer, bool isOverdue, Time now);
+    /// \param hasOverdueCopy  whether its copy of the configuration is overdue
+    void recordResponse(const std::string &peer, bool hasOverdueCopy, Time now);
 
     /// Records that another entry has not responded.
     void recordNoResponse(const std::string &peer, Time now);
@@ -46,7 +50,7 @@
     struct Query
     {
         Time endedAt;
-        bool isOverdue = false; ///< the other entry has responded, with a copy that is overdue as well
+        bool hasOverdueCopy = false; ///< the other entry has responded, with a copy that is overdue as well
     };
 
     std::map<std::string, Query> m_queries; ///< by peer; without the entries whose copy was current
--- a/src/process/store/configurationtrust.cpp
+++ b/src/process/store/configurationtrust.cpp
@@ -31,10 +31,15 @@
     return "overdue";
 }
 
-void ConfigurationJudge::recordResponse(const std::string &peer, bool isOverdue, Time now)
+bool isOverdue(const std::optional<std::chrono::milliseconds> &age, std::chrono::milliseconds bound)
 {
-    if (isOverdue) {
-        m_queries[peer] = { .endedAt = now, .isOverdue = true };
+    return !age || *age > bound;
+}
+
+void ConfigurationJudge::recordResponse(const std::string &peer, bool hasOverdueCopy, Time now)
+{
+    if (hasOverdueCopy) {
+        m_queries[peer] = { .endedAt = now, .hasOverdueCopy = true };
     } else {
         m_queries.erase(peer);
     }
@@ -42,7 +47,7 @@
 
 void ConfigurationJudge::recordNoResponse(const std::string &peer, Time now)
 {
-    m_queries[peer] = { .endedAt = now, .isOverdue = false };
+    m_queries[peer] = { .endedAt = now, .hasOverdueCopy = false };
 }
 
 // In a small fleet, or if most entries do not run, there are not enough witnesses. Then all that respond must agree,
@@ -50,7 +55,7 @@
 ConfigurationTrust ConfigurationJudge::judge(const std::optional<std::chrono::milliseconds> &age,
                                              std::chrono::milliseconds bound, std::size_t otherEntries, Time now) const
 {
-    if (age && *age <= bound) {
+    if (!isOverdue(age, bound)) {
         return ConfigurationTrust::Current;
     }
     if (otherEntries == 0) {
@@ -61,7 +66,7 @@
     for (const auto &[peer, query] : m_queries) {
         const bool counts = now - query.endedAt <= queryLifetime;
         asked += counts ? 1 : 0;
-        witnesses += counts && query.isOverdue ? 1 : 0;
+        witnesses += counts && query.hasOverdueCopy ? 1 : 0;
     }
     const bool isWitnessed = witnesses >= sufficientWitnesses || (witnesses > 0 && asked >= otherEntries);
     return isWitnessed ? ConfigurationTrust::Unconfirmed : ConfigurationTrust::Overdue;
--- a/src/process/store/storeview.cpp
+++ b/src/process/store/storeview.cpp
@@ -643,9 +643,9 @@
     if (response && !m_stopped) {
         // A response that was under way during a suspension is older than the steady clock shows.
         applyRelayResponse(*response, askedAt - (m_uncountedPauses - uncountedBefore), peer);
-        const auto &configurationAge = response->ages[indexOf(StorePart::Configuration)];
-        const bool isOverdue = !configurationAge || *configurationAge > budgetOf(StorePart::Configuration).bound;
-        m_configurationJudge.recordResponse(peer, isOverdue, std::chrono::steady_clock::now());
+        const bool hasOverdueCopy
+            = isOverdue(response->ages[indexOf(StorePart::Configuration)], budgetOf(StorePart::Configuration).bound);
+        m_configurationJudge.recordResponse(peer, hasOverdueCopy, std::chrono::steady_clock::now());
         query->hasResponse = true;
         query->readsStore = response->readsStore;
         query->ages = response->ages;
--- a/tests/unit/unit-return.cpp
+++ b/tests/unit/unit-return.cpp
@@ -17,7 +17,7 @@
 namespace
 {
 
-/// Sum of the budget of the return (docs/design/return.md) with a store that serves.
+/// Bound for the sum of the hops of docs/design/return.md.
 constexpr milliseconds returnBudget{ 5000 };
 
 /// Writes records of servers that do not run, beside those that do.
