State what the outage of a test does

The comment of the tests on large responses named an outage without answers; the store rejects all calls in it. Behaviour, bounds and assertions are unchanged.

--- a/tests/unit/unit-largeresponses.cpp
+++ b/tests/unit/unit-largeresponses.cpp
@@ -26,7 +26,7 @@
     });
 }
 
-/// Leaves the links of all entries without answers from the store for as long as it exists, so that changes add up.
+/// Has the store turn all entries away for as long as it exists, so that changes add up.
 class Outage
 {
 public:
